--- /dev/null
+++ b/crates/foxwheel-core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Shared pieces of every foxwheel process: ids, declarations, settings, errors and telemetry.
+//!
+//! Each process crate imports the [`prelude`] and names items through their modules,
+//! e.g. `declarations::RuleSet` or `settings::load`.
+
+pub mod cli;
+pub mod declarations;
+pub mod error;
+pub mod ids;
+pub mod protocol;
+pub mod settings;
+pub mod shutdown;
+pub mod telemetry;
+pub mod time;
+
+/// The modules most processes need, for `use foxwheel_core::prelude::*`.
+pub mod prelude {
+    pub use crate::{cli, declarations, error, ids, protocol, settings, shutdown, telemetry, time};
+}
--- /dev/null
+++ b/crates/foxwheel-platform-emu/src/settings.rs
@@ -0,0 +1,43 @@
+//! The emulator's settings file.
+
+use serde::{Deserialize, Serialize};
+
+use foxwheel_core::settings::{self, Check, FieldError};
+
+/// Settings of `foxwheel-platform-emu`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address to listen on, e.g. `127.0.0.1:7100`.
+    pub listen_addr: String,
+    /// Writes allowed per second before 429; the platform's budget is several hundred.
+    #[serde(default = "default_write_limit")]
+    pub write_limit_per_s: u64,
+    /// Reads (gets, lists, watch calls) allowed per second before 429; about two thousand.
+    #[serde(default = "default_read_limit")]
+    pub read_limit_per_s: u64,
+    /// How many past changes are kept for watches that start from an old version.
+    #[serde(default = "default_history_len")]
+    pub history_len: usize,
+}
+
+fn default_write_limit() -> u64 {
+    500
+}
+
+fn default_read_limit() -> u64 {
+    2_000
+}
+
+fn default_history_len() -> usize {
+    100_000
+}
+
+impl Check for PlatformSettings {
+    fn check(&self) -> Result<(), FieldError> {
+        settings::require_non_empty("listen_addr", &self.listen_addr)?;
+        settings::require_positive("write_limit_per_s", self.write_limit_per_s)?;
+        settings::require_positive("read_limit_per_s", self.read_limit_per_s)?;
+        settings::require_positive("history_len", self.history_len as u64)
+    }
+}
