--- /dev/null
+++ b/crates/foxwheel-agent/src/main.rs
@@ -0,0 +1,26 @@
+//! `foxwheel-agent`: the small process beside each backend server.
+
+use foxwheel_agent::{server, settings::AgentSettings};
+use foxwheel_core::{cli, shutdown, telemetry};
+
+#[actix_web::main]
+async fn main() -> std::io::Result<()> {
+    telemetry::init_logging();
+    let path = cli::server_settings_path(
+        "foxwheel-agent",
+        "The foxwheel agent beside one backend server: local queue, membership, drain.",
+    );
+    let settings: AgentSettings = match foxwheel_core::settings::load(&path) {
+        Ok(s) => s,
+        Err(e) => {
+            eprintln!("foxwheel-agent: {e}");
+            std::process::exit(2);
+        }
+    };
+    let cancel = shutdown::on_signal();
+    let host = settings.host.clone();
+    let agent = server::start(settings, cancel).await?;
+    log::info!("agent for {host} listening on {}", agent.addr);
+    let _ = agent.stopped.await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -0,0 +1,271 @@
+//! The local queue in front of one backend: online first, batch only in spare capacity.
+//!
+//! Engines know no priorities and admit requests as they come, so the agent decides what
+//! reaches the engine. A request holds a [`Permit`] while it runs on the backend. Online
+//! requests wait only behind other online requests. Batch requests are admitted only while
+//! no online request waits, up to `max_batch_running`; when an online request arrives and
+//! every slot is taken, the newest running batch request is preempted: its permit's
+//! [`Permit::preempted`] token fires, it stops its stream and queues again to resume later.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use foxwheel_core::declarations::PriorityClass;
+use foxwheel_core::protocol::LoadReport;
+
+/// How many requests may run at once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// All classes together.
+    pub max_running: u32,
+    /// Batch requests, at most; not more than `max_running`.
+    pub max_batch_running: u32,
+}
+
+/// Why a request was not queued.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum QueueError {
+    /// The agent is draining and takes no new work.
+    #[error("the agent is draining and takes no new work")]
+    Draining,
+}
+
+/// A request waiting for a slot.
+struct Waiting {
+    tx: oneshot::Sender<Permit>,
+}
+
+/// The queue's counts and waiters.
+///
+/// Invariants, checked after every change in debug builds:
+/// `running_online + running_batch <= max_running`, `running_batch <= max_batch_running`,
+/// `batch_running.len() + preempting == running_batch`, and `batch_running` is sorted by id.
+struct State {
+    limits: Limits,
+    running_online: u32,
+    running_batch: u32,
+    waiting_online: VecDeque<Waiting>,
+    waiting_batch: VecDeque<Waiting>,
+    /// Running batch permits that may still be preempted, by permit id (oldest first).
+    batch_running: Vec<(u64, CancellationToken)>,
+    /// Batch permits told to stop that have not yet been released.
+    preempting: u32,
+    next_id: u64,
+    preempted_total: u64,
+    draining: bool,
+}
+
+impl State {
+    fn running(&self) -> u32 {
+        self.running_online + self.running_batch
+    }
+
+    fn has_room(&self) -> bool {
+        self.running() < self.limits.max_running
+    }
+
+    fn batch_may_start(&self) -> bool {
+        self.has_room()
+            && self.running_batch < self.limits.max_batch_running
+            && self.waiting_online.is_empty()
+            && self.preempting == 0
+    }
+
+    fn check_invariants(&self) {
+        debug_assert!(self.running() <= self.limits.max_running);
+        debug_assert!(self.running_batch <= self.limits.max_batch_running);
+        debug_assert_eq!(
+            self.batch_running.len() as u32 + self.preempting,
+            self.running_batch
+        );
+        debug_assert!(self.batch_running.windows(2).all(|w| w[0].0 < w[1].0));
+    }
+}
+
+/// The queue, shared by every request handler of the agent.
+#[derive(Clone)]
+pub struct Queue {
+    state: Arc<Mutex<State>>,
+}
+
+/// A slot on the backend, held while the request runs; dropping it frees the slot.
+pub struct Permit {
+    queue: Queue,
+    id: u64,
+    class: PriorityClass,
+    preempted: CancellationToken,
+}
+
+impl Permit {
+    /// The class it was granted for.
+    pub fn class(&self) -> PriorityClass {
+        self.class
+    }
+
+    /// Fires when an online request needs this batch request's slot.
+    pub fn preempted(&self) -> &CancellationToken {
+        &self.preempted
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let unsent = self.queue.release(self);
+        drop(unsent);
+    }
+}
+
+impl Queue {
+    /// An empty queue with `limits`.
+    pub fn new(limits: Limits) -> Self {
+        Self {
+            state: Arc::new(Mutex::new(State {
+                limits,
+                running_online: 0,
+                running_batch: 0,
+                waiting_online: VecDeque::new(),
+                waiting_batch: VecDeque::new(),
+                batch_running: Vec::new(),
+                preempting: 0,
+                next_id: 0,
+                preempted_total: 0,
+                draining: false,
+            })),
+        }
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().expect("queue lock")
+    }
+
+    /// Waits for a slot for a request of `class`. Dropping the future leaves the queue.
+    pub async fn acquire(&self, class: PriorityClass) -> Result<Permit, QueueError> {
+        let rx = {
+            let mut state = self.lock();
+            if state.draining {
+                return Err(QueueError::Draining);
+            }
+            let may_start = match class {
+                PriorityClass::Online => state.has_room() && state.waiting_online.is_empty(),
+                PriorityClass::Batch => state.batch_may_start() && state.waiting_batch.is_empty(),
+            };
+            if may_start {
+                let permit = self.grant(&mut state, class);
+                state.check_invariants();
+                return Ok(permit);
+            }
+            let (tx, rx) = oneshot::channel();
+            match class {
+                PriorityClass::Online => {
+                    state.waiting_online.push_back(Waiting { tx });
+                    self.preempt_for_online(&mut state);
+                }
+                PriorityClass::Batch => state.waiting_batch.push_back(Waiting { tx }),
+            }
+            state.check_invariants();
+            rx
+        };
+        rx.await.map_err(|_| QueueError::Draining)
+    }
+
+    /// Stops taking new work; running and waiting requests go on.
+    pub fn drain(&self) {
+        self.lock().draining = true;
+    }
+
+    /// Whether the queue is draining.
+    pub fn is_draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// Counts for `GET /load`.
+    pub fn report(&self) -> LoadReport {
+        let state = self.lock();
+        LoadReport {
+            running_online: state.running_online,
+            running_batch: state.running_batch,
+            waiting_online: state.waiting_online.len() as u32,
+            waiting_batch: state.waiting_batch.len() as u32,
+            preempted_total: state.preempted_total,
+            draining: state.draining,
+        }
+    }
+
+    /// Requests running or waiting, all classes.
+    pub fn in_flight(&self) -> u32 {
+        let state = self.lock();
+        state.running() + state.waiting_online.len() as u32 + state.waiting_batch.len() as u32
+    }
+
+    fn grant(&self, state: &mut State, class: PriorityClass) -> Permit {
+        let id = state.next_id;
+        state.next_id += 1;
+        let preempted = CancellationToken::new();
+        match class {
+            PriorityClass::Online => state.running_online += 1,
+            PriorityClass::Batch => {
+                state.running_batch += 1;
+                state.batch_running.push((id, preempted.clone()));
+            }
+        }
+        Permit {
+            queue: self.clone(),
+            id,
+            class,
+            preempted,
+        }
+    }
+
+    /// Tells the newest running batch request to stop when online requests outnumber the
+    /// slots being freed.
+    fn preempt_for_online(&self, state: &mut State) {
+        if state.has_room() || state.waiting_online.len() as u32 <= state.preempting {
+            return;
+        }
+        if let Some((_, token)) = state.batch_running.pop() {
+            token.cancel();
+            state.preempting += 1;
+            state.preempted_total += 1;
+        }
+    }
+
+    /// Frees `permit`'s slot and hands free slots to waiters. Returns permits whose waiter
+    /// had gone, to be dropped after the lock is released.
+    fn release(&self, permit: &Permit) -> Vec<Permit> {
+        let mut state = self.lock();
+        match permit.class {
+            PriorityClass::Online => state.running_online -= 1,
+            PriorityClass::Batch => {
+                state.running_batch -= 1;
+                match state.batch_running.binary_search_by_key(&permit.id, |(id, _)| *id) {
+                    Ok(at) => {
+                        state.batch_running.remove(at);
+                    }
+                    Err(_) => state.preempting -= 1,
+                }
+            }
+        }
+        let mut unsent = Vec::new();
+        while state.has_room() {
+            let next = if let Some(w) = state.waiting_online.pop_front() {
+                Some((w, PriorityClass::Online))
+            } else if state.batch_may_start() {
+                state.waiting_batch.pop_front().map(|w| (w, PriorityClass::Batch))
+            } else {
+                None
+            };
+            let Some((waiting, class)) = next else { break };
+            let granted = self.grant(&mut state, class);
+            if let Err(granted) = waiting.tx.send(granted) {
+                unsent.push(granted);
+                // The waiter left; its slot is freed once the lock is released.
+                break;
+            }
+        }
+        state.check_invariants();
+        unsent
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -0,0 +1,90 @@
+//! The agent's settings file.
+
+use serde::{Deserialize, Serialize};
+
+use foxwheel_core::declarations::BackendKind;
+use foxwheel_core::ids::{DeploymentName, HostId, Zone};
+use foxwheel_core::settings::{self, Check, FieldError};
+
+/// Settings of `foxwheel-agent`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AgentSettings {
+    /// Address to listen on, e.g. `127.0.0.1:7400`.
+    pub listen_addr: String,
+    /// Address gateways use to reach this agent; defaults to the bound address.
+    #[serde(default)]
+    pub advertise_addr: Option<String>,
+    /// This host's name.
+    pub host: HostId,
+    /// This host's zone.
+    pub zone: Zone,
+    /// The deployment the backend serves.
+    pub deployment: DeploymentName,
+    /// Model engine or plain service.
+    pub backend: BackendKind,
+    /// The backend's base URL, e.g. `http://127.0.0.1:7300`.
+    pub backend_url: String,
+    /// The platform store's base URL.
+    pub store_url: String,
+    /// Requests on the backend at once, all classes.
+    #[serde(default = "default_max_running")]
+    pub max_running: u32,
+    /// Batch requests on the backend at once, at most; batch only fills spare capacity.
+    #[serde(default = "default_max_batch_running")]
+    pub max_batch_running: u32,
+    /// How often the membership lease is renewed, in milliseconds.
+    #[serde(default = "default_heartbeat_ms")]
+    pub heartbeat_ms: u64,
+    /// How long a lease lasts unless renewed, in milliseconds; more than `heartbeat_ms`.
+    #[serde(default = "default_lease_ttl_ms")]
+    pub lease_ttl_ms: u64,
+    /// How long a draining agent keeps serving after announcing it, in milliseconds.
+    #[serde(default = "default_drain_grace_ms")]
+    pub drain_grace_ms: u64,
+    /// How long one forwarded request may take, in milliseconds.
+    #[serde(default = "default_request_timeout_ms")]
+    pub request_timeout_ms: u64,
+    /// statsd address for counters; none drops them.
+    #[serde(default)]
+    pub statsd_addr: Option<String>,
+}
+
+fn default_max_running() -> u32 {
+    16
+}
+fn default_max_batch_running() -> u32 {
+    12
+}
+fn default_heartbeat_ms() -> u64 {
+    2_000
+}
+fn default_lease_ttl_ms() -> u64 {
+    6_000
+}
+fn default_drain_grace_ms() -> u64 {
+    1_500
+}
+fn default_request_timeout_ms() -> u64 {
+    60_000
+}
+
+impl Check for AgentSettings {
+    fn check(&self) -> Result<(), FieldError> {
+        settings::require_non_empty("listen_addr", &self.listen_addr)?;
+        settings::require_non_empty("host", &self.host)?;
+        settings::require_non_empty("zone", &self.zone)?;
+        settings::require_non_empty("deployment", &self.deployment)?;
+        settings::require_non_empty("backend_url", &self.backend_url)?;
+        settings::require_non_empty("store_url", &self.store_url)?;
+        settings::require_positive("max_running", self.max_running.into())?;
+        if self.max_batch_running > self.max_running {
+            return Err(FieldError::new("max_batch_running", "must not exceed max_running"));
+        }
+        settings::require_positive("heartbeat_ms", self.heartbeat_ms)?;
+        if self.lease_ttl_ms <= self.heartbeat_ms {
+            return Err(FieldError::new("lease_ttl_ms", "must exceed heartbeat_ms"));
+        }
+        settings::require_positive("request_timeout_ms", self.request_timeout_ms)
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-core/src/http.rs
@@ -0,0 +1,164 @@
+//! HTTP helpers shared by the servers: refusals in one shape and a server that stops
+//! gracefully when its cancellation token fires.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_web::http::StatusCode;
+use actix_web::HttpResponse;
+use tokio_util::sync::CancellationToken;
+
+use crate::protocol::{Refusal, RefusalBody, RunState};
+
+/// Builds a refusal answer: the JSON body, and `Retry-After` when coming back can help.
+pub fn refuse(status: StatusCode, refusal: Refusal) -> HttpResponse {
+    let mut builder = HttpResponse::build(status);
+    if let Some(seconds) = refusal.retry_after_s {
+        builder.insert_header(("retry-after", seconds.to_string()));
+    }
+    builder.json(RefusalBody { error: refusal })
+}
+
+/// A refusal of a request that no backend received.
+pub fn not_run(
+    status: StatusCode,
+    code: &str,
+    message: impl Into<String>,
+    retry_after_s: Option<u64>,
+) -> HttpResponse {
+    refuse(
+        status,
+        Refusal {
+            message: message.into(),
+            code: code.to_owned(),
+            run_state: RunState::NotRun,
+            retry_after_s,
+        },
+    )
+}
+
+/// A refusal of a request that a backend may have received.
+pub fn unknown(status: StatusCode, code: &str, message: impl Into<String>) -> HttpResponse {
+    refuse(
+        status,
+        Refusal {
+            message: message.into(),
+            code: code.to_owned(),
+            run_state: RunState::Unknown,
+            retry_after_s: None,
+        },
+    )
+}
+
+/// How a server is run.
+#[derive(Debug, Clone, Copy)]
+pub struct ServerShape {
+    /// Worker threads.
+    pub workers: usize,
+    /// How long a graceful stop waits for requests in flight.
+    pub shutdown_timeout: Duration,
+}
+
+impl Default for ServerShape {
+    fn default() -> Self {
+        Self {
+            workers: 2,
+            shutdown_timeout: Duration::from_secs(30),
+        }
+    }
+}
+
+/// Binds and starts an actix-web server built by `factory`; it stops gracefully (refusing
+/// new connections, finishing requests in flight) once `cancel` fires.
+pub fn serve<F, I, S, B>(
+    listen_addr: &str,
+    shape: ServerShape,
+    cancel: CancellationToken,
+    factory: F,
+) -> std::io::Result<(SocketAddr, actix_web::dev::Server)>
+where
+    F: Fn() -> I + Send + Clone + 'static,
+    I: actix_service::IntoServiceFactory<S, actix_http::Request>,
+    S: actix_web::dev::ServiceFactory<
+            actix_http::Request,
+            Config = actix_web::dev::AppConfig,
+            Response = actix_web::dev::ServiceResponse<B>,
+            Error = actix_web::Error,
+            InitError = (),
+        > + 'static,
+    S::Future: 'static,
+    B: actix_web::body::MessageBody + 'static,
+{
+    let server = actix_web::HttpServer::new(factory)
+        .workers(shape.workers)
+        .shutdown_timeout(shape.shutdown_timeout.as_secs())
+        .disable_signals()
+        .bind(listen_addr)?;
+    let addr = server.addrs()[0];
+    let server = server.run();
+    let handle = server.handle();
+    actix_web::rt::spawn(async move {
+        cancel.cancelled().await;
+        handle.stop(true).await;
+    });
+    Ok((addr, server))
+}
+
+
+/// Request headers passed on when forwarding; all others (hop-by-hop, host, length) are not.
+const FORWARDED_HEADERS: &[&str] = &[
+    "content-type",
+    "accept",
+    crate::protocol::REQUEST_ID_HEADER,
+    crate::protocol::CLASS_HEADER,
+    crate::protocol::WORKSPACE_HEADER,
+    crate::protocol::IDEMPOTENCY_KEY_HEADER,
+    "x-foxwheel-resume-from",
+];
+
+/// Response headers passed back to the caller.
+const RELAYED_HEADERS: &[&str] = &[
+    "content-type",
+    "cache-control",
+    "retry-after",
+    crate::protocol::REPLAYED_HEADER,
+];
+
+/// Sends a request on to `url`, copying the headers foxwheel passes on.
+pub fn forward(
+    client: &awc::Client,
+    method: actix_web::http::Method,
+    url: &str,
+    headers: &actix_web::http::header::HeaderMap,
+    body: bytes::Bytes,
+    timeout: Duration,
+) -> awc::SendClientRequest {
+    let mut request = client.request(method, url).timeout(timeout);
+    for name in FORWARDED_HEADERS {
+        if let Some(value) = headers.get(*name) {
+            request = request.insert_header((*name, value.clone()));
+        }
+    }
+    request.send_body(body)
+}
+
+/// Streams a backend's answer to the caller, keeping `guard` alive until the stream ends
+/// or the caller goes away (so a queue slot or an in-flight count is held exactly as long).
+pub fn relay<S, G>(response: awc::ClientResponse<S>, guard: G) -> HttpResponse
+where
+    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
+    G: 'static,
+{
+    use futures::StreamExt;
+    let mut builder = HttpResponse::build(response.status());
+    for name in RELAYED_HEADERS {
+        if let Some(value) = response.headers().get(*name) {
+            builder.insert_header((*name, value.clone()));
+        }
+    }
+    let body = response.map(move |chunk| {
+        let _held = &guard;
+        chunk
+    });
+    builder.streaming(body)
+}
--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod declarations;
 pub mod error;
+pub mod http;
 pub mod ids;
 pub mod protocol;
 pub mod settings;
@@ -15,5 +16,5 @@
 
 /// The modules most processes need, for `use foxwheel_core::prelude::*`.
 pub mod prelude {
-    pub use crate::{cli, declarations, error, ids, protocol, settings, shutdown, telemetry, time};
+    pub use crate::{cli, declarations, error, http, ids, protocol, settings, shutdown, telemetry, time};
 }
--- /dev/null
+++ b/crates/foxwheel-engine-emu/src/main.rs
@@ -0,0 +1,21 @@
+//! `foxwheel-engine-emu`: the model engine stand-in.
+
+use foxwheel_core::{cli, shutdown, telemetry};
+use foxwheel_engine_emu::{server, settings::EngineSettings};
+
+#[actix_web::main]
+async fn main() -> std::io::Result<()> {
+    telemetry::init_logging();
+    let path = cli::server_settings_path("foxwheel-engine-emu", "A stand-in for a model engine.");
+    let settings: EngineSettings = match foxwheel_core::settings::load(&path) {
+        Ok(s) => s,
+        Err(e) => {
+            eprintln!("foxwheel-engine-emu: {e}");
+            std::process::exit(2);
+        }
+    };
+    let cancel = shutdown::on_signal();
+    let (addr, server) = server::start(settings, cancel)?;
+    log::info!("engine emulator listening on {addr}");
+    server.await
+}
--- /dev/null
+++ b/crates/foxwheel-engine-emu/src/settings.rs
@@ -0,0 +1,102 @@
+//! The engine emulator's settings file.
+
+use serde::{Deserialize, Serialize};
+
+use foxwheel_core::ids::ModelName;
+use foxwheel_core::settings::{self, Check, FieldError};
+
+/// What the engine does with an order whose fencing number is older than one it has seen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum FencingMode {
+    /// Refuses it with 409.
+    Refuse,
+    /// Applies it anyway, as engines that do not check do.
+    Ignore,
+}
+
+/// Settings of `foxwheel-engine-emu`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSettings {
+    /// Address to listen on, e.g. `127.0.0.1:7300`.
+    pub listen_addr: String,
+    /// Models it serves at start.
+    pub models: Vec<ModelName>,
+    /// Sequences decoded together at most; more wait.
+    #[serde(default = "default_max_batch")]
+    pub max_batch: usize,
+    /// Prefill cost of each uncached prompt token, in microseconds.
+    #[serde(default = "default_prefill_us_per_token")]
+    pub prefill_us_per_token: u64,
+    /// Fixed cost of one decode step, in microseconds.
+    #[serde(default = "default_decode_step_us")]
+    pub decode_step_us: u64,
+    /// Added cost of one decode step per running sequence, in microseconds.
+    #[serde(default = "default_decode_us_per_seq")]
+    pub decode_us_per_seq: u64,
+    /// Prefix cache capacity, in tokens.
+    #[serde(default = "default_cache_capacity_tokens")]
+    pub cache_capacity_tokens: usize,
+    /// How late load reports and cache events are published, in milliseconds.
+    #[serde(default = "default_report_lag_ms")]
+    pub report_lag_ms: u64,
+    /// Drop every n-th cache event (a gap); 0 keeps all.
+    #[serde(default)]
+    pub cache_event_gap_every: u64,
+    /// What to do with an order carrying an old fencing number.
+    #[serde(default = "default_fencing_mode")]
+    pub fencing_mode: FencingMode,
+}
+
+fn default_max_batch() -> usize {
+    16
+}
+fn default_prefill_us_per_token() -> u64 {
+    100
+}
+fn default_decode_step_us() -> u64 {
+    10_000
+}
+fn default_decode_us_per_seq() -> u64 {
+    500
+}
+fn default_cache_capacity_tokens() -> usize {
+    200_000
+}
+fn default_report_lag_ms() -> u64 {
+    500
+}
+fn default_fencing_mode() -> FencingMode {
+    FencingMode::Refuse
+}
+
+impl EngineSettings {
+    /// Settings for tests: listens on an ephemeral port, serves `model`, fast time model.
+    pub fn for_test(model: &str) -> Self {
+        Self {
+            listen_addr: "127.0.0.1:0".to_owned(),
+            models: vec![model.to_owned()],
+            max_batch: 4,
+            prefill_us_per_token: 10,
+            decode_step_us: 1_000,
+            decode_us_per_seq: 100,
+            cache_capacity_tokens: 10_000,
+            report_lag_ms: 50,
+            cache_event_gap_every: 0,
+            fencing_mode: FencingMode::Refuse,
+        }
+    }
+}
+
+impl Check for EngineSettings {
+    fn check(&self) -> Result<(), FieldError> {
+        settings::require_non_empty("listen_addr", &self.listen_addr)?;
+        if self.models.is_empty() {
+            return Err(FieldError::new("models", "must name a model"));
+        }
+        settings::require_positive("max_batch", self.max_batch as u64)?;
+        settings::require_positive("decode_step_us", self.decode_step_us)?;
+        settings::require_positive("cache_capacity_tokens", self.cache_capacity_tokens as u64)
+    }
+}
