--- a/crates/foxwheel-agent/src/membership.rs
+++ b/crates/foxwheel-agent/src/membership.rs
@@ -10,17 +10,12 @@
 use tokio_util::sync::CancellationToken;
 
 use foxwheel_core::protocol::{Member, MemberState};
-use foxwheel_core::time;
+use foxwheel_core::{keys, time};
 use foxwheel_store::client::StoreClient;
 
 use crate::queue::Queue;
 use crate::settings::AgentSettings;
 
-/// The store key of a member record.
-pub fn member_key(deployment: &str, host: &str) -> String {
-    format!("members/{deployment}/{host}")
-}
-
 /// Keeps this agent's membership lease.
 #[derive(Clone)]
 pub struct Membership {
@@ -43,10 +38,11 @@
             zone: settings.zone.clone(),
             state: MemberState::Ready,
             lease_expires_ms: 0,
+            lease_ttl_ms: settings.lease_ttl_ms,
         };
         Self {
             store: StoreClient::new(&settings.store_url),
-            key: member_key(&settings.deployment, &settings.host),
+            key: keys::member(&settings.deployment, &settings.host),
             record,
             heartbeat: Duration::from_millis(settings.heartbeat_ms),
             ttl: Duration::from_millis(settings.lease_ttl_ms),
--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -65,13 +65,22 @@
     let url = format!("{}{}", backend.base_url, path_and_query(req));
     match class {
         PriorityClass::Online => {
-            let sent = http::forward(client, req.method().clone(), &url, req.headers(), body, backend.timeout);
+            let sent = http::forward(
+                client,
+                req.method().clone(),
+                &url,
+                req.headers(),
+                body,
+                backend.timeout,
+            );
             match sent.await {
                 Ok(response) => http::relay(response, permit),
                 Err(e) => backend_unreachable(backend, e),
             }
         }
-        PriorityClass::Batch => run_batch(queue, client, backend, counters, req, body, &url, permit).await,
+        PriorityClass::Batch => {
+            run_batch(queue, client, backend, counters, req, body, &url, permit).await
+        }
     }
 }
 
@@ -116,9 +125,16 @@
     url: &str,
     timeout: Duration,
 ) -> Result<(StatusCode, String, Bytes), String> {
-    let mut response = http::forward(client, req.method().clone(), url, req.headers(), body, timeout)
-        .await
-        .map_err(|e| e.to_string())?;
+    let mut response = http::forward(
+        client,
+        req.method().clone(),
+        url,
+        req.headers(),
+        body,
+        timeout,
+    )
+    .await
+    .map_err(|e| e.to_string())?;
     let content_type = response
         .headers()
         .get("content-type")
--- a/crates/foxwheel-agent/src/queue.rs
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -240,7 +240,10 @@
             PriorityClass::Online => state.running_online -= 1,
             PriorityClass::Batch => {
                 state.running_batch -= 1;
-                match state.batch_running.binary_search_by_key(&permit.id, |(id, _)| *id) {
+                match state
+                    .batch_running
+                    .binary_search_by_key(&permit.id, |(id, _)| *id)
+                {
                     Ok(at) => {
                         state.batch_running.remove(at);
                     }
@@ -253,7 +256,10 @@
             let next = if let Some(w) = state.waiting_online.pop_front() {
                 Some((w, PriorityClass::Online))
             } else if state.batch_may_start() {
-                state.waiting_batch.pop_front().map(|w| (w, PriorityClass::Batch))
+                state
+                    .waiting_batch
+                    .pop_front()
+                    .map(|w| (w, PriorityClass::Batch))
             } else {
                 None
             };
--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -51,7 +51,16 @@
     body: Bytes,
 ) -> HttpResponse {
     let class = class_of(&req);
-    proxy::handle(&state.queue, &client, &state.backend, &state.counters, &req, body, class).await
+    proxy::handle(
+        &state.queue,
+        &client,
+        &state.backend,
+        &state.counters,
+        &req,
+        body,
+        class,
+    )
+    .await
 }
 
 async fn service_call(
@@ -61,7 +70,16 @@
     body: Bytes,
 ) -> HttpResponse {
     let class = PriorityClass::Online;
-    proxy::handle(&state.queue, &client, &state.backend, &state.counters, &req, body, class).await
+    proxy::handle(
+        &state.queue,
+        &client,
+        &state.backend,
+        &state.counters,
+        &req,
+        body,
+        class,
+    )
+    .await
 }
 
 async fn load(state: web::Data<AgentState>) -> HttpResponse {
@@ -88,14 +106,20 @@
 /// Starts the agent: membership lease, queue, server. When `cancel` fires it drains
 /// (announces it, waits `drain_grace_ms` for gateways to notice), stops accepting, lets
 /// requests in flight finish, and removes its membership record.
-pub async fn start(settings: AgentSettings, cancel: CancellationToken) -> std::io::Result<RunningAgent> {
+pub async fn start(
+    settings: AgentSettings,
+    cancel: CancellationToken,
+) -> std::io::Result<RunningAgent> {
     let queue = Queue::new(Limits {
         max_running: settings.max_running,
         max_batch_running: settings.max_batch_running,
     });
     let listener = std::net::TcpListener::bind(&settings.listen_addr)?;
     let addr = listener.local_addr()?;
-    let advertised = settings.advertise_addr.clone().unwrap_or_else(|| addr.to_string());
+    let advertised = settings
+        .advertise_addr
+        .clone()
+        .unwrap_or_else(|| addr.to_string());
     let membership = Membership::new(&settings, advertised, queue.clone());
     let state = web::Data::from(Arc::new(AgentState {
         queue: queue.clone(),
@@ -112,7 +136,9 @@
     let (addr, server) = http::serve(&addr.to_string(), shape, server_cancel.clone(), move || {
         actix_web::App::new()
             .app_data(state.clone())
-            .app_data(web::Data::new(awc::Client::builder().disable_timeout().finish()))
+            .app_data(web::Data::new(
+                awc::Client::builder().disable_timeout().finish(),
+            ))
             .route("/v1/chat/completions", web::post().to(complete))
             .route("/v1/completions", web::post().to(complete))
             .route("/services/{tail:.*}", web::route().to(service_call))
--- a/crates/foxwheel-agent/src/settings.rs
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -79,7 +79,10 @@
         settings::require_non_empty("store_url", &self.store_url)?;
         settings::require_positive("max_running", self.max_running.into())?;
         if self.max_batch_running > self.max_running {
-            return Err(FieldError::new("max_batch_running", "must not exceed max_running"));
+            return Err(FieldError::new(
+                "max_batch_running",
+                "must not exceed max_running",
+            ));
         }
         settings::require_positive("heartbeat_ms", self.heartbeat_ms)?;
         if self.lease_ttl_ms <= self.heartbeat_ms {
--- a/crates/foxwheel-core/src/cli.rs
+++ b/crates/foxwheel-core/src/cli.rs
@@ -19,7 +19,7 @@
     args: impl IntoIterator<Item = std::ffi::OsString>,
 ) -> Result<Command, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut parser = lexopt::Parser::from_iter(args);
+    let mut parser = lexopt::Parser::from_args(args);
     let mut settings = None;
     while let Some(arg) = parser.next()? {
         match arg {
--- a/crates/foxwheel-core/src/declarations.rs
+++ b/crates/foxwheel-core/src/declarations.rs
@@ -233,7 +233,10 @@
             let field = |f: &str| format!("deployments[{i}].{f}");
             settings::require_non_empty(&field("name"), &d.name)?;
             if names.contains(&d.name.as_str()) {
-                return Err(FieldError::new(field("name"), format!("repeats `{}`", d.name)));
+                return Err(FieldError::new(
+                    field("name"),
+                    format!("repeats `{}`", d.name),
+                ));
             }
             names.push(&d.name);
             if d.backend == BackendKind::Model && d.models.is_empty() {
@@ -249,7 +252,10 @@
             let field = |f: &str| format!("rules[{i}].{f}");
             settings::require_non_empty(&field("name"), &rule.name)?;
             if rule_names.contains(&rule.name.as_str()) {
-                return Err(FieldError::new(field("name"), format!("repeats `{}`", rule.name)));
+                return Err(FieldError::new(
+                    field("name"),
+                    format!("repeats `{}`", rule.name),
+                ));
             }
             rule_names.push(&rule.name);
             match &rule.then {
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -13,41 +13,76 @@
 /// Builds a refusal answer: the JSON body, and `Retry-After` when coming back can help.
 pub fn refuse(status: StatusCode, refusal: Refusal) -> HttpResponse {
     let mut builder = HttpResponse::build(status);
+    builder.insert_header((
+        crate::protocol::RUN_STATE_HEADER,
+        refusal.run_state.as_str(),
+    ));
     if let Some(seconds) = refusal.retry_after_s {
         builder.insert_header(("retry-after", seconds.to_string()));
     }
     builder.json(RefusalBody { error: refusal })
 }
 
-/// A refusal of a request that no backend received.
+/// A refusal with its HTTP status, as filters and checks return it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refused {
+    /// The HTTP status to answer with.
+    pub status: StatusCode,
+    /// The body.
+    pub refusal: Refusal,
+}
+
+impl Refused {
+    /// A refusal of a request that no backend received.
+    pub fn not_run(
+        status: StatusCode,
+        code: &str,
+        message: impl Into<String>,
+        retry_after_s: Option<u64>,
+    ) -> Self {
+        Self {
+            status,
+            refusal: Refusal {
+                message: message.into(),
+                code: code.to_owned(),
+                run_state: RunState::NotRun,
+                retry_after_s,
+            },
+        }
+    }
+
+    /// A refusal of a request that a backend may have received.
+    pub fn unknown(status: StatusCode, code: &str, message: impl Into<String>) -> Self {
+        Self {
+            status,
+            refusal: Refusal {
+                message: message.into(),
+                code: code.to_owned(),
+                run_state: RunState::Unknown,
+                retry_after_s: None,
+            },
+        }
+    }
+
+    /// The answer for the caller.
+    pub fn into_response(self) -> HttpResponse {
+        refuse(self.status, self.refusal)
+    }
+}
+
+/// The answer refusing a request that no backend received.
 pub fn not_run(
     status: StatusCode,
     code: &str,
     message: impl Into<String>,
     retry_after_s: Option<u64>,
 ) -> HttpResponse {
-    refuse(
-        status,
-        Refusal {
-            message: message.into(),
-            code: code.to_owned(),
-            run_state: RunState::NotRun,
-            retry_after_s,
-        },
-    )
+    Refused::not_run(status, code, message, retry_after_s).into_response()
 }
 
-/// A refusal of a request that a backend may have received.
+/// The answer refusing a request that a backend may have received.
 pub fn unknown(status: StatusCode, code: &str, message: impl Into<String>) -> HttpResponse {
-    refuse(
-        status,
-        Refusal {
-            message: message.into(),
-            code: code.to_owned(),
-            run_state: RunState::Unknown,
-            retry_after_s: None,
-        },
-    )
+    Refused::unknown(status, code, message).into_response()
 }
 
 /// How a server is run.
@@ -104,7 +139,6 @@
     Ok((addr, server))
 }
 
-
 /// Request headers passed on when forwarding; all others (hop-by-hop, host, length) are not.
 const FORWARDED_HEADERS: &[&str] = &[
     "content-type",
@@ -119,11 +153,25 @@
 /// Response headers passed back to the caller.
 const RELAYED_HEADERS: &[&str] = &[
     "content-type",
+    crate::protocol::RUN_STATE_HEADER,
     "cache-control",
     "retry-after",
     crate::protocol::REPLAYED_HEADER,
 ];
 
+/// Whether a backend's answer is a refusal saying the request did not run.
+pub fn says_not_run<S>(response: &awc::ClientResponse<S>) -> bool {
+    response
+        .headers()
+        .get(crate::protocol::RUN_STATE_HEADER)
+        .is_some_and(|v| v.as_bytes() == crate::protocol::RunState::NotRun.as_str().as_bytes())
+}
+
+/// Whether a send failed before any byte of the request could reach the peer.
+pub fn send_never_reached(error: &awc::error::SendRequestError) -> bool {
+    matches!(error, awc::error::SendRequestError::Connect(_))
+}
+
 /// Sends a request on to `url`, copying the headers foxwheel passes on.
 pub fn forward(
     client: &awc::Client,
@@ -162,3 +210,17 @@
     });
     builder.streaming(body)
 }
+
+/// Names the success type of a `Result`, to name awc's response type without depending on
+/// which of its features are on.
+pub trait OkType {
+    /// The success type.
+    type Ok;
+}
+
+impl<T, E> OkType for Result<T, E> {
+    type Ok = T;
+}
+
+/// A backend's answer as awc gives it.
+pub type BackendResponse = <<awc::SendClientRequest as std::future::Future>::Output as OkType>::Ok;
--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod error;
 pub mod http;
 pub mod ids;
+pub mod keys;
 pub mod protocol;
 pub mod settings;
 pub mod shutdown;
@@ -16,5 +17,7 @@
 
 /// The modules most processes need, for `use foxwheel_core::prelude::*`.
 pub mod prelude {
-    pub use crate::{cli, declarations, error, http, ids, protocol, settings, shutdown, telemetry, time};
+    pub use crate::{
+        cli, declarations, error, http, ids, keys, protocol, settings, shutdown, telemetry, time,
+    };
 }
--- a/crates/foxwheel-core/src/protocol.rs
+++ b/crates/foxwheel-core/src/protocol.rs
@@ -16,6 +16,9 @@
 pub const WORKSPACE_HEADER: &str = "x-foxwheel-workspace";
 /// Header a caller sends with a non-idempotent call.
 pub const IDEMPOTENCY_KEY_HEADER: &str = "idempotency-key";
+/// Header on every refusal saying whether the request ran (`not_run` or `unknown`), so a
+/// gateway can tell without reading the body.
+pub const RUN_STATE_HEADER: &str = "x-foxwheel-run-state";
 /// Header set when a stored answer to an earlier call with the same key is replayed.
 pub const REPLAYED_HEADER: &str = "idempotent-replayed";
 
@@ -29,6 +32,16 @@
     Unknown,
 }
 
+impl RunState {
+    /// The value sent in [`RUN_STATE_HEADER`].
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The body of every refusal the gateway or agent sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -66,6 +79,9 @@
     pub state: MemberState,
     /// The lease runs out at this Unix time in milliseconds unless renewed.
     pub lease_expires_ms: u64,
+    /// How long the lease lasts from each renewal, in milliseconds. Readers judge expiry by
+    /// their own clock from when they saw the renewal, so clock skew does not matter.
+    pub lease_ttl_ms: u64,
 }
 
 /// Whether a member takes new work.
--- /dev/null
+++ b/crates/foxwheel-ctl/src/batch.rs
@@ -0,0 +1,77 @@
+//! Calls to a gateway's batch API.
+
+use std::path::Path;
+use std::time::Duration;
+
+use crate::CtlError;
+
+/// How long one call to the gateway may take.
+const CALL_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// A client of one gateway.
+pub struct GatewayClient {
+    base_url: String,
+    http: awc::Client,
+}
+
+impl GatewayClient {
+    /// A client of the gateway at `base_url`.
+    pub fn new(base_url: &str) -> Self {
+        Self {
+            base_url: base_url.trim_end_matches('/').to_owned(),
+            http: awc::Client::builder().timeout(CALL_TIMEOUT).finish(),
+        }
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        request: awc::SendClientRequest,
+    ) -> Result<String, CtlError> {
+        let failed = |detail: String| CtlError::Gateway {
+            step,
+            peer: self.base_url.clone(),
+            detail,
+        };
+        let mut response = request.await.map_err(|e| failed(e.to_string()))?;
+        let body = response
+            .body()
+            .limit(256 * 1024 * 1024)
+            .await
+            .map_err(|e| failed(e.to_string()))?;
+        let text = String::from_utf8_lossy(&body).into_owned();
+        if !response.status().is_success() {
+            return Err(failed(format!("status {}: {text}", response.status())));
+        }
+        Ok(text)
+    }
+
+    /// `POST /v1/batches` with the request in `file`.
+    pub async fn create(&self, file: &Path) -> Result<String, CtlError> {
+        let text = std::fs::read_to_string(file)
+            .map_err(|e| CtlError::Usage(format!("cannot read {}: {e}", file.display())))?;
+        let body: serde_json::Value = serde_json::from_str(&text)
+            .map_err(|e| CtlError::Usage(format!("{} is not JSON: {e}", file.display())))?;
+        let url = format!("{}/v1/batches", self.base_url);
+        self.call("create batch", self.http.post(url).send_json(&body))
+            .await
+    }
+
+    /// `GET /v1/batches/{id}`.
+    pub async fn status(&self, id: &str) -> Result<String, CtlError> {
+        let url = format!("{}/v1/batches/{id}", self.base_url);
+        self.call("batch status", self.http.get(url).send()).await
+    }
+
+    /// `POST /v1/batches/{id}/cancel`.
+    pub async fn cancel(&self, id: &str) -> Result<String, CtlError> {
+        let url = format!("{}/v1/batches/{id}/cancel", self.base_url);
+        self.call("cancel batch", self.http.post(url).send()).await
+    }
+
+    /// `GET /v1/batches/{id}/results`.
+    pub async fn results(&self, id: &str) -> Result<String, CtlError> {
+        let url = format!("{}/v1/batches/{id}/results", self.base_url);
+        self.call("batch results", self.http.get(url).send()).await
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-ctl/src/lib.rs
@@ -0,0 +1,40 @@
+//! The operators' command line, as a library so that its contract can be tested.
+//!
+//! [`args`] parses the command line, [`apply`] applies, diffs and reads declarations in the
+//! platform store with conditional updates, and [`batch`] calls a gateway's batch API.
+
+pub mod apply;
+pub mod args;
+pub mod batch;
+
+/// Why a command failed; the message is printed and the exit code is non-zero.
+#[derive(Debug, thiserror::Error)]
+pub enum CtlError {
+    /// The command line is wrong.
+    #[error("{0}")]
+    Usage(String),
+    /// The declarations file is refused.
+    #[error(transparent)]
+    Settings(#[from] foxwheel_core::settings::SettingsError),
+    /// The store refused or failed.
+    #[error(transparent)]
+    Store(#[from] foxwheel_store::client::StoreError),
+    /// Another operator changed an object between this command's read and its write.
+    #[error("{key} was changed by someone else (now at version {current_version}) while applying; run `diff` and apply again")]
+    Raced {
+        /// The object's key.
+        key: String,
+        /// Its version now.
+        current_version: u64,
+    },
+    /// The gateway refused or failed.
+    #[error("gateway at {peer}, step '{step}': {detail}")]
+    Gateway {
+        /// The call.
+        step: &'static str,
+        /// The gateway's address.
+        peer: String,
+        /// What it said.
+        detail: String,
+    },
+}
--- /dev/null
+++ b/crates/foxwheel-ctl/src/main.rs
@@ -0,0 +1,70 @@
+//! `foxwheel-ctl`: the operators' command line.
+
+use foxwheel_core::keys;
+use foxwheel_ctl::args::{self, Command, Kind};
+use foxwheel_ctl::{apply, batch::GatewayClient, CtlError};
+use foxwheel_store::client::StoreClient;
+
+async fn run(args: args::Args) -> Result<(), CtlError> {
+    let store = StoreClient::new(&args.store_url);
+    let gateway = GatewayClient::new(&args.gateway_url);
+    match args.command {
+        Command::Help => println!("{}", args::USAGE),
+        Command::Diff(path) => {
+            let manifest = apply::read_manifest(&path)?;
+            let changes = apply::diff(&store, &manifest).await?;
+            if changes.is_empty() {
+                println!("no changes");
+            }
+            for change in changes {
+                println!("~ {} (at version {})", change.key, change.from_version);
+            }
+        }
+        Command::Apply(path) => {
+            let manifest = apply::read_manifest(&path)?;
+            let changes = apply::diff(&store, &manifest).await?;
+            let written = apply::apply(&store, &changes).await?;
+            if written.is_empty() {
+                println!("no changes");
+            }
+            for (key, version) in written {
+                println!("applied {key} at version {version}");
+            }
+        }
+        Command::Get(kind) => {
+            let prefix = match kind {
+                Kind::Deployments => keys::DEPLOYMENTS_PREFIX,
+                Kind::Rules => keys::RULES_KEY,
+                Kind::Members => keys::MEMBERS_PREFIX,
+                Kind::Jobs => keys::JOBS_PREFIX,
+            };
+            let listed = store.list(prefix).await?;
+            for object in listed.objects {
+                println!(
+                    "{} (version {}): {}",
+                    object.key, object.version, object.value
+                );
+            }
+        }
+        Command::BatchCreate(path) => println!("{}", gateway.create(&path).await?),
+        Command::BatchStatus(id) => println!("{}", gateway.status(&id).await?),
+        Command::BatchCancel(id) => println!("{}", gateway.cancel(&id).await?),
+        Command::BatchResults(id) => print!("{}", gateway.results(&id).await?),
+    }
+    Ok(())
+}
+
+fn main() {
+    let args = match args::parse(std::env::args_os().skip(1)) {
+        Ok(args) => args,
+        Err(e) => {
+            eprintln!("foxwheel-ctl: {e}");
+            std::process::exit(2);
+        }
+    };
+    let result = actix_web::rt::System::new().block_on(run(args));
+    if let Err(e) = result {
+        eprintln!("foxwheel-ctl: {e}");
+        std::process::exit(1);
+    }
+}
--- a/crates/foxwheel-engine-emu/src/openai.rs
+++ b/crates/foxwheel-engine-emu/src/openai.rs
@@ -99,7 +99,12 @@
 }
 
 /// Builds one streamed chunk carrying `piece`; `finish` on the last.
-pub fn chunk(id: &str, request: &CompletionRequest, piece: &str, finish: bool) -> serde_json::Value {
+pub fn chunk(
+    id: &str,
+    request: &CompletionRequest,
+    piece: &str,
+    finish: bool,
+) -> serde_json::Value {
     let finish_reason = finish.then_some("length");
     let choice = if request.is_chat() {
         serde_json::json!({"index": 0, "delta": {"content": piece}, "finish_reason": finish_reason})
--- a/crates/foxwheel-engine-emu/src/server.rs
+++ b/crates/foxwheel-engine-emu/src/server.rs
@@ -99,7 +99,9 @@
 
     fn step_time(&self) -> Duration {
         let running = self.running.load(Ordering::Relaxed) as u64;
-        Duration::from_micros(self.settings.decode_step_us + self.settings.decode_us_per_seq * running)
+        Duration::from_micros(
+            self.settings.decode_step_us + self.settings.decode_us_per_seq * running,
+        )
     }
 
     fn prefill_time(&self, prompt: &str, resume_from: usize) -> Duration {
@@ -110,7 +112,13 @@
     }
 
     /// Runs one sequence, sending each token to `out`; stops early when `out` closes.
-    async fn generate(self: Arc<Self>, id: String, request: CompletionRequest, resume_from: usize, out: mpsc::Sender<String>) {
+    async fn generate(
+        self: Arc<Self>,
+        id: String,
+        request: CompletionRequest,
+        resume_from: usize,
+        out: mpsc::Sender<String>,
+    ) {
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let permit = tokio::select! {
             permit = self.slots.clone().acquire_owned() => permit,
@@ -143,7 +151,8 @@
 }
 
 fn error_body(status: actix_web::http::StatusCode, message: &str) -> HttpResponse {
-    HttpResponse::build(status).json(serde_json::json!({"error": {"message": message, "code": "engine"}}))
+    HttpResponse::build(status)
+        .json(serde_json::json!({"error": {"message": message, "code": "engine"}}))
 }
 
 async fn complete(
@@ -152,8 +161,16 @@
     body: web::Json<CompletionRequest>,
 ) -> HttpResponse {
     let request = body.into_inner();
-    if !engine.role.lock().expect("role lock").serves(&request.model) {
-        return error_body(actix_web::http::StatusCode::NOT_FOUND, "model not served here");
+    if !engine
+        .role
+        .lock()
+        .expect("role lock")
+        .serves(&request.model)
+    {
+        return error_body(
+            actix_web::http::StatusCode::NOT_FOUND,
+            "model not served here",
+        );
     }
     let resume_from = req
         .headers()
@@ -241,7 +258,11 @@
 
 async fn cache_events(engine: web::Data<Engine>, query: web::Query<EventsQuery>) -> HttpResponse {
     let lag = Duration::from_millis(engine.settings.report_lag_ms);
-    let events = engine.cache.lock().expect("cache lock").events_since(query.from, lag);
+    let events = engine
+        .cache
+        .lock()
+        .expect("cache lock")
+        .events_since(query.from, lag);
     HttpResponse::Ok().json(events)
 }
 
--- a/crates/foxwheel-engine-emu/src/text.rs
+++ b/crates/foxwheel-engine-emu/src/text.rs
@@ -5,8 +5,26 @@
 
 /// Words the answers are made of.
 const WORDS: &[&str] = &[
-    "cedar", "larch", "roof", "panel", "permit", "street", "window", "quote", "beam", "deck",
-    "letter", "renewal", "card", "zone", "sheet", "cut", "timber", "insulation", "door", "garden",
+    "cedar",
+    "larch",
+    "roof",
+    "panel",
+    "permit",
+    "street",
+    "window",
+    "quote",
+    "beam",
+    "deck",
+    "letter",
+    "renewal",
+    "card",
+    "zone",
+    "sheet",
+    "cut",
+    "timber",
+    "insulation",
+    "door",
+    "garden",
 ];
 
 /// A stable hash of the prompt text.
--- /dev/null
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -0,0 +1,150 @@
+//! The gateway's routes and life cycle.
+//!
+//! Routes:
+//! - `POST /v1/chat/completions`, `POST /v1/completions`: [`crate::online`].
+//! - `POST /v1/batches`, `GET /v1/batches/{id}`, `POST /v1/batches/{id}/cancel`,
+//!   `GET /v1/batches/{id}/results`: [`crate::batch::api`].
+//! - `/services/{service}/{path}`: [`crate::services`].
+//! - `GET /status`: the configuration revision in force and live hosts per deployment.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU32;
+use std::sync::Arc;
+
+use actix_web::{web, HttpResponse};
+use tokio_util::sync::CancellationToken;
+
+use foxwheel_core::http;
+use foxwheel_store::client::StoreClient;
+
+use crate::batch::{api, dispatch::Dispatcher};
+use crate::config::{self, ConfigHandle};
+use crate::filters::{Admission, Filter, MatchRules};
+use crate::hosts::{self, HostTable};
+use crate::settings::GatewaySettings;
+use crate::{online, services};
+
+/// What every worker thread shares.
+pub struct GatewayState {
+    /// The settings.
+    pub settings: GatewaySettings,
+    /// The configuration in force.
+    pub config: ConfigHandle,
+    /// The routing table.
+    pub hosts: HostTable,
+    /// The filter chain, in order.
+    pub chain: Vec<Box<dyn Filter>>,
+}
+
+/// What each worker thread has of its own (awc clients live on one thread).
+pub struct WorkerState {
+    /// Client for forwarding to agents.
+    pub http: awc::Client,
+    /// Client of the platform store.
+    pub store: StoreClient,
+}
+
+async fn status(state: web::Data<GatewayState>) -> HttpResponse {
+    let config = state.config.current();
+    let live: Vec<serde_json::Value> = config
+        .deployments
+        .iter()
+        .map(|d| serde_json::json!({"deployment": d.name, "live_hosts": state.hosts.live_count(&d.name)}))
+        .collect();
+    HttpResponse::Ok().json(serde_json::json!({
+        "gateway": state.settings.name,
+        "config_revision": config.revision,
+        "rules": config.rules.rules.len(),
+        "deployments": live,
+    }))
+}
+
+/// Registers the gateway's routes.
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.route("/v1/chat/completions", web::post().to(online::complete))
+        .route("/v1/completions", web::post().to(online::complete))
+        .route("/v1/batches", web::post().to(api::create))
+        .route("/v1/batches/{id}", web::get().to(api::status))
+        .route("/v1/batches/{id}/cancel", web::post().to(api::cancel))
+        .route("/v1/batches/{id}/results", web::get().to(api::results))
+        .route(
+            "/services/{service}/{tail:.*}",
+            web::route().to(services::call),
+        )
+        .route("/status", web::get().to(status));
+}
+
+/// A running gateway.
+pub struct RunningGateway {
+    /// The bound address.
+    pub addr: SocketAddr,
+    /// Resolves when the gateway has stopped.
+    pub stopped: tokio::task::JoinHandle<()>,
+}
+
+/// Starts the gateway's controllers and server; when `cancel` fires, batch work is
+/// committed and released, new connections are refused and requests in flight finish.
+pub fn start(
+    settings: GatewaySettings,
+    cancel: CancellationToken,
+) -> std::io::Result<RunningGateway> {
+    let config = ConfigHandle::default();
+    let table = HostTable::default();
+    let controllers = CancellationToken::new();
+    actix_web::rt::spawn(config::run(
+        config.clone(),
+        StoreClient::new(&settings.store_url),
+        controllers.clone(),
+    ));
+    actix_web::rt::spawn(hosts::run(
+        table.clone(),
+        StoreClient::new(&settings.store_url),
+        controllers.clone(),
+    ));
+    let dispatch_cancel = cancel.child_token();
+    let dispatcher =
+        actix_web::rt::spawn(Dispatcher::new(settings.clone(), table.clone()).run(dispatch_cancel));
+    let chain: Vec<Box<dyn Filter>> = vec![
+        Box::new(MatchRules),
+        Box::new(Admission {
+            online_in_flight: Arc::new(AtomicU32::new(0)),
+            online_max_in_flight: settings.online_max_in_flight,
+            retry_after_s: settings.retry_after_s,
+        }),
+    ];
+    let store_url = settings.store_url.clone();
+    let listen_addr = settings.listen_addr.clone();
+    let state = web::Data::from(Arc::new(GatewayState {
+        settings,
+        config,
+        hosts: table,
+        chain,
+    }));
+    let server_cancel = CancellationToken::new();
+    let (addr, server) = http::serve(
+        &listen_addr,
+        http::ServerShape::default(),
+        server_cancel.clone(),
+        move || {
+            actix_web::App::new()
+                .app_data(state.clone())
+                .app_data(web::Data::new(WorkerState {
+                    http: awc::Client::builder().disable_timeout().finish(),
+                    store: StoreClient::new(&store_url),
+                }))
+                .app_data(web::PayloadConfig::new(online::MAX_BODY_BYTES * 64))
+                .configure(routes)
+        },
+    )?;
+    let stopped = actix_web::rt::spawn(async move {
+        let server_task = actix_web::rt::spawn(server);
+        cancel.cancelled().await;
+        log::info!("stopping: releasing batch work, finishing requests in flight");
+        let _ = dispatcher.await;
+        server_cancel.cancel();
+        let _ = server_task.await;
+        controllers.cancel();
+        log::info!("stopped");
+    });
+    Ok(RunningGateway { addr, stopped })
+}
--- /dev/null
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -0,0 +1,133 @@
+//! Plain service calls: `/services/{service}/{path}` to yardbook, emite-cartao and the like.
+//!
+//! Calls to paths the deployment marks non-idempotent need an `Idempotency-Key` header and
+//! run at most once: see [`crate::idempotency`]. They are never retried once a host may
+//! have received them. Other calls pass through like online requests.
+
+use actix_web::http::StatusCode;
+use actix_web::{web, HttpRequest, HttpResponse};
+use bytes::Bytes;
+
+use foxwheel_core::declarations::Workload;
+use foxwheel_core::http;
+use foxwheel_core::protocol::{IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER, WORKSPACE_HEADER};
+
+use crate::filters::{self, Exchange};
+use crate::idempotency::{self, Begin, CallState};
+use crate::online::{self, header_string, SendFailure};
+use crate::server::{GatewayState, WorkerState};
+
+/// Largest service answer stored for replay, in bytes.
+const MAX_ANSWER_BYTES: usize = 512 * 1024;
+
+/// The handler of `/services/{service}/{path}`.
+pub async fn call(
+    state: web::Data<GatewayState>,
+    worker: web::Data<WorkerState>,
+    req: HttpRequest,
+    path: web::Path<(String, String)>,
+    body: Bytes,
+) -> HttpResponse {
+    let (service, tail) = path.into_inner();
+    let tail = format!("/{tail}");
+    let mut exchange = Exchange::new(Workload::Service, tail.clone(), state.config.current());
+    exchange.service = Some(service.clone());
+    exchange.workspace = header_string(&req, WORKSPACE_HEADER);
+    if let Err(refused) = filters::run(&state.chain, &mut exchange) {
+        return refused.into_response();
+    }
+    let deployment = exchange.deployment.as_ref().expect("routed by MatchRules");
+    let headers = online::outgoing_headers(&req, &exchange);
+    if !deployment.is_non_idempotent(&tail) {
+        return match online::send(&state, &worker, &exchange, &req, body, req.path(), &headers)
+            .await
+        {
+            Ok((response, in_flight)) => http::relay(response, (in_flight, exchange.admitted)),
+            Err(failure) => failure.into_response(),
+        };
+    }
+    let Some(key) = header_string(&req, IDEMPOTENCY_KEY_HEADER) else {
+        return http::not_run(
+            StatusCode::BAD_REQUEST,
+            "idempotency_key_required",
+            format!("{tail} on {service} may not be repeated: send an Idempotency-Key header"),
+            None,
+        );
+    };
+    let hash = idempotency::request_hash(req.method().as_str(), &tail, &body);
+    let begun = idempotency::begin(&worker.store, &service, &key, hash).await;
+    let (version, record) = match begun {
+        Ok(Begin::Run { version, record }) => (version, record),
+        Ok(Begin::Replay { status, body }) => {
+            return HttpResponse::build(StatusCode::from_u16(status).unwrap_or(StatusCode::OK))
+                .insert_header((REPLAYED_HEADER, "true"))
+                .content_type("application/json")
+                .body(body)
+        }
+        Ok(Begin::InProgress) => {
+            return http::unknown(
+                StatusCode::CONFLICT,
+                "call_in_progress",
+                "a call with this Idempotency-Key started earlier and its outcome is not recorded; it will not run again",
+            )
+        }
+        Ok(Begin::KeyReused) => {
+            return http::not_run(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "idempotency_key_reused",
+                "this Idempotency-Key was used for another request",
+                None,
+            )
+        }
+        Err(e) => {
+            return http::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "store_unavailable",
+                format!("cannot record the call before running it: {e}"),
+                Some(state.settings.retry_after_s),
+            )
+        }
+    };
+    let sent = online::send(&state, &worker, &exchange, &req, body, req.path(), &headers).await;
+    let (outcome, answer, response) = match sent {
+        Ok((mut response, _in_flight)) => {
+            let status = response.status();
+            match response.body().limit(MAX_ANSWER_BYTES).await {
+                Ok(bytes) => {
+                    let text = String::from_utf8_lossy(&bytes).into_owned();
+                    let reply = HttpResponse::build(status)
+                        .content_type("application/json")
+                        .body(bytes);
+                    (CallState::Done, Some((status.as_u16(), text)), reply)
+                }
+                Err(e) => (
+                    CallState::Started,
+                    None,
+                    http::unknown(
+                        StatusCode::BAD_GATEWAY,
+                        "backend_failed",
+                        format!("reading the answer: {e}"),
+                    ),
+                ),
+            }
+        }
+        Err(SendFailure::NotRun(reply)) => (CallState::NotRun, None, reply),
+        Err(SendFailure::Unknown(reply)) => (CallState::Started, None, reply),
+    };
+    if outcome != CallState::Started {
+        if let Err(e) = idempotency::finish(
+            &worker.store,
+            &service,
+            &key,
+            version,
+            record,
+            outcome,
+            answer,
+        )
+        .await
+        {
+            log::warn!("call outcome for {service}/{key} not recorded: {e}");
+        }
+    }
+    response
+}
--- a/crates/foxwheel-platform-emu/src/state.rs
+++ b/crates/foxwheel-platform-emu/src/state.rs
@@ -146,7 +146,11 @@
 
     /// Deletes an object, conditionally when `if_version` is set.
     pub fn delete(&mut self, key: &str, if_version: Option<Version>) -> Result<(), Refused> {
-        let current = self.objects.get(key).map(|o| o.version).ok_or(Refused::NotFound)?;
+        let current = self
+            .objects
+            .get(key)
+            .map(|o| o.version)
+            .ok_or(Refused::NotFound)?;
         if if_version.is_some_and(|v| v != current) {
             return Err(Refused::Conflict(current));
         }
@@ -187,5 +191,7 @@
 }
 
 fn json_len(value: &serde_json::Value) -> u64 {
-    serde_json::to_vec(value).map(|v| v.len() as u64).unwrap_or(0)
+    serde_json::to_vec(value)
+        .map(|v| v.len() as u64)
+        .unwrap_or(0)
 }
--- a/crates/foxwheel-service-emu/src/main.rs
+++ b/crates/foxwheel-service-emu/src/main.rs
@@ -9,7 +9,8 @@
         "foxwheel-service-emu",
         "A stand-in for plain services such as yardbook and emite-cartao.",
     );
-    let settings: foxwheel_service_emu::ServiceSettings = match foxwheel_core::settings::load(&path) {
+    let settings: foxwheel_service_emu::ServiceSettings = match foxwheel_core::settings::load(&path)
+    {
         Ok(s) => s,
         Err(e) => {
             eprintln!("foxwheel-service-emu: {e}");
--- a/crates/foxwheel-store/src/client.rs
+++ b/crates/foxwheel-store/src/client.rs
@@ -155,11 +155,7 @@
             from_version,
             wait.as_millis()
         );
-        let response = self
-            .http
-            .get(url)
-            .timeout(wait + CALL_TIMEOUT)
-            .send();
+        let response = self.http.get(url).timeout(wait + CALL_TIMEOUT).send();
         self.answer("watch", response).await
     }
 
--- a/crates/foxwheel-store/src/reflector.rs
+++ b/crates/foxwheel-store/src/reflector.rs
@@ -28,11 +28,11 @@
 }
 
 /// A shared, always-readable copy of one prefix.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct Reflector {
     prefix: String,
     shared: Arc<RwLock<Snapshot>>,
-    changed: Arc<tokio::sync::Notify>,
+    changed: Arc<tokio::sync::watch::Sender<Version>>,
 }
 
 impl Reflector {
@@ -40,7 +40,8 @@
     pub fn new(prefix: impl Into<String>) -> Self {
         Self {
             prefix: prefix.into(),
-            ..Self::default()
+            shared: Arc::default(),
+            changed: Arc::new(tokio::sync::watch::Sender::new(0)),
         }
     }
 
@@ -54,9 +55,10 @@
         f(&self.shared.read().expect("reflector lock"))
     }
 
-    /// Waits until the copy changes.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// A receiver that sees the revision each time the copy changes; a change made before
+    /// the receiver waits is not missed.
+    pub fn subscribe(&self) -> tokio::sync::watch::Receiver<Version> {
+        self.changed.subscribe()
     }
 
     /// Keeps the copy current until `cancel` fires. Store outages pause updates; the last
@@ -96,7 +98,7 @@
             .collect();
         shared.revision = listed.revision;
         drop(shared);
-        self.changed.notify_waiters();
+        self.changed.send_replace(listed.revision);
         Ok(())
     }
 
@@ -127,9 +129,10 @@
             }
         }
         shared.revision = shared.revision.max(answer.revision);
+        let revision = shared.revision;
         drop(shared);
         if changed {
-            self.changed.notify_waiters();
+            self.changed.send_replace(revision);
         }
         Ok(())
     }
