--- /dev/null
+++ b/crates/foxwheel-platform-emu/tests/store_contract.rs
@@ -0,0 +1,194 @@
+//! Contract of the platform object API, as the stand-in serves it and foxwheel's client
+//! reads it, with its fault cases in a table.
+
+use std::time::Duration;
+
+use foxwheel_platform_emu::{server, settings::PlatformSettings};
+use foxwheel_store::api::Faults;
+use foxwheel_store::client::{StoreClient, StoreError};
+use tokio_util::sync::CancellationToken;
+
+fn settings(history_len: usize) -> PlatformSettings {
+    PlatformSettings {
+        listen_addr: "127.0.0.1:0".to_owned(),
+        write_limit_per_s: 10_000,
+        read_limit_per_s: 10_000,
+        history_len,
+    }
+}
+
+fn start(settings: &PlatformSettings) -> (StoreClient, CancellationToken) {
+    let cancel = CancellationToken::new();
+    let (addr, server) = server::start(settings, cancel.clone()).expect("store starts");
+    actix_web::rt::spawn(server);
+    (StoreClient::new(format!("http://{addr}")), cancel)
+}
+
+/// What a case expects of its last call.
+#[derive(Debug)]
+enum Expect {
+    Ok,
+    NotFound,
+    Conflict,
+    Unavailable,
+}
+
+fn judge<T: std::fmt::Debug>(name: &str, result: Result<T, StoreError>, expect: &Expect) {
+    let ok = matches!(
+        (&result, expect),
+        (Ok(_), Expect::Ok)
+            | (Err(StoreError::NotFound), Expect::NotFound)
+            | (Err(StoreError::Conflict { .. }), Expect::Conflict)
+            | (Err(StoreError::Unavailable { .. }), Expect::Unavailable)
+    );
+    assert!(ok, "case '{name}': expected {expect:?}, got {result:?}");
+}
+
+#[actix_web::test]
+async fn conditional_updates_follow_the_contract() {
+    let (store, _cancel) = start(&settings(100));
+    let value = serde_json::json!({"a": 1});
+    let first = store.put("k/1", &value, Some(0)).await.expect("create");
+    // (case, key, if_version, expected)
+    let cases: &[(&str, &str, Option<u64>, Expect)] = &[
+        (
+            "create again when present",
+            "k/1",
+            Some(0),
+            Expect::Conflict,
+        ),
+        (
+            "update at a stale version",
+            "k/1",
+            Some(first.version + 100),
+            Expect::Conflict,
+        ),
+        (
+            "update at the current version",
+            "k/1",
+            Some(first.version),
+            Expect::Ok,
+        ),
+        ("unconditional write", "k/1", None, Expect::Ok),
+        ("create when absent", "k/2", Some(0), Expect::Ok),
+        ("update of an absent key", "k/3", Some(5), Expect::Conflict),
+    ];
+    for (name, key, if_version, expect) in cases {
+        judge(name, store.put(key, &value, *if_version).await, expect);
+    }
+    judge(
+        "get of an absent key",
+        store.get("k/none").await,
+        &Expect::NotFound,
+    );
+    let listed = store.list("k/").await.expect("list");
+    assert_eq!(listed.objects.len(), 2);
+    assert!(listed.objects.windows(2).all(|w| w[0].key < w[1].key));
+}
+
+#[actix_web::test]
+async fn faults_follow_the_contract() {
+    let (store, _cancel) = start(&settings(100));
+    let value = serde_json::json!({"v": 1});
+    // (case, faults, expected of a put, whether the write takes effect)
+    let cases: &[(&str, Faults, Expect, bool)] = &[
+        ("no fault", Faults::default(), Expect::Ok, true),
+        (
+            "outage",
+            Faults {
+                outage: true,
+                ..Faults::default()
+            },
+            Expect::Unavailable,
+            false,
+        ),
+        (
+            "slow store",
+            Faults {
+                delay_ms: 200,
+                ..Faults::default()
+            },
+            Expect::Ok,
+            true,
+        ),
+        (
+            "reply lost after the write took effect",
+            Faults {
+                lose_reply_every: 1,
+                ..Faults::default()
+            },
+            Expect::Unavailable,
+            true,
+        ),
+    ];
+    for (i, (name, faults, expect, takes_effect)) in cases.iter().enumerate() {
+        store.set_faults(faults).await.expect("faults set");
+        let key = format!("f/{i}");
+        judge(name, store.put(&key, &value, Some(0)).await, expect);
+        store
+            .set_faults(&Faults::default())
+            .await
+            .expect("faults cleared");
+        let found = store.get(&key).await.is_ok();
+        assert_eq!(found, *takes_effect, "case '{name}': write took effect");
+    }
+}
+
+#[actix_web::test]
+async fn watch_sees_every_change_after_its_version() {
+    let (store, _cancel) = start(&settings(100));
+    let from = store.list("w/").await.expect("list").revision;
+    let writer = store.clone();
+    actix_web::rt::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        writer.put("w/a", &1, None).await.expect("write a");
+        writer.put("other/x", &1, None).await.expect("write x");
+        writer.delete("w/a", None).await.expect("delete a");
+    });
+    let mut seen = Vec::new();
+    let mut revision = from;
+    while seen.len() < 2 {
+        let answer = store
+            .watch("w/", revision, Duration::from_secs(5))
+            .await
+            .expect("watch");
+        revision = answer.revision;
+        seen.extend(answer.events);
+    }
+    assert_eq!(seen[0].key, "w/a");
+    assert!(seen[0].value.is_some());
+    assert!(
+        seen[1].value.is_none(),
+        "the delete is seen as an event without value"
+    );
+    assert!(seen[0].version < seen[1].version);
+}
+
+#[actix_web::test]
+async fn watch_from_a_version_no_longer_kept_is_gone() {
+    let (store, _cancel) = start(&settings(2));
+    for i in 0..5 {
+        store.put("g/k", &i, None).await.expect("write");
+    }
+    let answer = store.watch("g/", 1, Duration::from_millis(10)).await;
+    assert!(matches!(answer, Err(StoreError::Gone)), "got {answer:?}");
+}
+
+#[actix_web::test]
+async fn rate_limit_refuses_writes_over_budget() {
+    let mut limited = settings(100);
+    limited.write_limit_per_s = 3;
+    let (store, _cancel) = start(&limited);
+    let mut refused = 0;
+    for i in 0..10 {
+        if let Err(StoreError::Unavailable { .. }) = store.put(&format!("r/{i}"), &i, None).await {
+            refused += 1;
+        }
+    }
+    assert!(
+        refused >= 4,
+        "refused {refused} of 10 writes over a budget of 3 a second"
+    );
+    let counts = store.stats().await.expect("stats");
+    assert_eq!(counts.writes, 10);
+}
