Contract tests of the gateway's caller API with fault tables

A small fleet in one test process (store stand-in, engines, yardbook, agents, one gateway, ephemeral loopback ports) and tables of cases: - online: whole answers; unknown model rejected by the last rule (not run); bad bodies (not run); a deployment without hosts (503, not run, Retry-After at once); - streams: every chunk carries the caller's request id and the text is the whole answer to its own prompt; - non-idempotent calls: no key refused; resends replayed with Idempotent-Replayed and executed once; a key reused for another body refused (422); - store down: the call is refused as not run and never executed; store losing the reply to the claim: recognised by nonce, executed once; - batch: 70 items in 3 chunks complete once with each item's own answer; a resend with the client key is the same job; bad batch requests refused clearly; a cancelled job stops (checked after every chunk lease is released, so the verdict does not depend on timing).

--- /dev/null
+++ b/crates/foxwheel-gateway/tests/caller_api_contract.rs
@@ -0,0 +1,455 @@
+//! Contract of the gateway's caller API, with its fault cases in tables.
+
+mod common;
+
+use std::time::Duration;
+
+use foxwheel_core::protocol::{IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER, RUN_STATE_HEADER};
+use foxwheel_store::api::Faults;
+
+/// One request and what the caller must get.
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    body: &'static str,
+    status: u16,
+    /// The run-state header a refusal must carry, if any.
+    run_state: Option<&'static str>,
+    /// Whether a `Retry-After` header must be present.
+    retry_after: bool,
+}
+
+#[actix_web::test]
+async fn online_requests_follow_the_contract() {
+    let fleet = common::start(2).await;
+    let cases = [
+        Case {
+            name: "chat completion, whole answer",
+            path: "/v1/chat/completions",
+            body: r#"{"model": "draftsman", "messages": [{"role": "user", "content": "a 3 by 4 garden office"}], "max_tokens": 5}"#,
+            status: 200,
+            run_state: None,
+            retry_after: false,
+        },
+        Case {
+            name: "plain completion",
+            path: "/v1/completions",
+            body: r#"{"model": "draftsman", "prompt": "a quote for a deck", "max_tokens": 3}"#,
+            status: 200,
+            run_state: None,
+            retry_after: false,
+        },
+        Case {
+            name: "unknown model: rejected by the last rule, not run",
+            path: "/v1/chat/completions",
+            body: r#"{"model": "nobody", "messages": [{"role": "user", "content": "hi"}]}"#,
+            status: 404,
+            run_state: Some("not_run"),
+            retry_after: false,
+        },
+        Case {
+            name: "body not JSON: not run",
+            path: "/v1/chat/completions",
+            body: "{not json",
+            status: 400,
+            run_state: Some("not_run"),
+            retry_after: false,
+        },
+        Case {
+            name: "body without model: not run",
+            path: "/v1/chat/completions",
+            body: r#"{"messages": []}"#,
+            status: 400,
+            run_state: Some("not_run"),
+            retry_after: false,
+        },
+        Case {
+            name: "deployment without hosts: not run, come back later",
+            path: "/v1/chat/completions",
+            body: r#"{"model": "llm-residente", "messages": [{"role": "user", "content": "permit?"}]}"#,
+            status: 503,
+            run_state: Some("not_run"),
+            retry_after: true,
+        },
+    ];
+    for case in cases {
+        let response = fleet
+            .http
+            .post(format!("{}{}", fleet.gateway, case.path))
+            .insert_header(("content-type", "application/json"))
+            .send_body(case.body)
+            .await
+            .unwrap_or_else(|e| panic!("case '{}': {e}", case.name));
+        assert_eq!(
+            response.status().as_u16(),
+            case.status,
+            "case '{}'",
+            case.name
+        );
+        let run_state = response
+            .headers()
+            .get(RUN_STATE_HEADER)
+            .and_then(|v| v.to_str().ok());
+        assert_eq!(run_state, case.run_state, "case '{}': run state", case.name);
+        assert_eq!(
+            response.headers().contains_key("retry-after"),
+            case.retry_after,
+            "case '{}': Retry-After",
+            case.name
+        );
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_streamed_answer_is_the_whole_answer_to_its_own_request() {
+    let fleet = common::start(2).await;
+    for n in 0..6 {
+        let prompt = format!("cut sheet for panel {n}");
+        let body = serde_json::json!({"model": "draftsman", "messages": [{"role": "user", "content": prompt}], "max_tokens": 7, "stream": true});
+        let mut response = fleet
+            .http
+            .post(format!("{}/v1/chat/completions", fleet.gateway))
+            .insert_header(("x-request-id", format!("req-{n}")))
+            .send_json(&body)
+            .await
+            .expect("stream");
+        assert_eq!(response.status().as_u16(), 200);
+        let bytes = response.body().await.expect("body");
+        let text = String::from_utf8_lossy(&bytes);
+        let mut answer = String::new();
+        for line in text.lines().filter_map(|l| l.strip_prefix("data: ")) {
+            if line == "[DONE]" {
+                continue;
+            }
+            let chunk: serde_json::Value = serde_json::from_str(line).expect("chunk");
+            assert_eq!(
+                chunk["id"],
+                format!("req-{n}"),
+                "every chunk carries the caller's request id"
+            );
+            answer.push_str(foxwheel_engine_emu::openai::content_of(&chunk).unwrap_or_default());
+        }
+        assert!(text.trim_end().ends_with("data: [DONE]"));
+        assert_eq!(answer, foxwheel_engine_emu::text::answer(&prompt, 7));
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn non_idempotent_calls_run_at_most_once() {
+    let fleet = common::start(1).await;
+    let url = format!("{}/services/yardbook/orders", fleet.gateway);
+    let order = serde_json::json!({"item": "larch cladding", "metres": 180});
+    // (case, key, expected status, replayed, expected executions after)
+    let cases: &[(&str, Option<&str>, u16, bool, u64)] = &[
+        ("no key: refused, not run", None, 400, false, 0),
+        ("first call with a key", Some("order-1"), 200, false, 1),
+        (
+            "client resends the same call",
+            Some("order-1"),
+            200,
+            true,
+            1,
+        ),
+        (
+            "resend again through the same gateway",
+            Some("order-1"),
+            200,
+            true,
+            1,
+        ),
+        ("another key runs once", Some("order-2"), 200, false, 1),
+    ];
+    for (name, key, status, replayed, executions) in cases {
+        let mut request = fleet.http.post(&url);
+        if let Some(key) = key {
+            request = request.insert_header((IDEMPOTENCY_KEY_HEADER, *key));
+        }
+        let response = request.send_json(&order).await.expect("call");
+        assert_eq!(response.status().as_u16(), *status, "case '{name}'");
+        assert_eq!(
+            response.headers().contains_key(REPLAYED_HEADER),
+            *replayed,
+            "case '{name}': replayed"
+        );
+        if let Some(key) = key {
+            assert_eq!(
+                fleet.executions(key).await,
+                *executions,
+                "case '{name}': executions"
+            );
+        }
+    }
+    let reused = fleet
+        .http
+        .post(&url)
+        .insert_header((IDEMPOTENCY_KEY_HEADER, "order-1"))
+        .send_json(&serde_json::json!({"item": "something else"}))
+        .await
+        .expect("call");
+    assert_eq!(
+        reused.status().as_u16(),
+        422,
+        "a key reused for another request is refused"
+    );
+    assert_eq!(fleet.executions("order-1").await, 1);
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_non_idempotent_call_is_not_run_while_the_store_is_down() {
+    let fleet = common::start(1).await;
+    let url = format!("{}/services/yardbook/orders", fleet.gateway);
+    let order = serde_json::json!({"item": "ground screws", "pieces": 12});
+    // (case, faults, expected status, run state, executions after)
+    let cases: &[(&str, Faults, u16, &str, u64)] = &[
+        (
+            "store down",
+            Faults {
+                outage: true,
+                ..Faults::default()
+            },
+            503,
+            "not_run",
+            0,
+        ),
+        (
+            "store loses the reply to the claim",
+            Faults {
+                lose_reply_every: 1,
+                ..Faults::default()
+            },
+            200,
+            "",
+            1,
+        ),
+    ];
+    for (i, (name, faults, status, run_state, executions)) in cases.iter().enumerate() {
+        let key = format!("down-{i}");
+        fleet.store.set_faults(faults).await.expect("faults");
+        let response = fleet
+            .http
+            .post(&url)
+            .insert_header((IDEMPOTENCY_KEY_HEADER, key.as_str()))
+            .send_json(&order)
+            .await
+            .expect("call");
+        fleet
+            .store
+            .set_faults(&Faults::default())
+            .await
+            .expect("faults cleared");
+        assert_eq!(response.status().as_u16(), *status, "case '{name}'");
+        let got = response
+            .headers()
+            .get(RUN_STATE_HEADER)
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("");
+        assert_eq!(got, *run_state, "case '{name}': run state");
+        assert_eq!(
+            fleet.executions(&key).await,
+            *executions,
+            "case '{name}': executions"
+        );
+    }
+    fleet.cancel.cancel();
+}
+
+async fn batch_status(fleet: &common::Fleet, id: &str) -> serde_json::Value {
+    let mut response = fleet
+        .http
+        .get(format!("{}/v1/batches/{id}", fleet.gateway))
+        .send()
+        .await
+        .expect("status");
+    response.json().await.expect("status decodes")
+}
+
+#[actix_web::test]
+async fn a_batch_job_completes_once_and_a_resend_finds_it() {
+    let fleet = common::start(2).await;
+    let items: Vec<serde_json::Value> = (0..70)
+        .map(|i| serde_json::json!({"custom_id": format!("letter-{i}"), "body": {"model": "draftsman", "prompt": format!("renewal letter {i}"), "max_tokens": 3}}))
+        .collect();
+    let job = serde_json::json!({"client_key": "block-14", "model": "draftsman", "completion_window_s": 600, "items": items});
+    let url = format!("{}/v1/batches", fleet.gateway);
+    let first: serde_json::Value = fleet
+        .http
+        .post(&url)
+        .send_json(&job)
+        .await
+        .expect("create")
+        .json()
+        .await
+        .expect("json");
+    let again: serde_json::Value = fleet
+        .http
+        .post(&url)
+        .send_json(&job)
+        .await
+        .expect("resend")
+        .json()
+        .await
+        .expect("json");
+    let id = first["job"]["id"].as_str().expect("id").to_owned();
+    assert_eq!(
+        again["job"]["id"], first["job"]["id"],
+        "a resend with the same key is the same job"
+    );
+    assert_eq!(first["job"]["chunk_count"], 3);
+    let mut status = batch_status(&fleet, &id).await;
+    for _ in 0..400 {
+        if status["job"]["state"] == "completed" {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+        status = batch_status(&fleet, &id).await;
+    }
+    assert_eq!(status["job"]["state"], "completed", "{status}");
+    assert_eq!(status["counts"]["done"], 70);
+    let mut response = fleet
+        .http
+        .get(format!("{url}/{id}/results"))
+        .send()
+        .await
+        .expect("results");
+    let body = response.body().await.expect("results body");
+    let lines: Vec<serde_json::Value> = String::from_utf8_lossy(&body)
+        .lines()
+        .map(|l| serde_json::from_str(l).expect("line"))
+        .collect();
+    assert_eq!(lines.len(), 70);
+    for (i, line) in lines.iter().enumerate() {
+        assert_eq!(line["custom_id"], format!("letter-{i}"));
+        let text = foxwheel_engine_emu::openai::content_of(&line["response"]).expect("answer");
+        assert_eq!(
+            text,
+            foxwheel_engine_emu::text::answer(&format!("renewal letter {i}"), 3)
+        );
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn batch_requests_are_checked_and_refused_clearly() {
+    let fleet = common::start(1).await;
+    let url = format!("{}/v1/batches", fleet.gateway);
+    // (case, body, status)
+    let cases: &[(&str, &str, u16)] = &[
+        ("not JSON", "[", 400),
+        (
+            "no items",
+            r#"{"model": "draftsman", "completion_window_s": 60, "items": []}"#,
+            400,
+        ),
+        (
+            "an id twice",
+            r#"{"model": "draftsman", "completion_window_s": 60, "items": [{"custom_id": "a", "body": {}}, {"custom_id": "a", "body": {}}]}"#,
+            400,
+        ),
+        (
+            "bad JSON line",
+            r#"{"model": "draftsman", "completion_window_s": 60, "input_jsonl": "{\"custom_id\": 1}"}"#,
+            400,
+        ),
+        (
+            "a model no rule routes",
+            r#"{"model": "nobody", "completion_window_s": 60, "items": [{"custom_id": "a", "body": {}}]}"#,
+            404,
+        ),
+    ];
+    for (name, body, status) in cases {
+        let response = fleet
+            .http
+            .post(&url)
+            .insert_header(("content-type", "application/json"))
+            .send_body(*body)
+            .await
+            .expect("call");
+        assert_eq!(response.status().as_u16(), *status, "case '{name}'");
+        assert_eq!(
+            response
+                .headers()
+                .get(RUN_STATE_HEADER)
+                .and_then(|v| v.to_str().ok()),
+            Some("not_run"),
+            "case '{name}'"
+        );
+    }
+    let missing = fleet
+        .http
+        .get(format!("{url}/batch-none"))
+        .send()
+        .await
+        .expect("status");
+    assert_eq!(missing.status().as_u16(), 404);
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_cancelled_job_stops() {
+    let fleet = common::start(1).await;
+    let items: Vec<serde_json::Value> = (0..300)
+        .map(|i| serde_json::json!({"custom_id": format!("draft-{i}"), "body": {"model": "draftsman", "prompt": "layout variant", "max_tokens": 40}}))
+        .collect();
+    let job = serde_json::json!({"model": "draftsman", "completion_window_s": 600, "items": items});
+    let url = format!("{}/v1/batches", fleet.gateway);
+    let created: serde_json::Value = fleet
+        .http
+        .post(&url)
+        .send_json(&job)
+        .await
+        .expect("create")
+        .json()
+        .await
+        .expect("json");
+    let id = created["job"]["id"].as_str().expect("id").to_owned();
+    let cancelled: serde_json::Value = fleet
+        .http
+        .post(format!("{url}/{id}/cancel"))
+        .send()
+        .await
+        .expect("cancel")
+        .json()
+        .await
+        .expect("json");
+    assert_eq!(cancelled["job"]["state"], "cancelled");
+    let again = fleet
+        .http
+        .post(format!("{url}/{id}/cancel"))
+        .send()
+        .await
+        .expect("cancel again");
+    assert_eq!(again.status().as_u16(), 200, "a second cancel is harmless");
+    // Wait (bounded) until no chunk is leased: from then on no gateway may lease one, as
+    // the job is not running, so the count of done items is final.
+    let chunks_prefix = foxwheel_core::keys::chunks_of(&id);
+    for _ in 0..400 {
+        let listed = fleet.store.list(&chunks_prefix).await.expect("chunks");
+        if listed
+            .objects
+            .iter()
+            .all(|o| o.value.get("lease").is_none())
+        {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    let settled = batch_status(&fleet, &id).await["counts"]["done"]
+        .as_u64()
+        .unwrap_or(0);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let status = batch_status(&fleet, &id).await;
+    assert_eq!(
+        status["counts"]["done"].as_u64().unwrap_or(0),
+        settled,
+        "no item finishes after the cancel settled"
+    );
+    assert!(settled < 300, "the job stopped before finishing");
+    assert_eq!(
+        status["counts"]["pending"], 0,
+        "pending items of a cancelled job count as cancelled"
+    );
+    fleet.cancel.cancel();
+}
--- /dev/null
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -0,0 +1,230 @@
+//! A small fleet in one process for the gateway's tests: the store stand-in, engines,
+//! a service, their agents and one gateway, all on ephemeral loopback ports.
+
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use foxwheel_agent::settings::AgentSettings;
+use foxwheel_core::declarations::{BackendKind, Manifest};
+use foxwheel_core::keys;
+use foxwheel_engine_emu::settings::EngineSettings;
+use foxwheel_gateway::settings::GatewaySettings;
+use foxwheel_store::client::StoreClient;
+use tokio_util::sync::CancellationToken;
+
+/// The fleet's addresses and handles.
+pub struct Fleet {
+    pub gateway: String,
+    pub store: StoreClient,
+    pub service: String,
+    pub engines: Vec<String>,
+    pub agents: Vec<String>,
+    pub cancel: CancellationToken,
+    pub http: awc::Client,
+}
+
+pub const MANIFEST: &str = r#"{
+  "deployments": [
+    {"name": "draftsman", "backend": "model", "models": ["draftsman"], "zones": ["suwon-hall"], "replicas": 2},
+    {"name": "llm-residente", "backend": "model", "models": ["llm-residente"], "zones": ["hall-centro"], "replicas": 0},
+    {"name": "yardbook", "backend": "service", "zones": ["suwon-hall"], "replicas": 1, "non_idempotent_paths": ["/orders"]}
+  ],
+  "rules": [
+    {"name": "sodam-batch", "when": {"workload": "batch", "model": "draftsman"}, "then": {"action": "route", "deployment": "draftsman", "class": "batch"}},
+    {"name": "sodam-online", "when": {"model": "draftsman"}, "then": {"action": "route", "deployment": "draftsman", "class": "online"}},
+    {"name": "residents-online", "when": {"model": "llm-residente"}, "then": {"action": "route", "deployment": "llm-residente", "class": "online"}},
+    {"name": "yardbook-calls", "when": {"service": "yardbook"}, "then": {"action": "route", "deployment": "yardbook", "class": "online"}},
+    {"name": "nothing-else", "then": {"action": "reject", "status": 404, "message": "no such model or service"}}
+  ]
+}"#;
+
+/// Writes the manifest's objects to the store as `foxwheel-ctl apply` would.
+pub async fn apply(store: &StoreClient, manifest: &Manifest) {
+    for d in &manifest.deployments {
+        store
+            .put(&keys::deployment(&d.name), d, None)
+            .await
+            .expect("deployment written");
+    }
+    let rules = foxwheel_core::declarations::RuleSet {
+        rules: manifest.rules.clone(),
+    };
+    store
+        .put(keys::RULES_KEY, &rules, None)
+        .await
+        .expect("rules written");
+}
+
+fn agent_settings(
+    host: &str,
+    deployment: &str,
+    backend: BackendKind,
+    backend_url: &str,
+    store_url: &str,
+) -> AgentSettings {
+    AgentSettings {
+        listen_addr: "127.0.0.1:0".to_owned(),
+        advertise_addr: None,
+        host: host.to_owned(),
+        zone: "suwon-hall".to_owned(),
+        deployment: deployment.to_owned(),
+        backend,
+        backend_url: backend_url.to_owned(),
+        store_url: store_url.to_owned(),
+        max_running: 4,
+        max_batch_running: 2,
+        heartbeat_ms: 200,
+        lease_ttl_ms: 1_000,
+        drain_grace_ms: 300,
+        request_timeout_ms: 10_000,
+        statsd_addr: None,
+    }
+}
+
+/// Gateway settings for tests: fast dispatch.
+pub fn gateway_settings(store_url: &str, name: &str) -> GatewaySettings {
+    GatewaySettings {
+        listen_addr: "127.0.0.1:0".to_owned(),
+        name: name.to_owned(),
+        zone: "suwon-hall".to_owned(),
+        store_url: store_url.to_owned(),
+        online_max_in_flight: 64,
+        max_attempts: 3,
+        retry_after_s: 1,
+        batch_chunks_in_flight: 4,
+        batch_items_in_flight: 4,
+        chunk_lease_ms: 2_000,
+        dispatch_poll_ms: 50,
+        commit_interval_ms: 100,
+        statsd_addr: None,
+    }
+}
+
+/// Starts the fleet with `engines` draftsman engines and waits until the gateway routes.
+pub async fn start(engines: usize) -> Fleet {
+    let cancel = CancellationToken::new();
+    let platform = foxwheel_platform_emu::settings::PlatformSettings {
+        listen_addr: "127.0.0.1:0".to_owned(),
+        write_limit_per_s: 10_000,
+        read_limit_per_s: 10_000,
+        history_len: 10_000,
+    };
+    let (store_addr, server) =
+        foxwheel_platform_emu::server::start(&platform, cancel.clone()).expect("store");
+    actix_web::rt::spawn(server);
+    let store_url = format!("http://{store_addr}");
+    let store = StoreClient::new(&store_url);
+    let manifest: Manifest =
+        foxwheel_core::settings::parse("test manifest", MANIFEST).expect("manifest");
+    apply(&store, &manifest).await;
+    let mut engine_urls = Vec::new();
+    let mut agents = Vec::new();
+    for i in 0..engines {
+        let (addr, server) = foxwheel_engine_emu::server::start(
+            EngineSettings::for_test("draftsman"),
+            cancel.clone(),
+        )
+        .expect("engine");
+        actix_web::rt::spawn(server);
+        let engine_url = format!("http://{addr}");
+        let agent = foxwheel_agent::server::start(
+            agent_settings(
+                &format!("suwon-hall-draftsman-{i}"),
+                "draftsman",
+                BackendKind::Model,
+                &engine_url,
+                &store_url,
+            ),
+            cancel.clone(),
+        )
+        .await
+        .expect("agent");
+        engine_urls.push(engine_url);
+        agents.push(format!("http://{}", agent.addr));
+    }
+    let service_settings = foxwheel_service_emu::ServiceSettings {
+        listen_addr: "127.0.0.1:0".to_owned(),
+        service: "yardbook".to_owned(),
+        delay_ms: 1,
+    };
+    let (service_addr, server) =
+        foxwheel_service_emu::start(&service_settings, cancel.clone()).expect("service");
+    actix_web::rt::spawn(server);
+    let service = format!("http://{service_addr}");
+    let agent = foxwheel_agent::server::start(
+        agent_settings(
+            "suwon-hall-yardbook-0",
+            "yardbook",
+            BackendKind::Service,
+            &service,
+            &store_url,
+        ),
+        cancel.clone(),
+    )
+    .await
+    .expect("service agent");
+    agents.push(format!("http://{}", agent.addr));
+    let gateway = foxwheel_gateway::server::start(
+        gateway_settings(&store_url, "gateway-test"),
+        cancel.clone(),
+    )
+    .expect("gateway");
+    let fleet = Fleet {
+        gateway: format!("http://{}", gateway.addr),
+        store,
+        service,
+        engines: engine_urls,
+        agents,
+        cancel,
+        http: awc::Client::builder()
+            .timeout(Duration::from_secs(30))
+            .finish(),
+    };
+    fleet.wait_until_routing(engines).await;
+    fleet
+}
+
+impl Fleet {
+    /// Waits (bounded) until the gateway has the config and sees every agent.
+    pub async fn wait_until_routing(&self, engines: usize) {
+        for _ in 0..200 {
+            if let Ok(mut response) = self
+                .http
+                .get(format!("{}/status", self.gateway))
+                .send()
+                .await
+            {
+                if let Ok(status) = response.json::<serde_json::Value>().await {
+                    let live = |name: &str| {
+                        status["deployments"]
+                            .as_array()
+                            .and_then(|ds| ds.iter().find(|d| d["deployment"] == name))
+                            .and_then(|d| d["live_hosts"].as_u64())
+                            .unwrap_or(0)
+                    };
+                    if live("draftsman") as usize == engines && live("yardbook") == 1 {
+                        return;
+                    }
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("the gateway never saw the fleet");
+    }
+
+    /// Executions the yardbook stand-in recorded, by idempotency key.
+    pub async fn executions(&self, key: &str) -> u64 {
+        let mut response = self
+            .http
+            .get(format!("{}/_emu/executions", self.service))
+            .send()
+            .await
+            .expect("executions");
+        let list: Vec<serde_json::Value> = response.json().await.expect("executions decode");
+        list.iter()
+            .filter(|e| e["idempotency_key"] == key)
+            .map(|e| e["count"].as_u64().unwrap_or(0))
+            .sum()
+    }
+}
