--- a/scripts/run-demo.sh
+++ b/scripts/run-demo.sh
@@ -11,6 +11,7 @@
 rm -rf "$run"
 mkdir -p "$run/settings" "$run/logs"
 pids=()
+names=()
 
 stop_all() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
@@ -24,6 +25,22 @@
   RUST_LOG=${RUST_LOG:-warn,foxwheel=info} "$bin/$binary" --settings "$run/settings/$name.json" \
     > "$run/logs/$name.log" 2>&1 &
   pids+=($!)
+  names+=("$name")
+}
+
+# Writes each process's CPU seconds and resident memory, and the store's call counts,
+# for docs/CAPACITY.md.
+sample_processes() {
+  local out=$1 tick
+  tick=$(getconf CLK_TCK)
+  printf 'name\tcpu_s\trss_kb\n' > "$out"
+  for i in "${!pids[@]}"; do
+    local pid=${pids[$i]} stat rss
+    [ -r "/proc/$pid/stat" ] || continue
+    stat=$(cut -d' ' -f14,15 "/proc/$pid/stat")
+    rss=$(awk '/^VmRSS/ {print $2}' "/proc/$pid/status")
+    awk -v n="${names[$i]}" -v t="$tick" -v r="$rss" '{printf "%s\t%.2f\t%s\n", n, ($1 + $2) / t, r}' <<< "$stat" >> "$out"
+  done
 }
 
 wait_port() { # wait_port PORT
@@ -84,6 +101,14 @@
 sleep 1
 
 status=0
-"$bin/foxwheel-load" --experiment examples/experiment.json --out "$run/result.json" || status=$?
-echo "result: $run/result.json; logs: $run/logs"
+experiment=${FOXWHEEL_EXPERIMENT:-examples/experiment.json}
+sample_processes "$run/processes-before.tsv"
+"$bin/foxwheel-load" --experiment "$experiment" --out "$run/result.json" || status=$?
+sample_processes "$run/processes-after.tsv"
+"$bin/foxwheel-ctl" --store "$store" get members > /dev/null
+exec 3<>/dev/tcp/127.0.0.1/7100
+printf 'GET /stats HTTP/1.0\r\nHost: 127.0.0.1\r\n\r\n' >&3
+sed -n '$p' <&3 > "$run/store-stats.json"
+exec 3>&-
+echo "result: $run/result.json; per-process CPU and memory: $run/processes-after.tsv; store calls: $run/store-stats.json; logs: $run/logs"
 exit "$status"
