"Not run" is said only when no backend received the request

Cause: awc reports a peer that closed the connection after reading the request as SendRequestError::Connect(Disconnected). The gateway and agent took every Connect error for "never reached", so a host that broke off mid-request led to a retry on another host and, in the end, to a refusal saying "not run". A non-idempotent call could run twice.

Change: only errors of opening a connection count as never reached. In turn, idempotent requests (completions, service paths not marked) are tried on another host when the first breaks off without an answer, which non-idempotent ones never are. The agent says "not run" when its engine's port is closed (it said unknown), and refuses at once with 429 and Retry-After when max_waiting_online / max_waiting_batch places are taken (its queue grew without bound). Preempted batch work keeps its place ahead of new batch work and is not refused by the limit or a drain. Waiters whose caller left are skipped in a loop rather than by nested drops, which could overflow a worker's stack.

Ruled out: retrying after a response timeout (the caller's time is spent); treating Disconnected as never reached on reused connections only (awc does not say which).

--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -31,21 +31,44 @@
     pub batch_restarts: std::sync::atomic::AtomicU64,
 }
 
-fn draining() -> HttpResponse {
-    http::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "draining",
-        "this backend is leaving; send the request elsewhere",
-        Some(0),
-    )
+/// Told in `Retry-After` when every waiting place is taken or the backend is gone.
+const RETRY_AFTER_S: u64 = 1;
+
+fn not_queued(error: QueueError) -> HttpResponse {
+    let (status, code, retry_after_s) = match error {
+        QueueError::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining", 0),
+        QueueError::Full => (StatusCode::TOO_MANY_REQUESTS, "queue_full", RETRY_AFTER_S),
+    };
+    http::not_run(status, code, error.to_string(), Some(retry_after_s))
 }
 
-fn backend_unreachable(backend: &Backend, e: impl std::fmt::Display) -> HttpResponse {
-    http::unknown(
-        StatusCode::BAD_GATEWAY,
-        "backend_failed",
-        format!("forward to backend {}: {e}", backend.base_url),
-    )
+fn not_answered(backend: &Backend, error: &AttemptError) -> HttpResponse {
+    let message = format!("forward to backend {}: {error}", backend.base_url);
+    if error.never_reached() {
+        return http::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "backend_gone",
+            message,
+            Some(RETRY_AFTER_S),
+        );
+    }
+    http::unknown(StatusCode::BAD_GATEWAY, "backend_failed", message)
+}
+
+/// Why one try on the backend gave no whole answer.
+#[derive(Debug, thiserror::Error)]
+enum AttemptError {
+    #[error("send: {0}")]
+    Send(#[from] awc::error::SendRequestError),
+    #[error("read answer: {0}")]
+    Read(#[from] awc::error::PayloadError),
+}
+
+impl AttemptError {
+    /// Whether no byte of the request reached the backend.
+    fn never_reached(&self) -> bool {
+        matches!(self, Self::Send(e) if http::send_never_reached(e))
+    }
 }
 
 /// Runs one request on the backend under the queue's rules and answers it.
@@ -60,7 +83,7 @@
 ) -> HttpResponse {
     let permit = match queue.acquire(class).await {
         Ok(permit) => permit,
-        Err(QueueError::Draining) => return draining(),
+        Err(e) => return not_queued(e),
     };
     let url = format!("{}{}", backend.base_url, path_and_query(req));
     match class {
@@ -75,7 +98,7 @@
             );
             match sent.await {
                 Ok(response) => http::relay(response, permit),
-                Err(e) => backend_unreachable(backend, e),
+                Err(e) => not_answered(backend, &e.into()),
             }
         }
         PriorityClass::Batch => {
@@ -103,15 +126,15 @@
                     Ok((status, content_type, bytes)) => HttpResponse::build(status)
                         .insert_header(("content-type", content_type))
                         .body(bytes),
-                    Err(e) => backend_unreachable(backend, e),
+                    Err(e) => not_answered(backend, &e),
                 };
             }
             _ = permit.preempted().cancelled() => {
                 drop(permit);
                 counters.batch_restarts.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                permit = match queue.acquire(PriorityClass::Batch).await {
+                permit = match queue.acquire_after_preemption().await {
                     Ok(permit) => permit,
-                    Err(QueueError::Draining) => return draining(),
+                    Err(e) => return not_queued(e),
                 };
             }
         }
@@ -124,7 +147,7 @@
     body: Bytes,
     url: &str,
     timeout: Duration,
-) -> Result<(StatusCode, String, Bytes), String> {
+) -> Result<(StatusCode, String, Bytes), AttemptError> {
     let mut response = http::forward(
         client,
         req.method().clone(),
@@ -133,19 +156,14 @@
         body,
         timeout,
     )
-    .await
-    .map_err(|e| e.to_string())?;
+    .await?;
     let content_type = response
         .headers()
         .get("content-type")
         .and_then(|v| v.to_str().ok())
         .unwrap_or("application/json")
         .to_owned();
-    let bytes = response
-        .body()
-        .limit(MAX_BATCH_ANSWER_BYTES)
-        .await
-        .map_err(|e| e.to_string())?;
+    let bytes = response.body().limit(MAX_BATCH_ANSWER_BYTES).await?;
     Ok((response.status(), content_type, bytes))
 }
 
--- a/crates/foxwheel-agent/src/queue.rs
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -23,6 +23,10 @@
     pub max_running: u32,
     /// Batch requests, at most; not more than `max_running`.
     pub max_batch_running: u32,
+    /// Online requests waiting, at most.
+    pub max_waiting_online: u32,
+    /// Batch requests waiting, at most.
+    pub max_waiting_batch: u32,
 }
 
 /// Why a request was not queued.
@@ -31,6 +35,9 @@
     /// The agent is draining and takes no new work.
     #[error("the agent is draining and takes no new work")]
     Draining,
+    /// Every waiting place of the class is taken.
+    #[error("too many requests wait for a slot")]
+    Full,
 }
 
 /// A request waiting for a slot.
@@ -40,7 +47,8 @@
 
 /// The queue's counts and waiters.
 ///
-/// Invariants, checked after every change in debug builds:
+/// Invariants, checked after every change in debug builds: `waiting_online` is no longer
+/// than its limit, `waiting_batch` than its limit and the preempted requests together,
 /// `running_online + running_batch <= max_running`, `running_batch <= max_batch_running`,
 /// `batch_running.len() + preempting == running_batch`, and `batch_running` is sorted by id.
 struct State {
@@ -74,7 +82,25 @@
             && self.preempting == 0
     }
 
+    /// Whether every waiting place of `class` is taken, not counting callers who left.
+    fn waiting_is_full(&mut self, class: PriorityClass) -> bool {
+        let (waiting, max) = match class {
+            PriorityClass::Online => (&mut self.waiting_online, self.limits.max_waiting_online),
+            PriorityClass::Batch => (&mut self.waiting_batch, self.limits.max_waiting_batch),
+        };
+        if waiting.len() < max as usize {
+            return false;
+        }
+        waiting.retain(|w| !w.tx.is_closed());
+        waiting.len() >= max as usize
+    }
+
     fn check_invariants(&self) {
+        debug_assert!(self.waiting_online.len() <= self.limits.max_waiting_online as usize);
+        debug_assert!(
+            self.waiting_batch.len()
+                <= self.limits.max_waiting_batch as usize + self.limits.max_batch_running as usize
+        );
         debug_assert!(self.running() <= self.limits.max_running);
         debug_assert!(self.running_batch <= self.limits.max_batch_running);
         debug_assert_eq!(
@@ -157,6 +183,9 @@
                 state.check_invariants();
                 return Ok(permit);
             }
+            if state.waiting_is_full(class) {
+                return Err(QueueError::Full);
+            }
             let (tx, rx) = oneshot::channel();
             match class {
                 PriorityClass::Online => {
@@ -171,6 +200,24 @@
         rx.await.map_err(|_| QueueError::Draining)
     }
 
+    /// Waits for a slot again after a preemption, ahead of the batch requests that have not
+    /// run yet; neither the waiting limit nor a drain refuses work that was accepted.
+    pub async fn acquire_after_preemption(&self) -> Result<Permit, QueueError> {
+        let rx = {
+            let mut state = self.lock();
+            if state.batch_may_start() {
+                let permit = self.grant(&mut state, PriorityClass::Batch);
+                state.check_invariants();
+                return Ok(permit);
+            }
+            let (tx, rx) = oneshot::channel();
+            state.waiting_batch.push_front(Waiting { tx });
+            state.check_invariants();
+            rx
+        };
+        rx.await.map_err(|_| QueueError::Draining)
+    }
+
     /// Stops taking new work; running and waiting requests go on.
     pub fn drain(&self) {
         self.lock().draining = true;
@@ -264,6 +311,9 @@
                 None
             };
             let Some((waiting, class)) = next else { break };
+            if waiting.tx.is_closed() {
+                continue;
+            }
             let granted = self.grant(&mut state, class);
             if let Err(granted) = waiting.tx.send(granted) {
                 unsent.push(granted);
--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -122,6 +122,8 @@
     let queue = Queue::new(Limits {
         max_running: settings.max_running,
         max_batch_running: settings.max_batch_running,
+        max_waiting_online: settings.max_waiting_online,
+        max_waiting_batch: settings.max_waiting_batch,
     });
     let listener = std::net::TcpListener::bind(&settings.listen_addr)?;
     let addr = listener.local_addr()?;
--- a/crates/foxwheel-agent/src/settings.rs
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -37,6 +37,12 @@
     /// Batch requests on the backend at once, at most; batch only fills spare capacity.
     #[serde(default = "default_max_batch_running")]
     pub max_batch_running: u32,
+    /// Online requests waiting for a slot, at most; more are refused at once, not run.
+    #[serde(default = "default_max_waiting")]
+    pub max_waiting_online: u32,
+    /// Batch requests waiting for spare capacity, at most.
+    #[serde(default = "default_max_waiting")]
+    pub max_waiting_batch: u32,
     /// How often the membership lease is renewed, in milliseconds. Each renewal is a write to
     /// the store, so it is rare: gateways learn of a dead host from the control channel.
     #[serde(default = "default_heartbeat_ms")]
@@ -61,6 +67,9 @@
 fn default_max_batch_running() -> u32 {
     12
 }
+fn default_max_waiting() -> u32 {
+    64
+}
 fn default_heartbeat_ms() -> u64 {
     20_000
 }
@@ -74,6 +83,37 @@
     60_000
 }
 
+impl AgentSettings {
+    /// Settings for tests: ephemeral ports in suwon-hall, few slots, fast leases.
+    pub fn for_test(
+        deployment: &str,
+        backend: BackendKind,
+        backend_url: &str,
+        store_url: &str,
+    ) -> Self {
+        Self {
+            listen_addr: "127.0.0.1:0".to_owned(),
+            advertise_addr: None,
+            control_addr: None,
+            host: format!("suwon-hall-{deployment}-0"),
+            zone: "suwon-hall".to_owned(),
+            deployment: deployment.to_owned(),
+            backend,
+            backend_url: backend_url.to_owned(),
+            store_url: store_url.to_owned(),
+            max_running: 4,
+            max_batch_running: 2,
+            max_waiting_online: default_max_waiting(),
+            max_waiting_batch: default_max_waiting(),
+            heartbeat_ms: 200,
+            lease_ttl_ms: 1_000,
+            drain_grace_ms: 300,
+            request_timeout_ms: 10_000,
+            statsd_addr: None,
+        }
+    }
+}
+
 impl Check for AgentSettings {
     fn check(&self) -> Result<(), FieldError> {
         settings::require_non_empty("listen_addr", &self.listen_addr)?;
--- /dev/null
+++ b/crates/foxwheel-agent/tests/common/mod.rs
@@ -0,0 +1,167 @@
+//! One agent with a store stand-in and a backend under a chosen fault.
+
+use std::time::Duration;
+
+use foxwheel_agent::server;
+use foxwheel_agent::settings::AgentSettings;
+use foxwheel_core::declarations::BackendKind;
+use foxwheel_core::keys;
+use foxwheel_core::protocol::CLASS_HEADER;
+use foxwheel_engine_emu::settings::EngineSettings;
+use foxwheel_platform_emu::settings::PlatformSettings;
+use foxwheel_store::client::StoreClient;
+use tokio::io::AsyncReadExt;
+use tokio_util::sync::CancellationToken;
+
+/// What is wrong with the backend or the agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendFault {
+    /// Nothing.
+    None,
+    /// Nothing listens at its address.
+    Gone,
+    /// It reads the request, then closes the connection.
+    HangsUp,
+    /// The agent drains.
+    Draining,
+    /// Every slot and every place in the queue is taken.
+    QueueFull,
+}
+
+/// A running agent.
+pub struct Agent {
+    pub url: String,
+    pub store: StoreClient,
+    pub http: awc::Client,
+    cancel: CancellationToken,
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        self.cancel.cancel();
+    }
+}
+
+async fn start_backend(fault: BackendFault, cancel: &CancellationToken) -> String {
+    match fault {
+        BackendFault::Gone => {
+            let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("port");
+            unused.local_addr().expect("address").to_string()
+        }
+        BackendFault::HangsUp => {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+                .await
+                .expect("port");
+            let addr = listener.local_addr().expect("address").to_string();
+            actix_web::rt::spawn(async move {
+                while let Ok((mut socket, _)) = listener.accept().await {
+                    let mut request = [0; 1024];
+                    let _ = socket.read(&mut request).await;
+                }
+            });
+            addr
+        }
+        BackendFault::None | BackendFault::Draining | BackendFault::QueueFull => {
+            let (addr, server) = foxwheel_engine_emu::server::start(
+                EngineSettings::for_test("draftsman"),
+                cancel.clone(),
+            )
+            .expect("engine");
+            actix_web::rt::spawn(server);
+            addr.to_string()
+        }
+    }
+}
+
+impl Agent {
+    /// Starts an agent with one slot and one place in each queue.
+    pub async fn start(fault: BackendFault) -> Self {
+        let cancel = CancellationToken::new();
+        let platform = PlatformSettings::for_test();
+        let (store_addr, server) =
+            foxwheel_platform_emu::server::start(&platform, cancel.clone()).expect("store");
+        actix_web::rt::spawn(server);
+        let store_url = format!("http://{store_addr}");
+        let backend = start_backend(fault, &cancel).await;
+        let settings = AgentSettings {
+            max_running: 1,
+            max_batch_running: 1,
+            max_waiting_online: 1,
+            max_waiting_batch: 1,
+            ..AgentSettings::for_test(
+                "draftsman",
+                BackendKind::Model,
+                &format!("http://{backend}"),
+                &store_url,
+            )
+        };
+        let running = server::start(settings, cancel.clone())
+            .await
+            .expect("agent");
+        let agent = Self {
+            url: format!("http://{}", running.addr),
+            store: StoreClient::new(store_url),
+            http: awc::Client::builder()
+                .timeout(Duration::from_secs(30))
+                .finish(),
+            cancel,
+        };
+        match fault {
+            BackendFault::Draining => {
+                let drained = agent.http.post(format!("{}/drain", agent.url)).send().await;
+                assert!(drained.expect("drain").status().is_success());
+            }
+            BackendFault::QueueFull => agent.fill().await,
+            _ => {}
+        }
+        agent
+    }
+
+    /// Takes the slot and every waiting place with requests that run long.
+    async fn fill(&self) {
+        let body = serde_json::json!({"model": "draftsman", "prompt": "long", "max_tokens": 1_000_000, "stream": true});
+        for class in ["online", "online", "batch"] {
+            let send = self
+                .http
+                .post(format!("{}/v1/completions", self.url))
+                .insert_header((CLASS_HEADER, class))
+                .timeout(Duration::from_secs(600))
+                .send_json(&body);
+            actix_web::rt::spawn(async move {
+                // Held open until the agent stops.
+                let Ok(_response) = send.await else { return };
+                std::future::pending::<()>().await;
+            });
+        }
+        for _ in 0..500 {
+            let mut response = self
+                .http
+                .get(format!("{}/load", self.url))
+                .send()
+                .await
+                .expect("load");
+            let load: serde_json::Value = response.json().await.expect("json");
+            if load["running_online"] == 1
+                && load["waiting_online"] == 1
+                && load["waiting_batch"] == 1
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the agent never filled up");
+    }
+
+    /// Waits (bounded) until the member record is in `state`.
+    pub async fn wait_for_member(&self, state: &str) -> serde_json::Value {
+        let prefix = keys::MEMBERS_PREFIX;
+        for _ in 0..500 {
+            let listed = self.store.list(prefix).await.expect("members");
+            if let Some(found) = listed.objects.iter().find(|o| o.value["state"] == state) {
+                return found.value.clone();
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("the member record never became {state}");
+    }
+}
--- a/crates/foxwheel-agent/tests/queue_randomised.rs
+++ b/crates/foxwheel-agent/tests/queue_randomised.rs
@@ -36,6 +36,8 @@
     let queue = Queue::new(Limits {
         max_running,
         max_batch_running,
+        max_waiting_online: u32::MAX,
+        max_waiting_batch: u32::MAX,
     });
     let mut waiting: Vec<(PriorityClass, Waiting)> = Vec::new();
     let mut held: Vec<Permit> = Vec::new();
@@ -109,6 +111,8 @@
     let queue = Queue::new(Limits {
         max_running: 2,
         max_batch_running: 1,
+        max_waiting_online: 8,
+        max_waiting_batch: 8,
     });
     queue.drain();
     let refused = futures::executor::block_on(queue.acquire(PriorityClass::Online));
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -168,8 +168,21 @@
 }
 
 /// Whether a send failed before any byte of the request could reach the peer.
+///
+/// awc reports a peer that closed the connection after reading the request as
+/// `ConnectError::Disconnected`, so only the errors of opening a connection count.
 pub fn send_never_reached(error: &awc::error::SendRequestError) -> bool {
-    matches!(error, awc::error::SendRequestError::Connect(_))
+    use awc::error::{ConnectError, SendRequestError};
+    matches!(
+        error,
+        SendRequestError::Connect(
+            ConnectError::Resolver(_)
+                | ConnectError::NoRecords
+                | ConnectError::Timeout
+                | ConnectError::Unresolved
+                | ConnectError::Io(_)
+        )
+    )
 }
 
 /// Sends a request on to `url`, copying the headers foxwheel passes on.
--- a/crates/foxwheel-gateway/src/filters.rs
+++ b/crates/foxwheel-gateway/src/filters.rs
@@ -30,6 +30,8 @@
     /// The configuration in force when the request arrived; it stays the same for the
     /// request's whole life.
     pub config: Arc<ActiveConfig>,
+    /// Whether the request may run more than once; set by the handler.
+    pub idempotent: bool,
     /// Set by [`MatchRules`]: the rule that matched.
     pub rule: Option<String>,
     /// Set by [`MatchRules`]: the deployment routed to.
@@ -50,6 +52,7 @@
             path,
             workspace: None,
             config,
+            idempotent: true,
             rule: None,
             deployment: None,
             class: PriorityClass::Online,
--- a/crates/foxwheel-gateway/src/online.rs
+++ b/crates/foxwheel-gateway/src/online.rs
@@ -2,11 +2,13 @@
 //!
 //! The body is checked, the chain decides deployment and class, and the request goes to
 //! one backend host. A request that no host received (connection refused, the agent
-//! draining) is tried on another host; once a host may have received it, its answer,
-//! whatever it is, goes back to the caller, streamed as it comes.
+//! draining) is tried on another host, and so is an idempotent one whose host broke off
+//! before answering. Once a host has answered, its answer, whatever it is, goes back to the
+//! caller, streamed as it comes.
 
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
+use awc::error::SendRequestError;
 use bytes::Bytes;
 
 use foxwheel_core::declarations::Workload;
@@ -39,8 +41,9 @@
     }
 }
 
-/// Sends a request to a host of the exchange's deployment, trying other hosts while no
-/// host has received it, at most `max_attempts` times.
+/// Sends a request to a host of the exchange's deployment, at most `max_attempts` times.
+/// Another host is tried while none has received the request or, when it is idempotent,
+/// while none has answered it.
 pub async fn send(
     state: &GatewayState,
     worker: &WorkerState,
@@ -53,6 +56,7 @@
     let deployment = exchange.deployment.as_ref().expect("routed by MatchRules");
     let mut excluded: Vec<HostId> = Vec::new();
     let timeout = std::time::Duration::from_millis(deployment.request_timeout_ms);
+    let mut broke_off = None;
     for _ in 0..state.settings.max_attempts {
         let Some(target) = state.hosts.pick(
             &deployment.name,
@@ -80,14 +84,18 @@
             Ok(response) => return Ok((response, in_flight)),
             Err(e) if http::send_never_reached(&e) => excluded.push(target.member.host.clone()),
             Err(e) => {
-                return Err(SendFailure::Unknown(http::unknown(
-                    StatusCode::GATEWAY_TIMEOUT,
-                    "backend_failed",
-                    format!("forward to agent at {}: {e}", target.member.agent_addr),
-                )))
+                let failure = forward_failed(&target.member.agent_addr, &e);
+                if !exchange.idempotent || matches!(e, SendRequestError::Timeout) {
+                    return Err(failure);
+                }
+                broke_off = Some(failure);
+                excluded.push(target.member.host.clone());
             }
         }
     }
+    if let Some(failure) = broke_off {
+        return Err(failure);
+    }
     Err(SendFailure::NotRun(http::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no_backend",
@@ -96,6 +104,16 @@
     )))
 }
 
+/// The answer when a host may have received the request and gave no answer.
+fn forward_failed(agent_addr: &str, error: &SendRequestError) -> SendFailure {
+    let status = match error {
+        SendRequestError::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    let message = format!("forward to agent at {agent_addr}: {error}");
+    SendFailure::Unknown(http::unknown(status, "backend_failed", message))
+}
+
 /// Adds a request id when the caller sent none, and the class header from the exchange.
 pub fn outgoing_headers(
     req: &HttpRequest,
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -36,9 +36,10 @@
     if let Err(refused) = filters::run(&state.chain, &mut exchange) {
         return refused.into_response();
     }
-    let deployment = exchange.deployment.as_ref().expect("routed by MatchRules");
     let headers = online::outgoing_headers(&req, &exchange);
-    if !deployment.is_non_idempotent(&tail) {
+    let deployment = exchange.deployment.as_ref().expect("routed by MatchRules");
+    exchange.idempotent = !deployment.is_non_idempotent(&tail);
+    if exchange.idempotent {
         return match online::send(&state, &worker, &exchange, &req, body, req.path(), &headers)
             .await
         {
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -3,14 +3,19 @@
 
 #![allow(dead_code)]
 
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxwheel_agent::settings::AgentSettings;
+use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::{BackendKind, Manifest};
 use foxwheel_core::keys;
+use foxwheel_core::protocol::{LoadReport, Member, MemberState};
 use foxwheel_engine_emu::settings::EngineSettings;
 use foxwheel_gateway::settings::GatewaySettings;
 use foxwheel_store::client::StoreClient;
+use tokio::io::AsyncReadExt;
 use tokio_util::sync::CancellationToken;
 
 /// The fleet's addresses and handles.
@@ -56,33 +61,6 @@
         .expect("rules written");
 }
 
-fn agent_settings(
-    host: &str,
-    deployment: &str,
-    backend: BackendKind,
-    backend_url: &str,
-    store_url: &str,
-) -> AgentSettings {
-    AgentSettings {
-        listen_addr: "127.0.0.1:0".to_owned(),
-        advertise_addr: None,
-        control_addr: None,
-        host: host.to_owned(),
-        zone: "suwon-hall".to_owned(),
-        deployment: deployment.to_owned(),
-        backend,
-        backend_url: backend_url.to_owned(),
-        store_url: store_url.to_owned(),
-        max_running: 4,
-        max_batch_running: 2,
-        heartbeat_ms: 200,
-        lease_ttl_ms: 1_000,
-        drain_grace_ms: 300,
-        request_timeout_ms: 10_000,
-        statsd_addr: None,
-    }
-}
-
 /// Gateway settings for tests: fast dispatch.
 pub fn gateway_settings(store_url: &str, name: &str) -> GatewaySettings {
     GatewaySettings {
@@ -104,15 +82,61 @@
     }
 }
 
+/// A host whose agent reads each request and closes the connection without an answer.
+pub struct HangUpHost {
+    /// Requests read.
+    pub received: Arc<AtomicU64>,
+}
+
+/// Adds a host that hangs up on every request to `deployment`.
+pub async fn add_hang_up_host(store: &StoreClient, deployment: &str, host: &str) -> HangUpHost {
+    let received = Arc::new(AtomicU64::new(0));
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("port");
+    let agent_addr = listener.local_addr().expect("address").to_string();
+    let counted = received.clone();
+    actix_web::rt::spawn(async move {
+        while let Ok((mut socket, _)) = listener.accept().await {
+            let mut request = [0; 4096];
+            if matches!(socket.read(&mut request).await, Ok(n) if n > 0) {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }
+        }
+    });
+    let control_addr = server::serve("127.0.0.1:0", Arc::new(IdleAgent), CancellationToken::new())
+        .await
+        .expect("control channel");
+    let record = Member {
+        host: host.to_owned(),
+        deployment: deployment.to_owned(),
+        agent_addr,
+        control_addr: control_addr.to_string(),
+        zone: "suwon-hall".to_owned(),
+        state: MemberState::Ready,
+        lease_ttl_ms: 600_000,
+        renewals: 1,
+    };
+    store
+        .put(&keys::member(deployment, host), &record, None)
+        .await
+        .expect("member written");
+    HangUpHost { received }
+}
+
+/// An agent that is always idle.
+pub struct IdleAgent;
+
+impl AgentHandle for IdleAgent {
+    fn load(&self) -> LoadReport {
+        LoadReport::default()
+    }
+}
+
 /// Starts the fleet with `engines` draftsman engines and waits until the gateway routes.
 pub async fn start(engines: usize) -> Fleet {
     let cancel = CancellationToken::new();
-    let platform = foxwheel_platform_emu::settings::PlatformSettings {
-        listen_addr: "127.0.0.1:0".to_owned(),
-        write_limit_per_s: 10_000,
-        read_limit_per_s: 10_000,
-        history_len: 10_000,
-    };
+    let platform = foxwheel_platform_emu::settings::PlatformSettings::for_test();
     let (store_addr, server) =
         foxwheel_platform_emu::server::start(&platform, cancel.clone()).expect("store");
     actix_web::rt::spawn(server);
@@ -132,13 +156,10 @@
         actix_web::rt::spawn(server);
         let engine_url = format!("http://{addr}");
         let agent = foxwheel_agent::server::start(
-            agent_settings(
-                &format!("suwon-hall-draftsman-{i}"),
-                "draftsman",
-                BackendKind::Model,
-                &engine_url,
-                &store_url,
-            ),
+            AgentSettings {
+                host: format!("suwon-hall-draftsman-{i}"),
+                ..AgentSettings::for_test("draftsman", BackendKind::Model, &engine_url, &store_url)
+            },
             cancel.clone(),
         )
         .await
@@ -156,13 +177,7 @@
     actix_web::rt::spawn(server);
     let service = format!("http://{service_addr}");
     let agent = foxwheel_agent::server::start(
-        agent_settings(
-            "suwon-hall-yardbook-0",
-            "yardbook",
-            BackendKind::Service,
-            &service,
-            &store_url,
-        ),
+        AgentSettings::for_test("yardbook", BackendKind::Service, &service, &store_url),
         cancel.clone(),
     )
     .await
@@ -189,6 +204,23 @@
 }
 
 impl Fleet {
+    /// Waits (bounded) until the gateway sees `expected` live hosts of `deployment`.
+    pub async fn wait_for_live(&self, deployment: &str, expected: u64) {
+        for _ in 0..400 {
+            let url = format!("{}/status", self.gateway);
+            let mut response = self.http.get(url).send().await.expect("status");
+            let status: serde_json::Value = response.json().await.expect("status decodes");
+            let found = status["deployments"]
+                .as_array()
+                .and_then(|ds| ds.iter().find(|d| d["deployment"] == deployment));
+            if found.is_some_and(|d| d["live_hosts"] == expected) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("the gateway never saw {expected} live hosts of {deployment}");
+    }
+
     /// Waits (bounded) until the gateway has the config and sees every agent.
     pub async fn wait_until_routing(&self, engines: usize) {
         for _ in 0..200 {
--- a/crates/foxwheel-platform-emu/src/settings.rs
+++ b/crates/foxwheel-platform-emu/src/settings.rs
@@ -33,6 +33,18 @@
     100_000
 }
 
+impl PlatformSettings {
+    /// Settings for tests: an ephemeral port and rates no test reaches.
+    pub fn for_test() -> Self {
+        Self {
+            listen_addr: "127.0.0.1:0".to_owned(),
+            write_limit_per_s: 10_000,
+            read_limit_per_s: 10_000,
+            history_len: 10_000,
+        }
+    }
+}
+
 impl Check for PlatformSettings {
     fn check(&self) -> Result<(), FieldError> {
         settings::require_non_empty("listen_addr", &self.listen_addr)?;
--- a/crates/foxwheel-platform-emu/tests/store_contract.rs
+++ b/crates/foxwheel-platform-emu/tests/store_contract.rs
@@ -10,10 +10,8 @@
 
 fn settings(history_len: usize) -> PlatformSettings {
     PlatformSettings {
-        listen_addr: "127.0.0.1:0".to_owned(),
-        write_limit_per_s: 10_000,
-        read_limit_per_s: 10_000,
         history_len,
+        ..PlatformSettings::for_test()
     }
 }
 
