--- a/crates/foxwheel-core/src/keys.rs
+++ b/crates/foxwheel-core/src/keys.rs
@@ -7,8 +7,13 @@
 //! | `members/<deployment>/<host>` | a [`Member`](crate::protocol::Member) lease |
 //! | `jobs/<job>` | a batch job record |
 //! | `chunks/<job>/<index>` | a chunk of a job's items with their states and results |
+//! | `progress/<job>` | which chunks of a job are finished, and its item counts |
+//! | `answers/<job>/<chunk>/<item>-<lease>` | an answer too large for its chunk |
+//! | `archive/<job>` | the record of a job that ended |
 //! | `idempotency/<service>/<key>` | the record of a non-idempotent call |
 
+use crate::fingerprint;
+
 /// Prefix of all configuration.
 pub const CONFIG_PREFIX: &str = "config/";
 /// Prefix of deployment declarations.
@@ -35,6 +40,22 @@
     format!("{JOBS_PREFIX}{job}")
 }
 
+/// The key of a job's progress.
+pub fn progress(job: &str) -> String {
+    format!("progress/{job}")
+}
+
+/// The key of an ended job's record.
+pub fn archived_job(job: &str) -> String {
+    format!("archive/{job}")
+}
+
+/// The key of an answer kept outside its chunk; `lease` keeps holders from overwriting each
+/// other's.
+pub fn answer(job: &str, chunk: u32, item: usize, lease: u64) -> String {
+    format!("answers/{job}/{chunk:06}/{item:03}-{lease:016x}")
+}
+
 /// The prefix of a job's chunks.
 pub fn chunks_of(job: &str) -> String {
     format!("chunks/{job}/")
@@ -45,7 +66,9 @@
     format!("chunks/{job}/{index:06}")
 }
 
-/// The key of a non-idempotent call's record.
-pub fn idempotency(service: &str, key: &str) -> String {
-    format!("idempotency/{service}/{key}")
+/// The key of a non-idempotent call's record. Callers choose `key` and `workspace`, so only
+/// their fingerprint becomes part of the store key.
+pub fn idempotency(service: &str, workspace: &str, key: &str) -> String {
+    let caller = fingerprint::of(&[workspace.as_bytes(), key.as_bytes()]);
+    format!("idempotency/{service}/{caller}")
 }
--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod cli;
 pub mod declarations;
 pub mod error;
+pub mod fingerprint;
 pub mod http;
 pub mod ids;
 pub mod keys;
@@ -18,6 +19,7 @@
 /// The modules most processes need, for `use foxwheel_core::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        cli, declarations, error, http, ids, keys, protocol, settings, shutdown, telemetry, time,
+        cli, declarations, error, fingerprint, http, ids, keys, protocol, settings, shutdown,
+        telemetry, time,
     };
 }
--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -9,25 +9,25 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
 use bytes::Bytes;
-use futures::{StreamExt, TryStreamExt};
-
 use foxwheel_core::declarations::Workload;
+use foxwheel_core::http::Refused;
+use foxwheel_core::ids::Version;
+use foxwheel_core::protocol::WORKSPACE_HEADER;
 use foxwheel_core::{http, keys, time};
 use foxwheel_store::client::{StoreClient, StoreError};
+use futures::{Stream, StreamExt};
 
 use crate::batch::jobs::{
-    ChunkRecord, CreateJob, ItemCounts, ItemInput, ItemRecord, ItemResult, ItemState, JobRecord,
-    JobState, JobStatus, CHUNK_ITEMS,
+    ChunkRecord, CreateJob, ItemCounts, ItemRecord, ItemResult, ItemState, JobRecord, JobState,
+    JobStatus,
 };
+use crate::batch::{intake, progress};
 use crate::filters::{self, Exchange};
+use crate::online::header_string;
 use crate::server::{GatewayState, WorkerState};
 
-/// Items in one job, at most.
-pub const MAX_ITEMS: usize = 500_000;
-/// Chunk writes in flight while a job is created.
-const CREATE_WRITES_IN_FLIGHT: usize = 16;
-/// Tries of one create whose reply was lost.
-const CREATE_TRIES: u32 = 3;
+/// Tries of a cancel that met another write or a lost reply.
+const CANCEL_TRIES: u32 = 8;
 
 fn bad_request(message: impl Into<String>) -> HttpResponse {
     http::not_run(StatusCode::BAD_REQUEST, "bad_request", message, None)
@@ -42,296 +42,259 @@
     )
 }
 
-/// Parses and checks the items of a create request.
-pub fn parse_items(create: &CreateJob) -> Result<Vec<ItemInput>, String> {
-    let mut items = create.items.clone();
-    if let Some(lines) = &create.input_jsonl {
-        for (n, line) in lines
-            .lines()
-            .enumerate()
-            .filter(|(_, l)| !l.trim().is_empty())
-        {
-            let item: ItemInput = serde_json::from_str(line)
-                .map_err(|e| format!("input_jsonl line {}: {e}", n + 1))?;
-            items.push(item);
-        }
-    }
-    if items.is_empty() {
-        return Err("the job has no items".to_owned());
-    }
-    if items.len() > MAX_ITEMS {
-        return Err(format!(
-            "the job has {} items; at most {MAX_ITEMS}",
-            items.len()
-        ));
-    }
-    let mut ids: Vec<&str> = items.iter().map(|i| i.custom_id.as_str()).collect();
-    ids.sort_unstable();
-    if let Some(pair) = ids.windows(2).find(|w| w[0] == w[1]) {
-        return Err(format!("custom_id `{}` appears twice", pair[0]));
-    }
-    for item in &items {
-        if !item.body.is_object() {
-            return Err(format!(
-                "item `{}`: body must be a JSON object",
-                item.custom_id
-            ));
-        }
-    }
-    Ok(items)
-}
-
-/// The job id: derived from the client's key, so a resend finds the same job.
-pub fn job_id(client_key: Option<&str>) -> String {
-    match client_key {
-        Some(key) => {
-            use std::hash::{Hash, Hasher};
-            let mut hasher = std::collections::hash_map::DefaultHasher::new();
-            key.hash(&mut hasher);
-            format!("batch-{:016x}", hasher.finish())
-        }
-        None => format!("batch-{:016x}", rand::random::<u64>()),
-    }
+fn no_job(id: &str) -> HttpResponse {
+    let message = format!("no batch job `{id}`");
+    http::not_run(StatusCode::NOT_FOUND, "no_job", message, None)
 }
 
-/// Writes `value` under `key` only if absent; an existing object counts as written.
-async fn create_once<T: serde::Serialize>(
+/// A job's record with its version, whether it goes on (`jobs/`) or ended (`archive/`).
+async fn find_job(
     store: &StoreClient,
-    key: &str,
-    value: &T,
-) -> Result<(), StoreError> {
-    let mut last = None;
-    for _ in 0..CREATE_TRIES {
-        match store.put(key, value, Some(0)).await {
-            Ok(_) | Err(StoreError::Conflict { .. }) => return Ok(()),
-            Err(e @ StoreError::Unavailable { .. }) => {
-                if store.get(key).await.is_ok() {
-                    return Ok(());
-                }
-                last = Some(e);
-            }
-            Err(e) => return Err(e),
-        }
+    id: &str,
+) -> Result<Option<(JobRecord, Version)>, StoreError> {
+    if let Some(found) = store.get_value(&keys::job(id)).await? {
+        return Ok(Some(found));
     }
-    Err(last.expect("at least one try"))
+    store.get_value(&keys::archived_job(id)).await
 }
 
-/// Reads a job and counts its items.
-pub async fn job_status(
-    store: &StoreClient,
-    id: &str,
-) -> Result<Option<(JobStatus, Vec<ChunkRecord>)>, StoreError> {
-    let Some((job, _)) = store.get_value::<JobRecord>(&keys::job(id)).await? else {
-        return Ok(None);
-    };
-    let listed = store.list(&keys::chunks_of(id)).await?;
-    let mut counts = ItemCounts::default();
-    let mut chunks = Vec::with_capacity(listed.objects.len());
-    for object in listed.objects {
-        let chunk: ChunkRecord =
-            serde_json::from_value(object.value).map_err(|e| StoreError::Decode {
-                step: "read chunk",
-                peer: store.base_url().to_owned(),
-                detail: e.to_string(),
-            })?;
-        for item in &chunk.items {
-            let state = match (item.state, job.state) {
-                (ItemState::Pending, JobState::Cancelled) => ItemState::Cancelled,
-                (state, _) => state,
+/// A job's status from its record and, while it goes on, its progress.
+async fn status_of(store: &StoreClient, job: JobRecord) -> Result<JobStatus, StoreError> {
+    let counts = match job.final_counts {
+        Some(counts) => counts,
+        None => {
+            let mut counts = progress::read(store, &job.id).await?.counts;
+            let unfinished = job.item_count - counts.total;
+            counts += match job.state {
+                JobState::Cancelled => ItemCounts {
+                    total: unfinished,
+                    cancelled: unfinished,
+                    ..ItemCounts::default()
+                },
+                JobState::Running | JobState::Completed => ItemCounts {
+                    total: unfinished,
+                    pending: unfinished,
+                    ..ItemCounts::default()
+                },
             };
-            counts.add(state);
+            counts
         }
-        chunks.push(chunk);
+    };
+    debug_assert_eq!(counts.total, job.item_count);
+    Ok(JobStatus { job, counts })
+}
+
+async fn answer_status(store: &StoreClient, job: JobRecord, retry_after_s: u64) -> HttpResponse {
+    match status_of(store, job).await {
+        Ok(status) => HttpResponse::Ok().json(status),
+        Err(e) => store_down(&e, retry_after_s),
     }
-    debug_assert!(counts.total <= job.item_count);
-    Ok(Some((JobStatus { job, counts }, chunks)))
 }
 
 /// `POST /v1/batches`.
 pub async fn create(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
+    req: HttpRequest,
     body: Bytes,
 ) -> HttpResponse {
     let create: CreateJob = match serde_json::from_slice(&body) {
         Ok(c) => c,
         Err(e) => return bad_request(format!("body is not a valid batch request: {e}")),
     };
-    let items = match parse_items(&create) {
+    let items = match intake::check_items(&create) {
         Ok(items) => items,
         Err(message) => return bad_request(message),
     };
+    let workspace = header_string(&req, WORKSPACE_HEADER);
     let mut exchange = Exchange::new(
         Workload::Batch,
         "/v1/batches".to_owned(),
         state.config.current(),
     );
     exchange.model = Some(create.model.clone());
+    exchange.workspace = workspace.clone();
     if let Err(refused) = filters::run(&state.chain, &mut exchange) {
         return refused.into_response();
     }
-    let deployment = exchange
-        .deployment
-        .as_ref()
-        .expect("routed by MatchRules")
-        .name
-        .clone();
-    let id = job_id(create.client_key.as_deref());
-    let store = &worker.store;
-    let retry_after_s = state.settings.retry_after_s;
-    match job_status(store, &id).await {
-        Ok(Some((status, _))) => return HttpResponse::Ok().json(status),
+    let deployment = exchange.deployment.expect("routed by MatchRules").name;
+    let id = intake::job_id(
+        workspace.as_deref().unwrap_or_default(),
+        create.client_key.as_deref(),
+    );
+    let fingerprint = intake::job_fingerprint(&create.model, &items);
+    let (store, retry_after_s) = (&worker.store, state.settings.retry_after_s);
+    match find_job(store, &id).await {
+        Ok(Some((job, _))) if job.fingerprint != fingerprint => {
+            return http::not_run(
+                StatusCode::UNPROCESSABLE_ENTITY,
+                "client_key_reused",
+                "this client_key was used for a job with other items",
+                None,
+            )
+        }
+        Ok(Some((job, _))) => return answer_status(store, job, retry_after_s).await,
         Ok(None) => {}
         Err(e) => return store_down(&e, retry_after_s),
     }
-    let chunks: Vec<ChunkRecord> = items
-        .chunks(CHUNK_ITEMS)
-        .enumerate()
-        .map(|(index, part)| ChunkRecord {
-            job_id: id.clone(),
-            index: index as u32,
-            items: part
-                .iter()
-                .map(|i| ItemRecord {
-                    custom_id: i.custom_id.clone(),
-                    body: i.body.clone(),
-                    state: ItemState::Pending,
-                    attempts: 0,
-                    result: None,
-                    error: None,
-                })
-                .collect(),
-            lease: None,
-        })
-        .collect();
-    let chunk_count = chunks.len() as u32;
-    let written = futures::stream::iter(chunks.iter())
-        .map(|chunk| {
-            let key = keys::chunk(&id, chunk.index);
-            async move { create_once(store, &key, chunk).await }
-        })
-        .buffer_unordered(CREATE_WRITES_IN_FLIGHT)
-        .try_collect::<Vec<()>>()
-        .await;
-    if let Err(e) = written {
-        return store_down(&e, retry_after_s);
-    }
+    let item_count = items.len() as u32;
+    let chunks = intake::split(&id, items);
     let now = time::unix_ms();
     let job = JobRecord {
-        id: id.clone(),
+        id,
         model: create.model,
         deployment,
+        fingerprint,
         state: JobState::Running,
+        final_counts: None,
         created_ms: now,
-        deadline_ms: now + create.completion_window_s * 1000,
-        item_count: items.len() as u32,
-        chunk_count,
+        deadline_ms: now + create.completion_window_s.saturating_mul(1000),
+        item_count,
+        chunk_count: chunks.len() as u32,
     };
-    if let Err(e) = create_once(store, &keys::job(&id), &job).await {
-        return store_down(&e, retry_after_s);
-    }
-    match job_status(store, &id).await {
-        Ok(Some((status, _))) => HttpResponse::Ok().json(status),
-        Ok(None) => store_down(&StoreError::NotFound, retry_after_s),
+    match intake::write_job(store, &job, &chunks).await {
+        Ok(()) => answer_status(store, job, retry_after_s).await,
         Err(e) => store_down(&e, retry_after_s),
     }
 }
 
-fn no_job(id: &str) -> HttpResponse {
-    http::not_run(
-        StatusCode::NOT_FOUND,
-        "no_job",
-        format!("no batch job `{id}`"),
-        None,
-    )
-}
-
 /// `GET /v1/batches/{id}`.
 pub async fn status(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
     id: web::Path<String>,
 ) -> HttpResponse {
-    match job_status(&worker.store, &id).await {
-        Ok(Some((status, _))) => HttpResponse::Ok().json(status),
+    let retry_after_s = state.settings.retry_after_s;
+    match find_job(&worker.store, &id).await {
+        Ok(Some((job, _))) => answer_status(&worker.store, job, retry_after_s).await,
         Ok(None) => no_job(&id),
-        Err(e) => store_down(&e, state.settings.retry_after_s),
+        Err(e) => store_down(&e, retry_after_s),
     }
 }
 
-/// `GET /v1/batches/{id}/results`.
+/// `GET /v1/batches/{id}/results`: streamed chunk by chunk, so the answer's length is no
+/// matter. An error on the way cuts the answer short rather than passing for its end.
 pub async fn results(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
     id: web::Path<String>,
 ) -> HttpResponse {
-    let (status, chunks) = match job_status(&worker.store, &id).await {
-        Ok(Some(found)) => found,
-        Ok(None) => return no_job(&id),
-        Err(e) => return store_down(&e, state.settings.retry_after_s),
-    };
-    let mut lines = String::new();
-    for item in chunks.into_iter().flat_map(|c| c.items) {
-        let state = match (item.state, status.job.state) {
-            (ItemState::Pending, JobState::Cancelled) => ItemState::Cancelled,
-            (state, _) => state,
-        };
-        let line = ItemResult {
-            custom_id: item.custom_id,
-            state,
-            response: item.result,
-            error: item.error,
-        };
-        lines.push_str(&serde_json::to_string(&line).unwrap_or_default());
-        lines.push('\n');
+    match find_job(&worker.store, &id).await {
+        Ok(Some((job, _))) => HttpResponse::Ok()
+            .content_type("application/jsonl")
+            .streaming(result_lines(worker.store.clone(), job)),
+        Ok(None) => no_job(&id),
+        Err(e) => store_down(&e, state.settings.retry_after_s),
     }
-    HttpResponse::Ok()
-        .content_type("application/jsonl")
-        .body(lines)
 }
 
-/// `POST /v1/batches/{id}/cancel`: a conditional update, tried again when another
-/// operator's write came between the read and the write.
+fn result_lines(
+    store: StoreClient,
+    job: JobRecord,
+) -> impl Stream<Item = Result<Bytes, StoreError>> {
+    futures::stream::iter(0..job.chunk_count).then(move |index| {
+        let (store, key) = (store.clone(), keys::chunk(&job.id, index));
+        let job_state = job.state;
+        async move {
+            let found = store.get_value::<ChunkRecord>(&key).await?;
+            let (chunk, _) = found.ok_or(StoreError::NotFound)?;
+            let mut lines = String::new();
+            for item in chunk.items {
+                let line = result_line(&store, job_state, item).await?;
+                lines.push_str(&serde_json::to_string(&line).expect("a result line encodes"));
+                lines.push('\n');
+            }
+            Ok(Bytes::from(lines))
+        }
+    })
+}
+
+async fn result_line(
+    store: &StoreClient,
+    job_state: JobState,
+    item: ItemRecord,
+) -> Result<ItemResult, StoreError> {
+    let response = match &item.result_key {
+        Some(key) => Some(store.get(key).await?.value),
+        None => item.result,
+    };
+    let state = match (item.state, job_state) {
+        (ItemState::Pending, JobState::Cancelled) => ItemState::Cancelled,
+        (state, _) => state,
+    };
+    Ok(ItemResult {
+        custom_id: item.custom_id,
+        state,
+        response,
+        error: item.error,
+    })
+}
+
+/// `POST /v1/batches/{id}/cancel`.
 pub async fn cancel(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
     id: web::Path<String>,
-    _req: HttpRequest,
 ) -> HttpResponse {
-    let store = &worker.store;
-    let key = keys::job(&id);
     let retry_after_s = state.settings.retry_after_s;
-    loop {
-        let (mut job, version) = match store.get_value::<JobRecord>(&key).await {
-            Ok(Some(found)) => found,
-            Ok(None) => return no_job(&id),
-            Err(e) => return store_down(&e, retry_after_s),
+    match cancel_job(&worker.store, &id, retry_after_s).await {
+        Ok(job) => answer_status(&worker.store, job, retry_after_s).await,
+        Err(refused) => refused.into_response(),
+    }
+}
+
+/// A conditional update, tried again when another write came between the read and the
+/// write. A reply lost after the write took effect shows as a cancelled job on the next try.
+async fn cancel_job(
+    store: &StoreClient,
+    id: &str,
+    retry_after_s: u64,
+) -> Result<JobRecord, Refused> {
+    let store_down = |e: &StoreError| {
+        Refused::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "store_unavailable",
+            format!("the cancel cannot be recorded: {e}"),
+            Some(retry_after_s),
+        )
+    };
+    let mut last = StoreError::NotFound;
+    for _ in 0..CANCEL_TRIES {
+        let found = find_job(store, id).await.map_err(|e| store_down(&e))?;
+        let Some((mut job, version)) = found else {
+            let message = format!("no batch job `{id}`");
+            return Err(Refused::not_run(
+                StatusCode::NOT_FOUND,
+                "no_job",
+                message,
+                None,
+            ));
         };
         match job.state {
-            JobState::Cancelled => break,
+            JobState::Cancelled => return Ok(job),
             JobState::Completed => {
-                return http::not_run(
+                return Err(Refused::not_run(
                     StatusCode::CONFLICT,
                     "job_completed",
                     "the job completed before the cancel",
                     None,
-                )
+                ))
             }
-            JobState::Running => {}
+            JobState::Running => job.state = JobState::Cancelled,
         }
-        job.state = JobState::Cancelled;
-        match store.put(&key, &job, Some(version)).await {
+        match store.put(&keys::job(id), &job, Some(version)).await {
             Ok(_) => {
                 log::info!("batch job {id} cancelled");
-                break;
+                return Ok(job);
             }
-            Err(StoreError::Conflict { .. }) | Err(StoreError::Unavailable { .. }) => continue,
-            Err(e) => return store_down(&e, retry_after_s),
+            Err(e) if e.is_transient() || matches!(e, StoreError::Conflict { .. }) => last = e,
+            Err(e) => return Err(store_down(&e)),
         }
     }
-    match job_status(store, &id).await {
-        Ok(Some((status, _))) => HttpResponse::Ok().json(status),
-        Ok(None) => no_job(&id),
-        Err(e) => store_down(&e, retry_after_s),
-    }
+    // A write whose reply was lost may yet have taken effect.
+    Err(Refused::unknown(
+        StatusCode::SERVICE_UNAVAILABLE,
+        "store_unavailable",
+        format!("the cancel may not be recorded, send it again: {last}"),
+    ))
 }
--- a/crates/foxwheel-gateway/src/batch/dispatch.rs
+++ b/crates/foxwheel-gateway/src/batch/dispatch.rs
@@ -1,429 +1,410 @@
-//! The batch dispatch controller: leases free chunks of running jobs and runs their items.
+//! The batch dispatch controller: shares the chunks of running jobs out among gateways.
 //!
-//! Every gateway runs one. It scans running jobs (earliest deadline first) for chunks
-//! with pending items whose lease is free or has run out, takes the lease with a
-//! conditional write, sends the pending items to agents as batch work, and commits results
-//! with conditional writes that also renew the lease. A write that finds another version
-//! means the lease was lost: the holder stops, and its uncommitted results are dropped, so
-//! every item's result is recorded exactly once. A reply lost after a write took effect is
-//! recognised by reading the chunk back and finding this holding's nonce and commit number.
+//! Every gateway runs one. It goes through the jobs by deadline and, for each, through the
+//! chunks its progress record does not show as finished, starting at a place of its own so
+//! that gateways seldom meet. It reads one chunk at a time, takes its lease if it is free
+//! ([`chunk_work`]) and reports finished chunks to the progress record ([`progress`]). So
+//! the store's share grows with the chunks worked on, not with the size of the jobs.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use actix_web::http::{header::HeaderMap, Method, StatusCode};
-use bytes::Bytes;
-use futures::StreamExt;
-use tokio_util::sync::CancellationToken;
-
-use foxwheel_core::declarations::PriorityClass;
-use foxwheel_core::http;
-use foxwheel_core::ids::{HostId, Version};
-use foxwheel_core::protocol;
-use foxwheel_core::{keys, time};
+use foxwheel_core::ids::{JobId, Version};
+use foxwheel_core::{fingerprint, keys, time};
 use foxwheel_store::client::{StoreClient, StoreError};
 use foxwheel_store::reflector::Reflector;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
 
-use crate::batch::jobs::{ChunkLease, ChunkRecord, ItemState, JobRecord, JobState};
-use crate::hosts::{HostTable, InFlight};
+use crate::batch::chunk_work::{ChunkEnd, FreeChunk, WorkShape};
+use crate::batch::items::ItemRunner;
+use crate::batch::jobs::{ChunkRecord, JobRecord, JobState};
+use crate::batch::progress::{self, FinishedChunk, JobProgress};
+use crate::hosts::HostTable;
 use crate::settings::GatewaySettings;
 
-/// Tries of one item before it is failed for good.
-pub const MAX_ITEM_ATTEMPTS: u32 = 5;
-/// Largest answer read for one item, in bytes.
-const MAX_ITEM_ANSWER_BYTES: usize = 4 * 1024 * 1024;
+/// Chunks read in one scan, at most: bounds this gateway's reads of the store.
+const MAX_PROBES: usize = 64;
+/// How long a chunk that another gateway holds, or that was given back, is left alone.
+const REVISIT: Duration = Duration::from_secs(1);
+/// Finished chunks are reported at least this often.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(2);
+
+/// A chunk this gateway does not know to be finished, looked at again at `not_before`.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    index: u32,
+    not_before: Instant,
+}
+
+/// What this gateway knows of one job's chunks.
+struct JobWork {
+    job_id: JobId,
+    /// Neither finished nor worked on here.
+    candidates: VecDeque<Candidate>,
+    /// Worked on here now.
+    working: u32,
+    /// Finished, not yet in the progress record.
+    unpublished: Vec<FinishedChunk>,
+    published_at: Instant,
+    /// The progress record as last read or written.
+    progress: JobProgress,
+}
+
+impl JobWork {
+    /// The chunks of `job` that `progress` does not show as finished, from a place that
+    /// depends on the gateway.
+    fn new(job: &JobRecord, progress: JobProgress, gateway: &str) -> Self {
+        let now = Instant::now();
+        let mut work = Self {
+            job_id: job.id.clone(),
+            candidates: VecDeque::new(),
+            working: 0,
+            unpublished: Vec::new(),
+            published_at: now,
+            progress,
+        };
+        let start = starting_place(&job.id, gateway, job.chunk_count);
+        for index in (start..job.chunk_count).chain(0..start) {
+            if !work.progress.is_finished(index) {
+                work.candidates.push_back(Candidate {
+                    index,
+                    not_before: now,
+                });
+            }
+        }
+        work
+    }
+
+    /// The next chunk to look at, unless the rest is to be left alone for now.
+    fn next_candidate(&mut self, now: Instant) -> Option<u32> {
+        for _ in 0..self.candidates.len() {
+            let candidate = self.candidates.pop_front()?;
+            if self.progress.is_finished(candidate.index) {
+                continue;
+            }
+            if candidate.not_before <= now {
+                return Some(candidate.index);
+            }
+            self.candidates.push_back(candidate);
+        }
+        None
+    }
+
+    fn revisit(&mut self, index: u32) {
+        self.candidates.push_back(Candidate {
+            index,
+            not_before: Instant::now() + REVISIT,
+        });
+    }
+
+    fn publish_is_due(&self) -> bool {
+        let idle = self.working == 0 && self.candidates.is_empty();
+        !self.unpublished.is_empty() && (idle || self.published_at.elapsed() >= PUBLISH_INTERVAL)
+    }
+}
+
+fn starting_place(job: &str, gateway: &str, chunk_count: u32) -> u32 {
+    let print = fingerprint::of(&[job.as_bytes(), gateway.as_bytes()]);
+    let place = u32::from_str_radix(&print[..8], 16).unwrap_or(0);
+    place.checked_rem(chunk_count).unwrap_or(0)
+}
 
-/// What the controller needs.
+/// The controller.
 #[derive(Clone)]
 pub struct Dispatcher {
     settings: GatewaySettings,
+    shape: WorkShape,
     store: StoreClient,
     http: awc::Client,
     hosts: HostTable,
     jobs: Reflector,
-    /// Chunk keys this gateway works on now, sorted.
-    active: Rc<RefCell<Vec<String>>>,
-}
-
-/// How one try of an item ended.
-#[derive(Debug)]
-enum ItemOutcome {
-    Done(serde_json::Value),
-    /// The backend refused it for good (a 4xx other than 429).
-    Failed(String),
-    /// Worth another try later.
-    Retry,
+    /// Sorted by job id.
+    works: Rc<RefCell<Vec<JobWork>>>,
+    /// Wakes the scan when a chunk ended, so that its slot is not idle until the next poll.
+    chunk_ended: Rc<Notify>,
 }
 
 impl Dispatcher {
     /// A dispatcher for the gateway with `settings`.
     pub fn new(settings: GatewaySettings, hosts: HostTable) -> Self {
+        let shape = WorkShape {
+            holder: settings.name.clone(),
+            lease: Duration::from_millis(settings.chunk_lease_ms),
+            commit_interval: Duration::from_millis(settings.commit_interval_ms),
+            items_in_flight: settings.batch_items_in_flight,
+        };
         Self {
             store: StoreClient::new(&settings.store_url),
             http: awc::Client::builder().disable_timeout().finish(),
             settings,
+            shape,
             hosts,
             jobs: Reflector::new(keys::JOBS_PREFIX),
-            active: Rc::default(),
+            works: Rc::default(),
+            chunk_ended: Rc::default(),
         }
     }
 
     /// Runs until `cancel` fires; chunks in progress are committed and released first.
     pub async fn run(self, cancel: CancellationToken) {
-        actix_web::rt::spawn(self.jobs.clone().run(self.store.clone(), cancel.clone()));
+        let jobs_cancel = CancellationToken::new();
+        actix_web::rt::spawn(
+            self.jobs
+                .clone()
+                .run(self.store.clone(), jobs_cancel.clone()),
+        );
         let poll = Duration::from_millis(self.settings.dispatch_poll_ms);
         while !cancel.is_cancelled() {
-            if let Err(e) = self.scan(&cancel).await {
-                log::debug!("dispatch scan: {e}");
-            }
+            self.scan(&cancel).await;
             tokio::select! {
-                _ = cancel.cancelled() => {}
-                _ = tokio::time::sleep(poll) => {}
+                () = cancel.cancelled() => {}
+                () = self.chunk_ended.notified() => {}
+                () = tokio::time::sleep(poll) => {}
             }
         }
+        while self.working() > 0 {
+            self.chunk_ended.notified().await;
+        }
+        self.publish_all().await;
+        jobs_cancel.cancel();
     }
 
-    fn free_slots(&self) -> usize {
-        self.settings
-            .batch_chunks_in_flight
-            .saturating_sub(self.active.borrow().len())
-    }
-
-    fn running_jobs(&self) -> Vec<JobRecord> {
-        let mut jobs: Vec<JobRecord> = self.jobs.read(|s| {
-            s.objects
-                .values()
-                .filter_map(|(v, _)| serde_json::from_value::<JobRecord>(v.clone()).ok())
-                .filter(|j| j.state == JobState::Running)
-                .collect()
-        });
-        jobs.sort_by_key(|j| (j.deadline_ms, j.created_ms));
-        jobs
+    /// Looks through all jobs once, by deadline.
+    async fn scan(&self, cancel: &CancellationToken) {
+        let jobs = self.listed_jobs();
+        self.forget_ended(&jobs);
+        let mut probes = MAX_PROBES;
+        for job in jobs {
+            let scanned = self.scan_job(&job, &mut probes, cancel).await;
+            if let Err(e) = scanned {
+                log::debug!("dispatch of {}: {e}", job.id);
+                return;
+            }
+        }
     }
 
-    fn job_state(&self, id: &str) -> Option<JobState> {
-        self.jobs.read(|s| {
-            s.objects
-                .get(&keys::job(id))
-                .and_then(|(v, _)| serde_json::from_value::<JobRecord>(v.clone()).ok())
-                .map(|j| j.state)
-        })
+    async fn scan_job(
+        &self,
+        job: &JobRecord,
+        probes: &mut usize,
+        cancel: &CancellationToken,
+    ) -> Result<(), StoreError> {
+        self.ensure_work(job).await?;
+        let hosts_are_live = self.hosts.live_count(&job.deployment) > 0;
+        let may_work = || match job.state {
+            JobState::Running => hosts_are_live && self.free_slots() > 0 && !cancel.is_cancelled(),
+            JobState::Cancelled => true,
+            JobState::Completed => false,
+        };
+        while *probes > 0 && may_work() {
+            let now = Instant::now();
+            let Some(index) = self.with_work(&job.id, |w| w.next_candidate(now)).flatten() else {
+                break;
+            };
+            *probes -= 1;
+            if let Err(e) = self.probe(job, index, cancel).await {
+                self.with_work(&job.id, |w| w.revisit(index));
+                return Err(e);
+            }
+        }
+        self.publish_if_due(job).await
     }
 
-    async fn scan(&self, cancel: &CancellationToken) -> Result<(), StoreError> {
-        for job in self.running_jobs() {
-            if self.free_slots() == 0 {
-                return Ok(());
-            }
-            let listed = self.store.list(&keys::chunks_of(&job.id)).await?;
-            let now = time::unix_ms();
-            let mut all_final = listed.objects.len() as u32 == job.chunk_count;
-            for object in listed.objects {
-                let Ok(chunk) = serde_json::from_value::<ChunkRecord>(object.value) else {
-                    continue;
-                };
-                if !chunk.has_pending() {
-                    continue;
-                }
-                all_final = false;
-                let key = object.key;
-                if self.free_slots() == 0
-                    || !chunk.is_free(now)
-                    || self.active.borrow().binary_search(&key).is_ok()
-                {
-                    continue;
-                }
-                if let Some((chunk, version)) = self.lease(&key, chunk, object.version).await {
-                    self.start_chunk(key, chunk, version, job.deployment.clone(), cancel.clone());
-                }
+    /// Reads one chunk and does what it needs.
+    async fn probe(
+        &self,
+        job: &JobRecord,
+        index: u32,
+        cancel: &CancellationToken,
+    ) -> Result<(), StoreError> {
+        let key = keys::chunk(&job.id, index);
+        let Some((chunk, version)) = self.store.get_value::<ChunkRecord>(&key).await? else {
+            self.with_work(&job.id, |w| w.revisit(index));
+            return Ok(());
+        };
+        if !chunk.has_pending() {
+            let counts = chunk.counts();
+            self.finished(&job.id, FinishedChunk { index, counts });
+            return Ok(());
+        }
+        let Some(free) = FreeChunk::new(chunk, version, time::unix_ms()) else {
+            self.with_work(&job.id, |w| w.revisit(index));
+            return Ok(());
+        };
+        if job.state == JobState::Cancelled {
+            match free.cancel(&self.store).await {
+                Some(chunk) => self.finished(&job.id, chunk),
+                None => self.revisit(&job.id, index),
             }
-            if all_final {
-                self.complete_job(&job.id).await;
+            return Ok(());
+        }
+        match free.lease(&self.store, &self.shape).await {
+            Some(held) => {
+                self.with_work(&job.id, |w| w.working += 1);
+                let (this, job, cancel) = (self.clone(), job.clone(), cancel.clone());
+                actix_web::rt::spawn(async move {
+                    let runner = this.runner(&job);
+                    let job_cancelled = || this.job_state(&job.id) == Some(JobState::Cancelled);
+                    let end = held
+                        .work(&runner, &this.shape, &cancel, job_cancelled)
+                        .await;
+                    this.chunk_done(&job.id, index, end);
+                });
             }
+            None => self.revisit(&job.id, index),
         }
         Ok(())
     }
 
-    async fn lease(
-        &self,
-        key: &str,
-        mut chunk: ChunkRecord,
-        version: Version,
-    ) -> Option<(ChunkRecord, Version)> {
-        chunk.lease = Some(ChunkLease {
-            holder: self.settings.name.clone(),
-            nonce: rand::random(),
-            commit_seq: 0,
-            expires_ms: time::unix_ms() + self.settings.chunk_lease_ms,
-        });
-        match self.write_chunk(key, &chunk, version).await {
-            Ok(version) => Some((chunk, version)),
-            Err(_) => None,
+    fn runner(&self, job: &JobRecord) -> ItemRunner {
+        ItemRunner {
+            http: self.http.clone(),
+            hosts: self.hosts.clone(),
+            zone: self.settings.zone.clone(),
+            deployment: job.deployment.clone(),
         }
     }
 
-    /// A conditional write of `chunk` at `version`; on a lost reply, reads back whether it
-    /// took effect. Answers the new version, or `Err` when the lease is lost or the store
-    /// is down.
-    async fn write_chunk(
-        &self,
-        key: &str,
-        chunk: &ChunkRecord,
-        version: Version,
-    ) -> Result<Version, StoreError> {
-        match self.store.put(key, chunk, Some(version)).await {
-            Ok(object) => Ok(object.version),
-            Err(e @ StoreError::Unavailable { .. }) => {
-                let Some((found, found_version)) = self.store.get_value::<ChunkRecord>(key).await?
-                else {
-                    return Err(e);
-                };
-                if found.lease == chunk.lease {
-                    Ok(found_version)
-                } else {
-                    Err(e)
-                }
-            }
-            Err(e) => Err(e),
+    fn chunk_done(&self, job: &JobId, index: u32, end: ChunkEnd) {
+        self.with_work(job, |w| w.working -= 1);
+        match end {
+            ChunkEnd::Finished(chunk) => self.finished(job, chunk),
+            ChunkEnd::Unfinished | ChunkEnd::Lost => self.revisit(job, index),
         }
+        self.chunk_ended.notify_one();
     }
 
-    fn start_chunk(
-        &self,
-        key: String,
-        chunk: ChunkRecord,
-        version: Version,
-        deployment: String,
-        cancel: CancellationToken,
-    ) {
-        {
-            let mut active = self.active.borrow_mut();
-            if let Err(at) = active.binary_search(&key) {
-                active.insert(at, key.clone());
-            }
+    fn finished(&self, job: &JobId, chunk: FinishedChunk) {
+        self.with_work(job, |w| w.unpublished.push(chunk));
+    }
+
+    fn revisit(&self, job: &JobId, index: u32) {
+        self.with_work(job, |w| w.revisit(index));
+    }
+
+    /// Reports finished chunks when due; ends the job when all its chunks are finished.
+    async fn publish_if_due(&self, job: &JobRecord) -> Result<(), StoreError> {
+        if self.with_work(&job.id, |w| w.publish_is_due()) == Some(true) {
+            self.publish(&job.id).await?;
         }
-        let this = self.clone();
-        actix_web::rt::spawn(async move {
-            this.work(&key, chunk, version, &deployment, cancel).await;
-            let mut active = this.active.borrow_mut();
-            if let Ok(at) = active.binary_search(&key) {
-                active.remove(at);
-            }
+        let progress = self.with_work(&job.id, |w| w.progress.clone());
+        match progress {
+            Some(p) if p.finished_count() == job.chunk_count => self.end_job(job, &p).await,
+            _ => Ok(()),
+        }
+    }
+
+    async fn publish(&self, job: &JobId) -> Result<(), StoreError> {
+        let chunks = self.with_work(job, |w| w.unpublished.clone());
+        let chunks = chunks.unwrap_or_default();
+        let progress = progress::publish(&self.store, job, &chunks).await?;
+        self.with_work(job, |w| {
+            w.unpublished.drain(..chunks.len());
+            w.published_at = Instant::now();
+            w.progress = progress;
         });
+        Ok(())
     }
 
-    /// Runs the chunk's pending items and commits their results while the lease holds.
-    async fn work(
-        &self,
-        key: &str,
-        mut chunk: ChunkRecord,
-        mut version: Version,
-        deployment: &str,
-        cancel: CancellationToken,
-    ) {
-        let committed = chunk.clone();
-        let pending: Vec<usize> = (0..chunk.items.len())
-            .filter(|&i| chunk.items[i].state == ItemState::Pending)
-            .collect();
-        let bodies: Vec<(usize, serde_json::Value)> = pending
+    async fn publish_all(&self) {
+        let jobs: Vec<JobId> = self
+            .works
+            .borrow()
             .iter()
-            .map(|&i| (i, chunk.items[i].body.clone()))
+            .map(|w| w.job_id.clone())
             .collect();
-        let mut results = futures::stream::iter(bodies)
-            .map(|(i, body)| async move { (i, self.run_item(deployment, body).await) })
-            .buffer_unordered(self.settings.batch_items_in_flight);
-        let mut tick =
-            tokio::time::interval(Duration::from_millis(self.settings.commit_interval_ms));
-        tick.tick().await;
-        let mut dirty = false;
-        loop {
-            tokio::select! {
-                next = results.next() => {
-                    let Some((i, outcome)) = next else { break };
-                    apply_outcome(&mut chunk.items[i], outcome);
-                    dirty = true;
-                }
-                _ = tick.tick() => {
-                    let cancelled = self.job_state(&chunk.job_id) == Some(JobState::Cancelled);
-                    if cancelled || cancel.is_cancelled() {
-                        break;
-                    }
-                    match self.commit(key, &mut chunk, version, &committed, false).await {
-                        Ok(v) => { version = v; dirty = false; }
-                        Err(StoreError::Unavailable { .. }) => {}
-                        Err(_) => return,
-                    }
-                }
-            }
-        }
-        drop(results);
-        if self.job_state(&chunk.job_id) == Some(JobState::Cancelled) {
-            for item in chunk
-                .items
-                .iter_mut()
-                .filter(|i| i.state == ItemState::Pending)
-            {
-                item.state = ItemState::Cancelled;
-            }
-            dirty = true;
-        }
-        let _ = dirty;
-        for _ in 0..MAX_ITEM_ATTEMPTS {
-            match self
-                .commit(key, &mut chunk, version, &committed, true)
-                .await
-            {
-                Ok(_) => return,
-                Err(StoreError::Unavailable { .. }) => {
-                    tokio::time::sleep(Duration::from_millis(self.settings.commit_interval_ms))
-                        .await
-                }
-                Err(_) => return,
+        for job in jobs {
+            if let Err(e) = self.publish(&job).await {
+                log::debug!("progress of {job} not reported: {e}");
             }
         }
     }
 
-    /// Writes the chunk's results, renewing the lease, or releasing it when `release`.
-    async fn commit(
-        &self,
-        key: &str,
-        chunk: &mut ChunkRecord,
-        version: Version,
-        committed: &ChunkRecord,
-        release: bool,
-    ) -> Result<Version, StoreError> {
-        check_transitions(committed, chunk);
-        let lease = chunk.lease.as_mut().expect("a worked chunk is leased");
-        lease.commit_seq += 1;
-        lease.expires_ms = time::unix_ms() + self.settings.chunk_lease_ms;
-        let mut written = chunk.clone();
-        if release {
-            written.lease = None;
-        }
-        match self.store.put(key, &written, Some(version)).await {
-            Ok(object) => Ok(object.version),
-            Err(e @ StoreError::Unavailable { .. }) => {
-                let Some((found, found_version)) = self.store.get_value::<ChunkRecord>(key).await?
-                else {
-                    return Err(e);
-                };
-                if found == written {
-                    Ok(found_version)
-                } else if found_version == version {
-                    Err(e)
-                } else {
-                    Err(StoreError::Conflict {
-                        current_version: found_version,
-                    })
-                }
+    /// Writes the final counts, then moves the record out of the watched prefix.
+    async fn end_job(&self, job: &JobRecord, progress: &JobProgress) -> Result<(), StoreError> {
+        debug_assert_eq!(progress.counts.total, job.item_count, "{}", job.id);
+        let key = keys::job(&job.id);
+        let Some((mut record, mut version)) = self.store.get_value::<JobRecord>(&key).await? else {
+            return Ok(());
+        };
+        if record.final_counts.is_none() {
+            if record.state == JobState::Running {
+                record.state = JobState::Completed;
             }
-            Err(e) => Err(e),
+            record.final_counts = Some(progress.counts);
+            version = self.store.put(&key, &record, Some(version)).await?.version;
+            log::info!("batch job {} ended: {:?}", job.id, record.state);
         }
+        self.archive(&record, version).await
     }
 
-    async fn complete_job(&self, id: &str) {
-        let key = keys::job(id);
-        let Ok(Some((mut job, version))) = self.store.get_value::<JobRecord>(&key).await else {
-            return;
-        };
-        if job.state != JobState::Running {
-            return;
-        }
-        job.state = JobState::Completed;
-        if self.store.put(&key, &job, Some(version)).await.is_ok() {
-            log::info!("batch job {id} completed");
-        }
+    /// The archived copy is written before the record is deleted, so a reader that looks
+    /// at both in that order always finds one.
+    async fn archive(&self, record: &JobRecord, version: Version) -> Result<(), StoreError> {
+        let archived = keys::archived_job(&record.id);
+        self.store.put(&archived, record, None).await?;
+        self.store
+            .delete(&keys::job(&record.id), Some(version))
+            .await
     }
 
-    /// Sends one item to a host of `deployment` as batch work.
-    async fn run_item(&self, deployment: &str, mut body: serde_json::Value) -> ItemOutcome {
-        let path = if body.get("messages").is_some() {
-            "/v1/chat/completions"
-        } else {
-            "/v1/completions"
-        };
-        if let Some(object) = body.as_object_mut() {
-            object.insert("stream".to_owned(), serde_json::Value::Bool(false));
-        }
-        let bytes = Bytes::from(body.to_string());
-        let mut headers = HeaderMap::new();
-        headers.insert(
-            actix_web::http::header::CONTENT_TYPE,
-            actix_web::http::header::HeaderValue::from_static("application/json"),
-        );
-        let (name, value) = protocol::class_header(PriorityClass::Batch);
-        headers.insert(
-            actix_web::http::header::HeaderName::from_static(name),
-            actix_web::http::header::HeaderValue::from_static(value),
-        );
-        let excluded: Vec<HostId> = Vec::new();
-        let Some(target) = self.hosts.pick(
-            deployment,
-            PriorityClass::Batch,
-            &self.settings.zone,
-            &excluded,
-        ) else {
-            tokio::time::sleep(Duration::from_millis(self.settings.dispatch_poll_ms)).await;
-            return ItemOutcome::Retry;
-        };
-        let _in_flight = InFlight::start(&target);
-        let url = format!("http://{}{}", target.member.agent_addr, path);
-        let timeout = Duration::from_secs(120);
-        let sent = http::forward(&self.http, Method::POST, &url, &headers, bytes, timeout).await;
-        let Ok(mut response) = sent else {
-            return ItemOutcome::Retry;
-        };
-        let status = response.status();
-        let Ok(answer) = response.body().limit(MAX_ITEM_ANSWER_BYTES).await else {
-            return ItemOutcome::Retry;
-        };
-        if status.is_success() {
-            return match serde_json::from_slice(&answer) {
-                Ok(value) => ItemOutcome::Done(value),
-                Err(_) => ItemOutcome::Retry,
-            };
+    async fn ensure_work(&self, job: &JobRecord) -> Result<(), StoreError> {
+        if self.with_work(&job.id, |_| ()).is_some() {
+            return Ok(());
         }
-        if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
-            return ItemOutcome::Failed(format!(
-                "status {status}: {}",
-                String::from_utf8_lossy(&answer)
-            ));
+        let progress = progress::read(&self.store, &job.id).await?;
+        let work = JobWork::new(job, progress, &self.settings.name);
+        let mut works = self.works.borrow_mut();
+        if let Err(at) = works.binary_search_by(|w| w.job_id.cmp(&job.id)) {
+            works.insert(at, work);
         }
-        ItemOutcome::Retry
+        Ok(())
     }
-}
 
-fn apply_outcome(item: &mut crate::batch::jobs::ItemRecord, outcome: ItemOutcome) {
-    item.attempts += 1;
-    match outcome {
-        ItemOutcome::Done(value) => {
-            item.state = ItemState::Done;
-            item.result = Some(value);
-        }
-        ItemOutcome::Failed(error) => {
-            item.state = ItemState::Failed;
-            item.error = Some(error);
-        }
-        ItemOutcome::Retry if item.attempts >= MAX_ITEM_ATTEMPTS => {
-            item.state = ItemState::Failed;
-            item.error = Some(format!("gave up after {} attempts", item.attempts));
-        }
-        ItemOutcome::Retry => {}
+    /// Drops what is known of jobs no longer listed, unless chunks of theirs are worked on.
+    fn forget_ended(&self, jobs: &[JobRecord]) {
+        let mut listed: Vec<&JobId> = jobs.iter().map(|job| &job.id).collect();
+        listed.sort();
+        let mut works = self.works.borrow_mut();
+        works.retain(|w| w.working > 0 || listed.binary_search(&&w.job_id).is_ok());
     }
-}
 
-/// The exactly-once invariant, asserted before every commit: an item that was final when
-/// the chunk was leased is unchanged, so no result is written twice.
-fn check_transitions(committed: &ChunkRecord, next: &ChunkRecord) {
-    debug_assert_eq!(committed.items.len(), next.items.len());
-    for (before, after) in committed.items.iter().zip(&next.items) {
-        if before.state.is_final() {
-            debug_assert_eq!(
-                before, after,
-                "item {} changed after it was final",
-                before.custom_id
-            );
-        }
+    fn with_work<R>(&self, job: &JobId, f: impl FnOnce(&mut JobWork) -> R) -> Option<R> {
+        let mut works = self.works.borrow_mut();
+        let at = works.binary_search_by(|w| w.job_id.cmp(job)).ok()?;
+        Some(f(&mut works[at]))
+    }
+
+    fn working(&self) -> usize {
+        self.works.borrow().iter().map(|w| w.working as usize).sum()
+    }
+
+    fn free_slots(&self) -> usize {
+        let slots = self.settings.batch_chunks_in_flight;
+        slots.saturating_sub(self.working())
+    }
+
+    /// Jobs in the store that have not been archived, by deadline.
+    fn listed_jobs(&self) -> Vec<JobRecord> {
+        let mut jobs: Vec<JobRecord> = self
+            .jobs
+            .read(|snapshot| snapshot.decode_all("dispatch"))
+            .into_iter()
+            .map(|(job, _)| job)
+            .collect();
+        jobs.sort_by_key(|job| (job.deadline_ms, job.created_ms));
+        jobs
+    }
+
+    fn job_state(&self, id: &str) -> Option<JobState> {
+        let key = keys::job(id);
+        self.jobs.read(|snapshot| {
+            let (value, _) = snapshot.objects.get(&key)?;
+            let state = value.get("state")?.clone();
+            serde_json::from_value(state).ok()
+        })
     }
 }
--- a/crates/foxwheel-gateway/src/batch/jobs.rs
+++ b/crates/foxwheel-gateway/src/batch/jobs.rs
@@ -34,8 +34,14 @@
     pub model: ModelName,
     /// The deployment chosen by the rules when the job was accepted.
     pub deployment: DeploymentName,
+    /// A fingerprint of the model and items, so that a client key used for another job is
+    /// told apart from a resend.
+    pub fingerprint: String,
     /// Where it stands.
     pub state: JobState,
+    /// Its items by state, once every chunk is finished; they do not change afterwards.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub final_counts: Option<ItemCounts>,
     /// Accepted at, Unix milliseconds.
     pub created_ms: u64,
     /// Due at, Unix milliseconds.
@@ -76,11 +82,14 @@
     pub body: serde_json::Value,
     /// Where it stands.
     pub state: ItemState,
-    /// Tries so far.
+    /// Tries that a backend received and did not answer well.
     pub attempts: u32,
-    /// The answer, when done.
+    /// The answer, when done and small enough to be kept here.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub result: Option<serde_json::Value>,
+    /// The store key of the answer, when done and kept in an object of its own.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub result_key: Option<String>,
     /// Why it failed, when failed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub error: Option<String>,
@@ -114,6 +123,24 @@
 }
 
 impl ChunkRecord {
+    /// Its items by state.
+    pub fn counts(&self) -> ItemCounts {
+        let mut counts = ItemCounts::default();
+        for item in &self.items {
+            counts.add(item.state);
+        }
+        counts
+    }
+
+    /// Marks every unfinished item as cancelled.
+    pub fn cancel_pending(&mut self) {
+        for item in &mut self.items {
+            if item.state == ItemState::Pending {
+                item.state = ItemState::Cancelled;
+            }
+        }
+    }
+
     /// Whether any item is still pending.
     pub fn has_pending(&self) -> bool {
         self.items.iter().any(|i| i.state == ItemState::Pending)
@@ -140,6 +167,16 @@
     pub cancelled: u32,
 }
 
+impl std::ops::AddAssign for ItemCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.total += other.total;
+        self.pending += other.pending;
+        self.done += other.done;
+        self.failed += other.failed;
+        self.cancelled += other.cancelled;
+    }
+}
+
 impl ItemCounts {
     /// Adds one item in `state`.
     pub fn add(&mut self, state: ItemState) {
@@ -158,7 +195,8 @@
 pub struct JobStatus {
     /// The job's record.
     pub job: JobRecord,
-    /// Its items by state; pending items of a cancelled job count as cancelled.
+    /// Its items by state, as of the chunks finished so far; pending items of a cancelled
+    /// job count as cancelled.
     pub counts: ItemCounts,
 }
 
--- a/crates/foxwheel-gateway/src/idempotency.rs
+++ b/crates/foxwheel-gateway/src/idempotency.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::ids::Version;
-use foxwheel_core::{keys, time};
+use foxwheel_core::{fingerprint, time};
 use foxwheel_store::client::{StoreClient, StoreError};
 
 /// Tries of a write whose reply was lost, before giving up.
@@ -32,9 +32,9 @@
 pub struct CallRecord {
     /// Where it stands.
     pub state: CallState,
-    /// A hash of the method, path and body; a resend with the same key but another request
-    /// is refused.
-    pub request_hash: u64,
+    /// A fingerprint of the method, path and body; a resend with the same key but another
+    /// request is refused.
+    pub request: String,
     /// A random number for this attempt, to recognise our own write after a lost reply.
     pub nonce: u64,
     /// When it started, Unix milliseconds.
@@ -70,27 +70,20 @@
     KeyReused,
 }
 
-/// A stable hash of a request.
-pub fn request_hash(method: &str, path: &str, body: &[u8]) -> u64 {
-    use std::hash::{Hash, Hasher};
-    let mut hasher = std::collections::hash_map::DefaultHasher::new();
-    method.hash(&mut hasher);
-    path.hash(&mut hasher);
-    body.hash(&mut hasher);
-    hasher.finish()
+/// The fingerprint of a request.
+pub fn request_fingerprint(method: &str, path: &str, body: &[u8]) -> String {
+    fingerprint::of(&[method.as_bytes(), path.as_bytes(), body])
 }
 
-/// Claims the right to run a call with `key`, or says why not.
+/// Claims the right to run the call recorded under `store_key`, or says why not.
 pub async fn begin(
     store: &StoreClient,
-    service: &str,
-    key: &str,
-    request_hash: u64,
+    store_key: &str,
+    request: String,
 ) -> Result<Begin, StoreError> {
-    let store_key = keys::idempotency(service, key);
     let record = CallRecord {
         state: CallState::Started,
-        request_hash,
+        request,
         nonce: rand::random(),
         started_ms: time::unix_ms(),
         status: None,
@@ -98,7 +91,7 @@
     };
     let mut if_version = 0;
     for _ in 0..LOST_REPLY_TRIES {
-        match store.put(&store_key, &record, Some(if_version)).await {
+        match store.put(store_key, &record, Some(if_version)).await {
             Ok(object) => {
                 return Ok(Begin::Run {
                     version: object.version,
@@ -108,13 +101,13 @@
             Err(StoreError::Conflict { .. }) | Err(StoreError::Unavailable { .. }) => {}
             Err(e) => return Err(e),
         }
-        let Some((found, version)) = store.get_value::<CallRecord>(&store_key).await? else {
+        let Some((found, version)) = store.get_value::<CallRecord>(store_key).await? else {
             continue;
         };
         if found.nonce == record.nonce {
             return Ok(Begin::Run { version, record });
         }
-        if found.request_hash != request_hash {
+        if found.request != record.request {
             return Ok(Begin::KeyReused);
         }
         match found.state {
@@ -138,25 +131,23 @@
 /// Records the call's outcome; on a lost reply reads back whether it took effect.
 pub async fn finish(
     store: &StoreClient,
-    service: &str,
-    key: &str,
+    store_key: &str,
     version: Version,
     mut record: CallRecord,
     outcome: CallState,
     answer: Option<(u16, String)>,
 ) -> Result<(), StoreError> {
-    let store_key = keys::idempotency(service, key);
     record.state = outcome;
     if let Some((status, body)) = answer {
         record.status = Some(status);
         record.body = Some(body);
     }
     for _ in 0..LOST_REPLY_TRIES {
-        match store.put(&store_key, &record, Some(version)).await {
+        match store.put(store_key, &record, Some(version)).await {
             Ok(_) => return Ok(()),
             Err(StoreError::Unavailable { .. }) => {
                 if let Some((found, _)) = store
-                    .get_value::<CallRecord>(&store_key)
+                    .get_value::<CallRecord>(store_key)
                     .await
                     .ok()
                     .flatten()
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -9,8 +9,8 @@
 use bytes::Bytes;
 
 use foxwheel_core::declarations::Workload;
-use foxwheel_core::http;
 use foxwheel_core::protocol::{IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER, WORKSPACE_HEADER};
+use foxwheel_core::{http, keys};
 
 use crate::filters::{self, Exchange};
 use crate::idempotency::{self, Begin, CallState};
@@ -55,8 +55,10 @@
             None,
         );
     };
-    let hash = idempotency::request_hash(req.method().as_str(), &tail, &body);
-    let begun = idempotency::begin(&worker.store, &service, &key, hash).await;
+    let workspace = exchange.workspace.as_deref().unwrap_or_default();
+    let store_key = keys::idempotency(&service, workspace, &key);
+    let request = idempotency::request_fingerprint(req.method().as_str(), &tail, &body);
+    let begun = idempotency::begin(&worker.store, &store_key, request).await;
     let (version, record) = match begun {
         Ok(Begin::Run { version, record }) => (version, record),
         Ok(Begin::Replay { status, body }) => {
@@ -116,18 +118,10 @@
         Err(SendFailure::Unknown(reply)) => (CallState::Started, None, reply),
     };
     if outcome != CallState::Started {
-        if let Err(e) = idempotency::finish(
-            &worker.store,
-            &service,
-            &key,
-            version,
-            record,
-            outcome,
-            answer,
-        )
-        .await
+        if let Err(e) =
+            idempotency::finish(&worker.store, &store_key, version, record, outcome, answer).await
         {
-            log::warn!("call outcome for {service}/{key} not recorded: {e}");
+            log::warn!("call outcome under {store_key} not recorded: {e}");
         }
     }
     response
--- /dev/null
+++ b/crates/foxwheel-gateway/tests/batch_faults.rs
@@ -0,0 +1,126 @@
+//! Batch jobs under faults: hosts missing, the store down or losing replies, clients that
+//! reuse a key.
+
+mod common;
+
+use std::time::Duration;
+
+use foxwheel_core::protocol::WORKSPACE_HEADER;
+use foxwheel_store::api::Faults;
+
+#[actix_web::test]
+async fn items_wait_for_hosts_and_are_not_failed_for_lack_of_them() {
+    let fleet = common::start(0).await;
+    let id = fleet
+        .create_batch(&common::batch_request("no-hosts", 40))
+        .await;
+    // Far longer than it takes to try an item more often than MAX_ITEM_ATTEMPTS.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(fleet.batch_status(&id).await["counts"]["failed"], 0);
+    common::add_model_host(&fleet.store, "draftsman", "late-host").await;
+    let status = fleet.wait_until_completed(&id).await;
+    assert_eq!(status["counts"]["done"], 40);
+    fleet.assert_own_answers(&id, 40).await;
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn every_item_completes_once_whatever_the_store_does() {
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    let loses = |every: u64| Faults {
+        lose_reply_every: every,
+        ..Faults::default()
+    };
+    let slow = Faults {
+        delay_ms: 150,
+        ..Faults::default()
+    };
+    // (case, faults, for how long, whether the status shows the end before they clear)
+    let cases = [
+        ("down for longer than a chunk lease", outage.clone(), 3_000),
+        ("down for a moment", outage, 300),
+        (
+            "loses every reply after the write took effect",
+            loses(1),
+            1_500,
+        ),
+        ("loses every second reply", loses(2), 3_000),
+        ("slow", slow, 3_000),
+    ];
+    for (case, faults, for_ms) in cases {
+        let fleet = common::start(2).await;
+        let id = fleet.create_batch(&common::batch_request(case, 200)).await;
+        fleet.store.set_faults(&faults).await.expect("faults");
+        tokio::time::sleep(Duration::from_millis(for_ms)).await;
+        let cleared = fleet.store.set_faults(&Faults::default()).await;
+        cleared.expect("faults cleared");
+        let status = fleet.wait_until_completed(&id).await;
+        assert_eq!(status["counts"]["done"], 200, "case '{case}': {status}");
+        fleet.assert_own_answers(&id, 200).await;
+        fleet.cancel.cancel();
+    }
+}
+
+#[actix_web::test]
+async fn a_client_key_names_one_job_of_one_workspace() {
+    let fleet = common::start(1).await;
+    let request = common::batch_request("block-14", 3);
+    let url = format!("{}/v1/batches", fleet.gateway);
+    let send = |workspace: &'static str, request: serde_json::Value| {
+        let sent = fleet
+            .http
+            .post(&url)
+            .insert_header((WORKSPACE_HEADER, workspace))
+            .send_json(&request);
+        async move {
+            let mut response = sent.await.expect("create");
+            let status = response.status().as_u16();
+            let body: serde_json::Value = response.json().await.expect("json");
+            (status, body["job"]["id"].clone())
+        }
+    };
+    let (_, first) = send("permissa-sul", request.clone()).await;
+    let other_items = common::batch_request("block-14", 4);
+    // (case, workspace, request, status, whether it is the first job)
+    let cases = [
+        ("resend", "permissa-sul", request.clone(), 200, true),
+        ("another workspace", "sodam", request, 200, false),
+        (
+            "other items under the key",
+            "permissa-sul",
+            other_items,
+            422,
+            false,
+        ),
+    ];
+    for (case, workspace, request, status, same) in cases {
+        let (got, id) = send(workspace, request).await;
+        assert_eq!(got, status, "case '{case}'");
+        assert_eq!(id == first, same, "case '{case}'");
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn an_answer_too_large_for_its_chunk_stays_readable() {
+    let fleet = common::start(1).await;
+    let request = serde_json::json!({
+        "model": "draftsman",
+        "completion_window_s": 600,
+        "items": [{"custom_id": "long", "body": {"model": "draftsman", "prompt": "a long draft", "max_tokens": 4_000}}],
+    });
+    let id = fleet.create_batch(&request).await;
+    fleet.wait_until_completed(&id).await;
+    let url = format!("{}/v1/batches/{id}/results", fleet.gateway);
+    let mut response = fleet.http.get(url).send().await.expect("results");
+    let body = response.body().limit(1_000_000).await.expect("body");
+    let line: serde_json::Value = serde_json::from_slice(&body).expect("one line");
+    assert_eq!(
+        foxwheel_engine_emu::openai::content_of(&line["response"]),
+        Some(foxwheel_engine_emu::text::answer("a long draft", 4_000).as_str())
+    );
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-gateway/tests/caller_api_contract.rs
+++ b/crates/foxwheel-gateway/tests/caller_api_contract.rs
@@ -256,78 +256,22 @@
     fleet.cancel.cancel();
 }
 
-async fn batch_status(fleet: &common::Fleet, id: &str) -> serde_json::Value {
-    let mut response = fleet
-        .http
-        .get(format!("{}/v1/batches/{id}", fleet.gateway))
-        .send()
-        .await
-        .expect("status");
-    response.json().await.expect("status decodes")
-}
-
 #[actix_web::test]
 async fn a_batch_job_completes_once_and_a_resend_finds_it() {
     let fleet = common::start(2).await;
-    let items: Vec<serde_json::Value> = (0..70)
-        .map(|i| serde_json::json!({"custom_id": format!("letter-{i}"), "body": {"model": "draftsman", "prompt": format!("renewal letter {i}"), "max_tokens": 3}}))
-        .collect();
-    let job = serde_json::json!({"client_key": "block-14", "model": "draftsman", "completion_window_s": 600, "items": items});
-    let url = format!("{}/v1/batches", fleet.gateway);
-    let first: serde_json::Value = fleet
-        .http
-        .post(&url)
-        .send_json(&job)
-        .await
-        .expect("create")
-        .json()
-        .await
-        .expect("json");
-    let again: serde_json::Value = fleet
-        .http
-        .post(&url)
-        .send_json(&job)
-        .await
-        .expect("resend")
-        .json()
-        .await
-        .expect("json");
-    let id = first["job"]["id"].as_str().expect("id").to_owned();
+    let job = common::batch_request("block-14", 70);
+    let id = fleet.create_batch(&job).await;
+    let again = fleet.create_batch(&job).await;
+    assert_eq!(again, id, "a resend with the same key is the same job");
+    let status = fleet.wait_until_completed(&id).await;
+    assert_eq!(status["job"]["chunk_count"], 3);
+    assert_eq!(status["counts"]["done"], 70);
+    fleet.assert_own_answers(&id, 70).await;
     assert_eq!(
-        again["job"]["id"], first["job"]["id"],
-        "a resend with the same key is the same job"
+        fleet.create_batch(&job).await,
+        id,
+        "a resend after the end finds the ended job"
     );
-    assert_eq!(first["job"]["chunk_count"], 3);
-    let mut status = batch_status(&fleet, &id).await;
-    for _ in 0..400 {
-        if status["job"]["state"] == "completed" {
-            break;
-        }
-        tokio::time::sleep(Duration::from_millis(25)).await;
-        status = batch_status(&fleet, &id).await;
-    }
-    assert_eq!(status["job"]["state"], "completed", "{status}");
-    assert_eq!(status["counts"]["done"], 70);
-    let mut response = fleet
-        .http
-        .get(format!("{url}/{id}/results"))
-        .send()
-        .await
-        .expect("results");
-    let body = response.body().await.expect("results body");
-    let lines: Vec<serde_json::Value> = String::from_utf8_lossy(&body)
-        .lines()
-        .map(|l| serde_json::from_str(l).expect("line"))
-        .collect();
-    assert_eq!(lines.len(), 70);
-    for (i, line) in lines.iter().enumerate() {
-        assert_eq!(line["custom_id"], format!("letter-{i}"));
-        let text = foxwheel_engine_emu::openai::content_of(&line["response"]).expect("answer");
-        assert_eq!(
-            text,
-            foxwheel_engine_emu::text::answer(&format!("renewal letter {i}"), 3)
-        );
-    }
     fleet.cancel.cancel();
 }
 
@@ -436,11 +380,11 @@
         }
         tokio::time::sleep(Duration::from_millis(25)).await;
     }
-    let settled = batch_status(&fleet, &id).await["counts"]["done"]
+    let settled = fleet.batch_status(&id).await["counts"]["done"]
         .as_u64()
         .unwrap_or(0);
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let status = batch_status(&fleet, &id).await;
+    let status = fleet.batch_status(&id).await;
     assert_eq!(
         status["counts"]["done"].as_u64().unwrap_or(0),
         settled,
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -203,7 +203,87 @@
     fleet
 }
 
+/// Starts an engine with its agent as another host of `deployment`.
+pub async fn add_model_host(store: &StoreClient, deployment: &str, host: &str) {
+    let cancel = CancellationToken::new();
+    let settings = EngineSettings::for_test(deployment);
+    let (addr, server) =
+        foxwheel_engine_emu::server::start(settings, cancel.clone()).expect("engine");
+    actix_web::rt::spawn(server);
+    let settings = AgentSettings {
+        host: host.to_owned(),
+        ..AgentSettings::for_test(
+            deployment,
+            BackendKind::Model,
+            &format!("http://{addr}"),
+            store.base_url(),
+        )
+    };
+    foxwheel_agent::server::start(settings, cancel)
+        .await
+        .expect("agent");
+}
+
+/// A batch request for `count` items of draftsman, each asking for its own answer.
+pub fn batch_request(client_key: &str, count: usize) -> serde_json::Value {
+    let items: Vec<serde_json::Value> = (0..count)
+        .map(|i| serde_json::json!({"custom_id": format!("letter-{i}"), "body": {"model": "draftsman", "prompt": format!("renewal letter {i}"), "max_tokens": 3}}))
+        .collect();
+    serde_json::json!({"client_key": client_key, "model": "draftsman", "completion_window_s": 600, "items": items})
+}
+
 impl Fleet {
+    /// Creates a batch job; answers its id.
+    pub async fn create_batch(&self, request: &serde_json::Value) -> String {
+        let url = format!("{}/v1/batches", self.gateway);
+        let mut response = self
+            .http
+            .post(url)
+            .send_json(request)
+            .await
+            .expect("create");
+        let created: serde_json::Value = response.json().await.expect("json");
+        created["job"]["id"].as_str().expect("id").to_owned()
+    }
+
+    /// A job's status.
+    pub async fn batch_status(&self, id: &str) -> serde_json::Value {
+        let url = format!("{}/v1/batches/{id}", self.gateway);
+        let mut response = self.http.get(url).send().await.expect("status");
+        response.json().await.expect("status decodes")
+    }
+
+    /// Waits (bounded) until the job is completed; answers its status.
+    pub async fn wait_until_completed(&self, id: &str) -> serde_json::Value {
+        for _ in 0..1_200 {
+            let status = self.batch_status(id).await;
+            if status["job"]["state"] == "completed" {
+                return status;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+        }
+        panic!("job never completed: {}", self.batch_status(id).await);
+    }
+
+    /// Asserts that each of `count` items of a [`batch_request`] has its own answer, once.
+    pub async fn assert_own_answers(&self, id: &str, count: usize) {
+        let url = format!("{}/v1/batches/{id}/results", self.gateway);
+        let mut response = self.http.get(url).send().await.expect("results");
+        let body = response.body().await.expect("results body");
+        let body = String::from_utf8_lossy(&body);
+        let lines: Vec<serde_json::Value> = body
+            .lines()
+            .map(|l| serde_json::from_str(l).expect("line"))
+            .collect();
+        assert_eq!(lines.len(), count);
+        for (i, line) in lines.iter().enumerate() {
+            assert_eq!(line["custom_id"], format!("letter-{i}"));
+            let answer = foxwheel_engine_emu::openai::content_of(&line["response"]);
+            let own = foxwheel_engine_emu::text::answer(&format!("renewal letter {i}"), 3);
+            assert_eq!(answer, Some(own.as_str()), "{line}");
+        }
+    }
+
     /// Waits (bounded) until the gateway sees `expected` live hosts of `deployment`.
     pub async fn wait_for_live(&self, deployment: &str, expected: u64) {
         for _ in 0..400 {
--- a/crates/foxwheel-store/src/client.rs
+++ b/crates/foxwheel-store/src/client.rs
@@ -32,6 +32,22 @@
         /// What went wrong.
         detail: String,
     },
+    /// The store's rate limit refused the call before it took effect.
+    #[error("store rate limit at step '{step}' with peer {peer}")]
+    Busy {
+        /// The call.
+        step: &'static str,
+        /// The store's address.
+        peer: String,
+    },
+    /// The value is larger than the store holds.
+    #[error("value too large at step '{step}' with peer {peer}")]
+    TooLarge {
+        /// The call.
+        step: &'static str,
+        /// The store's address.
+        peer: String,
+    },
     /// A conditional write found another version.
     #[error("version conflict: the object is at version {current_version}")]
     Conflict {
@@ -59,7 +75,7 @@
 impl StoreError {
     /// Whether trying the same call later may help.
     pub fn is_transient(&self) -> bool {
-        matches!(self, Self::Unavailable { .. })
+        matches!(self, Self::Unavailable { .. } | Self::Busy { .. })
     }
 }
 
@@ -196,6 +212,14 @@
             }
             StatusCode::NOT_FOUND => Err(StoreError::NotFound),
             StatusCode::GONE => Err(StoreError::Gone),
+            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Busy {
+                step,
+                peer: self.base_url.clone(),
+            }),
+            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge {
+                step,
+                peer: self.base_url.clone(),
+            }),
             StatusCode::CONFLICT => {
                 let conflict: api::Conflict =
                     serde_json::from_slice(&body).map_err(|e| self.decode_error(step, e))?;
