Counters in gateway and agent; the store stand-in survives a restart

It also asks for a store stand-in that may keep its objects across a restart.

Change: telemetry::Counters counts to statsd through cadence and keeps totals for GET /counters on gateway and agent: requests per workload, refusals per filter, retries by reason, run states told, idempotency outcomes, control polls, chunks leased, finished, given back and lost, preemptions. foxwheel-platform-emu takes `data_file`; objects, versions and the revision are back after a restart, and older watches are told to list again (objects_and_versions_survive_a_restart).

The test now wants Busy and fails on any other error.

Ruled out: parsing cadence's lines back in a sink of our own to get totals.

--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -9,8 +9,10 @@
 
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::http;
+use foxwheel_core::telemetry::Counters;
 
-use crate::queue::{Permit, Queue, QueueError};
+use crate::queue::{Permit, QueueError};
+use crate::server::AgentState;
 
 /// Largest whole batch answer read, in bytes.
 const MAX_BATCH_ANSWER_BYTES: usize = 8 * 1024 * 1024;
@@ -24,27 +26,25 @@
     pub timeout: Duration,
 }
 
-/// Counts kept by the proxy, read on `GET /load`.
-#[derive(Debug, Default)]
-pub struct ProxyCounters {
-    /// Batch requests restarted after preemption.
-    pub batch_restarts: std::sync::atomic::AtomicU64,
-}
-
 /// Told in `Retry-After` when every waiting place is taken or the backend is gone.
 const RETRY_AFTER_S: u64 = 1;
 
-fn not_queued(error: QueueError) -> HttpResponse {
+fn not_queued(counters: &Counters, error: QueueError) -> HttpResponse {
     let (status, code, retry_after_s) = match error {
         QueueError::Draining => (StatusCode::SERVICE_UNAVAILABLE, "draining", 0),
         QueueError::Full => (StatusCode::TOO_MANY_REQUESTS, "queue_full", RETRY_AFTER_S),
     };
+    counters.incr(match error {
+        QueueError::Draining => "refused.draining",
+        QueueError::Full => "refused.queue_full",
+    });
     http::not_run(status, code, error.to_string(), Some(retry_after_s))
 }
 
-fn not_answered(backend: &Backend, error: &AttemptError) -> HttpResponse {
-    let message = format!("forward to backend {}: {error}", backend.base_url);
+fn not_answered(state: &AgentState, error: &AttemptError) -> HttpResponse {
+    let message = format!("forward to backend {}: {error}", state.backend.base_url);
     if error.never_reached() {
+        state.counters.incr("backend.gone");
         return http::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "backend_gone",
@@ -52,6 +52,7 @@
             Some(RETRY_AFTER_S),
         );
     }
+    state.counters.incr("backend.broke_off");
     http::unknown(StatusCode::BAD_GATEWAY, "backend_failed", message)
 }
 
@@ -73,98 +74,95 @@
 
 /// Runs one request on the backend under the queue's rules and answers it.
 pub async fn handle(
-    queue: &Queue,
+    state: &AgentState,
     client: &awc::Client,
-    backend: &Backend,
-    counters: &ProxyCounters,
     req: &HttpRequest,
     body: Bytes,
     class: PriorityClass,
 ) -> HttpResponse {
-    let permit = match queue.acquire(class).await {
+    let permit = match state.queue.acquire(class).await {
         Ok(permit) => permit,
-        Err(e) => return not_queued(e),
+        Err(e) => return not_queued(&state.counters, e),
+    };
+    let attempt = Attempt {
+        client,
+        req,
+        url: format!("{}{}", state.backend.base_url, path_and_query(req)),
+        body,
+        timeout: state.backend.timeout,
     };
-    let url = format!("{}{}", backend.base_url, path_and_query(req));
     match class {
         PriorityClass::Online => {
-            let sent = http::forward(
-                client,
-                req.method().clone(),
-                &url,
-                req.headers(),
-                body,
-                backend.timeout,
-            );
-            match sent.await {
+            state.counters.incr("granted.online");
+            match attempt.send().await {
                 Ok(response) => http::relay(response, permit),
-                Err(e) => not_answered(backend, &e.into()),
+                Err(e) => not_answered(state, &e.into()),
             }
         }
         PriorityClass::Batch => {
-            run_batch(queue, client, backend, counters, req, body, &url, permit).await
+            state.counters.incr("granted.batch");
+            run_batch(state, &attempt, permit).await
         }
     }
 }
 
-#[allow(clippy::too_many_arguments)]
-async fn run_batch(
-    queue: &Queue,
-    client: &awc::Client,
-    backend: &Backend,
-    counters: &ProxyCounters,
-    req: &HttpRequest,
-    body: Bytes,
-    url: &str,
-    mut permit: Permit,
-) -> HttpResponse {
+/// Runs a batch request to its end, waiting for a slot again each time online work takes
+/// its own.
+async fn run_batch(state: &AgentState, attempt: &Attempt<'_>, mut permit: Permit) -> HttpResponse {
     loop {
-        let attempt = whole_answer(client, req, body.clone(), url, backend.timeout);
         tokio::select! {
-            answer = attempt => {
+            answer = attempt.whole_answer() => {
                 return match answer {
                     Ok((status, content_type, bytes)) => HttpResponse::build(status)
                         .insert_header(("content-type", content_type))
                         .body(bytes),
-                    Err(e) => not_answered(backend, &e),
+                    Err(e) => not_answered(state, &e),
                 };
             }
-            _ = permit.preempted().cancelled() => {
+            () = permit.preempted().cancelled() => {
                 drop(permit);
-                counters.batch_restarts.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                permit = match queue.acquire_after_preemption().await {
+                state.counters.incr("preempted");
+                permit = match state.queue.acquire_after_preemption().await {
                     Ok(permit) => permit,
-                    Err(e) => return not_queued(e),
+                    Err(e) => return not_queued(&state.counters, e),
                 };
             }
         }
     }
 }
 
-async fn whole_answer(
-    client: &awc::Client,
-    req: &HttpRequest,
+/// One request as it is sent to the backend.
+struct Attempt<'a> {
+    client: &'a awc::Client,
+    req: &'a HttpRequest,
+    url: String,
     body: Bytes,
-    url: &str,
     timeout: Duration,
-) -> Result<(StatusCode, String, Bytes), AttemptError> {
-    let mut response = http::forward(
-        client,
-        req.method().clone(),
-        url,
-        req.headers(),
-        body,
-        timeout,
-    )
-    .await?;
-    let content_type = response
-        .headers()
-        .get("content-type")
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or("application/json")
-        .to_owned();
-    let bytes = response.body().limit(MAX_BATCH_ANSWER_BYTES).await?;
-    Ok((response.status(), content_type, bytes))
+}
+
+impl Attempt<'_> {
+    fn send(&self) -> awc::SendClientRequest {
+        http::forward(
+            self.client,
+            self.req.method().clone(),
+            &self.url,
+            self.req.headers(),
+            self.body.clone(),
+            self.timeout,
+        )
+    }
+
+    async fn whole_answer(&self) -> Result<(StatusCode, String, Bytes), AttemptError> {
+        let mut response = self.send().await?;
+        let content_type = response
+            .headers()
+            .get("content-type")
+            .and_then(|v| v.to_str().ok())
+            .unwrap_or("application/json")
+            .to_owned();
+        let bytes = response.body().limit(MAX_BATCH_ANSWER_BYTES).await?;
+        Ok((response.status(), content_type, bytes))
+    }
 }
 
 /// The request's path and query as sent to the backend; `/services/<name>` is cut off.
--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -5,6 +5,7 @@
 //!   header (online when absent) and forwarded to the engine.
 //! - `/services/{service}/{path}`: forwarded to the plain service as online work.
 //! - `GET /load`: the queue's [`LoadReport`](foxwheel_core::protocol::LoadReport).
+//! - `GET /counters`: totals since start, as a JSON object.
 //! - `POST /drain`: stop taking new work and announce it in the membership record.
 
 use std::net::SocketAddr;
@@ -19,9 +20,10 @@
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::http;
 use foxwheel_core::protocol::{LoadReport, CLASS_HEADER};
+use foxwheel_core::telemetry::Counters;
 
 use crate::membership::{Advertised, Membership};
-use crate::proxy::{self, Backend, ProxyCounters};
+use crate::proxy::{self, Backend};
 use crate::queue::{Limits, Queue};
 use crate::settings::AgentSettings;
 
@@ -33,8 +35,8 @@
     pub backend: Backend,
     /// Asks the membership lease for an immediate write when the agent starts draining.
     pub membership_nudge: Arc<tokio::sync::Notify>,
-    /// Proxy counters.
-    pub counters: ProxyCounters,
+    /// This process's counters.
+    pub counters: Counters,
 }
 
 impl AgentHandle for AgentState {
@@ -58,16 +60,7 @@
     body: Bytes,
 ) -> HttpResponse {
     let class = class_of(&req);
-    proxy::handle(
-        &state.queue,
-        &client,
-        &state.backend,
-        &state.counters,
-        &req,
-        body,
-        class,
-    )
-    .await
+    proxy::handle(&state, &client, &req, body, class).await
 }
 
 async fn service_call(
@@ -77,22 +70,17 @@
     body: Bytes,
 ) -> HttpResponse {
     let class = PriorityClass::Online;
-    proxy::handle(
-        &state.queue,
-        &client,
-        &state.backend,
-        &state.counters,
-        &req,
-        body,
-        class,
-    )
-    .await
+    proxy::handle(&state, &client, &req, body, class).await
 }
 
 async fn load(state: web::Data<AgentState>) -> HttpResponse {
     HttpResponse::Ok().json(state.queue.report())
 }
 
+async fn counters(state: web::Data<AgentState>) -> HttpResponse {
+    HttpResponse::Ok().json(state.counters.to_json())
+}
+
 async fn drain(state: web::Data<AgentState>) -> HttpResponse {
     if !state.queue.is_draining() {
         log::info!("draining: taking no new work");
@@ -135,7 +123,7 @@
             timeout: Duration::from_millis(settings.request_timeout_ms),
         },
         membership_nudge: nudge.clone(),
-        counters: ProxyCounters::default(),
+        counters: Counters::new("agent", settings.statsd_addr.as_deref())?,
     });
     let server_cancel = CancellationToken::new();
     let control_cancel = CancellationToken::new();
@@ -166,6 +154,7 @@
             .route("/v1/completions", web::post().to(complete))
             .route("/services/{tail:.*}", web::route().to(service_call))
             .route("/load", web::get().to(load))
+            .route("/counters", web::get().to(counters))
             .route("/drain", web::post().to(drain))
     })?;
     let heartbeat_cancel = CancellationToken::new();
--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -114,7 +114,7 @@
     );
     exchange.model = Some(create.model.clone());
     exchange.workspace = workspace.clone();
-    if let Err(refused) = filters::run(&state.chain, &mut exchange) {
+    if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
     let deployment = exchange.deployment.expect("routed by MatchRules").name;
--- a/crates/foxwheel-gateway/src/batch/dispatch.rs
+++ b/crates/foxwheel-gateway/src/batch/dispatch.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{JobId, Version};
+use foxwheel_core::telemetry::Counters;
 use foxwheel_core::{fingerprint, keys, time};
 use foxwheel_store::client::{StoreClient, StoreError};
 use foxwheel_store::reflector::Reflector;
@@ -120,6 +121,7 @@
     store: StoreClient,
     http: awc::Client,
     hosts: HostTable,
+    counters: Counters,
     jobs: Reflector,
     /// Sorted by job id.
     works: Rc<RefCell<Vec<JobWork>>>,
@@ -129,7 +131,7 @@
 
 impl Dispatcher {
     /// A dispatcher for the gateway with `settings`.
-    pub fn new(settings: GatewaySettings, hosts: HostTable) -> Self {
+    pub fn new(settings: GatewaySettings, hosts: HostTable, counters: Counters) -> Self {
         let shape = WorkShape {
             holder: settings.name.clone(),
             lease: Duration::from_millis(settings.chunk_lease_ms),
@@ -142,6 +144,7 @@
             settings,
             shape,
             hosts,
+            counters,
             jobs: Reflector::new(keys::JOBS_PREFIX),
             works: Rc::default(),
             chunk_ended: Rc::default(),
@@ -243,6 +246,7 @@
         }
         match free.lease(&self.store, &self.shape).await {
             Some(held) => {
+                self.counters.incr("batch.chunks_leased");
                 self.with_work(&job.id, |w| w.working += 1);
                 let (this, job, cancel) = (self.clone(), job.clone(), cancel.clone());
                 actix_web::rt::spawn(async move {
@@ -271,8 +275,18 @@
     fn chunk_done(&self, job: &JobId, index: u32, end: ChunkEnd) {
         self.with_work(job, |w| w.working -= 1);
         match end {
-            ChunkEnd::Finished(chunk) => self.finished(job, chunk),
-            ChunkEnd::Unfinished | ChunkEnd::Lost => self.revisit(job, index),
+            ChunkEnd::Finished(chunk) => {
+                self.counters.incr("batch.chunks_finished");
+                self.finished(job, chunk);
+            }
+            ChunkEnd::Unfinished => {
+                self.counters.incr("batch.chunks_given_back");
+                self.revisit(job, index);
+            }
+            ChunkEnd::Lost => {
+                self.counters.incr("batch.leases_lost");
+                self.revisit(job, index);
+            }
         }
         self.chunk_ended.notify_one();
     }
--- a/crates/foxwheel-gateway/src/control.rs
+++ b/crates/foxwheel-gateway/src/control.rs
@@ -6,7 +6,9 @@
 
 use std::time::{Duration, Instant};
 
-use foxwheel_control::client::ControlClient;
+use foxwheel_control::client::{ControlClient, ControlError};
+use foxwheel_core::protocol::LoadReport;
+use foxwheel_core::telemetry::Counters;
 use tokio_util::sync::CancellationToken;
 
 use crate::hosts::{HostTable, Target};
@@ -27,7 +29,12 @@
 }
 
 /// Keeps one poller per agent of `table` until `cancel` fires.
-pub async fn run(table: HostTable, shape: PollShape, cancel: CancellationToken) {
+pub async fn run(
+    table: HostTable,
+    shape: PollShape,
+    counters: Counters,
+    cancel: CancellationToken,
+) {
     // Sorted by control address.
     let mut pollers: Vec<Poller> = Vec::new();
     while !cancel.is_cancelled() {
@@ -46,7 +53,7 @@
             let control_addr = target.member.control_addr.clone();
             if let Err(at) = pollers.binary_search_by(|p| p.control_addr.cmp(&control_addr)) {
                 let cancel = cancel.child_token();
-                actix_web::rt::spawn(poll(target, shape, cancel.clone()));
+                actix_web::rt::spawn(poll(target, shape, counters.clone(), cancel.clone()));
                 let poller = Poller {
                     control_addr,
                     cancel,
@@ -62,7 +69,7 @@
 }
 
 /// Polls one agent until `cancel` fires; logs when it stops and starts answering.
-async fn poll(target: Target, shape: PollShape, cancel: CancellationToken) {
+async fn poll(target: Target, shape: PollShape, counters: Counters, cancel: CancellationToken) {
     let peer = target.member.control_addr.clone();
     let host = &target.member.host;
     let mut client: Option<ControlClient> = None;
@@ -71,6 +78,7 @@
         let polled = poll_once(&mut client, &peer, shape.timeout).await;
         match polled {
             Ok(report) => {
+                counters.incr("control.answered");
                 if !answering {
                     log::info!("{host} answers control polls again");
                 }
@@ -78,6 +86,7 @@
                 target.record(report, Instant::now());
             }
             Err(e) => {
+                counters.incr("control.unanswered");
                 if answering {
                     log::warn!("{host} does not answer control polls: {e}");
                 }
@@ -96,7 +105,7 @@
     client: &mut Option<ControlClient>,
     peer: &str,
     timeout: Duration,
-) -> Result<foxwheel_core::protocol::LoadReport, foxwheel_control::client::ControlError> {
+) -> Result<LoadReport, ControlError> {
     let connected = match client.take() {
         Some(connected) => connected,
         None => ControlClient::connect(peer, timeout).await?,
--- a/crates/foxwheel-gateway/src/filters.rs
+++ b/crates/foxwheel-gateway/src/filters.rs
@@ -12,6 +12,7 @@
 
 use foxwheel_core::declarations::{Action, Deployment, PriorityClass, RequestFacts, Workload};
 use foxwheel_core::http::Refused;
+use foxwheel_core::telemetry::Counters;
 
 use crate::config::ActiveConfig;
 
@@ -73,23 +74,38 @@
 
 /// One step of the chain.
 pub trait Filter: Send + Sync {
-    /// The step's name, for counters.
-    fn name(&self) -> &'static str;
+    /// The counter of this step's refusals.
+    fn refusals(&self) -> &'static str;
     /// Lets the exchange through, or refuses it.
     fn apply(&self, exchange: &mut Exchange) -> Result<(), Refused>;
 }
 
-/// Runs `chain` in order; the first refusal ends it.
-pub fn run(chain: &[Box<dyn Filter>], exchange: &mut Exchange) -> Result<(), Refused> {
-    chain.iter().try_for_each(|filter| filter.apply(exchange))
+/// Runs `chain` in order; the first refusal ends it and is counted under its filter.
+pub fn run(
+    chain: &[Box<dyn Filter>],
+    exchange: &mut Exchange,
+    counters: &Counters,
+) -> Result<(), Refused> {
+    counters.incr(match exchange.workload {
+        Workload::Online => "requests.online",
+        Workload::Batch => "requests.batch",
+        Workload::Service => "requests.service",
+    });
+    chain.iter().try_for_each(|filter| {
+        let passed = filter.apply(exchange);
+        if passed.is_err() {
+            counters.incr(filter.refusals());
+        }
+        passed
+    })
 }
 
 /// The ordered when-then rules: the first match decides the deployment and class.
 pub struct MatchRules;
 
 impl Filter for MatchRules {
-    fn name(&self) -> &'static str {
-        "match_rules"
+    fn refusals(&self) -> &'static str {
+        "refused.match_rules"
     }
 
     fn apply(&self, exchange: &mut Exchange) -> Result<(), Refused> {
@@ -152,8 +168,8 @@
 }
 
 impl Filter for Admission {
-    fn name(&self) -> &'static str {
-        "admission"
+    fn refusals(&self) -> &'static str {
+        "refused.admission"
     }
 
     fn apply(&self, exchange: &mut Exchange) -> Result<(), Refused> {
--- a/crates/foxwheel-gateway/src/online.rs
+++ b/crates/foxwheel-gateway/src/online.rs
@@ -79,23 +79,31 @@
         .await;
         match sent {
             Ok(response) if http::says_not_run(&response) => {
-                excluded.push(target.member.host.clone())
+                state.counters.incr("retried.not_run");
+                excluded.push(target.member.host.clone());
             }
             Ok(response) => return Ok((response, in_flight)),
-            Err(e) if http::send_never_reached(&e) => excluded.push(target.member.host.clone()),
+            Err(e) if http::send_never_reached(&e) => {
+                state.counters.incr("retried.never_reached");
+                excluded.push(target.member.host.clone());
+            }
             Err(e) => {
                 let failure = forward_failed(&target.member.agent_addr, &e);
                 if !exchange.idempotent || matches!(e, SendRequestError::Timeout) {
+                    state.counters.incr("failed.unknown");
                     return Err(failure);
                 }
+                state.counters.incr("retried.broke_off");
                 broke_off = Some(failure);
                 excluded.push(target.member.host.clone());
             }
         }
     }
     if let Some(failure) = broke_off {
+        state.counters.incr("failed.unknown");
         return Err(failure);
     }
+    state.counters.incr("failed.not_run");
     Err(SendFailure::NotRun(http::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no_backend",
@@ -173,7 +181,7 @@
     );
     exchange.model = Some(model);
     exchange.workspace = header_string(&req, WORKSPACE_HEADER);
-    if let Err(refused) = filters::run(&state.chain, &mut exchange) {
+    if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
     let headers = outgoing_headers(&req, &exchange);
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -5,6 +5,7 @@
 //! - `POST /v1/batches`, `GET /v1/batches/{id}`, `POST /v1/batches/{id}/cancel`,
 //!   `GET /v1/batches/{id}/results`: [`crate::batch::api`].
 //! - `/services/{service}/{path}`: [`crate::services`].
+//! - `GET /counters`: totals since start, as a JSON object.
 //! - `GET /status`: the configuration revision in force and live hosts per deployment.
 
 use std::net::SocketAddr;
@@ -16,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use foxwheel_core::http;
+use foxwheel_core::telemetry::Counters;
 use foxwheel_store::client::StoreClient;
 
 use crate::batch::{api, dispatch::Dispatcher};
@@ -36,6 +38,8 @@
     pub hosts: HostTable,
     /// The filter chain, in order.
     pub chain: Vec<Box<dyn Filter>>,
+    /// This process's counters.
+    pub counters: Counters,
 }
 
 /// What each worker thread has of its own (awc clients live on one thread).
@@ -61,6 +65,10 @@
     }))
 }
 
+async fn counters(state: web::Data<GatewayState>) -> HttpResponse {
+    HttpResponse::Ok().json(state.counters.to_json())
+}
+
 /// Registers the gateway's routes.
 pub fn routes(cfg: &mut web::ServiceConfig) {
     cfg.route("/v1/chat/completions", web::post().to(online::complete))
@@ -73,7 +81,8 @@
             "/services/{service}/{tail:.*}",
             web::route().to(services::call),
         )
-        .route("/status", web::get().to(status));
+        .route("/status", web::get().to(status))
+        .route("/counters", web::get().to(counters));
 }
 
 /// A running gateway.
@@ -90,6 +99,7 @@
     settings: GatewaySettings,
     cancel: CancellationToken,
 ) -> std::io::Result<RunningGateway> {
+    let counters = Counters::new("gateway", settings.statsd_addr.as_deref())?;
     let config = ConfigHandle::default();
     let control_timeout = Duration::from_millis(settings.control_timeout_ms);
     let table = HostTable::new(control_timeout);
@@ -108,10 +118,16 @@
         interval: Duration::from_millis(settings.control_poll_ms),
         timeout: control_timeout / 2,
     };
-    actix_web::rt::spawn(control::run(table.clone(), poll_shape, controllers.clone()));
+    actix_web::rt::spawn(control::run(
+        table.clone(),
+        poll_shape,
+        counters.clone(),
+        controllers.clone(),
+    ));
     let dispatch_cancel = cancel.child_token();
-    let dispatcher =
-        actix_web::rt::spawn(Dispatcher::new(settings.clone(), table.clone()).run(dispatch_cancel));
+    let dispatcher = actix_web::rt::spawn(
+        Dispatcher::new(settings.clone(), table.clone(), counters.clone()).run(dispatch_cancel),
+    );
     let chain: Vec<Box<dyn Filter>> = vec![
         Box::new(MatchRules),
         Box::new(Admission {
@@ -127,6 +143,7 @@
         config,
         hosts: table,
         chain,
+        counters,
     }));
     let server_cancel = CancellationToken::new();
     let (addr, server) = http::serve(
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -33,7 +33,7 @@
     let mut exchange = Exchange::new(Workload::Service, tail.clone(), state.config.current());
     exchange.service = Some(service.clone());
     exchange.workspace = header_string(&req, WORKSPACE_HEADER);
-    if let Err(refused) = filters::run(&state.chain, &mut exchange) {
+    if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
     let headers = online::outgoing_headers(&req, &exchange);
@@ -62,17 +62,19 @@
     let (version, record) = match begun {
         Ok(Begin::Run { version, record }) => (version, record),
         Ok(Begin::Replay { status, body }) => {
+            state.counters.incr("idempotency.replayed");
             return HttpResponse::build(StatusCode::from_u16(status).unwrap_or(StatusCode::OK))
                 .insert_header((REPLAYED_HEADER, "true"))
                 .content_type("application/json")
-                .body(body)
+                .body(body);
         }
         Ok(Begin::InProgress) => {
+            state.counters.incr("idempotency.in_progress");
             return http::unknown(
                 StatusCode::CONFLICT,
                 "call_in_progress",
                 "a call with this Idempotency-Key started earlier and its outcome is not recorded; it will not run again",
-            )
+            );
         }
         Ok(Begin::KeyReused) => {
             return http::not_run(
@@ -83,12 +85,13 @@
             )
         }
         Err(e) => {
+            state.counters.incr("idempotency.store_unavailable");
             return http::not_run(
                 StatusCode::SERVICE_UNAVAILABLE,
                 "store_unavailable",
                 format!("cannot record the call before running it: {e}"),
                 Some(state.settings.retry_after_s),
-            )
+            );
         }
     };
     let sent = online::send(&state, &worker, &exchange, &req, body, req.path(), &headers).await;
--- a/crates/foxwheel-gateway/tests/membership_faults.rs
+++ b/crates/foxwheel-gateway/tests/membership_faults.rs
@@ -9,6 +9,7 @@
 use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::protocol::{LoadReport, Member, MemberState};
+use foxwheel_core::telemetry::Counters;
 use foxwheel_gateway::control::{self, PollShape};
 use foxwheel_gateway::hosts::HostTable;
 use foxwheel_store::api::Faults;
@@ -83,7 +84,12 @@
             interval: POLL,
             timeout: CONTROL_TIMEOUT / 2,
         };
-        actix_web::rt::spawn(control::run(table.clone(), shape, cancel.clone()));
+        actix_web::rt::spawn(control::run(
+            table.clone(),
+            shape,
+            Counters::new("test", None).expect("counters"),
+            cancel.clone(),
+        ));
         let agents: Vec<Arc<FakeAgent>> = (0..2).map(|_| Arc::default()).collect();
         let kills: Vec<CancellationToken> = (0..2).map(|_| cancel.child_token()).collect();
         let mut records = Vec::new();
--- a/crates/foxwheel-platform-emu/src/server.rs
+++ b/crates/foxwheel-platform-emu/src/server.rs
@@ -1,6 +1,7 @@
 //! The emulator's HTTP routes.
 
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -11,12 +12,16 @@
 use foxwheel_core::ids::Version;
 use foxwheel_store::api;
 
+use crate::data_file;
 use crate::settings::PlatformSettings;
 use crate::state::{Data, RateLimit, Refused};
 
 /// Longest a watch may wait, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 60_000;
 
+/// The pause between two saves of the data file.
+const SAVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Which budget a call is charged to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum CallKind {
@@ -42,11 +47,16 @@
 }
 
 impl Emulator {
-    /// An empty store with the limits in `settings`.
-    pub fn new(settings: &PlatformSettings) -> Self {
-        Self {
+    /// A store with the limits in `settings`, holding what its data file holds, if any.
+    pub fn new(settings: &PlatformSettings) -> std::io::Result<Self> {
+        let saved = settings.data_file.as_deref().map(data_file::load);
+        let data = match saved.transpose()?.flatten() {
+            Some(saved) => Data::restore(saved, settings.history_len),
+            None => Data::new(settings.history_len),
+        };
+        Ok(Self {
             inner: Mutex::new(Inner {
-                data: Data::new(settings.history_len),
+                data,
                 reads: RateLimit::new(settings.read_limit_per_s),
                 writes: RateLimit::new(settings.write_limit_per_s),
                 counts: api::CallCounts::default(),
@@ -55,7 +65,7 @@
             }),
             changed: tokio::sync::Notify::new(),
             started: Instant::now(),
-        }
+        })
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Inner> {
@@ -242,12 +252,41 @@
         .route("/faults", web::post().to(set_faults));
 }
 
+/// Saves the objects whenever they changed, until `cancel` fires and once more then.
+async fn keep_saved(emu: web::Data<Emulator>, path: PathBuf, cancel: CancellationToken) {
+    let mut saved_revision = 0;
+    loop {
+        let stopping = cancel.is_cancelled();
+        let everything = {
+            let inner = emu.lock();
+            let changed = inner.data.revision() != saved_revision;
+            changed.then(|| inner.data.list(""))
+        };
+        if let Some(everything) = everything {
+            match data_file::save(&path, &everything) {
+                Ok(()) => saved_revision = everything.revision,
+                Err(e) => log::warn!("{} not written: {e}", path.display()),
+            }
+        }
+        if stopping {
+            return;
+        }
+        tokio::select! {
+            () = cancel.cancelled() => {}
+            () = tokio::time::sleep(SAVE_INTERVAL) => {}
+        }
+    }
+}
+
 /// Starts the emulator; it stops gracefully when `cancel` fires. Returns the bound address.
 pub fn start(
     settings: &PlatformSettings,
     cancel: CancellationToken,
 ) -> std::io::Result<(SocketAddr, actix_web::dev::Server)> {
-    let emu = web::Data::from(Arc::new(Emulator::new(settings)));
+    let emu = web::Data::from(Arc::new(Emulator::new(settings)?));
+    if let Some(path) = settings.data_file.clone() {
+        actix_web::rt::spawn(keep_saved(emu.clone(), path, cancel.clone()));
+    }
     let server = actix_web::HttpServer::new(move || {
         actix_web::App::new()
             .app_data(emu.clone())
--- a/crates/foxwheel-platform-emu/src/settings.rs
+++ b/crates/foxwheel-platform-emu/src/settings.rs
@@ -1,5 +1,7 @@
 //! The emulator's settings file.
 
+use std::path::PathBuf;
+
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::settings::{self, Check, FieldError};
@@ -16,6 +18,10 @@
     /// Reads (gets, lists, watch calls) allowed per second before 429; about two thousand.
     #[serde(default = "default_read_limit")]
     pub read_limit_per_s: u64,
+    /// File the objects are kept in across restarts; none keeps them in memory only. Written
+    /// at most every 100 ms and at a graceful stop.
+    #[serde(default)]
+    pub data_file: Option<PathBuf>,
     /// How many past changes are kept for watches that start from an old version.
     #[serde(default = "default_history_len")]
     pub history_len: usize,
@@ -40,6 +46,7 @@
             listen_addr: "127.0.0.1:0".to_owned(),
             write_limit_per_s: 10_000,
             read_limit_per_s: 10_000,
+            data_file: None,
             history_len: 10_000,
         }
     }
--- a/crates/foxwheel-platform-emu/src/state.rs
+++ b/crates/foxwheel-platform-emu/src/state.rs
@@ -82,6 +82,20 @@
         }
     }
 
+    /// The objects of `saved` (a list of everything) at its revision. Watches from before it
+    /// must list again, as the changes that led to it are not kept.
+    pub fn restore(saved: api::ListResponse, history_len: usize) -> Self {
+        let stored_bytes = saved.objects.iter().map(|o| json_len(&o.value)).sum();
+        let objects = saved.objects.into_iter();
+        Self {
+            objects: objects.map(|o| (o.key.clone(), o)).collect(),
+            revision: saved.revision,
+            oldest_kept: saved.revision,
+            stored_bytes,
+            ..Self::new(history_len)
+        }
+    }
+
     /// The current revision.
     pub fn revision(&self) -> Version {
         self.revision
--- a/crates/foxwheel-platform-emu/tests/store_contract.rs
+++ b/crates/foxwheel-platform-emu/tests/store_contract.rs
@@ -179,8 +179,10 @@
     let (store, _cancel) = start(&limited);
     let mut refused = 0;
     for i in 0..10 {
-        if let Err(StoreError::Unavailable { .. }) = store.put(&format!("r/{i}"), &i, None).await {
-            refused += 1;
+        match store.put(&format!("r/{i}"), &i, None).await {
+            Ok(_) => {}
+            Err(StoreError::Busy { .. }) => refused += 1,
+            Err(e) => panic!("a refusal by the rate limit took no effect and says so: {e}"),
         }
     }
     assert!(
@@ -190,3 +192,48 @@
     let counts = store.stats().await.expect("stats");
     assert_eq!(counts.writes, 10);
 }
+
+#[actix_web::test]
+async fn objects_and_versions_survive_a_restart() {
+    let folder = std::path::PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("restart");
+    std::fs::create_dir_all(&folder).expect("folder");
+    let data_file = folder.join("objects.json");
+    let _ = std::fs::remove_file(&data_file);
+    let settings = PlatformSettings {
+        data_file: Some(data_file),
+        ..settings(100)
+    };
+    let (addr, server) = {
+        let cancel = CancellationToken::new();
+        let (addr, server) = server::start(&settings, cancel.clone()).expect("store starts");
+        let server = actix_web::rt::spawn(server);
+        let store = StoreClient::new(format!("http://{addr}"));
+        store.put("k/1", &1, Some(0)).await.expect("create");
+        store.put("k/1", &2, Some(1)).await.expect("update");
+        store.put("k/2", &3, Some(0)).await.expect("create");
+        store.delete("k/2", None).await.expect("delete");
+        cancel.cancel();
+        (addr, server)
+    };
+    server.await.expect("stopped").expect("stopped well");
+    let (store, _cancel) = start(&PlatformSettings {
+        listen_addr: addr.to_string(),
+        ..settings
+    });
+    let listed = store.list("").await.expect("list");
+    assert_eq!(listed.revision, 4, "versions go on from where they were");
+    assert_eq!(listed.objects.len(), 1);
+    assert_eq!(listed.objects[0].version, 2);
+    judge(
+        "a stale version is still refused",
+        store.put("k/1", &9, Some(1)).await,
+        &Expect::Conflict,
+    );
+    assert!(
+        matches!(
+            store.watch("k/", 1, Duration::from_millis(10)).await,
+            Err(StoreError::Gone)
+        ),
+        "a watch from before the restart must list again"
+    );
+}
