Servers keep idle connections longer than clients' pools do

A server closed idle connections after 5 s (actix's default) while awc's pool keeps them for 15 s, so a request could go out just as its connection was closed. The same holds between gateway, agent and back end, where a non-idempotent call would end as "unknown".

Change: http::serve keeps idle connections for 75 s; the three stand-ins are served by it too instead of each setting up its own server. Ruled out: retrying in the load tool (hides it from the product's own hops); a shorter pool in every client (each new client would have to know). Conclusion: the race is closed on the server's side.

--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -85,6 +85,11 @@
     Refused::unknown(status, code, message).into_response()
 }
 
+/// How long a server keeps an idle connection open: longer than awc's pool does (15 s), so
+/// that it is the client that closes one. A server that closes first may do so just as the
+/// client sends its next request, which then fails although nothing is wrong.
+pub const SERVER_KEEP_ALIVE: Duration = Duration::from_secs(75);
+
 /// How a server is run.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerShape {
@@ -126,6 +131,7 @@
 {
     let server = actix_web::HttpServer::new(factory)
         .workers(shape.workers)
+        .keep_alive(SERVER_KEEP_ALIVE)
         .shutdown_timeout(shape.shutdown_timeout.as_secs())
         .disable_signals()
         .bind(listen_addr)?;
--- a/crates/foxwheel-engine-emu/src/server.rs
+++ b/crates/foxwheel-engine-emu/src/server.rs
@@ -16,6 +16,8 @@
 use tokio::sync::{mpsc, Semaphore};
 use tokio_util::sync::CancellationToken;
 
+use foxwheel_core::http::{self, ServerShape};
+
 use crate::cache::PrefixCache;
 use crate::openai::{self, CompletionRequest};
 use crate::orders::{EngineRole, Order, OrderOutcome};
@@ -294,21 +296,10 @@
             tokio::time::sleep(lag).await;
         }
     });
-    let server = actix_web::HttpServer::new(move || {
+    let shape = ServerShape::default();
+    http::serve(&listen_addr, shape, cancel, move || {
         actix_web::App::new()
             .app_data(engine.clone())
             .configure(routes)
     })
-    .workers(2)
-    .shutdown_timeout(30)
-    .disable_signals()
-    .bind(listen_addr)?;
-    let addr = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_web::rt::spawn(async move {
-        cancel.cancelled().await;
-        handle.stop(true).await;
-    });
-    Ok((addr, server))
 }
--- a/crates/foxwheel-platform-emu/src/server.rs
+++ b/crates/foxwheel-platform-emu/src/server.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use tokio_util::sync::CancellationToken;
 
+use foxwheel_core::http::{self, ServerShape};
 use foxwheel_core::ids::Version;
 use foxwheel_store::api;
 
@@ -287,22 +288,14 @@
     if let Some(path) = settings.data_file.clone() {
         actix_web::rt::spawn(keep_saved(emu.clone(), path, cancel.clone()));
     }
-    let server = actix_web::HttpServer::new(move || {
+    let shape = ServerShape {
+        shutdown_timeout: Duration::from_secs(5),
+        ..ServerShape::default()
+    };
+    http::serve(&settings.listen_addr, shape, cancel, move || {
         actix_web::App::new()
             .app_data(emu.clone())
             .app_data(web::JsonConfig::default().limit(2 * 1024 * 1024))
             .configure(routes)
     })
-    .workers(2)
-    .shutdown_timeout(5)
-    .disable_signals()
-    .bind(&settings.listen_addr)?;
-    let addr = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_web::rt::spawn(async move {
-        cancel.cancelled().await;
-        handle.stop(true).await;
-    });
-    Ok((addr, server))
 }
--- a/crates/foxwheel-service-emu/src/lib.rs
+++ b/crates/foxwheel-service-emu/src/lib.rs
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
+use foxwheel_core::http::{self, ServerShape};
 use foxwheel_core::protocol::IDEMPOTENCY_KEY_HEADER;
 use foxwheel_core::settings::{self, Check, FieldError};
 
@@ -119,24 +120,16 @@
         delay: Duration::from_millis(settings.delay_ms),
         executions: Mutex::default(),
     }));
-    let server = actix_web::HttpServer::new(move || {
+    let shape = ServerShape {
+        shutdown_timeout: Duration::from_secs(10),
+        ..ServerShape::default()
+    };
+    http::serve(&settings.listen_addr, shape, cancel, move || {
         actix_web::App::new()
             .app_data(service.clone())
             .route("/_emu/executions", web::get().to(executions))
             .default_service(web::route().to(dispatch))
     })
-    .workers(2)
-    .shutdown_timeout(10)
-    .disable_signals()
-    .bind(&settings.listen_addr)?;
-    let addr = server.addrs()[0];
-    let server = server.run();
-    let handle = server.handle();
-    actix_web::rt::spawn(async move {
-        cancel.cancelled().await;
-        handle.stop(true).await;
-    });
-    Ok((addr, server))
 }
 
 async fn dispatch(service: web::Data<Service>, req: HttpRequest, body: web::Bytes) -> HttpResponse {
