--- a/crates/foxwheel-load/src/batch.rs
+++ b/crates/foxwheel-load/src/batch.rs
@@ -4,9 +4,11 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use serde::Deserialize;
 
 use crate::experiment::BatchLoad;
+use crate::timeline::BatchPoint;
 
 /// What one job came to.
 #[derive(Debug, Clone, Default)]
@@ -29,12 +31,17 @@
     pub duplicate_or_unknown: u64,
     /// Seconds from sending to the job's end (all items final), if it ended.
     pub elapsed_s: Option<f64>,
+    /// Items finished over time.
+    pub finished: Vec<BatchPoint>,
     /// Whether it was cancelled.
     pub cancelled_job: bool,
     /// An error that stopped the job's run.
     pub error: Option<String>,
 }
 
+/// The pause between two status calls.
+const POLL: Duration = Duration::from_millis(250);
+
 #[derive(Debug, Deserialize)]
 struct StatusBody {
     job: JobBody,
@@ -50,6 +57,8 @@
 #[derive(Debug, Deserialize)]
 struct Counts {
     pending: u64,
+    done: u64,
+    failed: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -95,6 +104,22 @@
     serde_json::from_slice(&bytes).map_err(|e| e.to_string())
 }
 
+/// Sends the job again, as clients do, while it is refused or unanswered.
+async fn post_until_accepted(
+    client: &awc::Client,
+    gateway: &str,
+    body: &serde_json::Value,
+    wait: Duration,
+) -> Result<StatusBody, String> {
+    let started = Instant::now();
+    loop {
+        match post_job(client, gateway, body).await {
+            Err(_) if started.elapsed() < wait => tokio::time::sleep(POLL).await,
+            answer => return answer,
+        }
+    }
+}
+
 async fn get_status(client: &awc::Client, gateway: &str, id: &str) -> Result<StatusBody, String> {
     let mut response = client
         .get(format!("{gateway}/v1/batches/{id}"))
@@ -108,6 +133,13 @@
         .map_err(|e| e.to_string())
 }
 
+async fn read_results(client: &awc::Client, gateway: &str, id: &str) -> Result<Bytes, String> {
+    let url = format!("{gateway}/v1/batches/{id}/results");
+    let mut response = client.get(url).send().await.map_err(|e| e.to_string())?;
+    let body = response.body().limit(256 * 1024 * 1024);
+    body.await.map_err(|e| e.to_string())
+}
+
 /// Sends the job, waits for it at most `wait`, and tallies its results.
 pub async fn run(gateways: Vec<String>, load: BatchLoad, wait: Duration) -> BatchTally {
     let mut tally = BatchTally {
@@ -127,6 +159,7 @@
     wait: Duration,
     tally: &mut BatchTally,
 ) -> Result<(), String> {
+    let load_started = Instant::now();
     tokio::time::sleep(Duration::from_secs(load.start_after_s)).await;
     let client = awc::Client::builder()
         .timeout(Duration::from_secs(120))
@@ -138,8 +171,8 @@
         "items": items(load),
     });
     let sent_at = Instant::now();
-    let first = post_job(&client, &gateways[0], &body).await?;
-    let resent = post_job(&client, &gateways[gateways.len() - 1], &body).await?;
+    let first = post_until_accepted(&client, &gateways[0], &body, wait).await?;
+    let resent = post_until_accepted(&client, &gateways[gateways.len() - 1], &body, wait).await?;
     tally.job_ids = vec![first.job.id.clone(), resent.job.id.clone()];
     let id = first.job.id;
     let gateway = &gateways[0];
@@ -154,7 +187,18 @@
                 tally.cancelled_job = true;
             }
         }
-        let status = get_status(&client, gateway, &id).await?;
+        // A status refused while the store is down is asked for again until the wait ends.
+        let Ok(status) = get_status(&client, gateway, &id).await else {
+            if elapsed > wait {
+                return Err("no status until the wait ended".to_owned());
+            }
+            tokio::time::sleep(POLL).await;
+            continue;
+        };
+        tally.finished.push(BatchPoint {
+            at_s: load_started.elapsed().as_secs_f64(),
+            finished: status.counts.done + status.counts.failed,
+        });
         if status.counts.pending == 0 || status.job.state != "running" {
             tally.elapsed_s = Some(elapsed.as_secs_f64());
             break;
@@ -162,18 +206,9 @@
         if elapsed > wait {
             break;
         }
-        tokio::time::sleep(Duration::from_millis(250)).await;
+        tokio::time::sleep(POLL).await;
     }
-    let mut response = client
-        .get(format!("{gateway}/v1/batches/{id}/results"))
-        .send()
-        .await
-        .map_err(|e| e.to_string())?;
-    let bytes = response
-        .body()
-        .limit(256 * 1024 * 1024)
-        .await
-        .map_err(|e| e.to_string())?;
+    let bytes = read_results(&client, gateway, &id).await?;
     let mut seen: BTreeMap<String, u32> = (0..load.items)
         .map(|i| (format!("{}-{i:06}", load.client_key), 0))
         .collect();
--- a/crates/foxwheel-load/src/main.rs
+++ b/crates/foxwheel-load/src/main.rs
@@ -1,109 +1,96 @@
-//! `foxwheel-load`: runs an experiment against the gateways and checks what came back.
+//! `foxwheel-load`: runs experiments and sweeps, and checks what came back.
 
-use std::path::PathBuf;
-use std::time::Duration;
+use std::path::Path;
+use std::process::ExitCode;
 
-use foxwheel_load::{batch, experiment::Experiment, online, report, services};
+use foxwheel_core::settings;
+use foxwheel_load::args::{self, Command};
+use foxwheel_load::experiment::Experiment;
+use foxwheel_load::sweep::Sweep;
+use foxwheel_load::{fit, overhead, plot, report, run, sweep};
 
-const USAGE: &str = "usage: foxwheel-load --experiment FILE.json [--out RESULT.json]";
+/// Any failure, for the one line it ends in.
+type Failure = Box<dyn std::error::Error>;
 
-fn parse_args() -> Result<(PathBuf, Option<PathBuf>), lexopt::Error> {
-    use lexopt::prelude::*;
-    let mut parser = lexopt::Parser::from_env();
-    let (mut experiment, mut out) = (None, None);
-    while let Some(arg) = parser.next()? {
-        match arg {
-            Short('e') | Long("experiment") => experiment = Some(PathBuf::from(parser.value()?)),
-            Short('o') | Long("out") => out = Some(PathBuf::from(parser.value()?)),
-            Short('h') | Long("help") => {
-                println!("{USAGE}");
-                std::process::exit(0);
-            }
-            _ => return Err(arg.unexpected()),
-        }
-    }
-    let experiment = experiment.ok_or(lexopt::Error::MissingValue {
-        option: Some("--experiment".to_owned()),
-    })?;
-    Ok((experiment, out))
+/// The folder a file's paths are relative to.
+fn base_of(path: &Path) -> &Path {
+    path.parent().unwrap_or(Path::new("."))
 }
 
-async fn run(experiment: Experiment) -> report::Result {
-    let duration = Duration::from_secs(experiment.duration_s);
-    let wait = Duration::from_secs(experiment.duration_s + experiment.batch_wait_s);
-    let online_tasks: Vec<_> = experiment
-        .online
-        .iter()
-        .enumerate()
-        .map(|(i, load)| {
-            actix_web::rt::spawn(online::run(
-                experiment.gateways.clone(),
-                load.clone(),
-                duration,
-                experiment.seed + i as u64,
-            ))
-        })
-        .collect();
-    let batch_tasks: Vec<_> = experiment
-        .batches
-        .iter()
-        .map(|load| {
-            actix_web::rt::spawn(batch::run(experiment.gateways.clone(), load.clone(), wait))
-        })
-        .collect();
-    let service_tasks: Vec<_> = experiment
-        .services
-        .iter()
-        .enumerate()
-        .map(|(i, load)| {
-            actix_web::rt::spawn(services::run(
-                experiment.gateways.clone(),
-                load.clone(),
-                duration,
-                experiment.seed + 100 + i as u64,
-            ))
-        })
-        .collect();
-    let mut online_tallies = Vec::new();
-    for t in online_tasks {
-        online_tallies.extend(t.await.ok());
-    }
-    let mut batch_tallies = Vec::new();
-    for t in batch_tasks {
-        batch_tallies.extend(t.await.ok());
+/// Runs one experiment; answers whether every check held.
+async fn run_experiment(path: &Path, out: &Path) -> Result<bool, Failure> {
+    let experiment: Experiment = settings::load(path)?;
+    std::fs::create_dir_all(out)?;
+    let result = run::run(experiment, base_of(path), out).await?;
+    let text = report::text(&result);
+    print!("{text}");
+    std::fs::write(out.join("report.txt"), text)?;
+    let json = serde_json::to_string_pretty(&result)?;
+    std::fs::write(out.join("result.json"), json)?;
+    plot::draw_all(&result, out)?;
+    Ok(result.failed_checks.is_empty())
+}
+
+async fn run_sweep(path: &Path, out: &Path) -> Result<(), Failure> {
+    let points: Sweep = settings::load(path)?;
+    std::fs::create_dir_all(out)?;
+    sweep::run(path, &points, out).await?;
+    Ok(())
+}
+
+fn print_fit(rows: &Path, y: &str, xs: &[String]) -> Result<(), Failure> {
+    let fitted = fit::fit(&fit::read_columns(rows)?, y, xs)?;
+    print!("{y} = {:.6}", fitted.intercept);
+    for (name, slope) in &fitted.slopes {
+        print!(" + {slope:.9} * {name}");
     }
-    let mut service_tallies = Vec::new();
-    for t in service_tasks {
-        service_tallies.extend(t.await.ok());
+    println!("   (r2 {:.4})", fitted.r_squared);
+    Ok(())
+}
+
+async fn run_overhead(path: &Path, out: &Path, calls: u64) -> Result<(), Failure> {
+    let experiment: Experiment = settings::load(path)?;
+    let spec = experiment.fleet.ok_or("the experiment has no fleet")?;
+    let first = experiment.online.first();
+    let model = &first.ok_or("the experiment has no online load")?.model;
+    std::fs::create_dir_all(out)?;
+    let measured = overhead::measure(&spec, base_of(path), out, model, calls).await?;
+    let json = serde_json::to_string_pretty(&measured)?;
+    println!("{json}");
+    std::fs::write(out.join("overhead.json"), json)?;
+    Ok(())
+}
+
+async fn execute(command: Command) -> Result<bool, Failure> {
+    match command {
+        Command::Help => println!("{}", args::USAGE),
+        Command::Run { experiment, out } => return run_experiment(&experiment, &out).await,
+        Command::Sweep { sweep, out } => run_sweep(&sweep, &out).await?,
+        Command::Fit { rows, y, xs } => print_fit(&rows, &y, &xs)?,
+        Command::Overhead {
+            experiment,
+            out,
+            calls,
+        } => run_overhead(&experiment, &out, calls).await?,
     }
-    report::build(online_tallies, batch_tallies, service_tallies)
+    Ok(true)
 }
 
-fn main() {
+fn main() -> ExitCode {
     foxwheel_core::telemetry::init_logging();
-    let (path, out) = match parse_args() {
-        Ok(args) => args,
+    let command = match args::parse(std::env::args_os().skip(1)) {
+        Ok(command) => command,
         Err(e) => {
-            eprintln!("foxwheel-load: {e}\n{USAGE}");
-            std::process::exit(2);
+            eprintln!("foxwheel-load: {e}\n{}", args::USAGE);
+            return ExitCode::from(2);
         }
     };
-    let experiment: Experiment = match foxwheel_core::settings::load(&path) {
-        Ok(e) => e,
+    match actix_web::rt::System::new().block_on(execute(command)) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(e) => {
             eprintln!("foxwheel-load: {e}");
-            std::process::exit(2);
+            ExitCode::FAILURE
         }
-    };
-    let result = actix_web::rt::System::new().block_on(run(experiment));
-    print!("{}", report::text(&result));
-    if let Some(out) = out {
-        let json = serde_json::to_string_pretty(&result).expect("result encodes");
-        if let Err(e) = std::fs::write(&out, json) {
-            eprintln!("foxwheel-load: cannot write {}: {e}", out.display());
-        }
-    }
-    if !result.failed_checks.is_empty() {
-        std::process::exit(1);
     }
 }
--- a/crates/foxwheel-load/src/online.rs
+++ b/crates/foxwheel-load/src/online.rs
@@ -12,6 +12,7 @@
 use foxwheel_core::protocol::{REQUEST_ID_HEADER, WORKSPACE_HEADER};
 use foxwheel_engine_emu::{openai, text};
 
+use crate::burn::Outcome;
 use crate::experiment::OnlineLoad;
 
 /// What one model's online load measured.
@@ -34,6 +35,10 @@
     pub tbt_us: Histogram<u64>,
     /// Tokens received.
     pub tokens: u64,
+    /// Why requests got no answer, each kind with its count, sorted.
+    pub errors: Vec<(String, u64)>,
+    /// How each request went, in the order they ended.
+    pub outcomes: Vec<Outcome>,
 }
 
 impl OnlineTally {
@@ -47,6 +52,18 @@
             ttft_us: Histogram::new_with_bounds(1, 600_000_000, 3).expect("histogram bounds"),
             tbt_us: Histogram::new_with_bounds(1, 600_000_000, 3).expect("histogram bounds"),
             tokens: 0,
+            errors: Vec::new(),
+            outcomes: Vec::new(),
+        }
+    }
+}
+
+impl OnlineTally {
+    fn refuse(&mut self, error: String) {
+        self.refused += 1;
+        match self.errors.binary_search_by(|(known, _)| known.cmp(&error)) {
+            Ok(at) => self.errors[at].1 += 1,
+            Err(at) => self.errors.insert(at, (error, 1)),
         }
     }
 }
@@ -59,6 +76,13 @@
     gaps: Vec<Duration>,
 }
 
+impl Streamed {
+    fn mean_gap(&self) -> Duration {
+        let gaps = self.gaps.len().max(1) as u32;
+        self.gaps.iter().sum::<Duration>() / gaps
+    }
+}
+
 async fn stream_one(
     client: &awc::Client,
     gateway: &str,
@@ -149,10 +173,17 @@
         let id = format!("load-{seed}-{n}");
         n += 1;
         let (client, one, tally) = (client.clone(), load.clone(), tally.clone());
+        let sent_at = next_at;
         tasks.push(actix_web::rt::spawn(async move {
             tally.borrow_mut().sent += 1;
             let answer = stream_one(&client, &gateway, &one, &prompt, &id).await;
             let mut tally = tally.borrow_mut();
+            let whole = answer.as_ref().ok();
+            tally.outcomes.push(Outcome {
+                sent_at,
+                ttft: whole.and_then(|streamed| streamed.first_token),
+                mean_tbt: whole.map_or(Duration::ZERO, Streamed::mean_gap),
+            });
             match answer {
                 Ok(streamed) => {
                     let expected = text::answer(&prompt, one.max_tokens);
@@ -169,7 +200,7 @@
                         let _ = tally.tbt_us.record(gap.as_micros().max(1) as u64);
                     }
                 }
-                Err(_) => tally.refused += 1,
+                Err(e) => tally.refuse(e),
             }
         }));
         let u: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
--- a/crates/foxwheel-load/src/report.rs
+++ b/crates/foxwheel-load/src/report.rs
@@ -4,8 +4,12 @@
 use serde::Serialize;
 
 use crate::batch::BatchTally;
+use crate::burn::{self, Burn};
+use crate::experiment::Objective;
 use crate::online::OnlineTally;
 use crate::services::ServiceTally;
+use crate::timeline::{self, BatchPoint, OnlineSecond};
+use crate::usage::Usage;
 
 /// Percentiles of one latency, in milliseconds.
 #[derive(Debug, Clone, Serialize)]
@@ -20,7 +24,8 @@
     pub count: u64,
 }
 
-fn percentiles(h: &hdrhistogram::Histogram<u64>) -> Percentiles {
+/// The percentiles of a histogram of microseconds.
+pub fn percentiles(h: &hdrhistogram::Histogram<u64>) -> Percentiles {
     let ms = |q: f64| h.value_at_quantile(q) as f64 / 1000.0;
     Percentiles {
         p50_ms: ms(0.50),
@@ -47,6 +52,12 @@
     pub ttft: Percentiles,
     /// Time between tokens.
     pub tbt: Percentiles,
+    /// Tokens received.
+    pub tokens: u64,
+    /// Why requests got no answer, each kind with its count.
+    pub errors: Vec<(String, u64)>,
+    /// Figures per second.
+    pub seconds: Vec<OnlineSecond>,
 }
 
 /// One batch job's figures.
@@ -76,13 +87,19 @@
 
 /// The whole result.
 #[derive(Debug, Clone, Serialize)]
-pub struct Result {
+pub struct ExperimentResult {
     /// Online figures by model.
     pub online: Vec<OnlineResult>,
     /// Batch figures by job.
     pub batches: Vec<BatchResult>,
     /// Executions of non-idempotent calls.
     pub services: Vec<ServiceResult>,
+    /// Service-level burn by model.
+    pub burn: Vec<Burn>,
+    /// Batch items finished over time, all jobs together.
+    pub batch_finished: Vec<BatchPoint>,
+    /// What the fleet used, when the experiment started it.
+    pub usage: Option<Usage>,
     /// Failed checks; empty when every promise held.
     pub failed_checks: Vec<String>,
 }
@@ -109,8 +126,15 @@
     online: Vec<OnlineTally>,
     batches: Vec<BatchTally>,
     services: Vec<ServiceTally>,
-) -> Result {
+    objective: &Objective,
+) -> ExperimentResult {
     let mut failed = Vec::new();
+    let burn = online
+        .iter()
+        .map(|t| burn::of(&t.model, &t.outcomes, objective))
+        .collect();
+    let jobs: Vec<Vec<BatchPoint>> = batches.iter().map(|t| t.finished.clone()).collect();
+    let batch_finished = timeline::batch(&jobs);
     let online: Vec<OnlineResult> = online
         .into_iter()
         .map(|t| {
@@ -128,6 +152,9 @@
                 wrong_answers: t.wrong_answers,
                 ttft: percentiles(&t.ttft_us),
                 tbt: percentiles(&t.tbt_us),
+                tokens: t.tokens,
+                errors: t.errors,
+                seconds: timeline::online(&t.outcomes),
             }
         })
         .collect();
@@ -195,16 +222,19 @@
             }
         })
         .collect();
-    Result {
+    ExperimentResult {
         online,
         batches,
         services,
+        burn,
+        batch_finished,
+        usage: None,
         failed_checks: failed,
     }
 }
 
 /// The report for people.
-pub fn text(result: &Result) -> String {
+pub fn text(result: &ExperimentResult) -> String {
     let mut out = String::new();
     out.push_str("== online ==\n");
     for o in &result.online {
@@ -213,6 +243,9 @@
             o.model, o.sent, o.ok, o.refused, o.wrong_answers, o.ttft.p50_ms, o.ttft.p95_ms, o.tbt.p50_ms, o.tbt.p95_ms
         ));
     }
+    for (error, count) in result.online.iter().flat_map(|o| &o.errors) {
+        out.push_str(&format!("  {count} x {error}\n"));
+    }
     out.push_str("== batch ==\n");
     for b in &result.batches {
         let rate = b
@@ -231,6 +264,17 @@
             s.name, s.keys, s.sends, s.answered, s.executions, s.executed_twice
         ));
     }
+    out.push_str("== service-level burn (1.0 spends the error budget exactly) ==\n");
+    for b in &result.burn {
+        let worst = b.windows.iter().map(|w| w.burn_rate).fold(0.0, f64::max);
+        out.push_str(&format!(
+            "{:<14} requests {:>5} bad {:>4} burn {:>5.2} worst window {:>5.2}\n",
+            b.model, b.whole.requests, b.whole.bad, b.whole.burn_rate, worst
+        ));
+    }
+    if let Some(usage) = &result.usage {
+        out.push_str(&usage_text(usage));
+    }
     if result.failed_checks.is_empty() {
         out.push_str("checks: every accepted item finished once; no non-idempotent call ran twice; every answer whole and its own\n");
     } else {
@@ -241,3 +285,27 @@
     }
     out
 }
+
+fn usage_text(usage: &Usage) -> String {
+    let mut out = format!("== used in {:.1} s ==\n", usage.window_s);
+    let roles = [
+        ("gateway", &usage.gateway),
+        ("agent", &usage.agent),
+        ("back end", &usage.backend),
+        ("store", &usage.store),
+    ];
+    for (name, role) in roles {
+        out.push_str(&format!(
+            "{name:<9} processes {:>3} cpu {:>7.2} s largest {:>6} KiB\n",
+            role.processes, role.cpu_s, role.max_rss_kib
+        ));
+    }
+    out.push_str(&format!(
+        "store calls: {} reads, {} writes, {} watches; loopback {} KiB\n",
+        usage.store_reads,
+        usage.store_writes,
+        usage.store_watches,
+        usage.loopback_bytes / 1024
+    ));
+    out
+}
