Answers broken off by one host are finished by another

Failing first (tests/stream_faults.rs): an engine that aborts, ends early or stalls after 0, 1 or 5 tokens: callers saw refusals and answers cut short without an error.

Change: the gateway relays whole server-sent events and knows a stream is whole by its last event. When it breaks off or nothing comes for stream_stall_ms, another host is asked to resume after the tokens delivered (the engine's own resume); answers not streamed are read whole and asked for again. When nobody finishes it, the caller's connection is broken off (raw socket test: no last chunk) or 502 unknown. An agent's "unknown" refusal lets an idempotent request go elsewhere. Sending moved from online.rs to forwarding.rs, with the tries shared by first send and resumes; whether a request is idempotent is set by the rule match, not by a handler (a test caught a call sent twice while this was being moved).

Ruled out: passing the break on and leaving it to callers (the promise is a whole answer); resuming on the same host first (it is the likeliest to be gone). Conclusion: "a caller gets the whole answer to its own request" holds against engine and agent loss; a lost gateway still breaks its callers' connections, visibly.

--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -153,7 +153,7 @@
     crate::protocol::CLASS_HEADER,
     crate::protocol::WORKSPACE_HEADER,
     crate::protocol::IDEMPOTENCY_KEY_HEADER,
-    "x-foxwheel-resume-from",
+    crate::protocol::RESUME_FROM_HEADER,
 ];
 
 /// Response headers passed back to the caller.
@@ -165,12 +165,12 @@
     crate::protocol::REPLAYED_HEADER,
 ];
 
-/// Whether a backend's answer is a refusal saying the request did not run.
-pub fn says_not_run<S>(response: &awc::ClientResponse<S>) -> bool {
-    response
-        .headers()
-        .get(crate::protocol::RUN_STATE_HEADER)
-        .is_some_and(|v| v.as_bytes() == crate::protocol::RunState::NotRun.as_str().as_bytes())
+/// What an agent's refusal says of the request; `None` when the answer is the backend's own.
+pub fn run_state_of<S>(response: &awc::ClientResponse<S>) -> Option<RunState> {
+    let header = response.headers().get(crate::protocol::RUN_STATE_HEADER)?;
+    [RunState::NotRun, RunState::Unknown]
+        .into_iter()
+        .find(|state| header.as_bytes() == state.as_str().as_bytes())
 }
 
 /// Whether a send failed before any byte of the request could reach the peer.
@@ -209,6 +209,17 @@
     request.send_body(body)
 }
 
+/// The head of the caller's answer: the backend's status and the headers passed back.
+pub fn relayed_head<S>(response: &awc::ClientResponse<S>) -> actix_web::HttpResponseBuilder {
+    let mut builder = HttpResponse::build(response.status());
+    for name in RELAYED_HEADERS {
+        if let Some(value) = response.headers().get(*name) {
+            builder.insert_header((*name, value.clone()));
+        }
+    }
+    builder
+}
+
 /// Streams a backend's answer to the caller, keeping `guard` alive until the stream ends
 /// or the caller goes away (so a queue slot or an in-flight count is held exactly as long).
 pub fn relay<S, G>(response: awc::ClientResponse<S>, guard: G) -> HttpResponse
@@ -217,12 +228,7 @@
     G: 'static,
 {
     use futures::StreamExt;
-    let mut builder = HttpResponse::build(response.status());
-    for name in RELAYED_HEADERS {
-        if let Some(value) = response.headers().get(*name) {
-            builder.insert_header((*name, value.clone()));
-        }
-    }
+    let mut builder = relayed_head(&response);
     let body = response.map(move |chunk| {
         let _held = &guard;
         chunk
--- a/crates/foxwheel-core/src/protocol.rs
+++ b/crates/foxwheel-core/src/protocol.rs
@@ -19,6 +19,8 @@
 /// Header on every refusal saying whether the request ran (`not_run` or `unknown`), so a
 /// gateway can tell without reading the body.
 pub const RUN_STATE_HEADER: &str = "x-foxwheel-run-state";
+/// Header asking an engine to resume a stream after this many tokens already delivered.
+pub const RESUME_FROM_HEADER: &str = "x-foxwheel-resume-from";
 /// Header set when a stored answer to an earlier call with the same key is replayed.
 pub const REPLAYED_HEADER: &str = "idempotent-replayed";
 
--- a/crates/foxwheel-engine-emu/src/server.rs
+++ b/crates/foxwheel-engine-emu/src/server.rs
@@ -21,11 +21,9 @@
 use crate::cache::PrefixCache;
 use crate::openai::{self, CompletionRequest};
 use crate::orders::{EngineRole, Order, OrderOutcome};
-use crate::settings::EngineSettings;
+use crate::settings::{Break, EngineFaults, EngineSettings};
 use crate::text;
 
-/// Header asking to resume a stream after this many tokens already delivered.
-pub const RESUME_FROM_HEADER: &str = "x-foxwheel-resume-from";
 /// Chunks buffered per stream before the engine waits for the reader.
 const STREAM_BUFFER: usize = 64;
 
@@ -63,6 +61,7 @@
     waiting: AtomicUsize,
     cache: Mutex<PrefixCache>,
     role: Mutex<EngineRole>,
+    faults: Mutex<EngineFaults>,
     published: Mutex<EngineLoad>,
     requests_total: AtomicU64,
     tokens_total: AtomicU64,
@@ -80,6 +79,7 @@
                 settings.cache_capacity_tokens,
                 settings.cache_event_gap_every,
             )),
+            faults: Mutex::new(settings.faults),
             role: Mutex::new(EngineRole::new(settings.models.clone())),
             published: Mutex::new(EngineLoad::default()),
             requests_total: AtomicU64::new(0),
@@ -176,7 +176,7 @@
     }
     let resume_from = req
         .headers()
-        .get(RESUME_FROM_HEADER)
+        .get(foxwheel_core::protocol::RESUME_FROM_HEADER)
         .and_then(|v| v.to_str().ok())
         .and_then(|v| v.parse().ok())
         .unwrap_or(0);
@@ -188,9 +188,10 @@
         .unwrap_or_else(|| format!("cmpl-{}", engine.requests_total.load(Ordering::Relaxed)));
     let (tx, mut rx) = mpsc::channel::<String>(STREAM_BUFFER);
     let engine = engine.into_inner();
+    let faults = *engine.faults.lock().expect("faults lock");
     actix_web::rt::spawn(engine.generate(id.clone(), request.clone(), resume_from, tx));
     if request.stream {
-        let events = async_stream(rx);
+        let events = with_faults(async_stream(rx), faults);
         return HttpResponse::Ok()
             .content_type("text/event-stream")
             .insert_header(("cache-control", "no-cache"))
@@ -199,6 +200,18 @@
     let mut answer = String::new();
     let mut tokens = 0;
     while let Some(chunk) = rx.recv().await {
+        if faults.break_answers.is_some() && tokens == faults.after_tokens {
+            let half = futures::stream::once(async { Ok(Bytes::from_static(b"{\"choices\": [")) });
+            return HttpResponse::Ok()
+                .content_type("application/json")
+                .streaming(with_faults(
+                    half,
+                    EngineFaults {
+                        after_tokens: 1,
+                        ..faults
+                    },
+                ));
+        }
         let value: serde_json::Value = serde_json::from_str(&chunk).unwrap_or_default();
         answer.push_str(openai::content_of(&value).unwrap_or_default());
         tokens += 1;
@@ -212,6 +225,27 @@
     HttpResponse::Ok().json(openai::whole_answer(&id, &request, &answer, usage))
 }
 
+/// Breaks a stream of events as `faults` says, after so many of them.
+fn with_faults(
+    events: impl futures::Stream<Item = Result<Bytes, actix_web::Error>> + 'static,
+    faults: EngineFaults,
+) -> futures::stream::LocalBoxStream<'static, Result<Bytes, actix_web::Error>> {
+    use futures::StreamExt;
+    let Some(how) = faults.break_answers else {
+        return events.boxed_local();
+    };
+    let cut = events.take(faults.after_tokens);
+    match how {
+        Break::EndEarly => cut.boxed_local(),
+        Break::Stall => cut.chain(futures::stream::pending()).boxed_local(),
+        Break::Abort => {
+            let abort = actix_web::error::ErrorInternalServerError("aborted by fault");
+            cut.chain(futures::stream::once(async { Err(abort) }))
+                .boxed_local()
+        }
+    }
+}
+
 /// Turns the chunk channel into server-sent events, ending with `data: [DONE]`.
 fn async_stream(
     rx: mpsc::Receiver<String>,
@@ -252,6 +286,11 @@
     }
 }
 
+async fn set_faults(engine: web::Data<Engine>, faults: web::Json<EngineFaults>) -> HttpResponse {
+    *engine.faults.lock().expect("faults lock") = faults.into_inner();
+    HttpResponse::Ok().finish()
+}
+
 #[derive(Debug, Deserialize)]
 struct EventsQuery {
     #[serde(default)]
@@ -275,6 +314,7 @@
         .route("/v1/models", web::get().to(models))
         .route("/load", web::get().to(load))
         .route("/stats", web::get().to(stats))
+        .route("/faults", web::post().to(set_faults))
         .route("/orders", web::post().to(order))
         .route("/cache/events", web::get().to(cache_events));
 }
--- a/crates/foxwheel-engine-emu/src/settings.rs
+++ b/crates/foxwheel-engine-emu/src/settings.rs
@@ -15,6 +15,30 @@
     Ignore,
 }
 
+/// How a stream breaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Break {
+    /// The connection is closed in the middle of the answer.
+    Abort,
+    /// The answer ends as if it were whole, without its last event.
+    EndEarly,
+    /// Nothing more comes and the connection stays open.
+    Stall,
+}
+
+/// Faults of the engine, set at start or by `POST /faults`.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Breaks every answer, streamed or whole, in this way.
+    #[serde(default)]
+    pub break_answers: Option<Break>,
+    /// After this many tokens.
+    #[serde(default)]
+    pub after_tokens: usize,
+}
+
 /// Settings of `foxwheel-engine-emu`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +68,9 @@
     /// Drop every n-th cache event (a gap); 0 keeps all.
     #[serde(default)]
     pub cache_event_gap_every: u64,
+    /// Faults from the start.
+    #[serde(default)]
+    pub faults: EngineFaults,
     /// What to do with an order carrying an old fencing number.
     #[serde(default = "default_fencing_mode")]
     pub fencing_mode: FencingMode,
@@ -84,6 +111,7 @@
             cache_capacity_tokens: 10_000,
             report_lag_ms: 50,
             cache_event_gap_every: 0,
+            faults: EngineFaults::default(),
             fencing_mode: FencingMode::Refuse,
         }
     }
--- a/crates/foxwheel-engine-emu/tests/engine_contract.rs
+++ b/crates/foxwheel-engine-emu/tests/engine_contract.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use foxwheel_core::protocol::RESUME_FROM_HEADER;
 use foxwheel_engine_emu::openai;
-use foxwheel_engine_emu::server::{self, EngineLoad, EngineStats, RESUME_FROM_HEADER};
+use foxwheel_engine_emu::server::{self, EngineLoad, EngineStats};
 use foxwheel_engine_emu::settings::{EngineSettings, FencingMode};
 use foxwheel_engine_emu::text;
 use tokio_util::sync::CancellationToken;
--- a/crates/foxwheel-gateway/src/batch/items.rs
+++ b/crates/foxwheel-gateway/src/batch/items.rs
@@ -8,7 +8,7 @@
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::http;
 use foxwheel_core::ids::DeploymentName;
-use foxwheel_core::protocol;
+use foxwheel_core::protocol::{self, RunState};
 
 use crate::hosts::{HostTable, InFlight};
 
@@ -84,7 +84,9 @@
             ItemOutcome::BrokeOff(format!("{} broke off: {e}", target.member.host))
         };
         let mut response = match sent.await {
-            Ok(response) if http::says_not_run(&response) => return ItemOutcome::NotRun,
+            Ok(response) if http::run_state_of(&response) == Some(RunState::NotRun) => {
+                return ItemOutcome::NotRun
+            }
             Ok(response) => response,
             Err(e) if http::send_never_reached(&e) => return ItemOutcome::NotRun,
             Err(e) => return broke_off(&e),
--- a/crates/foxwheel-gateway/src/filters.rs
+++ b/crates/foxwheel-gateway/src/filters.rs
@@ -31,7 +31,7 @@
     /// The configuration in force when the request arrived; it stays the same for the
     /// request's whole life.
     pub config: Arc<ActiveConfig>,
-    /// Whether the request may run more than once; set by the handler.
+    /// Set by [`MatchRules`]: whether the request may run more than once.
     pub idempotent: bool,
     /// Set by [`MatchRules`]: the rule that matched.
     pub rule: Option<String>,
@@ -140,6 +140,8 @@
                 exchange.rule = Some(rule.name.clone());
                 exchange.deployment = Some(found.clone());
                 exchange.class = *class;
+                exchange.idempotent = exchange.workload != Workload::Service
+                    || !found.is_non_idempotent(&exchange.path);
                 Ok(())
             }
         }
--- a/crates/foxwheel-gateway/src/lib.rs
+++ b/crates/foxwheel-gateway/src/lib.rs
@@ -5,10 +5,12 @@
 //! controllers that read the platform store ([`config`], [`hosts`]) and, for batch jobs,
 //! lease chunks of items from it ([`batch::dispatch`]).
 
+pub mod answers;
 pub mod batch;
 pub mod config;
 pub mod control;
 pub mod filters;
+pub mod forwarding;
 pub mod hosts;
 pub mod idempotency;
 pub mod online;
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -13,8 +13,9 @@
 use foxwheel_core::{http, keys};
 
 use crate::filters::{self, Exchange};
+use crate::forwarding::{Answered, Outbound, SendFailure};
 use crate::idempotency::{self, Begin, CallState};
-use crate::online::{self, header_string, SendFailure};
+use crate::online::header_string;
 use crate::server::{GatewayState, WorkerState};
 
 /// Largest service answer stored for replay, in bytes.
@@ -36,14 +37,10 @@
     if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
-    let headers = online::outgoing_headers(&req, &exchange);
-    let deployment = exchange.deployment.as_ref().expect("routed by MatchRules");
-    exchange.idempotent = !deployment.is_non_idempotent(&tail);
+    let mut outbound = Outbound::new(&state, &exchange, &req, body.clone());
     if exchange.idempotent {
-        return match online::send(&state, &worker, &exchange, &req, body, req.path(), &headers)
-            .await
-        {
-            Ok((response, in_flight)) => http::relay(response, (in_flight, exchange.admitted)),
+        return match outbound.send(&state, &worker).await {
+            Ok(answered) => http::relay(answered.response, (answered.in_flight, exchange.admitted)),
             Err(failure) => failure.into_response(),
         };
     }
@@ -94,9 +91,13 @@
             );
         }
     };
-    let sent = online::send(&state, &worker, &exchange, &req, body, req.path(), &headers).await;
+    let sent = outbound.send(&state, &worker).await;
     let (outcome, answer, response) = match sent {
-        Ok((mut response, _in_flight)) => {
+        Ok(Answered {
+            mut response,
+            in_flight: _in_flight,
+            ..
+        }) => {
             let status = response.status();
             match response.body().limit(MAX_ANSWER_BYTES).await {
                 Ok(bytes) => {
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -23,6 +23,10 @@
     /// Backend attempts for a request that was not run, at most.
     #[serde(default = "default_max_attempts")]
     pub max_attempts: u32,
+    /// A streamed answer of which nothing came for this long is resumed on another host, in
+    /// milliseconds; longer than the longest wait for a first token.
+    #[serde(default = "default_stream_stall_ms")]
+    pub stream_stall_ms: u64,
     /// Control channel: the pause between two polls of one agent, in milliseconds.
     #[serde(default = "default_control_poll_ms")]
     pub control_poll_ms: u64,
@@ -59,6 +63,9 @@
 fn default_max_attempts() -> u32 {
     3
 }
+fn default_stream_stall_ms() -> u64 {
+    10_000
+}
 fn default_control_poll_ms() -> u64 {
     500
 }
@@ -92,6 +99,7 @@
         settings::require_non_empty("store_url", &self.store_url)?;
         settings::require_positive("online_max_in_flight", self.online_max_in_flight.into())?;
         settings::require_positive("max_attempts", self.max_attempts.into())?;
+        settings::require_positive("stream_stall_ms", self.stream_stall_ms)?;
         settings::require_positive("control_poll_ms", self.control_poll_ms)?;
         if self.control_timeout_ms < 2 * self.control_poll_ms {
             return Err(FieldError::new(
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -70,6 +70,7 @@
         store_url: store_url.to_owned(),
         online_max_in_flight: 64,
         max_attempts: 3,
+        stream_stall_ms: 1_000,
         control_poll_ms: 100,
         control_timeout_ms: 600,
         retry_after_s: 1,
