Gateways start and thaw without losing their hosts while the store is down

Causes, from examples/experiment-faults.json (a gateway killed and restarted during a store outage; another frozen for 12 s): - a gateway restarted while the store is down had no configuration: it refused 13 requests with 404 "no rule matches" and the others with 503, for as long as the outage lasted; - a gateway that thawed judged every host dead, since their last answers were older than the control timeout: 20 requests refused with no_backend, 2 streams not resumed; - an agent restarted during an outage had a new control port that nobody could learn.

Until a configuration is in force it answers 503 not_ready, not_run, Retry-After, and GET /ready says so to the balancer. Liveness counts polls missed in a row (3), not time. Fleets give agents a fixed control port. The load tool tells a stream that broke off (no last event, as any client sees) from a wrong answer, and says why requests were refused. Library lines per RPC and per broken connection are off by default (they were most of a gateway's log).

Ruled out: a copy on local disk (entry hosts keep nothing); measuring the pause and extending the timeout (needs a clock that sees it; counting polls does not). Conclusion: what is left is the balancer's part (not sending to a dead or frozen gateway).

--- a/crates/foxwheel-core/src/telemetry.rs
+++ b/crates/foxwheel-core/src/telemetry.rs
@@ -63,9 +63,13 @@
     }
 }
 
+/// What is logged unless `RUST_LOG` says otherwise: changes of state. Libraries' lines per
+/// call or per broken connection are left out; both are counted.
+const DEFAULT_LOG_FILTER: &str = "info,tarpc=warn,actix_server=warn,actix_http=off";
+
 /// Starts logging at `info` unless `RUST_LOG` says otherwise.
 pub fn init_logging() {
-    let env = env_logger::Env::default().default_filter_or("info");
+    let env = env_logger::Env::default().default_filter_or(DEFAULT_LOG_FILTER);
     let _ = env_logger::Builder::from_env(env)
         .format_timestamp_millis()
         .try_init();
--- a/crates/foxwheel-gateway/src/config.rs
+++ b/crates/foxwheel-gateway/src/config.rs
@@ -21,7 +21,7 @@
     pub deployments: Vec<Deployment>,
     /// The ordered rules.
     pub rules: RuleSet,
-    /// The store revision this reflects; never decreases.
+    /// The store revision this reflects; never decreases. 0 until something is in force.
     pub revision: Version,
 }
 
@@ -82,9 +82,13 @@
     }
 }
 
-/// Watches `config/` and keeps `handle` current until `cancel` fires.
-pub async fn run(handle: ConfigHandle, store: StoreClient, cancel: CancellationToken) {
-    let reflector = Reflector::new(keys::CONFIG_PREFIX);
+/// Runs `reflector`, of `config/`, and keeps `handle` current until `cancel` fires.
+pub async fn run(
+    handle: ConfigHandle,
+    reflector: Reflector,
+    store: StoreClient,
+    cancel: CancellationToken,
+) {
     let mut changes = reflector.subscribe();
     actix_web::rt::spawn(reflector.clone().run(store, cancel.clone()));
     loop {
--- a/crates/foxwheel-gateway/src/control.rs
+++ b/crates/foxwheel-gateway/src/control.rs
@@ -4,7 +4,7 @@
 //! polls one agent, on one connection that is opened again after a failure, so a silent
 //! agent delays no other.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use foxwheel_control::client::{ControlClient, ControlError};
 use foxwheel_core::protocol::LoadReport;
@@ -83,10 +83,11 @@
                     log::info!("{host} answers control polls again");
                 }
                 answering = true;
-                target.record(report, Instant::now());
+                target.record(report);
             }
             Err(e) => {
                 counters.incr("control.unanswered");
+                target.record_missed();
                 if answering {
                     log::warn!("{host} does not answer control polls: {e}");
                 }
--- a/crates/foxwheel-gateway/src/filters.rs
+++ b/crates/foxwheel-gateway/src/filters.rs
@@ -16,6 +16,9 @@
 
 use crate::config::ActiveConfig;
 
+/// Told in `Retry-After` while no configuration is in force.
+const NOT_READY_RETRY_S: u64 = 1;
+
 /// A request on its way through the chain.
 pub struct Exchange {
     /// Online, batch or service.
@@ -110,6 +113,14 @@
 
     fn apply(&self, exchange: &mut Exchange) -> Result<(), Refused> {
         let config = exchange.config.clone();
+        if config.revision == 0 {
+            return Err(Refused::not_run(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "not_ready",
+                "this gateway has no configuration yet",
+                Some(NOT_READY_RETRY_S),
+            ));
+        }
         let Some(rule) = config.rules.first_match(&exchange.facts()) else {
             return Err(Refused::not_run(
                 StatusCode::NOT_FOUND,
--- a/crates/foxwheel-gateway/src/hosts.rs
+++ b/crates/foxwheel-gateway/src/hosts.rs
@@ -2,10 +2,11 @@
 //!
 //! The membership records in the store say which agents exist; the control polls
 //! ([`crate::control`]) say which are alive, draining or busy. A host takes work while its
-//! record says ready and its agent has answered a poll within the control timeout (or was
-//! first seen that recently). So a dead or leaving host drops out within the timeout even
-//! while the store is down, and a store outage takes no live host out. Routing prefers the
-//! gateway's zone and, within it, the host with the fewest requests in flight.
+//! record says ready and its agent has not missed several polls in a row. So a dead or
+//! leaving host drops out within seconds even while the store is down, and a store outage
+//! takes no live host out. Polls are counted rather than time, so that a gateway that was
+//! itself paused does not take every host for dead. Routing prefers the gateway's zone and,
+//! within it, the host with the fewest requests in flight.
 
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -26,8 +27,8 @@
 /// What the control polls of one agent last said.
 #[derive(Debug)]
 pub struct Liveness {
-    /// When the agent last answered, or was first seen.
-    last_contact: Instant,
+    /// Polls missed since the last answer.
+    missed: u32,
     /// The last report.
     report: LoadReport,
     /// Online requests on the host sent by others than this gateway, as of the report.
@@ -57,7 +58,7 @@
             seen_at: now,
             in_flight: Arc::default(),
             liveness: Arc::new(Mutex::new(Liveness {
-                last_contact: now,
+                missed: 0,
                 report: LoadReport::default(),
                 others_online: 0,
             })),
@@ -65,26 +66,28 @@
     }
 
     /// Records the answer to a control poll.
-    pub fn record(&self, report: LoadReport, now: Instant) {
+    pub fn record(&self, report: LoadReport) {
         let own = self.in_flight.load(Ordering::Relaxed);
         let mut liveness = self.liveness.lock().expect("liveness lock");
         liveness.others_online =
             (report.running_online + report.waiting_online).saturating_sub(own);
         liveness.report = report;
-        liveness.last_contact = now;
+        liveness.missed = 0;
     }
 
-    /// The host's load for `class` if it takes work at `now`: lower is better.
-    fn load_if_live(
-        &self,
-        class: PriorityClass,
-        now: Instant,
-        control_timeout: Duration,
-    ) -> Option<u32> {
+    /// Records a control poll that got no answer; answers how many in a row that makes.
+    pub fn record_missed(&self) -> u32 {
+        let mut liveness = self.liveness.lock().expect("liveness lock");
+        liveness.missed = liveness.missed.saturating_add(1);
+        liveness.missed
+    }
+
+    /// The host's load for `class` if it takes work: lower is better.
+    fn load_if_live(&self, class: PriorityClass, max_missed: u32) -> Option<u32> {
         let liveness = self.liveness.lock().expect("liveness lock");
         let live = self.member.state == MemberState::Ready
             && !liveness.report.draining
-            && now.saturating_duration_since(liveness.last_contact) < control_timeout;
+            && liveness.missed < max_missed;
         let online = self.in_flight.load(Ordering::Relaxed) + liveness.others_online;
         live.then_some(match class {
             PriorityClass::Online => online,
@@ -120,15 +123,16 @@
 /// The routing table: hosts by deployment, each list sorted by host id.
 #[derive(Debug, Clone)]
 pub struct HostTable {
-    control_timeout: Duration,
+    /// Polls in a row an agent may miss before its host takes no work.
+    max_missed: u32,
     by_deployment: Arc<RwLock<BTreeMap<String, Vec<Target>>>>,
 }
 
 impl HostTable {
-    /// An empty table whose hosts drop out after `control_timeout` without an answer.
-    pub fn new(control_timeout: Duration) -> Self {
+    /// An empty table whose hosts drop out after `max_missed` polls without an answer.
+    pub fn new(max_missed: u32) -> Self {
         Self {
-            control_timeout,
+            max_missed,
             by_deployment: Arc::default(),
         }
     }
@@ -142,22 +146,20 @@
         zone: &str,
         excluded: &[HostId],
     ) -> Option<Target> {
-        let now = Instant::now();
         let table = self.by_deployment.read().expect("host table lock");
         table
             .get(deployment)?
             .iter()
             .filter(|t| !excluded.contains(&t.member.host))
-            .filter_map(|t| Some((t.load_if_live(class, now, self.control_timeout)?, t)))
+            .filter_map(|t| Some((t.load_if_live(class, self.max_missed)?, t)))
             .min_by_key(|(load, t)| (t.member.zone != zone, *load, rand::random::<u16>()))
             .map(|(_, t)| t.clone())
     }
 
     /// Live hosts of `deployment` now.
     pub fn live_count(&self, deployment: &str) -> usize {
-        let now = Instant::now();
         let is_live = |t: &&Target| {
-            t.load_if_live(PriorityClass::Online, now, self.control_timeout)
+            t.load_if_live(PriorityClass::Online, self.max_missed)
                 .is_some()
         };
         let table = self.by_deployment.read().expect("host table lock");
@@ -207,9 +209,13 @@
     }
 }
 
-/// Watches `members/` and keeps `table` current until `cancel` fires.
-pub async fn run(table: HostTable, store: StoreClient, cancel: CancellationToken) {
-    let reflector = Reflector::new(keys::MEMBERS_PREFIX);
+/// Runs `reflector`, of `members/`, and keeps `table` current until `cancel` fires.
+pub async fn run(
+    table: HostTable,
+    reflector: Reflector,
+    store: StoreClient,
+    cancel: CancellationToken,
+) {
     let mut changes = reflector.subscribe();
     actix_web::rt::spawn(reflector.clone().run(store.clone(), cancel.clone()));
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -5,6 +5,9 @@
 //! - `POST /v1/batches`, `GET /v1/batches/{id}`, `POST /v1/batches/{id}/cancel`,
 //!   `GET /v1/batches/{id}/results`: [`crate::batch::api`].
 //! - `/services/{service}/{path}`: [`crate::services`].
+//! - `GET /ready`: 200 once a configuration is in force, for the platform's balancer.
+//! - `GET /snapshot?prefix=`: this gateway's copy of `config/` or `members/`, for a peer
+//!   that starts while the store is down.
 //! - `GET /counters`: totals since start, as a JSON object.
 //! - `GET /status`: the configuration revision in force and live hosts per deployment.
 
@@ -14,11 +17,13 @@
 use std::time::Duration;
 
 use actix_web::{web, HttpResponse};
+use serde::Deserialize;
 use tokio_util::sync::CancellationToken;
 
-use foxwheel_core::http;
 use foxwheel_core::telemetry::Counters;
+use foxwheel_core::{http, keys};
 use foxwheel_store::client::StoreClient;
+use foxwheel_store::reflector::Reflector;
 
 use crate::batch::{api, dispatch::Dispatcher};
 use crate::config::{self, ConfigHandle};
@@ -36,6 +41,8 @@
     pub config: ConfigHandle,
     /// The routing table.
     pub hosts: HostTable,
+    /// The copies of the store that peers may ask for.
+    pub reflectors: [Reflector; 2],
     /// The filter chain, in order.
     pub chain: Vec<Box<dyn Filter>>,
     /// This process's counters.
@@ -65,6 +72,30 @@
     }))
 }
 
+/// Ready once a configuration is in force; the platform's balancer asks this.
+async fn ready(state: web::Data<GatewayState>) -> HttpResponse {
+    if state.config.current().revision == 0 {
+        return HttpResponse::ServiceUnavailable().body("no configuration in force yet");
+    }
+    HttpResponse::Ok().body("ready")
+}
+
+#[derive(Debug, Deserialize)]
+struct SnapshotQuery {
+    prefix: String,
+}
+
+async fn snapshot(
+    state: web::Data<GatewayState>,
+    query: web::Query<SnapshotQuery>,
+) -> HttpResponse {
+    let found = state.reflectors.iter().find(|r| r.prefix() == query.prefix);
+    match found {
+        Some(reflector) => HttpResponse::Ok().json(reflector.to_list()),
+        None => HttpResponse::NotFound().body("no copy of this prefix"),
+    }
+}
+
 async fn counters(state: web::Data<GatewayState>) -> HttpResponse {
     HttpResponse::Ok().json(state.counters.to_json())
 }
@@ -82,7 +113,9 @@
             web::route().to(services::call),
         )
         .route("/status", web::get().to(status))
-        .route("/counters", web::get().to(counters));
+        .route("/counters", web::get().to(counters))
+        .route("/ready", web::get().to(ready))
+        .route("/snapshot", web::get().to(snapshot));
 }
 
 /// A running gateway.
@@ -101,22 +134,28 @@
 ) -> std::io::Result<RunningGateway> {
     let counters = Counters::new("gateway", settings.statsd_addr.as_deref())?;
     let config = ConfigHandle::default();
-    let control_timeout = Duration::from_millis(settings.control_timeout_ms);
-    let table = HostTable::new(control_timeout);
+    let table = HostTable::new(settings.control_missed_polls);
     let controllers = CancellationToken::new();
+    let reflector = |prefix| Reflector::new(prefix).with_peers(settings.peers.clone());
+    let reflectors = [
+        reflector(keys::CONFIG_PREFIX),
+        reflector(keys::MEMBERS_PREFIX),
+    ];
     actix_web::rt::spawn(config::run(
         config.clone(),
+        reflectors[0].clone(),
         StoreClient::new(&settings.store_url),
         controllers.clone(),
     ));
     actix_web::rt::spawn(hosts::run(
         table.clone(),
+        reflectors[1].clone(),
         StoreClient::new(&settings.store_url),
         controllers.clone(),
     ));
     let poll_shape = PollShape {
         interval: Duration::from_millis(settings.control_poll_ms),
-        timeout: control_timeout / 2,
+        timeout: Duration::from_millis(settings.control_poll_timeout_ms),
     };
     actix_web::rt::spawn(control::run(
         table.clone(),
@@ -142,6 +181,7 @@
         settings,
         config,
         hosts: table,
+        reflectors,
         chain,
         counters,
     }));
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -17,6 +17,10 @@
     pub zone: Zone,
     /// The platform store's base URL.
     pub store_url: String,
+    /// Base URLs of other gateways, asked for their copy of the configuration and members
+    /// when this one starts while the store is down.
+    #[serde(default)]
+    pub peers: Vec<String>,
     /// Online requests in flight at once before refusing with 429.
     #[serde(default = "default_online_max_in_flight")]
     pub online_max_in_flight: u32,
@@ -30,10 +34,14 @@
     /// Control channel: the pause between two polls of one agent, in milliseconds.
     #[serde(default = "default_control_poll_ms")]
     pub control_poll_ms: u64,
-    /// Control channel: a host whose agent has not answered for this long takes no new work,
-    /// in milliseconds; at least twice `control_poll_ms`.
-    #[serde(default = "default_control_timeout_ms")]
-    pub control_timeout_ms: u64,
+    /// Control channel: how long one poll may take, in milliseconds.
+    #[serde(default = "default_control_poll_timeout_ms")]
+    pub control_poll_timeout_ms: u64,
+    /// Control channel: a host whose agent missed this many polls in a row takes no new
+    /// work; at least 2, so one lost poll drops no host. A hung host thus drops out after at
+    /// most `control_missed_polls * (control_poll_ms + control_poll_timeout_ms)`.
+    #[serde(default = "default_control_missed_polls")]
+    pub control_missed_polls: u32,
     /// Told to callers in `Retry-After` when no backend can take a request, in seconds.
     #[serde(default = "default_retry_after_s")]
     pub retry_after_s: u64,
@@ -69,8 +77,11 @@
 fn default_control_poll_ms() -> u64 {
     500
 }
-fn default_control_timeout_ms() -> u64 {
-    2_000
+fn default_control_poll_timeout_ms() -> u64 {
+    500
+}
+fn default_control_missed_polls() -> u32 {
+    3
 }
 fn default_retry_after_s() -> u64 {
     1
@@ -101,10 +112,11 @@
         settings::require_positive("max_attempts", self.max_attempts.into())?;
         settings::require_positive("stream_stall_ms", self.stream_stall_ms)?;
         settings::require_positive("control_poll_ms", self.control_poll_ms)?;
-        if self.control_timeout_ms < 2 * self.control_poll_ms {
+        settings::require_positive("control_poll_timeout_ms", self.control_poll_timeout_ms)?;
+        if self.control_missed_polls < 2 {
             return Err(FieldError::new(
-                "control_timeout_ms",
-                "must be at least twice control_poll_ms, so one lost poll drops no host",
+                "control_missed_polls",
+                "must be at least 2, so one lost poll drops no host",
             ));
         }
         settings::require_positive("batch_chunks_in_flight", self.batch_chunks_in_flight as u64)?;
--- a/crates/foxwheel-gateway/tests/membership_faults.rs
+++ b/crates/foxwheel-gateway/tests/membership_faults.rs
@@ -8,7 +8,7 @@
 
 use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::PriorityClass;
-use foxwheel_core::protocol::{LoadReport, Member, MemberState};
+use foxwheel_core::protocol::{LoadReport, Member, MemberState, RUN_STATE_HEADER};
 use foxwheel_core::telemetry::Counters;
 use foxwheel_gateway::control::{self, PollShape};
 use foxwheel_gateway::hosts::HostTable;
@@ -16,7 +16,7 @@
 use tokio_util::sync::CancellationToken;
 
 const POLL: Duration = Duration::from_millis(20);
-const CONTROL_TIMEOUT: Duration = Duration::from_millis(400);
+const POLL_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// An agent's control channel without the rest of the agent.
 #[derive(Default)]
@@ -46,6 +46,17 @@
     }
 }
 
+fn start_polling(cancel: &CancellationToken) -> HostTable {
+    let table = HostTable::new(3);
+    let shape = PollShape {
+        interval: POLL,
+        timeout: POLL_TIMEOUT,
+    };
+    let counters = Counters::new("test", None).expect("counters");
+    actix_web::rt::spawn(control::run(table.clone(), shape, counters, cancel.clone()));
+    table
+}
+
 async fn wait_for_live(table: &HostTable, expected: usize, case: &str) {
     for _ in 0..500 {
         if table.live_count("draftsman") == expected {
@@ -79,17 +90,7 @@
     ];
     for (case, fault) in cases {
         let cancel = CancellationToken::new();
-        let table = HostTable::new(CONTROL_TIMEOUT);
-        let shape = PollShape {
-            interval: POLL,
-            timeout: CONTROL_TIMEOUT / 2,
-        };
-        actix_web::rt::spawn(control::run(
-            table.clone(),
-            shape,
-            Counters::new("test", None).expect("counters"),
-            cancel.clone(),
-        ));
+        let table = start_polling(&cancel);
         let agents: Vec<Arc<FakeAgent>> = (0..2).map(|_| Arc::default()).collect();
         let kills: Vec<CancellationToken> = (0..2).map(|_| cancel.child_token()).collect();
         let mut records = Vec::new();
@@ -117,6 +118,84 @@
     }
 }
 
+#[actix_web::test]
+async fn a_gateway_that_was_paused_does_not_take_its_hosts_for_dead() {
+    let cancel = CancellationToken::new();
+    let table = start_polling(&cancel);
+    let agent: Arc<FakeAgent> = Arc::default();
+    let addr = server::serve("127.0.0.1:0", agent, cancel.clone())
+        .await
+        .expect("control channel");
+    table.rebuild(vec![(record("suwon-hall-0", addr.to_string()), 1)]);
+    wait_for_live(&table, 1, "before the pause").await;
+    // Let a poll be answered, then stop this thread, pollers and all.
+    tokio::time::sleep(POLL * 3).await;
+    for _ in 0..3 {
+        std::thread::sleep(POLL * 30);
+        assert_eq!(table.live_count("draftsman"), 1, "right after the pause");
+        tokio::time::sleep(POLL).await;
+        assert_eq!(table.live_count("draftsman"), 1, "soon after the pause");
+    }
+    cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_gateway_started_while_the_store_is_down_takes_its_state_from_a_peer() {
+    let fleet = common::start(1).await;
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    fleet.store.set_faults(&outage).await.expect("faults");
+    // (case, peers, expected status)
+    let cases = [
+        ("no peer: not run, come back", vec![], 503),
+        ("a peer", vec![fleet.gateway.clone()], 200),
+    ];
+    for (case, peers, expected) in cases {
+        let settings = foxwheel_gateway::settings::GatewaySettings {
+            peers,
+            ..common::gateway_settings(fleet.store.base_url(), "gateway-late")
+        };
+        let late = foxwheel_gateway::server::start(settings, fleet.cancel.clone()).expect("start");
+        let ready_url = format!("http://{}/ready", late.addr);
+        let mut ready = false;
+        for _ in 0..100 {
+            let answer = fleet.http.get(&ready_url).send().await.expect("ready");
+            ready = answer.status().is_success();
+            if ready {
+                break;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        assert_eq!(ready, expected == 200, "case '{case}': ready");
+        let body = serde_json::json!({"model": "draftsman", "prompt": "a quote", "max_tokens": 3});
+        // The member list may come a moment after the configuration.
+        let mut answer = None;
+        for _ in 0..100 {
+            let url = format!("http://{}/v1/completions", late.addr);
+            let sent = fleet.http.post(url).send_json(&body).await.expect("call");
+            let is_expected = sent.status().as_u16() == expected;
+            answer = Some(sent);
+            if is_expected {
+                break;
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status().as_u16(), expected, "case '{case}'");
+        if expected != 200 {
+            let run_state = answer.headers().get(RUN_STATE_HEADER);
+            assert_eq!(run_state.map(|v| v.as_bytes()), Some(&b"not_run"[..]));
+            assert!(
+                answer.headers().contains_key("retry-after"),
+                "case '{case}'"
+            );
+        }
+    }
+    fleet.cancel.cancel();
+}
+
 #[actix_web::test]
 async fn online_calls_are_served_while_the_store_is_down_longer_than_a_lease() {
     let fleet = common::start(1).await;
--- a/crates/foxwheel-load/src/fleet.rs
+++ b/crates/foxwheel-load/src/fleet.rs
@@ -147,8 +147,17 @@
         let store = with(&spec.store, [("listen_addr", json!(store_addr))]);
         fleet.launch("platform", Role::Store, "foxwheel-platform-emu", store)?;
         wait_for_port(&store_addr, "platform").await?;
+        let gateway_addrs: Vec<String> = spec
+            .gateway_zones
+            .iter()
+            .map(|_| fleet.take_addr())
+            .collect();
+        fleet.gateway_urls = gateway_addrs
+            .iter()
+            .map(|a| format!("http://{a}"))
+            .collect();
         for (i, zone) in spec.gateway_zones.iter().enumerate() {
-            fleet.start_gateway(i, zone, &spec.gateway)?;
+            fleet.start_gateway(i, &gateway_addrs[i], zone, &spec.gateway)?;
         }
         for deployment in &spec.deployments {
             fleet.start_deployment(deployment, &manifest)?;
@@ -191,11 +200,13 @@
     fn start_gateway(
         &mut self,
         i: usize,
+        addr: &str,
         zone: &str,
         further: &Map<String, Value>,
     ) -> Result<(), FleetError> {
-        let addr = self.take_addr();
         let name = format!("gateway-{i}");
+        let mut peers = self.gateway_urls.clone();
+        peers.remove(i);
         let settings = with(
             further,
             [
@@ -203,9 +214,9 @@
                 ("name", json!(name)),
                 ("zone", json!(zone)),
                 ("store_url", json!(self.store_url)),
+                ("peers", json!(peers)),
             ],
         );
-        self.gateway_urls.push(format!("http://{addr}"));
         self.launch(&name, Role::Gateway, "foxwheel-gateway", settings)
     }
 
@@ -221,6 +232,7 @@
         for i in 0..spec.replicas {
             let zone = &declared.zones[i % declared.zones.len()];
             let (backend_addr, agent_addr) = (self.take_addr(), self.take_addr());
+            let control_addr = self.take_addr();
             let backend_url = format!("http://{backend_addr}");
             let backend_name = format!("backend-{}-{i}", spec.name);
             let (program, what) = match declared.backend {
@@ -237,6 +249,7 @@
                 &spec.agent,
                 [
                     ("listen_addr", json!(agent_addr)),
+                    ("control_addr", json!(control_addr)),
                     ("host", json!(format!("{zone}-{}-{i}", spec.name))),
                     ("zone", json!(zone)),
                     ("deployment", json!(spec.name)),
--- a/crates/foxwheel-load/src/online.rs
+++ b/crates/foxwheel-load/src/online.rs
@@ -9,7 +9,7 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 
-use foxwheel_core::protocol::{REQUEST_ID_HEADER, WORKSPACE_HEADER};
+use foxwheel_core::protocol::{self, REQUEST_ID_HEADER, WORKSPACE_HEADER};
 use foxwheel_engine_emu::{openai, text};
 
 use crate::burn::Outcome;
@@ -105,7 +105,10 @@
     let started = Instant::now();
     let mut response = request.send_json(&body).await.map_err(|e| e.to_string())?;
     if !response.status().is_success() {
-        return Err(format!("status {}", response.status()));
+        let status = response.status();
+        let refusal = response.json::<protocol::RefusalBody>().await;
+        let code = refusal.map(|body| body.error.code).unwrap_or_default();
+        return Err(format!("status {status}, {code}"));
     }
     let mut buffer = Vec::new();
     let mut streamed = Streamed {
@@ -115,6 +118,7 @@
         gaps: Vec::new(),
     };
     let mut last = started;
+    let mut ended = false;
     while let Some(chunk) = response.next().await {
         let chunk = chunk.map_err(|e| e.to_string())?;
         buffer.extend_from_slice(&chunk);
@@ -125,6 +129,7 @@
                 continue;
             };
             if data == "[DONE]" {
+                ended = true;
                 continue;
             }
             let value: serde_json::Value = serde_json::from_str(data).map_err(|e| e.to_string())?;
@@ -142,6 +147,10 @@
                 .push_str(openai::content_of(&value).unwrap_or_default());
         }
     }
+    if !ended {
+        // Seen to be broken off, as any client of the protocol sees it.
+        return Err("the stream broke off".to_owned());
+    }
     Ok(streamed)
 }
 
--- a/crates/foxwheel-store/src/reflector.rs
+++ b/crates/foxwheel-store/src/reflector.rs
@@ -12,6 +12,7 @@
 
 use foxwheel_core::ids::Version;
 
+use crate::api;
 use crate::client::{StoreClient, StoreError};
 
 /// How long one watch call waits for a change.
@@ -19,6 +20,22 @@
 /// The pause after a failed call before trying again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
+/// How long a peer may take to answer.
+const PEER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest copy read from a peer, in bytes.
+const MAX_COPY_BYTES: usize = 64 * 1024 * 1024;
+
+/// A peer's copy of `prefix`; `None` when it has none or does not answer.
+async fn fetch_copy(peer: &str, prefix: &str) -> Option<api::ListResponse> {
+    let http = awc::Client::builder().timeout(PEER_TIMEOUT).finish();
+    let url = format!("{peer}/snapshot?prefix={prefix}");
+    let mut response = http.get(url).send().await.ok()?;
+    if !response.status().is_success() {
+        return None;
+    }
+    response.json().limit(MAX_COPY_BYTES).await.ok()
+}
+
 /// The copy itself: objects by key with the revision it is current to.
 #[derive(Debug, Clone, Default)]
 pub struct Snapshot {
@@ -49,6 +66,8 @@
 #[derive(Debug, Clone)]
 pub struct Reflector {
     prefix: String,
+    /// Base URLs of processes that keep the same copy.
+    peers: Arc<Vec<String>>,
     shared: Arc<RwLock<Snapshot>>,
     changed: Arc<tokio::sync::watch::Sender<Version>>,
 }
@@ -58,11 +77,40 @@
     pub fn new(prefix: impl Into<String>) -> Self {
         Self {
             prefix: prefix.into(),
+            peers: Arc::default(),
             shared: Arc::default(),
             changed: Arc::new(tokio::sync::watch::Sender::new(0)),
         }
     }
 
+    /// Asks `peers` (base URLs that answer `GET /snapshot?prefix=`) for their copy while
+    /// the store cannot be listed for the first time.
+    pub fn with_peers(mut self, peers: Vec<String>) -> Self {
+        self.peers = Arc::new(peers);
+        self
+    }
+
+    /// The copy as a list answer, for peers.
+    pub fn to_list(&self) -> api::ListResponse {
+        self.read(|snapshot| api::ListResponse {
+            objects: snapshot
+                .objects
+                .iter()
+                .map(|(key, (value, version))| api::Object {
+                    key: key.clone(),
+                    version: *version,
+                    value: value.clone(),
+                })
+                .collect(),
+            revision: snapshot.revision,
+        })
+    }
+
+    /// The prefix this is a copy of.
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
     /// The current copy.
     pub fn snapshot(&self) -> Snapshot {
         self.shared.read().expect("reflector lock").clone()
@@ -94,6 +142,9 @@
                 Err(StoreError::Gone) => listed = false,
                 Err(e) => {
                     log::debug!("reflector {}: {e}", self.prefix);
+                    if self.read(|snapshot| snapshot.revision) == 0 {
+                        self.list_from_peers().await;
+                    }
                     tokio::select! {
                         _ = cancel.cancelled() => return,
                         _ = tokio::time::sleep(RETRY_PAUSE) => {}
@@ -104,10 +155,30 @@
     }
 
     async fn list_once(&self, store: &StoreClient) -> Result<(), StoreError> {
-        let listed = store.list(&self.prefix).await?;
+        self.replace(store.list(&self.prefix).await?);
+        Ok(())
+    }
+
+    /// Takes the newest copy any peer has. The store's own list replaces it when it comes.
+    async fn list_from_peers(&self) {
+        let copies = self.peers.iter().map(|peer| fetch_copy(peer, &self.prefix));
+        let copies = futures::future::join_all(copies).await;
+        let newest = copies.into_iter().flatten().max_by_key(|c| c.revision);
+        if let Some(copy) = newest.filter(|copy| copy.revision > 0) {
+            log::info!(
+                "{}: copy at revision {} from a peer, the store being down",
+                self.prefix,
+                copy.revision
+            );
+            self.replace(copy);
+        }
+    }
+
+    /// Replaces the copy unless it is newer than `listed`.
+    fn replace(&self, listed: api::ListResponse) {
         let mut shared = self.shared.write().expect("reflector lock");
         if listed.revision < shared.revision {
-            return Ok(());
+            return;
         }
         shared.objects = listed
             .objects
@@ -117,7 +188,6 @@
         shared.revision = listed.revision;
         drop(shared);
         self.changed.send_replace(listed.revision);
-        Ok(())
     }
 
     async fn watch_once(
