--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -1,7 +1,7 @@
 //! Forwarding to the backend: online requests stream through holding their slot; batch
 //! requests are read whole and restarted when preempted.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse};
@@ -9,6 +9,7 @@
 
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::http;
+use foxwheel_core::protocol::WORKSPACE_HEADER;
 use foxwheel_core::telemetry::Counters;
 
 use crate::queue::{Permit, QueueError};
@@ -41,6 +42,22 @@
     http::not_run(status, code, error.to_string(), Some(retry_after_s))
 }
 
+fn rejected_by_gate(counters: &Counters, workspace: &str) -> HttpResponse {
+    counters.incr("refused.batch_gate");
+    http::not_run(
+        StatusCode::TOO_MANY_REQUESTS,
+        "batch_gate",
+        format!("a gate rule refuses a share of the batch work of '{workspace}'"),
+        Some(RETRY_AFTER_S),
+    )
+}
+
+/// A header's value, empty when absent or unreadable.
+fn header<'a>(req: &'a HttpRequest, name: &str) -> &'a str {
+    let value = req.headers().get(name).and_then(|v| v.to_str().ok());
+    value.unwrap_or_default()
+}
+
 fn not_answered(state: &AgentState, error: &AttemptError) -> HttpResponse {
     let message = format!("forward to backend {}: {error}", state.backend.base_url);
     if error.never_reached() {
@@ -80,7 +97,12 @@
     body: Bytes,
     class: PriorityClass,
 ) -> HttpResponse {
-    let permit = match state.queue.acquire(class).await {
+    let arrived = Instant::now();
+    let workspace = header(req, WORKSPACE_HEADER);
+    if class == PriorityClass::Batch && state.gate.rejects(workspace, rand::random()) {
+        return rejected_by_gate(&state.counters, workspace);
+    }
+    let permit = match state.queue.acquire(class, workspace).await {
         Ok(permit) => permit,
         Err(e) => return not_queued(&state.counters, e),
     };
@@ -95,20 +117,30 @@
         PriorityClass::Online => {
             state.counters.incr("granted.online");
             match attempt.send().await {
-                Ok(response) => http::relay(response, permit),
+                Ok(response) => {
+                    let gate = state.gate.clone();
+                    http::relay_observed(response, permit, move || {
+                        gate.record_ttft(arrived.elapsed());
+                    })
+                }
                 Err(e) => not_answered(state, &e.into()),
             }
         }
         PriorityClass::Batch => {
             state.counters.incr("granted.batch");
-            run_batch(state, &attempt, permit).await
+            run_batch(state, &attempt, permit, workspace).await
         }
     }
 }
 
 /// Runs a batch request to its end, waiting for a slot again each time online work takes
 /// its own.
-async fn run_batch(state: &AgentState, attempt: &Attempt<'_>, mut permit: Permit) -> HttpResponse {
+async fn run_batch(
+    state: &AgentState,
+    attempt: &Attempt<'_>,
+    mut permit: Permit,
+    workspace: &str,
+) -> HttpResponse {
     loop {
         tokio::select! {
             answer = attempt.whole_answer() => {
@@ -122,7 +154,7 @@
             () = permit.preempted().cancelled() => {
                 drop(permit);
                 state.counters.incr("preempted");
-                permit = match state.queue.acquire_after_preemption().await {
+                permit = match state.queue.acquire_after_preemption(workspace).await {
                     Ok(permit) => permit,
                     Err(e) => return not_queued(&state.counters, e),
                 };
--- a/crates/foxwheel-agent/src/queue.rs
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -16,6 +16,8 @@
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::protocol::LoadReport;
 
+use crate::gate::Admits;
+
 /// How many requests may run at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -43,6 +45,8 @@
 /// A request waiting for a slot.
 struct Waiting {
     tx: oneshot::Sender<Permit>,
+    /// Whose batch work it is; empty for online requests.
+    workspace: String,
 }
 
 /// The queue's counts and waiters.
@@ -61,6 +65,8 @@
     batch_running: Vec<(u64, CancellationToken)>,
     /// Batch permits told to stop that have not yet been released.
     preempting: u32,
+    /// Which workspaces' batch work may start.
+    admits: Admits,
     next_id: u64,
     preempted_total: u64,
     draining: bool,
@@ -75,13 +81,24 @@
         self.running() < self.limits.max_running
     }
 
-    fn batch_may_start(&self) -> bool {
+    fn batch_has_room(&self) -> bool {
         self.has_room()
             && self.running_batch < self.limits.max_batch_running
             && self.waiting_online.is_empty()
             && self.preempting == 0
     }
 
+    /// Takes the first waiting batch request that may start, if one may.
+    fn take_admitted_batch(&mut self) -> Option<Waiting> {
+        if !self.batch_has_room() {
+            return None;
+        }
+        let admits = &self.admits;
+        let mut waiting = self.waiting_batch.iter();
+        let at = waiting.position(|w| admits.admits(&w.workspace))?;
+        self.waiting_batch.remove(at)
+    }
+
     /// Whether every waiting place of `class` is taken, not counting callers who left.
     fn waiting_is_full(&mut self, class: PriorityClass) -> bool {
         let (waiting, max) = match class {
@@ -156,6 +173,7 @@
                 waiting_batch: VecDeque::new(),
                 batch_running: Vec::new(),
                 preempting: 0,
+                admits: Admits::default(),
                 next_id: 0,
                 preempted_total: 0,
                 draining: false,
@@ -167,8 +185,13 @@
         self.state.lock().expect("queue lock")
     }
 
-    /// Waits for a slot for a request of `class`. Dropping the future leaves the queue.
-    pub async fn acquire(&self, class: PriorityClass) -> Result<Permit, QueueError> {
+    /// Waits for a slot for a request of `class`; `workspace` is whose batch work it is.
+    /// Dropping the future leaves the queue.
+    pub async fn acquire(
+        &self,
+        class: PriorityClass,
+        workspace: &str,
+    ) -> Result<Permit, QueueError> {
         let rx = {
             let mut state = self.lock();
             if state.draining {
@@ -176,7 +199,11 @@
             }
             let may_start = match class {
                 PriorityClass::Online => state.has_room() && state.waiting_online.is_empty(),
-                PriorityClass::Batch => state.batch_may_start() && state.waiting_batch.is_empty(),
+                PriorityClass::Batch => {
+                    state.batch_has_room()
+                        && state.waiting_batch.is_empty()
+                        && state.admits.admits(workspace)
+                }
             };
             if may_start {
                 let permit = self.grant(&mut state, class);
@@ -187,12 +214,16 @@
                 return Err(QueueError::Full);
             }
             let (tx, rx) = oneshot::channel();
+            let waiting = Waiting {
+                tx,
+                workspace: workspace.to_owned(),
+            };
             match class {
                 PriorityClass::Online => {
-                    state.waiting_online.push_back(Waiting { tx });
+                    state.waiting_online.push_back(waiting);
                     self.preempt_for_online(&mut state);
                 }
-                PriorityClass::Batch => state.waiting_batch.push_back(Waiting { tx }),
+                PriorityClass::Batch => state.waiting_batch.push_back(waiting),
             }
             state.check_invariants();
             rx
@@ -202,22 +233,37 @@
 
     /// Waits for a slot again after a preemption, ahead of the batch requests that have not
     /// run yet; neither the waiting limit nor a drain refuses work that was accepted.
-    pub async fn acquire_after_preemption(&self) -> Result<Permit, QueueError> {
+    pub async fn acquire_after_preemption(&self, workspace: &str) -> Result<Permit, QueueError> {
         let rx = {
             let mut state = self.lock();
-            if state.batch_may_start() {
+            if state.batch_has_room() && state.admits.admits(workspace) {
                 let permit = self.grant(&mut state, PriorityClass::Batch);
                 state.check_invariants();
                 return Ok(permit);
             }
             let (tx, rx) = oneshot::channel();
-            state.waiting_batch.push_front(Waiting { tx });
+            state.waiting_batch.push_front(Waiting {
+                tx,
+                workspace: workspace.to_owned(),
+            });
             state.check_invariants();
             rx
         };
         rx.await.map_err(|_| QueueError::Draining)
     }
 
+    /// Sets which workspaces' batch work may start; those admitted now start.
+    pub fn set_admits(&self, admits: Admits) {
+        let unsent = {
+            let mut state = self.lock();
+            state.admits = admits;
+            let unsent = self.start_waiting(&mut state);
+            state.check_invariants();
+            unsent
+        };
+        drop(unsent);
+    }
+
     /// Stops taking new work; running and waiting requests go on.
     pub fn drain(&self) {
         self.lock().draining = true;
@@ -238,6 +284,8 @@
             waiting_batch: state.waiting_batch.len() as u32,
             preempted_total: state.preempted_total,
             draining: state.draining,
+            config_revision: 0,
+            gate_closed: state.admits.any_closed(),
         }
     }
 
@@ -298,30 +346,33 @@
                 }
             }
         }
+        let unsent = self.start_waiting(&mut state);
+        state.check_invariants();
+        unsent
+    }
+
+    /// Hands free slots to waiters: online first, then batch in order, passing over those
+    /// the gate holds back. Answers permits whose waiter had gone.
+    fn start_waiting(&self, state: &mut State) -> Vec<Permit> {
         let mut unsent = Vec::new();
         while state.has_room() {
-            let next = if let Some(w) = state.waiting_online.pop_front() {
-                Some((w, PriorityClass::Online))
-            } else if state.batch_may_start() {
-                state
-                    .waiting_batch
-                    .pop_front()
-                    .map(|w| (w, PriorityClass::Batch))
+            let (waiting, class) = if let Some(online) = state.waiting_online.pop_front() {
+                (online, PriorityClass::Online)
+            } else if let Some(batch) = state.take_admitted_batch() {
+                (batch, PriorityClass::Batch)
             } else {
-                None
+                break;
             };
-            let Some((waiting, class)) = next else { break };
             if waiting.tx.is_closed() {
                 continue;
             }
-            let granted = self.grant(&mut state, class);
+            let granted = self.grant(state, class);
             if let Err(granted) = waiting.tx.send(granted) {
+                // The waiter left just now; its slot is freed once the lock is released.
                 unsent.push(granted);
-                // The waiter left; its slot is freed once the lock is released.
                 break;
             }
         }
-        state.check_invariants();
         unsent
     }
 }
--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -17,11 +17,13 @@
 use tokio_util::sync::CancellationToken;
 
 use foxwheel_control::server::{self as control, AgentHandle};
-use foxwheel_core::declarations::PriorityClass;
+use foxwheel_core::declarations::{BackendKind, PriorityClass};
 use foxwheel_core::http;
-use foxwheel_core::protocol::{LoadReport, CLASS_HEADER};
+use foxwheel_core::ids::Version;
+use foxwheel_core::protocol::{AgentConfig, LoadReport, CLASS_HEADER};
 use foxwheel_core::telemetry::Counters;
 
+use crate::gate::{self, Gate};
 use crate::membership::{Advertised, Membership};
 use crate::proxy::{self, Backend};
 use crate::queue::{Limits, Queue};
@@ -31,6 +33,8 @@
 pub struct AgentState {
     /// The local queue.
     pub queue: Queue,
+    /// The batch gate.
+    pub gate: Gate,
     /// The backend.
     pub backend: Backend,
     /// Asks the membership lease for an immediate write when the agent starts draining.
@@ -41,7 +45,14 @@
 
 impl AgentHandle for AgentState {
     fn load(&self) -> LoadReport {
-        self.queue.report()
+        LoadReport {
+            config_revision: self.gate.revision(),
+            ..self.queue.report()
+        }
+    }
+
+    fn configure(&self, config: AgentConfig) -> Version {
+        self.gate.configure(config)
     }
 }
 
@@ -74,7 +85,7 @@
 }
 
 async fn load(state: web::Data<AgentState>) -> HttpResponse {
-    HttpResponse::Ok().json(state.queue.report())
+    HttpResponse::Ok().json(state.load())
 }
 
 async fn counters(state: web::Data<AgentState>) -> HttpResponse {
@@ -118,6 +129,7 @@
     let nudge = Arc::new(tokio::sync::Notify::new());
     let state = Arc::new(AgentState {
         queue: queue.clone(),
+        gate: Gate::default(),
         backend: Backend {
             base_url: settings.backend_url.trim_end_matches('/').to_owned(),
             timeout: Duration::from_millis(settings.request_timeout_ms),
@@ -141,6 +153,7 @@
         control_addr: control_addr.to_string(),
     };
     let membership = Membership::new(&settings, advertised, queue.clone(), nudge);
+    let gate_state = state.clone();
     let state = web::Data::from(state);
     let shape = http::ServerShape::default();
     drop(listener);
@@ -157,6 +170,16 @@
             .route("/counters", web::get().to(counters))
             .route("/drain", web::post().to(drain))
     })?;
+    if settings.backend == BackendKind::Model {
+        let engine_url = gate_state.backend.base_url.clone();
+        let gate = gate::run(
+            gate_state.gate.clone(),
+            queue.clone(),
+            engine_url,
+            control_cancel.clone(),
+        );
+        actix_web::rt::spawn(gate);
+    }
     let heartbeat_cancel = CancellationToken::new();
     actix_web::rt::spawn(membership.clone().run(heartbeat_cancel.clone()));
     let grace = Duration::from_millis(settings.drain_grace_ms);
--- a/crates/foxwheel-agent/tests/queue_randomised.rs
+++ b/crates/foxwheel-agent/tests/queue_randomised.rs
@@ -47,14 +47,14 @@
                 let q = queue.clone();
                 waiting.push((
                     PriorityClass::Online,
-                    Box::pin(async move { q.acquire(PriorityClass::Online).await }),
+                    Box::pin(async move { q.acquire(PriorityClass::Online, "").await }),
                 ));
             }
             1 => {
                 let q = queue.clone();
                 waiting.push((
                     PriorityClass::Batch,
-                    Box::pin(async move { q.acquire(PriorityClass::Batch).await }),
+                    Box::pin(async move { q.acquire(PriorityClass::Batch, "").await }),
                 ));
             }
             2 if !held.is_empty() => {
@@ -115,6 +115,6 @@
         max_waiting_batch: 8,
     });
     queue.drain();
-    let refused = futures::executor::block_on(queue.acquire(PriorityClass::Online));
+    let refused = futures::executor::block_on(queue.acquire(PriorityClass::Online, ""));
     assert!(matches!(refused, Err(QueueError::Draining)));
 }
--- a/crates/foxwheel-control/src/client.rs
+++ b/crates/foxwheel-control/src/client.rs
@@ -3,7 +3,8 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::error::Origin;
-use foxwheel_core::protocol::LoadReport;
+use foxwheel_core::ids::Version;
+use foxwheel_core::protocol::{AgentConfig, LoadReport};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
 
@@ -68,6 +69,14 @@
             .map_err(|source| self.call_error("poll load", source))
     }
 
+    /// Offers `config`; answers the revision in force on the agent afterwards.
+    pub async fn configure(&self, config: AgentConfig) -> Result<Version, ControlError> {
+        self.rpc
+            .configure(self.context(), config)
+            .await
+            .map_err(|source| self.call_error("push configuration", source))
+    }
+
     fn context(&self) -> context::Context {
         let mut context = context::current();
         context.deadline = Instant::now() + self.timeout;
--- a/crates/foxwheel-control/src/server.rs
+++ b/crates/foxwheel-control/src/server.rs
@@ -3,7 +3,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxwheel_core::protocol::LoadReport;
+use foxwheel_core::ids::Version;
+use foxwheel_core::protocol::{AgentConfig, LoadReport};
 use futures::StreamExt;
 use tarpc::context;
 use tarpc::server::{BaseChannel, Channel};
@@ -17,6 +18,9 @@
 pub trait AgentHandle: Send + Sync + 'static {
     /// The agent's load and drain state now.
     fn load(&self) -> LoadReport;
+
+    /// Puts `config` in force if it is newer; answers the revision in force afterwards.
+    fn configure(&self, config: AgentConfig) -> Version;
 }
 
 /// Answers control calls from an [`AgentHandle`].
@@ -27,6 +31,10 @@
     async fn load(self, _: context::Context) -> LoadReport {
         self.0.load()
     }
+
+    async fn configure(self, _: context::Context, config: AgentConfig) -> Version {
+        self.0.configure(config)
+    }
 }
 
 /// Binds `listen_addr` and answers control calls with `agent` until `cancel` fires.
--- a/crates/foxwheel-core/src/declarations.rs
+++ b/crates/foxwheel-core/src/declarations.rs
@@ -48,6 +48,77 @@
     }
 }
 
+/// What an agent knows of the load on its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Signal {
+    /// Sequences waiting in the engine, as it last reported; late by its reporting lag.
+    EngineWaiting,
+    /// The share of the engine's prefix cache in use, in percent, as it last reported.
+    CacheUsedPercent,
+    /// The 95th percentile of recent online requests' time to first token, in
+    /// milliseconds, as the agent measured it.
+    OnlineTtftP95Ms,
+}
+
+/// A signal and the value above which no batch work is admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GateCheck {
+    /// The signal.
+    pub signal: Signal,
+    /// The largest value at which batch work is admitted.
+    pub at_most: u64,
+}
+
+/// What a gate rule does to a workspace's batch work.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GateEffect {
+    /// No check applies to it.
+    Exempt,
+    /// This percentage of its requests is refused on arrival, not run; the rest is checked.
+    RejectPercent(u8),
+    /// Only the checks of these signals apply to it.
+    CheckOnly(Vec<Signal>),
+}
+
+/// An exception for one workspace, for a time.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct GateRule {
+    /// The workspace it is for.
+    pub workspace: String,
+    /// What it does.
+    pub effect: GateEffect,
+    /// It no longer counts from this Unix time on, in milliseconds; none: until removed.
+    #[serde(default)]
+    pub expires_unix_ms: Option<u64>,
+}
+
+/// When agents admit batch work beside online work.
+///
+/// The shape follows the multi-metric tablet throttler of Vitess (PR #15988): several
+/// signals, each with its threshold, signals assigned per workload, and rules that expire.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BatchGate {
+    /// All must hold for batch work to be admitted.
+    pub checks: Vec<GateCheck>,
+    /// In order; the first that names the workspace and has not expired counts.
+    #[serde(default)]
+    pub rules: Vec<GateRule>,
+}
+
+impl BatchGate {
+    /// The rule that counts for `workspace` at `now_ms`.
+    pub fn rule_for(&self, workspace: &str, now_ms: u64) -> Option<&GateRule> {
+        self.rules
+            .iter()
+            .find(|r| r.workspace == workspace && r.expires_unix_ms.is_none_or(|t| now_ms < t))
+    }
+}
+
 /// A deployment: a named set of backend servers of one kind.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -67,6 +138,9 @@
     /// `Idempotency-Key` header and are never retried. Sorted.
     #[serde(default)]
     pub non_idempotent_paths: Vec<String>,
+    /// When agents admit batch work; none: whenever a slot is free.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub batch_gate: Option<BatchGate>,
     /// How long the gateway waits for a whole answer before giving up, in milliseconds.
     #[serde(default = "default_request_timeout_ms")]
     pub request_timeout_ms: u64,
@@ -246,6 +320,7 @@
                 return Err(FieldError::new(field("zones"), "must name a zone"));
             }
             settings::require_positive(&field("request_timeout_ms"), d.request_timeout_ms)?;
+            check_gate(d.batch_gate.as_ref(), &field("batch_gate"))?;
         }
         let mut rule_names: Vec<&str> = Vec::with_capacity(self.rules.len());
         for (i, rule) in self.rules.iter().enumerate() {
@@ -274,3 +349,14 @@
         Ok(())
     }
 }
+
+fn check_gate(gate: Option<&BatchGate>, field: &str) -> Result<(), FieldError> {
+    for (i, rule) in gate.iter().flat_map(|gate| &gate.rules).enumerate() {
+        settings::require_non_empty(&format!("{field}.rules[{i}].workspace"), &rule.workspace)?;
+        if matches!(rule.effect, GateEffect::RejectPercent(percent) if percent > 100) {
+            let field = format!("{field}.rules[{i}].effect.reject_percent");
+            return Err(FieldError::new(field, "must be 0 to 100"));
+        }
+    }
+    Ok(())
+}
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -223,14 +223,31 @@
 /// Streams a backend's answer to the caller, keeping `guard` alive until the stream ends
 /// or the caller goes away (so a queue slot or an in-flight count is held exactly as long).
 pub fn relay<S, G>(response: awc::ClientResponse<S>, guard: G) -> HttpResponse
+where
+    S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
+    G: 'static,
+{
+    relay_observed(response, guard, || {})
+}
+
+/// [`relay`], calling `on_first` when the first part of the body has come.
+pub fn relay_observed<S, G>(
+    response: awc::ClientResponse<S>,
+    guard: G,
+    on_first: impl FnOnce() + 'static,
+) -> HttpResponse
 where
     S: futures::Stream<Item = Result<bytes::Bytes, awc::error::PayloadError>> + Unpin + 'static,
     G: 'static,
 {
     use futures::StreamExt;
     let mut builder = relayed_head(&response);
+    let mut on_first = Some(on_first);
     let body = response.map(move |chunk| {
         let _held = &guard;
+        if let (Ok(_), Some(on_first)) = (&chunk, on_first.take()) {
+            on_first();
+        }
         chunk
     });
     builder.streaming(body)
--- a/crates/foxwheel-core/src/protocol.rs
+++ b/crates/foxwheel-core/src/protocol.rs
@@ -5,8 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::declarations::PriorityClass;
-use crate::ids::{DeploymentName, HostId, Zone};
+use crate::declarations::{BatchGate, PriorityClass};
+use crate::ids::{DeploymentName, HostId, Version, Zone};
 
 /// Header carrying the request id end to end.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -114,6 +114,19 @@
     pub preempted_total: u64,
     /// Whether the agent is draining.
     pub draining: bool,
+    /// The configuration revision in force on the agent; 0 when none is.
+    pub config_revision: Version,
+    /// Whether the batch gate refuses some workspace's work now.
+    pub gate_closed: bool,
+}
+
+/// The part of the configuration that agents need, pushed to them by gateways.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentConfig {
+    /// The store revision it reflects; an agent only takes a larger one.
+    pub revision: Version,
+    /// When the agent admits batch work.
+    pub batch_gate: Option<BatchGate>,
 }
 
 /// The class header's value for a class.
--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -106,22 +106,19 @@
         Ok(items) => items,
         Err(message) => return bad_request(message),
     };
-    let workspace = header_string(&req, WORKSPACE_HEADER);
+    let workspace = header_string(&req, WORKSPACE_HEADER).unwrap_or_default();
     let mut exchange = Exchange::new(
         Workload::Batch,
         "/v1/batches".to_owned(),
         state.config.current(),
     );
     exchange.model = Some(create.model.clone());
-    exchange.workspace = workspace.clone();
+    exchange.workspace = (!workspace.is_empty()).then(|| workspace.clone());
     if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
     let deployment = exchange.deployment.expect("routed by MatchRules").name;
-    let id = intake::job_id(
-        workspace.as_deref().unwrap_or_default(),
-        create.client_key.as_deref(),
-    );
+    let id = intake::job_id(&workspace, create.client_key.as_deref());
     let fingerprint = intake::job_fingerprint(&create.model, &items);
     let (store, retry_after_s) = (&worker.store, state.settings.retry_after_s);
     match find_job(store, &id).await {
@@ -143,6 +140,7 @@
     let job = JobRecord {
         id,
         model: create.model,
+        workspace,
         deployment,
         fingerprint,
         state: JobState::Running,
--- a/crates/foxwheel-gateway/src/batch/dispatch.rs
+++ b/crates/foxwheel-gateway/src/batch/dispatch.rs
@@ -269,6 +269,7 @@
             hosts: self.hosts.clone(),
             zone: self.settings.zone.clone(),
             deployment: job.deployment.clone(),
+            workspace: job.workspace.clone(),
         }
     }
 
--- a/crates/foxwheel-gateway/src/batch/items.rs
+++ b/crates/foxwheel-gateway/src/batch/items.rs
@@ -8,7 +8,7 @@
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::http;
 use foxwheel_core::ids::DeploymentName;
-use foxwheel_core::protocol::{self, RunState};
+use foxwheel_core::protocol::{self, RunState, WORKSPACE_HEADER};
 
 use crate::hosts::{HostTable, InFlight};
 
@@ -48,6 +48,8 @@
     pub zone: String,
     /// The deployment.
     pub deployment: DeploymentName,
+    /// Whose work it is; empty when the caller named no workspace.
+    pub workspace: String,
 }
 
 impl ItemRunner {
@@ -78,7 +80,7 @@
         };
         let _in_flight = InFlight::start(&target);
         let url = format!("http://{}{path}", target.member.agent_addr);
-        let headers = batch_headers();
+        let headers = batch_headers(&self.workspace);
         let sent = http::forward(&self.http, Method::POST, &url, &headers, body, ITEM_TIMEOUT);
         let broke_off = |e: &dyn std::fmt::Display| {
             ItemOutcome::BrokeOff(format!("{} broke off: {e}", target.member.host))
@@ -110,7 +112,7 @@
     body
 }
 
-fn batch_headers() -> HeaderMap {
+fn batch_headers(workspace: &str) -> HeaderMap {
     let (name, value) = protocol::class_header(PriorityClass::Batch);
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -118,6 +120,9 @@
         HeaderName::from_static(name),
         HeaderValue::from_static(value),
     );
+    if let Ok(workspace) = HeaderValue::from_str(workspace) {
+        headers.insert(HeaderName::from_static(WORKSPACE_HEADER), workspace);
+    }
     headers
 }
 
--- a/crates/foxwheel-gateway/src/batch/jobs.rs
+++ b/crates/foxwheel-gateway/src/batch/jobs.rs
@@ -32,6 +32,9 @@
     pub id: JobId,
     /// The model its items ask for.
     pub model: ModelName,
+    /// The caller's workspace; empty when it named none.
+    #[serde(default)]
+    pub workspace: String,
     /// The deployment chosen by the rules when the job was accepted.
     pub deployment: DeploymentName,
     /// A fingerprint of the model and items, so that a client key used for another job is
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -27,7 +27,7 @@
 
 use crate::batch::{api, dispatch::Dispatcher};
 use crate::config::{self, ConfigHandle};
-use crate::control::{self, PollShape};
+use crate::control::{self, PollShape, Polling};
 use crate::filters::{Admission, Filter, MatchRules};
 use crate::hosts::{self, HostTable};
 use crate::settings::GatewaySettings;
@@ -157,12 +157,13 @@
         interval: Duration::from_millis(settings.control_poll_ms),
         timeout: Duration::from_millis(settings.control_poll_timeout_ms),
     };
-    actix_web::rt::spawn(control::run(
-        table.clone(),
-        poll_shape,
-        counters.clone(),
-        controllers.clone(),
-    ));
+    let polling = Polling {
+        table: table.clone(),
+        config: config.clone(),
+        shape: poll_shape,
+        counters: counters.clone(),
+    };
+    actix_web::rt::spawn(control::run(polling, controllers.clone()));
     let dispatch_cancel = cancel.child_token();
     let dispatcher = actix_web::rt::spawn(
         Dispatcher::new(settings.clone(), table.clone(), counters.clone()).run(dispatch_cancel),
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -10,8 +10,9 @@
 use foxwheel_agent::settings::AgentSettings;
 use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::{BackendKind, Manifest};
+use foxwheel_core::ids::Version;
 use foxwheel_core::keys;
-use foxwheel_core::protocol::{LoadReport, Member, MemberState};
+use foxwheel_core::protocol::{AgentConfig, LoadReport, Member, MemberState};
 use foxwheel_engine_emu::settings::EngineSettings;
 use foxwheel_gateway::settings::GatewaySettings;
 use foxwheel_store::client::StoreClient;
@@ -25,6 +26,10 @@
     pub service: String,
     pub engines: Vec<String>,
     pub agents: Vec<String>,
+    /// Stops one agent gracefully, in the order of `agents`.
+    pub agent_cancels: Vec<CancellationToken>,
+    /// Stops the gateway gracefully.
+    pub gateway_cancel: CancellationToken,
     pub cancel: CancellationToken,
     pub http: awc::Client,
 }
@@ -131,6 +136,10 @@
 pub struct IdleAgent;
 
 impl AgentHandle for IdleAgent {
+    fn configure(&self, config: AgentConfig) -> Version {
+        config.revision
+    }
+
     fn load(&self) -> LoadReport {
         LoadReport::default()
     }
@@ -150,7 +159,9 @@
     apply(&store, &manifest).await;
     let mut engine_urls = Vec::new();
     let mut agents = Vec::new();
-    for i in 0..engines {
+    let agent_cancels: Vec<CancellationToken> =
+        (0..=engines).map(|_| cancel.child_token()).collect();
+    for (i, agent_cancel) in agent_cancels.iter().take(engines).enumerate() {
         let (addr, server) = foxwheel_engine_emu::server::start(
             EngineSettings::for_test("draftsman"),
             cancel.clone(),
@@ -163,7 +174,7 @@
                 host: format!("suwon-hall-draftsman-{i}"),
                 ..AgentSettings::for_test("draftsman", BackendKind::Model, &engine_url, &store_url)
             },
-            cancel.clone(),
+            agent_cancel.clone(),
         )
         .await
         .expect("agent");
@@ -181,14 +192,15 @@
     let service = format!("http://{service_addr}");
     let agent = foxwheel_agent::server::start(
         AgentSettings::for_test("yardbook", BackendKind::Service, &service, &store_url),
-        cancel.clone(),
+        agent_cancels[engines].clone(),
     )
     .await
     .expect("service agent");
     agents.push(format!("http://{}", agent.addr));
+    let gateway_cancel = cancel.child_token();
     let gateway = foxwheel_gateway::server::start(
         gateway_settings(&store_url, "gateway-test"),
-        cancel.clone(),
+        gateway_cancel.clone(),
     )
     .expect("gateway");
     let fleet = Fleet {
@@ -197,6 +209,8 @@
         service,
         engines: engine_urls,
         agents,
+        agent_cancels,
+        gateway_cancel,
         cancel,
         http: awc::Client::builder()
             .timeout(Duration::from_secs(30))
@@ -227,10 +241,18 @@
         .expect("agent");
 }
 
+/// Tokens of each item's answer in a [`batch_request`].
+pub const ITEM_TOKENS: usize = 3;
+
 /// A batch request for `count` items of draftsman, each asking for its own answer.
 pub fn batch_request(client_key: &str, count: usize) -> serde_json::Value {
+    batch_request_of(client_key, count, ITEM_TOKENS)
+}
+
+/// A [`batch_request`] whose answers have `tokens` tokens.
+pub fn batch_request_of(client_key: &str, count: usize, tokens: usize) -> serde_json::Value {
     let items: Vec<serde_json::Value> = (0..count)
-        .map(|i| serde_json::json!({"custom_id": format!("letter-{i}"), "body": {"model": "draftsman", "prompt": format!("renewal letter {i}"), "max_tokens": 3}}))
+        .map(|i| serde_json::json!({"custom_id": format!("letter-{i}"), "body": {"model": "draftsman", "prompt": format!("renewal letter {i}"), "max_tokens": tokens}}))
         .collect();
     serde_json::json!({"client_key": client_key, "model": "draftsman", "completion_window_s": 600, "items": items})
 }
@@ -270,6 +292,11 @@
 
     /// Asserts that each of `count` items of a [`batch_request`] has its own answer, once.
     pub async fn assert_own_answers(&self, id: &str, count: usize) {
+        self.assert_own_answers_of(id, count, ITEM_TOKENS).await;
+    }
+
+    /// [`Self::assert_own_answers`] for a [`batch_request_of`].
+    pub async fn assert_own_answers_of(&self, id: &str, count: usize, tokens: usize) {
         let url = format!("{}/v1/batches/{id}/results", self.gateway);
         let mut response = self.http.get(url).send().await.expect("results");
         let body = response.body().await.expect("results body");
@@ -282,7 +309,7 @@
         for (i, line) in lines.iter().enumerate() {
             assert_eq!(line["custom_id"], format!("letter-{i}"));
             let answer = foxwheel_engine_emu::openai::content_of(&line["response"]);
-            let own = foxwheel_engine_emu::text::answer(&format!("renewal letter {i}"), 3);
+            let own = foxwheel_engine_emu::text::answer(&format!("renewal letter {i}"), tokens);
             assert_eq!(answer, Some(own.as_str()), "{line}");
         }
     }
--- a/crates/foxwheel-gateway/tests/membership_faults.rs
+++ b/crates/foxwheel-gateway/tests/membership_faults.rs
@@ -8,9 +8,11 @@
 
 use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::PriorityClass;
-use foxwheel_core::protocol::{LoadReport, Member, MemberState, RUN_STATE_HEADER};
+use foxwheel_core::ids::Version;
+use foxwheel_core::protocol::{AgentConfig, LoadReport, Member, MemberState, RUN_STATE_HEADER};
 use foxwheel_core::telemetry::Counters;
-use foxwheel_gateway::control::{self, PollShape};
+use foxwheel_gateway::config::ConfigHandle;
+use foxwheel_gateway::control::{self, PollShape, Polling};
 use foxwheel_gateway::hosts::HostTable;
 use foxwheel_store::api::Faults;
 use tokio_util::sync::CancellationToken;
@@ -25,6 +27,10 @@
 }
 
 impl AgentHandle for FakeAgent {
+    fn configure(&self, config: AgentConfig) -> Version {
+        config.revision
+    }
+
     fn load(&self) -> LoadReport {
         LoadReport {
             draining: self.draining.load(Ordering::Relaxed),
@@ -53,7 +59,13 @@
         timeout: POLL_TIMEOUT,
     };
     let counters = Counters::new("test", None).expect("counters");
-    actix_web::rt::spawn(control::run(table.clone(), shape, counters, cancel.clone()));
+    let polling = Polling {
+        table: table.clone(),
+        config: ConfigHandle::default(),
+        shape,
+        counters,
+    };
+    actix_web::rt::spawn(control::run(polling, cancel.clone()));
     table
 }
 
--- a/crates/foxwheel-load/src/experiment.rs
+++ b/crates/foxwheel-load/src/experiment.rs
@@ -19,6 +19,12 @@
     pub workspace: Option<String>,
     /// Mean arrivals per second (Poisson).
     pub rate_per_s: f64,
+    /// Seconds after the start at which arrivals begin.
+    #[serde(default)]
+    pub start_after_s: u64,
+    /// How long arrivals go on, in seconds; to the end of the experiment when absent.
+    #[serde(default)]
+    pub for_s: Option<u64>,
     /// Tokens asked for per answer.
     pub max_tokens: usize,
     /// Prompts, drawn at random.
--- a/crates/foxwheel-load/src/online.rs
+++ b/crates/foxwheel-load/src/online.rs
@@ -171,10 +171,13 @@
         .finish();
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
     let started = Instant::now();
-    let mut next_at = Duration::ZERO;
+    let mut next_at = Duration::from_secs(load.start_after_s);
+    let end = load.for_s.map_or(duration, |for_s| {
+        duration.min(next_at + Duration::from_secs(for_s))
+    });
     let mut tasks = Vec::new();
     let mut n = 0u64;
-    while next_at < duration {
+    while next_at < end {
         let wait = (started + next_at).saturating_duration_since(Instant::now());
         tokio::time::sleep(wait).await;
         let prompt = load.prompts[rng.random_range(0..load.prompts.len())].clone();
