Agents run batch requests as streams, so preemption frees the engine

A preempted batch request gave up its slot in the agent, but the engine went on with it to its end: an HTTP server finishes a request that is not streamed when its caller has left. Online requests then waited in the engine's own queue. Failing first: a_preempted_batch_request_leaves_the_engine_and_goes_on_where_it_stopped. With requests not streamed, 3 preemptions of a 600-token item: 2,415 tokens generated for 615 asked, none cancelled. With the change: cancelled, and fewer than 115 generated twice.

Change: the agent asks the engine for a stream, puts the answer together (batch_answer), and after a preemption resumes after the tokens it has. Requests for several choices are passed on as before. Ruled out: closing the connection harder (the stand-in's server, like others, notices a caller's leaving only when it writes).

--- a/crates/foxwheel-agent/src/lib.rs
+++ b/crates/foxwheel-agent/src/lib.rs
@@ -4,6 +4,7 @@
 //! host's membership lease in the platform store ([`membership`]), forwards requests
 //! ([`proxy`]) and drains when its host is leaving. Gateways reach it over HTTP.
 
+pub mod batch_answer;
 pub mod gate;
 pub mod membership;
 pub mod proxy;
@@ -13,5 +14,5 @@
 
 /// The agent's parts for `use foxwheel_agent::prelude::*`.
 pub mod prelude {
-    pub use crate::{gate, membership, proxy, queue, server, settings};
+    pub use crate::{batch_answer, gate, membership, proxy, queue, server, settings};
 }
--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -1,17 +1,20 @@
 //! Forwarding to the backend: online requests stream through holding their slot; batch
-//! requests are read whole and restarted when preempted.
+//! requests hold it until online work takes it, and go on later where they stopped.
 
 use std::time::{Duration, Instant};
 
+use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse};
 use bytes::Bytes;
+use futures::StreamExt;
 
 use foxwheel_core::declarations::PriorityClass;
-use foxwheel_core::http;
-use foxwheel_core::protocol::WORKSPACE_HEADER;
+use foxwheel_core::http::{self, BackendResponse};
+use foxwheel_core::protocol::{RESUME_FROM_HEADER, WORKSPACE_HEADER};
 use foxwheel_core::telemetry::Counters;
 
+use crate::batch_answer::{self, BatchAnswer};
 use crate::queue::{Permit, QueueError};
 use crate::server::AgentState;
 
@@ -80,6 +83,10 @@
     Send(#[from] awc::error::SendRequestError),
     #[error("read answer: {0}")]
     Read(#[from] awc::error::PayloadError),
+    #[error("read answer: not an event stream of JSON: {0}")]
+    Event(#[from] serde_json::Error),
+    #[error("read answer: the stream ended before its last event")]
+    CutShort,
 }
 
 impl AttemptError {
@@ -133,23 +140,19 @@
     }
 }
 
-/// Runs a batch request to its end, waiting for a slot again each time online work takes
-/// its own.
+/// Runs a batch request to its end. Each time online work takes its slot it stops its
+/// stream and waits; then it goes on after the tokens it has.
 async fn run_batch(
     state: &AgentState,
     attempt: &Attempt<'_>,
     mut permit: Permit,
     workspace: &str,
 ) -> HttpResponse {
+    let mut answer = BatchAnswer::default();
     loop {
         tokio::select! {
-            answer = attempt.whole_answer() => {
-                return match answer {
-                    Ok((status, content_type, bytes)) => HttpResponse::build(status)
-                        .insert_header(("content-type", content_type))
-                        .body(bytes),
-                    Err(e) => not_answered(state, &e),
-                };
+            reply = attempt.batch_reply(&mut answer) => {
+                return reply.unwrap_or_else(|e| not_answered(state, &e));
             }
             () = permit.preempted().cancelled() => {
                 drop(permit);
@@ -174,29 +177,45 @@
 
 impl Attempt<'_> {
     fn send(&self) -> awc::SendClientRequest {
-        http::forward(
-            self.client,
-            self.req.method().clone(),
-            &self.url,
-            self.req.headers(),
-            self.body.clone(),
-            self.timeout,
-        )
+        self.send_with(self.req.headers(), self.body.clone())
+    }
+
+    fn send_with(&self, headers: &HeaderMap, body: Bytes) -> awc::SendClientRequest {
+        let method = self.req.method().clone();
+        http::forward(self.client, method, &self.url, headers, body, self.timeout)
     }
 
-    async fn whole_answer(&self) -> Result<(StatusCode, String, Bytes), AttemptError> {
-        let mut response = self.send().await?;
-        let content_type = response
-            .headers()
-            .get("content-type")
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("application/json")
-            .to_owned();
-        let bytes = response.body().limit(MAX_BATCH_ANSWER_BYTES).await?;
-        Ok((response.status(), content_type, bytes))
+    /// Streams the rest of a batch answer into `answer`, and gives it whole. A request that
+    /// cannot be streamed, and an answer that is no stream, are passed on as they are.
+    async fn batch_reply(&self, answer: &mut BatchAnswer) -> Result<HttpResponse, AttemptError> {
+        let Some(body) = batch_answer::streaming_request(&self.body) else {
+            return passed_on(self.send().await?).await;
+        };
+        let mut headers = self.req.headers().clone();
+        headers.insert(
+            HeaderName::from_static(RESUME_FROM_HEADER),
+            HeaderValue::from(answer.tokens()),
+        );
+        let sent = self.send_with(&headers, body.into());
+        let mut response = sent.await?;
+        if !response.status().is_success() {
+            return passed_on(response).await;
+        }
+        answer.start_stream();
+        while !answer.is_whole() {
+            let part = response.next().await.ok_or(AttemptError::CutShort)??;
+            answer.feed(&part)?;
+        }
+        Ok(HttpResponse::Ok().json(std::mem::take(answer).into_json()))
     }
 }
 
+/// A whole answer of the backend, as it is.
+async fn passed_on(mut response: BackendResponse) -> Result<HttpResponse, AttemptError> {
+    let body = response.body().limit(MAX_BATCH_ANSWER_BYTES).await?;
+    Ok(http::relayed_head(&response).body(body))
+}
+
 /// The request's path and query as sent to the backend; `/services/<name>` is cut off.
 pub fn path_and_query(req: &HttpRequest) -> String {
     let path = req.path();
--- a/crates/foxwheel-agent/tests/agent_contract.rs
+++ b/crates/foxwheel-agent/tests/agent_contract.rs
@@ -139,3 +139,42 @@
     assert!(control.load().await.expect("poll").draining);
     agent.wait_for_member("draining").await;
 }
+
+#[actix_web::test]
+async fn a_preempted_batch_request_leaves_the_engine_and_goes_on_where_it_stopped() {
+    let agent = Agent::start(BackendFault::None).await;
+    let ask = |class: &'static str, prompt: &'static str, tokens: usize| {
+        let sent = agent
+            .http
+            .post(format!("{}/v1/completions", agent.url))
+            .insert_header((CLASS_HEADER, class))
+            .send_json(
+                &serde_json::json!({"model": "draftsman", "prompt": prompt, "max_tokens": tokens}),
+            );
+        actix_web::rt::spawn(async move {
+            let mut response = sent.await.expect("answer");
+            response.json::<serde_json::Value>().await.expect("json")
+        })
+    };
+    let batch = ask("batch", "renewal letter", 600);
+    agent.wait_until_engine_generated(100).await;
+    // The one slot is the batch request's: each online request preempts it.
+    for _ in 0..3 {
+        let online = ask("online", "permit?", 5).await.expect("online");
+        let answer = foxwheel_engine_emu::openai::content_of(&online);
+        assert_eq!(
+            answer,
+            Some(foxwheel_engine_emu::text::answer("permit?", 5).as_str())
+        );
+    }
+    let batch = batch.await.expect("batch");
+    let whole = foxwheel_engine_emu::text::answer("renewal letter", 600);
+    let answer = foxwheel_engine_emu::openai::content_of(&batch);
+    assert_eq!(answer, Some(whole.as_str()));
+    assert_eq!(batch["object"], "text_completion");
+    assert_eq!(batch["usage"]["completion_tokens"], 600);
+    // It was cancelled at the engine and not begun again: few tokens came twice.
+    let stats = agent.engine_stats().await;
+    assert!(stats.cancelled_total >= 1, "{stats:?}");
+    assert!(stats.tokens_total < 600 + 15 + 100, "{stats:?}");
+}
--- a/crates/foxwheel-agent/tests/common/mod.rs
+++ b/crates/foxwheel-agent/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use foxwheel_core::declarations::BackendKind;
 use foxwheel_core::keys;
 use foxwheel_core::protocol::CLASS_HEADER;
+use foxwheel_engine_emu::server::EngineStats;
 use foxwheel_engine_emu::settings::EngineSettings;
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_store::client::StoreClient;
@@ -33,6 +34,7 @@
     pub url: String,
     pub store: StoreClient,
     pub http: awc::Client,
+    backend: String,
     cancel: CancellationToken,
 }
 
@@ -104,6 +106,7 @@
             http: awc::Client::builder()
                 .timeout(Duration::from_secs(30))
                 .finish(),
+            backend: format!("http://{backend}"),
             cancel,
         };
         match fault {
@@ -152,6 +155,24 @@
         panic!("the agent never filled up");
     }
 
+    /// The engine's counters.
+    pub async fn engine_stats(&self) -> EngineStats {
+        let url = format!("{}/stats", self.backend);
+        let mut response = self.http.get(url).send().await.expect("stats");
+        response.json().await.expect("json")
+    }
+
+    /// Waits (bounded) until the engine has generated `tokens`.
+    pub async fn wait_until_engine_generated(&self, tokens: u64) {
+        for _ in 0..1_000 {
+            if self.engine_stats().await.tokens_total >= tokens {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        panic!("the engine never generated {tokens} tokens");
+    }
+
     /// Waits (bounded) until the member record is in `state`.
     pub async fn wait_for_member(&self, state: &str) -> serde_json::Value {
         let prefix = keys::MEMBERS_PREFIX;
