Watches of a busy prefix pause between answers

Cause: every membership renewal woke every gateway's watch: at 740 agents and 8 gateways 37 renewals/s would be 296 watch calls/s, growing with the fleet, where the store's rates grow more slowly. Change: after an answer with changes the reflector waits 200 ms before it watches again; changes meanwhile come in the next answer. At most 5 calls/s per prefix and gateway. Ruled out: filtering renewals in the store (its API has none). Conclusion: watch calls no longer grow with the fleet.

--- a/crates/foxwheel-store/src/reflector.rs
+++ b/crates/foxwheel-store/src/reflector.rs
@@ -17,6 +17,9 @@
 
 /// How long one watch call waits for a change.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// The pause after a watch that brought changes: those of a busy prefix (member renewals)
+/// come together, so the store's watch calls do not grow with the fleet.
+const WATCH_PAUSE: Duration = Duration::from_millis(200);
 /// The pause after a failed call before trying again.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -200,6 +203,17 @@
             _ = cancel.cancelled() => return Ok(()),
             answer = store.watch(&self.prefix, from, WATCH_WAIT) => answer?,
         };
+        if self.apply(answer) {
+            tokio::select! {
+                () = cancel.cancelled() => {}
+                () = tokio::time::sleep(WATCH_PAUSE) => {}
+            }
+        }
+        Ok(())
+    }
+
+    /// Applies a watch's changes; answers whether there were any new ones.
+    fn apply(&self, answer: api::WatchResponse) -> bool {
         let mut shared = self.shared.write().expect("reflector lock");
         let mut changed = false;
         for event in answer.events {
@@ -222,6 +236,6 @@
         if changed {
             self.changed.send_replace(revision);
         }
-        Ok(())
+        changed
     }
 }
