Long functions of the service handler and the load tool split; intake moves items

Change: each is now short functions with one job; idempotency::Claim carries a claimed call's key, version and record (they were passed along separately), and a done call's answer lives in its state. check_items takes the items instead of cloning them.

--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -102,7 +102,7 @@
         Ok(c) => c,
         Err(e) => return bad_request(format!("body is not a valid batch request: {e}")),
     };
-    let items = match intake::check_items(&create) {
+    let items = match intake::check_items(create.items, create.input_jsonl.as_deref()) {
         Ok(items) => items,
         Err(message) => return bad_request(message),
     };
--- a/crates/foxwheel-gateway/src/batch/intake.rs
+++ b/crates/foxwheel-gateway/src/batch/intake.rs
@@ -12,9 +12,7 @@
 use futures::{StreamExt, TryStreamExt};
 
 use crate::batch::chunk_work::{json_len, MAX_INLINE_ANSWER_BYTES};
-use crate::batch::jobs::{
-    ChunkRecord, CreateJob, ItemInput, ItemRecord, ItemState, JobRecord, CHUNK_ITEMS,
-};
+use crate::batch::jobs::{ChunkRecord, ItemInput, ItemRecord, ItemState, JobRecord, CHUNK_ITEMS};
 
 /// Items in one job, at most.
 pub const MAX_ITEMS: usize = 500_000;
@@ -29,10 +27,13 @@
 /// Writes refused by the rate limit before the create is given up.
 const BUSY_TRIES: u32 = 240;
 
-/// Collects and checks the items of a create request; the error is for the caller.
-pub fn check_items(create: &CreateJob) -> Result<Vec<ItemInput>, String> {
-    let mut items = create.items.clone();
-    let lines = create.input_jsonl.iter().flat_map(|text| text.lines());
+/// Collects and checks the items of a create request: those given and those of its JSON
+/// lines. The error is for the caller.
+pub fn check_items(
+    mut items: Vec<ItemInput>,
+    input_jsonl: Option<&str>,
+) -> Result<Vec<ItemInput>, String> {
+    let lines = input_jsonl.into_iter().flat_map(str::lines);
     for (n, line) in lines.enumerate().filter(|(_, l)| !l.trim().is_empty()) {
         let item =
             serde_json::from_str(line).map_err(|e| format!("input_jsonl line {}: {e}", n + 1))?;
--- a/crates/foxwheel-gateway/src/idempotency.rs
+++ b/crates/foxwheel-gateway/src/idempotency.rs
@@ -1,28 +1,32 @@
 //! Records of non-idempotent calls, kept in the store so that a call runs at most once.
 //!
-//! Before the call, the gateway creates `idempotency/<service>/<key>` (only if absent) in
-//! state `started`. A resend finds the record: if the call finished, its stored answer is
-//! replayed; if it is still running or its outcome is unknown, the caller is told so and
-//! nothing runs again. A store reply lost after the create took effect is resolved by
-//! reading the record back and comparing the attempt's nonce.
-
-use serde::{Deserialize, Serialize};
+//! Before the call, the gateway creates the call's record (only if absent) in state
+//! `started`. A resend finds it: if the call finished, its stored answer is replayed; if it
+//! is still running or its outcome is unknown, the caller is told so and nothing runs again.
+//! A store reply lost after the create took effect is resolved by reading the record back
+//! and comparing the attempt's nonce.
 
 use foxwheel_core::ids::Version;
 use foxwheel_core::{fingerprint, time};
 use foxwheel_store::client::{StoreClient, StoreError};
+use serde::{Deserialize, Serialize};
 
 /// Tries of a write whose reply was lost, before giving up.
 const LOST_REPLY_TRIES: u32 = 3;
 
 /// Where a call stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallState {
     /// Sent or about to be sent; the outcome is not recorded yet.
     Started,
-    /// Finished; the answer is stored.
-    Done,
+    /// Finished with this answer.
+    Done {
+        /// Status.
+        status: u16,
+        /// Body.
+        body: String,
+    },
     /// Refused before any backend received it; a resend may run it.
     NotRun,
 }
@@ -39,24 +43,23 @@
     pub nonce: u64,
     /// When it started, Unix milliseconds.
     pub started_ms: u64,
-    /// The answer's status, when done.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub status: Option<u16>,
-    /// The answer's body, when done.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub body: Option<String>,
+}
+
+/// The right to run a call once: its record as this gateway wrote it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Claim {
+    /// The record's key.
+    pub store_key: String,
+    /// The record's version.
+    version: Version,
+    record: CallRecord,
 }
 
 /// What the caller of [`begin`] is to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Begin {
-    /// Run the call; the record is at `version`.
-    Run {
-        /// The record's version.
-        version: Version,
-        /// The record as written.
-        record: CallRecord,
-    },
+    /// Run the call, then [`finish`] it.
+    Run(Claim),
     /// The call already ran: answer with this.
     Replay {
         /// Status.
@@ -86,83 +89,71 @@
         request,
         nonce: rand::random(),
         started_ms: time::unix_ms(),
-        status: None,
-        body: None,
+    };
+    let claim = |version| {
+        Begin::Run(Claim {
+            store_key: store_key.to_owned(),
+            version,
+            record: record.clone(),
+        })
     };
     let mut if_version = 0;
     for _ in 0..LOST_REPLY_TRIES {
         match store.put(store_key, &record, Some(if_version)).await {
-            Ok(object) => {
-                return Ok(Begin::Run {
-                    version: object.version,
-                    record,
-                })
-            }
-            Err(StoreError::Conflict { .. }) | Err(StoreError::Unavailable { .. }) => {}
+            Ok(object) => return Ok(claim(object.version)),
+            Err(StoreError::Conflict { .. } | StoreError::Unavailable { .. }) => {}
             Err(e) => return Err(e),
         }
         let Some((found, version)) = store.get_value::<CallRecord>(store_key).await? else {
             continue;
         };
         if found.nonce == record.nonce {
-            return Ok(Begin::Run { version, record });
+            return Ok(claim(version));
         }
         if found.request != record.request {
             return Ok(Begin::KeyReused);
         }
         match found.state {
-            CallState::Done => {
-                return Ok(Begin::Replay {
-                    status: found.status.unwrap_or(200),
-                    body: found.body.unwrap_or_default(),
-                })
-            }
+            CallState::Done { status, body } => return Ok(Begin::Replay { status, body }),
             CallState::Started => return Ok(Begin::InProgress),
             CallState::NotRun => if_version = version,
         }
     }
-    Err(StoreError::Unavailable {
-        step: "claim idempotency key",
-        peer: store.base_url().to_owned(),
-        detail: "no answer after retries".to_owned(),
-    })
+    Err(no_answer(store, "claim idempotency key"))
 }
 
-/// Records the call's outcome; on a lost reply reads back whether it took effect.
+/// Records a claimed call's outcome; on a lost reply reads back whether it took effect.
 pub async fn finish(
     store: &StoreClient,
-    store_key: &str,
-    version: Version,
-    mut record: CallRecord,
+    claim: Claim,
     outcome: CallState,
-    answer: Option<(u16, String)>,
 ) -> Result<(), StoreError> {
-    record.state = outcome;
-    if let Some((status, body)) = answer {
-        record.status = Some(status);
-        record.body = Some(body);
-    }
+    let record = CallRecord {
+        state: outcome,
+        ..claim.record
+    };
     for _ in 0..LOST_REPLY_TRIES {
-        match store.put(store_key, &record, Some(version)).await {
+        match store
+            .put(&claim.store_key, &record, Some(claim.version))
+            .await
+        {
             Ok(_) => return Ok(()),
             Err(StoreError::Unavailable { .. }) => {
-                if let Some((found, _)) = store
-                    .get_value::<CallRecord>(store_key)
-                    .await
-                    .ok()
-                    .flatten()
-                {
-                    if found == record {
-                        return Ok(());
-                    }
+                let found = store.get_value::<CallRecord>(&claim.store_key).await;
+                if matches!(found, Ok(Some((found, _))) if found == record) {
+                    return Ok(());
                 }
             }
             Err(e) => return Err(e),
         }
     }
-    Err(StoreError::Unavailable {
-        step: "record call outcome",
+    Err(no_answer(store, "record call outcome"))
+}
+
+fn no_answer(store: &StoreClient, step: &'static str) -> StoreError {
+    StoreError::Unavailable {
+        step,
         peer: store.base_url().to_owned(),
         detail: "no answer after retries".to_owned(),
-    })
+    }
 }
--- a/crates/foxwheel-load/src/report.rs
+++ b/crates/foxwheel-load/src/report.rs
@@ -128,108 +128,126 @@
     services: Vec<ServiceTally>,
     objective: &Objective,
 ) -> ExperimentResult {
-    let mut failed = Vec::new();
+    let failed_checks = online
+        .iter()
+        .flat_map(failed_online_checks)
+        .chain(batches.iter().flat_map(failed_batch_checks))
+        .chain(services.iter().flat_map(failed_service_checks))
+        .collect();
     let burn = online
         .iter()
         .map(|t| burn::of(&t.model, &t.outcomes, objective))
         .collect();
     let jobs: Vec<Vec<BatchPoint>> = batches.iter().map(|t| t.finished.clone()).collect();
-    let batch_finished = timeline::batch(&jobs);
-    let online: Vec<OnlineResult> = online
-        .into_iter()
-        .map(|t| {
-            if t.wrong_answers > 0 {
-                failed.push(format!(
-                    "{}: {} answers were not the whole answer to their own request",
-                    t.model, t.wrong_answers
-                ));
-            }
-            OnlineResult {
-                model: t.model,
-                sent: t.sent,
-                ok: t.ok,
-                refused: t.refused,
-                wrong_answers: t.wrong_answers,
-                ttft: percentiles(&t.ttft_us),
-                tbt: percentiles(&t.tbt_us),
-                tokens: t.tokens,
-                errors: t.errors,
-                seconds: timeline::online(&t.outcomes),
-            }
-        })
-        .collect();
-    let batches: Vec<BatchResult> = batches
-        .into_iter()
-        .map(|t| {
-            let resend_same_job = t.job_ids.len() == 2 && t.job_ids[0] == t.job_ids[1];
-            if let Some(e) = &t.error {
-                failed.push(format!("batch {}: {e}", t.client_key));
-            } else {
-                if !resend_same_job {
-                    failed.push(format!("batch {}: a resend made another job", t.client_key));
-                }
-                if t.duplicate_or_unknown > 0 {
-                    failed.push(format!(
-                        "batch {}: {} results duplicated or unknown",
-                        t.client_key, t.duplicate_or_unknown
-                    ));
-                }
-                if t.pending > 0 {
-                    failed.push(format!(
-                        "batch {}: {} accepted items never finished",
-                        t.client_key, t.pending
-                    ));
-                }
-                if !t.cancelled_job && t.cancelled > 0 {
-                    failed.push(format!(
-                        "batch {}: items cancelled in a job nobody cancelled",
-                        t.client_key
-                    ));
-                }
-            }
-            BatchResult {
-                items_per_s: t
-                    .elapsed_s
-                    .map(|s| (t.done + t.failed) as f64 / s.max(0.001)),
-                client_key: t.client_key,
-                items: t.items,
-                done: t.done,
-                failed: t.failed,
-                cancelled: t.cancelled,
-                pending: t.pending,
-                resend_same_job,
-                duplicate_or_unknown: t.duplicate_or_unknown,
-                error: t.error,
-            }
-        })
-        .collect();
-    let services: Vec<ServiceResult> = services
-        .into_iter()
-        .map(|t| {
-            if t.executed_twice > 0 {
-                failed.push(format!(
-                    "{}: {} non-idempotent calls ran more than once",
-                    t.name, t.executed_twice
-                ));
-            }
-            ServiceResult {
-                name: t.name,
-                keys: t.keys,
-                sends: t.sends,
-                answered: t.answered,
-                executions: t.executions,
-                executed_twice: t.executed_twice,
-            }
-        })
-        .collect();
     ExperimentResult {
-        online,
-        batches,
-        services,
+        online: online.into_iter().map(online_result).collect(),
+        batches: batches.into_iter().map(batch_result).collect(),
+        services: services.into_iter().map(service_result).collect(),
         burn,
-        batch_finished,
+        batch_finished: timeline::batch(&jobs),
         usage: None,
-        failed_checks: failed,
+        failed_checks,
+    }
+}
+
+/// The answer to a request is the whole answer to it.
+fn failed_online_checks(tally: &OnlineTally) -> Option<String> {
+    let wrong = tally.wrong_answers;
+    (wrong > 0).then(|| {
+        format!(
+            "{}: {wrong} answers were not the whole answer to their own request",
+            tally.model
+        )
+    })
+}
+
+/// Accepted items finish, once; a resend is the same job; only a cancel cancels.
+fn failed_batch_checks(tally: &BatchTally) -> Vec<String> {
+    if let Some(e) = &tally.error {
+        return vec![format!("batch {}: {e}", tally.client_key)];
+    }
+    let checks = [
+        (
+            !resend_gave_same_job(tally),
+            "a resend made another job".to_owned(),
+        ),
+        (
+            tally.duplicate_or_unknown > 0,
+            format!(
+                "{} results duplicated or unknown",
+                tally.duplicate_or_unknown
+            ),
+        ),
+        (
+            tally.pending > 0,
+            format!("{} accepted items never finished", tally.pending),
+        ),
+        (
+            !tally.cancelled_job && tally.cancelled > 0,
+            "items cancelled in a job nobody cancelled".to_owned(),
+        ),
+    ];
+    checks
+        .into_iter()
+        .filter(|(failed, _)| *failed)
+        .map(|(_, what)| format!("batch {}: {what}", tally.client_key))
+        .collect()
+}
+
+/// A non-idempotent call runs at most once.
+fn failed_service_checks(tally: &ServiceTally) -> Option<String> {
+    let twice = tally.executed_twice;
+    (twice > 0).then(|| {
+        format!(
+            "{}: {twice} non-idempotent calls ran more than once",
+            tally.name
+        )
+    })
+}
+
+fn resend_gave_same_job(tally: &BatchTally) -> bool {
+    matches!(tally.job_ids.as_slice(), [first, resent] if first == resent)
+}
+
+fn online_result(tally: OnlineTally) -> OnlineResult {
+    OnlineResult {
+        seconds: timeline::online(&tally.outcomes),
+        ttft: percentiles(&tally.ttft_us),
+        tbt: percentiles(&tally.tbt_us),
+        model: tally.model,
+        sent: tally.sent,
+        ok: tally.ok,
+        refused: tally.refused,
+        wrong_answers: tally.wrong_answers,
+        tokens: tally.tokens,
+        errors: tally.errors,
+    }
+}
+
+fn batch_result(tally: BatchTally) -> BatchResult {
+    let finished = (tally.done + tally.failed) as f64;
+    BatchResult {
+        items_per_s: tally.elapsed_s.map(|s| finished / s.max(0.001)),
+        resend_same_job: resend_gave_same_job(&tally),
+        client_key: tally.client_key,
+        items: tally.items,
+        done: tally.done,
+        failed: tally.failed,
+        cancelled: tally.cancelled,
+        pending: tally.pending,
+        duplicate_or_unknown: tally.duplicate_or_unknown,
+        error: tally.error,
+    }
+}
+
+fn service_result(tally: ServiceTally) -> ServiceResult {
+    ServiceResult {
+        name: tally.name,
+        keys: tally.keys,
+        sends: tally.sends,
+        answered: tally.answered,
+        executions: tally.executions,
+        executed_twice: tally.executed_twice,
     }
 }
 
--- a/crates/foxwheel-load/src/services.rs
+++ b/crates/foxwheel-load/src/services.rs
@@ -32,6 +32,9 @@
     pub executed_twice: u64,
 }
 
+/// Largest list of executions read, in bytes.
+const MAX_LIST_BYTES: usize = 64 * 1024 * 1024;
+
 #[derive(Debug, Deserialize)]
 struct Execution {
     path: String,
@@ -57,49 +60,59 @@
     load: ServiceLoad,
     duration: Duration,
     seed: u64,
+) -> ServiceTally {
+    let client = awc::Client::builder()
+        .timeout(Duration::from_secs(30))
+        .finish();
+    let tally = send_all(&client, &gateways, &load, duration, seed).await;
+    let counts = count_executions(&client, &load).await;
+    ServiceTally {
+        executions: counts.values().sum(),
+        executed_twice: counts.values().filter(|c| **c > 1).count() as u64,
+        ..tally
+    }
+}
+
+/// Sends calls at the load's rate; a share of them twice with the same key, the second time
+/// through another gateway.
+async fn send_all(
+    client: &awc::Client,
+    gateways: &[String],
+    load: &ServiceLoad,
+    duration: Duration,
+    seed: u64,
 ) -> ServiceTally {
     let tally = Rc::new(RefCell::new(ServiceTally {
         name: format!("{} {}", load.service, load.path),
         ..ServiceTally::default()
     }));
-    let client = awc::Client::builder()
-        .timeout(Duration::from_secs(30))
-        .finish();
     let mut rng = rand::rngs::StdRng::seed_from_u64(seed);
     let started = Instant::now();
-    let mut n = 0u64;
     let mut tasks = Vec::new();
-    while started.elapsed() < duration {
+    for n in 0.. {
+        if started.elapsed() >= duration {
+            break;
+        }
         let key = format!("{}-{seed}-{n}", load.service);
         let body = load.bodies[rng.random_range(0..load.bodies.len())].clone();
-        let resend = rng.random::<f64>() < load.resend_share;
-        let url = format!(
-            "{}/services/{}{}",
-            gateways[n as usize % gateways.len()],
-            load.service,
-            load.path
-        );
-        let second_url = format!(
-            "{}/services/{}{}",
-            gateways[(n as usize + 1) % gateways.len()],
-            load.service,
-            load.path
-        );
-        n += 1;
+        let sends = if rng.random::<f64>() < load.resend_share {
+            2
+        } else {
+            1
+        };
+        let urls: Vec<String> = (n..n + sends)
+            .map(|at| &gateways[at % gateways.len()])
+            .map(|gateway| format!("{gateway}/services/{}{}", load.service, load.path))
+            .collect();
         let (client, tally) = (client.clone(), tally.clone());
         tasks.push(actix_web::rt::spawn(async move {
             tally.borrow_mut().keys += 1;
-            let sends = if resend { 2 } else { 1 };
-            for attempt in 0..sends {
-                let target = if attempt == 0 { &url } else { &second_url };
-                let ok = send(&client, target, &key, &body).await;
+            for url in urls {
+                let answered = send(&client, &url, &key, &body).await;
                 let mut tally = tally.borrow_mut();
                 tally.sends += 1;
-                if ok {
-                    tally.answered += 1;
-                } else {
-                    tally.refused += 1;
-                }
+                tally.answered += u64::from(answered);
+                tally.refused += u64::from(!answered);
             }
         }));
         let u: f64 = rng.random::<f64>().max(f64::MIN_POSITIVE);
@@ -108,33 +121,24 @@
     for task in tasks {
         let _ = task.await;
     }
-    let mut counts: BTreeMap<String, u64> = BTreeMap::new();
+    tally.take()
+}
+
+/// Executions of the load's path by key, over all the stand-ins that answer.
+async fn count_executions(client: &awc::Client, load: &ServiceLoad) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
     for emulator in &load.emulator_urls {
-        let Ok(mut response) = client
-            .get(format!("{emulator}/_emu/executions"))
-            .send()
-            .await
-        else {
+        let url = format!("{emulator}/_emu/executions");
+        let Ok(mut response) = client.get(url).send().await else {
             continue;
         };
-        let Ok(executions) = response
-            .json::<Vec<Execution>>()
-            .limit(64 * 1024 * 1024)
-            .await
-        else {
-            continue;
-        };
-        for e in executions
-            .into_iter()
-            .filter(|e| e.path == load.path && e.idempotency_key.starts_with(&load.service))
-        {
-            *counts.entry(e.idempotency_key).or_default() += e.count;
+        let listed = response.json::<Vec<Execution>>().limit(MAX_LIST_BYTES);
+        for execution in listed.await.unwrap_or_default() {
+            let is_ours = execution.idempotency_key.starts_with(&load.service);
+            if execution.path == load.path && is_ours {
+                *counts.entry(execution.idempotency_key).or_default() += execution.count;
+            }
         }
     }
-    let mut tally = Rc::try_unwrap(tally)
-        .map(RefCell::into_inner)
-        .unwrap_or_else(|rc| rc.borrow().clone());
-    tally.executions = counts.values().sum();
-    tally.executed_twice = counts.values().filter(|c| **c > 1).count() as u64;
-    tally
+    counts
 }
