--- a/crates/foxwheel-gateway/tests/batch_faults.rs
+++ b/crates/foxwheel-gateway/tests/batch_faults.rs
@@ -64,6 +64,73 @@
     }
 }
 
+#[actix_web::test]
+async fn a_cancel_is_recorded_or_refused_and_the_job_stops() {
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    let loses_replies = Faults {
+        lose_reply_every: 1,
+        ..Faults::default()
+    };
+    // (case, faults during the cancel, its status)
+    let cases = [
+        ("store well", Faults::default(), 200),
+        ("store down: refused, nothing recorded", outage, 503),
+        (
+            "reply lost after the cancel took effect",
+            loses_replies,
+            200,
+        ),
+    ];
+    for (case, faults, expected) in cases {
+        let fleet = common::start(1).await;
+        let id = fleet
+            .create_batch(&common::batch_request(case, 1_000))
+            .await;
+        let cancel_url = format!("{}/v1/batches/{id}/cancel", fleet.gateway);
+        fleet.store.set_faults(&faults).await.expect("faults");
+        let answer = fleet.http.post(&cancel_url).send().await.expect("cancel");
+        let cleared = fleet.store.set_faults(&Faults::default()).await;
+        cleared.expect("faults cleared");
+        assert_eq!(answer.status().as_u16(), expected, "case '{case}'");
+        if expected != 200 {
+            assert_eq!(fleet.batch_status(&id).await["job"]["state"], "running");
+            // Two operators cancel at once: both are told it is cancelled.
+            let (one, two) = futures::join!(
+                fleet.http.post(&cancel_url).send(),
+                fleet.http.post(&cancel_url).send()
+            );
+            for answer in [one, two] {
+                assert_eq!(
+                    answer.expect("cancel").status().as_u16(),
+                    200,
+                    "case '{case}'"
+                );
+            }
+        }
+        // The job's end is recorded once every chunk is settled; nothing runs afterwards.
+        let mut status = fleet.batch_status(&id).await;
+        for _ in 0..400 {
+            if !status["job"]["final_counts"].is_null() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(25)).await;
+            status = fleet.batch_status(&id).await;
+        }
+        let counts = &status["job"]["final_counts"];
+        assert_eq!(status["job"]["state"], "cancelled", "case '{case}'");
+        assert_eq!(counts["total"], 1_000, "case '{case}': {status}");
+        assert_eq!(counts["pending"], 0, "case '{case}'");
+        assert!(counts["cancelled"].as_u64() > Some(0), "case '{case}'");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let later = fleet.batch_status(&id).await;
+        assert_eq!(&later["job"]["final_counts"], counts, "case '{case}'");
+        fleet.cancel.cancel();
+    }
+}
+
 #[actix_web::test]
 async fn a_client_key_names_one_job_of_one_workspace() {
     let fleet = common::start(1).await;
--- /dev/null
+++ b/crates/foxwheel-gateway/tests/config_in_force.rs
@@ -0,0 +1,198 @@
+//! An accepted configuration is in force on every gateway and agent, and never reverts.
+
+mod common;
+
+use std::time::Duration;
+
+use actix_web::{web, App, HttpResponse};
+use foxwheel_control::client::ControlClient;
+use foxwheel_core::declarations::RuleSet;
+use foxwheel_core::keys;
+use foxwheel_gateway::config::{ActiveConfig, ConfigHandle};
+use foxwheel_platform_emu::settings::PlatformSettings;
+use foxwheel_store::api::{Faults, ListResponse, Object};
+use foxwheel_store::client::StoreClient;
+use foxwheel_store::reflector::Reflector;
+use tokio_util::sync::CancellationToken;
+
+/// Rules that refuse everything with `status`, so that what is in force shows.
+fn refuse_all(status: u16) -> RuleSet {
+    let rules = serde_json::json!({"rules": [{"name": "all", "then": {"action": "reject", "status": status, "message": "changed"}}]});
+    serde_json::from_value(rules).expect("rules")
+}
+
+async fn status_of_a_call(http: &awc::Client, gateway: &str) -> u16 {
+    let body = serde_json::json!({"model": "draftsman", "prompt": "x", "max_tokens": 1});
+    let url = format!("{gateway}/v1/completions");
+    let sent = http.post(url).send_json(&body).await.expect("call");
+    sent.status().as_u16()
+}
+
+#[actix_web::test]
+async fn a_change_is_in_force_on_every_gateway_and_agent() {
+    let fleet = common::start(2).await;
+    let settings = common::gateway_settings(fleet.store.base_url(), "gateway-second");
+    let second = foxwheel_gateway::server::start(settings, fleet.cancel.clone()).expect("gateway");
+    let gateways = [fleet.gateway.clone(), format!("http://{}", second.addr)];
+    let outage = |outage| Faults {
+        outage,
+        ..Faults::default()
+    };
+    // (case, status of the new rules, whether the store is down between write and read)
+    for (case, status, down) in [
+        ("store well", 451, false),
+        ("store down right after the write", 410, true),
+    ] {
+        let written = fleet
+            .store
+            .put(keys::RULES_KEY, &refuse_all(status), None)
+            .await
+            .expect("applied");
+        if down {
+            let faults = outage(true);
+            fleet.store.set_faults(&faults).await.expect("faults");
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            fleet
+                .store
+                .set_faults(&outage(false))
+                .await
+                .expect("cleared");
+        }
+        for gateway in &gateways {
+            let mut seen = 0;
+            for _ in 0..400 {
+                seen = status_of_a_call(&fleet.http, gateway).await;
+                if seen == status {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+            assert_eq!(seen, status, "case '{case}': {gateway}");
+        }
+        let members = fleet.store.list(keys::MEMBERS_PREFIX).await.expect("list");
+        for member in members.objects {
+            let addr = member.value["control_addr"].as_str().expect("address");
+            let control = ControlClient::connect(addr, Duration::from_secs(5)).await;
+            let control = control.expect("control channel");
+            let mut revision = 0;
+            for _ in 0..400 {
+                revision = control.load().await.expect("poll").config_revision;
+                if revision >= written.version {
+                    break;
+                }
+                tokio::time::sleep(Duration::from_millis(25)).await;
+            }
+            assert!(revision >= written.version, "case '{case}': {}", member.key);
+        }
+    }
+    fleet.cancel.cancel();
+}
+
+/// A peer gateway's answer to `GET /snapshot`: rules refusing with `status` at `revision`.
+fn start_peer(revision: u64, status: u16, cancel: &CancellationToken) -> String {
+    let copy = ListResponse {
+        objects: vec![Object {
+            key: keys::RULES_KEY.to_owned(),
+            version: revision,
+            value: serde_json::to_value(refuse_all(status)).expect("rules"),
+        }],
+        revision,
+    };
+    let (addr, server) = foxwheel_core::http::serve(
+        "127.0.0.1:0",
+        foxwheel_core::http::ServerShape::default(),
+        cancel.clone(),
+        move || {
+            let copy = copy.clone();
+            let answer = move || std::future::ready(HttpResponse::Ok().json(&copy));
+            App::new().route("/snapshot", web::get().to(answer))
+        },
+    )
+    .expect("peer");
+    actix_web::rt::spawn(server);
+    format!("http://{addr}")
+}
+
+#[actix_web::test]
+async fn the_newest_copy_of_any_peer_counts_and_an_older_store_does_not_revert_it() {
+    let cancel = CancellationToken::new();
+    let unused = std::net::TcpListener::bind("127.0.0.1:0").expect("port");
+    let store_addr = unused.local_addr().expect("address");
+    drop(unused);
+    let peers = vec![
+        start_peer(7, 407, &cancel),
+        start_peer(9, 451, &cancel),
+        start_peer(8, 408, &cancel),
+        "http://127.0.0.1:9".to_owned(),
+    ];
+    let handle = ConfigHandle::default();
+    actix_web::rt::spawn(foxwheel_gateway::config::run(
+        handle.clone(),
+        Reflector::new(keys::CONFIG_PREFIX).with_peers(peers),
+        StoreClient::new(format!("http://{store_addr}")),
+        cancel.clone(),
+    ));
+    for _ in 0..400 {
+        if handle.current().revision > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(handle.current().rules, refuse_all(451), "the newest copy");
+    // A store that lost its latest writes comes up.
+    let restored = PlatformSettings {
+        listen_addr: store_addr.to_string(),
+        ..PlatformSettings::for_test()
+    };
+    let (_, server) =
+        foxwheel_platform_emu::server::start(&restored, cancel.clone()).expect("store");
+    actix_web::rt::spawn(server);
+    let store = StoreClient::new(format!("http://{store_addr}"));
+    let older = store.put(keys::RULES_KEY, &refuse_all(401), None).await;
+    older.expect("an older configuration is there");
+    // Wait until the gateway has listed it.
+    for _ in 0..400 {
+        if store.stats().await.expect("stats").reads > 0 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(handle.current().rules, refuse_all(451), "not reverted");
+    // What is written after it catches up is newer, and taken.
+    for status in 402..=410 {
+        let written = store.put(keys::RULES_KEY, &refuse_all(status), None).await;
+        written.expect("applied");
+    }
+    for _ in 0..400 {
+        if handle.current().rules == refuse_all(410) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(handle.current().rules, refuse_all(410));
+    cancel.cancel();
+}
+
+#[test]
+fn the_configuration_in_force_only_moves_forward() {
+    let handle = ConfigHandle::default();
+    let at = |revision, status| ActiveConfig {
+        rules: refuse_all(status),
+        revision,
+        ..ActiveConfig::default()
+    };
+    // (revision offered, whether it is taken, the revision in force afterwards)
+    for (revision, taken, in_force) in [
+        (4, true, 4),
+        (4, false, 4),
+        (3, false, 4),
+        (9, true, 9),
+        (8, false, 9),
+    ] {
+        let offered = at(revision, 400 + revision as u16);
+        assert_eq!(handle.advance(offered), taken, "revision {revision}");
+        assert_eq!(handle.current().revision, in_force);
+        assert_eq!(handle.current().rules, refuse_all(400 + in_force as u16));
+    }
+}
