--- a/crates/foxwheel-load/src/args.rs
+++ b/crates/foxwheel-load/src/args.rs
@@ -12,7 +12,9 @@
   sweep --sweep FILE --out FOLDER        run an experiment at many points; writes rows.tsv
   fit --rows FILE --y COLUMN --x A[,B]   slopes of a column over others, least squares
   overhead --experiment FILE --out FOLDER [--calls N]
-                                         a gateway against direct calls, in one run";
+                                         a gateway against direct calls, in one run
+  propagation --experiment FILE --out FOLDER [--calls N]
+                                         the time N changes take to be in force";
 
 /// Calls of `overhead`, each way, unless told otherwise.
 const DEFAULT_CALLS: u64 = 2_000;
@@ -52,6 +54,15 @@
         /// Calls each way.
         calls: u64,
     },
+    /// `propagation`.
+    Propagation {
+        /// The experiment file; its fleet is used.
+        experiment: PathBuf,
+        /// Where results go.
+        out: PathBuf,
+        /// Changes applied.
+        changes: u64,
+    },
     /// `--help`.
     Help,
 }
@@ -99,6 +110,11 @@
             out: need(out, "--out")?,
             calls,
         }),
+        Some("propagation") => Ok(Command::Propagation {
+            experiment: need(experiment, "--experiment")?,
+            out: need(out, "--out")?,
+            changes: calls,
+        }),
         Some(other) => Err(format!("unknown command `{other}`").into()),
         None => Err("no command given".into()),
     }
--- a/crates/foxwheel-load/src/fit.rs
+++ b/crates/foxwheel-load/src/fit.rs
@@ -54,25 +54,37 @@
         .collect())
 }
 
-/// Fits column `y` to columns `xs`.
+/// The column `name`, or the product of columns for `a*b`.
+fn column(columns: &BTreeMap<String, Vec<f64>>, name: &str) -> Result<Vec<f64>, FitError> {
+    let mut product: Option<Vec<f64>> = None;
+    for factor in name.split('*') {
+        let values = columns.get(factor);
+        let values = values.ok_or_else(|| FitError::Column(factor.to_owned()))?;
+        product = Some(match product {
+            None => values.clone(),
+            Some(so_far) => so_far.iter().zip(values).map(|(a, b)| a * b).collect(),
+        });
+    }
+    product.ok_or_else(|| FitError::Column(name.to_owned()))
+}
+
+/// Fits column `y` to columns `xs`; `a*b` stands for the product of two columns.
 pub fn fit(columns: &BTreeMap<String, Vec<f64>>, y: &str, xs: &[String]) -> Result<Fit, FitError> {
-    let mut data = Vec::new();
-    for name in std::iter::once(y).chain(xs.iter().map(String::as_str)) {
-        let column = columns.get(name);
-        let column = column.ok_or_else(|| FitError::Column(name.to_owned()))?;
-        data.push((name.to_owned(), column.clone()));
+    // Plain names for the library, which may not take a product's own.
+    let names: Vec<String> = (0..xs.len()).map(|i| format!("x{i}")).collect();
+    let mut data = vec![("y".to_owned(), column(columns, y)?)];
+    for (name, x) in names.iter().zip(xs) {
+        data.push((name.clone(), column(columns, x)?));
     }
     let data = RegressionDataBuilder::new().build_from(data)?;
     let model = FormulaRegressionBuilder::new()
         .data(&data)
-        .data_columns(y, xs.iter().map(String::as_str))
+        .data_columns("y", names.iter().map(String::as_str))
         .fit()?;
-    let pairs = model.iter_parameter_pairs();
+    let slopes = model.iter_parameter_pairs().zip(xs);
     Ok(Fit {
         intercept: model.parameters()[0],
-        slopes: pairs
-            .map(|(name, slope)| (name.to_owned(), slope))
-            .collect(),
+        slopes: slopes.map(|((_, slope), x)| (x.clone(), slope)).collect(),
         r_squared: model.rsquared(),
     })
 }
--- a/crates/foxwheel-load/src/fleet.rs
+++ b/crates/foxwheel-load/src/fleet.rs
@@ -65,6 +65,8 @@
     pub name: String,
     /// What it does.
     pub role: Role,
+    /// The address it listens on.
+    pub addr: String,
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -186,9 +188,11 @@
         let log = self.folder.join("logs").join(format!("{name}.log"));
         let program = program_path(program)?;
         let child = spawn(&program, &path, &log)?;
+        let addr = settings.get("listen_addr").and_then(Value::as_str);
         self.processes.push(Process {
             name: name.to_owned(),
             role,
+            addr: addr.unwrap_or_default().to_owned(),
             program,
             settings: path,
             log,
@@ -295,6 +299,12 @@
         Ok(())
     }
 
+    /// The base URLs of the processes of `role`.
+    pub fn urls_of(&self, role: Role) -> Vec<String> {
+        let processes = self.processes.iter().filter(|p| p.role == role);
+        processes.map(|p| format!("http://{}", p.addr)).collect()
+    }
+
     /// The process called `name`.
     pub fn process(&mut self, name: &str) -> Option<&mut Process> {
         self.processes.iter_mut().find(|p| p.name == name)
--- a/crates/foxwheel-load/src/lib.rs
+++ b/crates/foxwheel-load/src/lib.rs
@@ -8,7 +8,7 @@
 //! resending some with the same key. [`report`] checks the brief's promises on what came
 //! back; [`burn`], [`timeline`], [`usage`] and [`plot`] make the figures. [`sweep`] runs an
 //! experiment at many points and [`fit`] takes slopes from them; [`overhead`] compares a
-//! gateway with a direct call.
+//! gateway with a direct call, [`propagation`] times a change until it is in force.
 
 pub mod args;
 pub mod batch;
@@ -20,6 +20,7 @@
 pub mod online;
 pub mod overhead;
 pub mod plot;
+pub mod propagation;
 pub mod report;
 pub mod run;
 pub mod services;
--- a/crates/foxwheel-load/src/main.rs
+++ b/crates/foxwheel-load/src/main.rs
@@ -7,7 +7,7 @@
 use foxwheel_load::args::{self, Command};
 use foxwheel_load::experiment::Experiment;
 use foxwheel_load::sweep::Sweep;
-use foxwheel_load::{fit, overhead, plot, report, run, sweep};
+use foxwheel_load::{fit, overhead, plot, propagation, report, run, sweep};
 
 /// Any failure, for the one line it ends in.
 type Failure = Box<dyn std::error::Error>;
@@ -61,6 +61,17 @@
     Ok(())
 }
 
+async fn run_propagation(path: &Path, out: &Path, changes: u64) -> Result<(), Failure> {
+    let experiment: Experiment = settings::load(path)?;
+    let spec = experiment.fleet.ok_or("the experiment has no fleet")?;
+    std::fs::create_dir_all(out)?;
+    let measured = propagation::measure(&spec, base_of(path), out, changes).await?;
+    let json = serde_json::to_string_pretty(&measured)?;
+    println!("{json}");
+    std::fs::write(out.join("propagation.json"), json)?;
+    Ok(())
+}
+
 async fn execute(command: Command) -> Result<bool, Failure> {
     match command {
         Command::Help => println!("{}", args::USAGE),
@@ -72,6 +83,11 @@
             out,
             calls,
         } => run_overhead(&experiment, &out, calls).await?,
+        Command::Propagation {
+            experiment,
+            out,
+            changes,
+        } => run_propagation(&experiment, &out, changes).await?,
     }
     Ok(true)
 }
--- a/crates/foxwheel-load/src/sweep.rs
+++ b/crates/foxwheel-load/src/sweep.rs
@@ -174,7 +174,8 @@
     ];
     debug_assert_eq!(numbers.len() + 1, COLUMNS.len());
     for number in numbers {
-        write!(row, "\t{}", (number * 1000.0).round() / 1000.0).expect("writing to a string");
+        // Adding zero turns the minus zero of an empty sum into zero.
+        write!(row, "\t{}", (number * 1000.0).round() / 1000.0 + 0.0).expect("writing to a string");
     }
     row.push('\n');
     row
