One start-up for the settings of every server process

Change: cli::server_settings does it; the mains only name their type, program and purpose. Ruled out: a macro, or a run function that also owns start and stop (the mains differ there). Conclusion: behaviour unchanged.

--- a/crates/foxwheel-agent/src/main.rs
+++ b/crates/foxwheel-agent/src/main.rs
@@ -6,17 +6,10 @@
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     telemetry::init_logging();
-    let path = cli::server_settings_path(
+    let settings: AgentSettings = cli::server_settings(
         "foxwheel-agent",
         "The foxwheel agent beside one backend server: local queue, membership, drain.",
     );
-    let settings: AgentSettings = match foxwheel_core::settings::load(&path) {
-        Ok(s) => s,
-        Err(e) => {
-            eprintln!("foxwheel-agent: {e}");
-            std::process::exit(2);
-        }
-    };
     let cancel = shutdown::on_signal();
     let host = settings.host.clone();
     let agent = server::start(settings, cancel).await?;
--- a/crates/foxwheel-core/src/cli.rs
+++ b/crates/foxwheel-core/src/cli.rs
@@ -2,6 +2,10 @@
 
 use std::path::PathBuf;
 
+use serde::de::DeserializeOwned;
+
+use crate::settings::{self, Check};
+
 /// What a server process was asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Command {
@@ -34,18 +38,23 @@
     Ok(Command::Run { settings })
 }
 
-/// Parses the process's own arguments, printing usage and exiting on `--help` or an error.
-pub fn server_settings_path(name: &str, about: &str) -> PathBuf {
+/// Reads the settings of the process `name` from the file its arguments name. Prints the
+/// usage and exits on `--help`; prints what is wrong and exits with 2 on bad arguments or a
+/// refused file.
+pub fn server_settings<T: DeserializeOwned + Check>(name: &str, about: &str) -> T {
     let usage = format!("{about}\n\nusage: {name} --settings FILE.json");
-    match parse_server_args(std::env::args_os().skip(1)) {
+    let path = match parse_server_args(std::env::args_os().skip(1)) {
         Ok(Command::Run { settings }) => settings,
         Ok(Command::Help) => {
             println!("{usage}");
             std::process::exit(0);
         }
-        Err(e) => {
-            eprintln!("{name}: {e}\n{usage}");
-            std::process::exit(2);
-        }
-    }
+        Err(e) => refuse(name, &format!("{e}\n{usage}")),
+    };
+    settings::load(&path).unwrap_or_else(|e| refuse(name, &e.to_string()))
+}
+
+fn refuse(name: &str, message: &str) -> ! {
+    eprintln!("{name}: {message}");
+    std::process::exit(2);
 }
--- a/crates/foxwheel-engine-emu/src/main.rs
+++ b/crates/foxwheel-engine-emu/src/main.rs
@@ -6,14 +6,8 @@
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     telemetry::init_logging();
-    let path = cli::server_settings_path("foxwheel-engine-emu", "A stand-in for a model engine.");
-    let settings: EngineSettings = match foxwheel_core::settings::load(&path) {
-        Ok(s) => s,
-        Err(e) => {
-            eprintln!("foxwheel-engine-emu: {e}");
-            std::process::exit(2);
-        }
-    };
+    let settings: EngineSettings =
+        cli::server_settings("foxwheel-engine-emu", "A stand-in for a model engine.");
     let cancel = shutdown::on_signal();
     let (addr, server) = server::start(settings, cancel)?;
     log::info!("engine emulator listening on {addr}");
--- a/crates/foxwheel-gateway/src/main.rs
+++ b/crates/foxwheel-gateway/src/main.rs
@@ -6,17 +6,10 @@
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     telemetry::init_logging();
-    let path = cli::server_settings_path(
+    let settings: GatewaySettings = cli::server_settings(
         "foxwheel-gateway",
         "The foxwheel gateway: caller API, rules, routing, batch dispatch.",
     );
-    let settings: GatewaySettings = match foxwheel_core::settings::load(&path) {
-        Ok(s) => s,
-        Err(e) => {
-            eprintln!("foxwheel-gateway: {e}");
-            std::process::exit(2);
-        }
-    };
     let cancel = shutdown::on_signal();
     let name = settings.name.clone();
     let gateway = server::start(settings, cancel)?;
--- a/crates/foxwheel-platform-emu/src/main.rs
+++ b/crates/foxwheel-platform-emu/src/main.rs
@@ -6,17 +6,10 @@
 #[actix_web::main]
 async fn main() -> std::io::Result<()> {
     telemetry::init_logging();
-    let path = cli::server_settings_path(
+    let settings: PlatformSettings = cli::server_settings(
         "foxwheel-platform-emu",
         "A stand-in for the platform's object API.",
     );
-    let settings: PlatformSettings = match foxwheel_core::settings::load(&path) {
-        Ok(s) => s,
-        Err(e) => {
-            eprintln!("foxwheel-platform-emu: {e}");
-            std::process::exit(2);
-        }
-    };
     let cancel = shutdown::on_signal();
     let (addr, server) = server::start(&settings, cancel)?;
     log::info!("platform emulator listening on {addr}");
