--- a/crates/foxwheel-core/src/ids.rs
+++ b/crates/foxwheel-core/src/ids.rs
@@ -21,3 +21,9 @@
 pub type Version = u64;
 /// A fencing number handed out with a lease; a holder with an older number is stale.
 pub type FencingToken = u64;
+/// One start of a backend server; a restarted server has a new one.
+pub type ServerId = String;
+/// A service that routes send requests to, e.g. a model's deployment.
+pub type ServiceName = String;
+/// A process of the system, named after the host it runs on.
+pub type NodeId = String;
--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod protocol;
 pub mod settings;
 pub mod shutdown;
+pub mod structured_log;
 pub mod telemetry;
 pub mod time;
 
@@ -20,6 +21,6 @@
 pub mod prelude {
     pub use crate::{
         cli, declarations, error, fingerprint, http, ids, keys, protocol, settings, shutdown,
-        telemetry, time,
+        structured_log, telemetry, time,
     };
 }
--- /dev/null
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -0,0 +1,160 @@
+//! One client connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxwheel_core::error::Origin;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+
+/// Body of every request: small enough to be held whole.
+pub type RequestBody = Full<Bytes>;
+
+/// Bounds on how long a peer may be silent.
+#[derive(Debug, Clone, Copy)]
+pub struct ConnectOptions {
+    /// Longest wait for the connection to open.
+    pub connect_timeout: Duration,
+    /// Longest time that sent bytes or keep-alive probes stay unacknowledged before the
+    /// connection counts as broken. Without it a peer that lost power is never noticed.
+    pub unacknowledged_timeout: Duration,
+}
+
+/// Why an exchange failed, and whether the request can have reached the peer.
+#[derive(Debug, thiserror::Error)]
+pub enum ExchangeError {
+    /// No connection: nothing was sent.
+    #[error("cannot connect {origin}: {source}")]
+    Connect {
+        /// The step and the peer's address.
+        origin: Origin,
+        /// The socket's error.
+        source: std::io::Error,
+    },
+    /// The connection closed before any byte of the request was written.
+    #[error("closed before sending {origin}: {source}")]
+    NotSent {
+        /// The step and the peer's address.
+        origin: Origin,
+        /// hyper's error.
+        source: hyper::Error,
+    },
+    /// The request was written and no whole answer came: the peer may have acted on it.
+    #[error("no whole answer {origin}: {source}")]
+    Broken {
+        /// The step and the peer's address.
+        origin: Origin,
+        /// hyper's error.
+        source: hyper::Error,
+    },
+}
+
+impl ExchangeError {
+    /// Whether the peer certainly never received the request.
+    pub fn is_not_sent(&self) -> bool {
+        !matches!(self, Self::Broken { .. })
+    }
+}
+
+/// An open connection that serves one exchange at a time. Dropping it closes the socket at
+/// once, so that the peer of an abandoned exchange stops working on it.
+#[derive(Debug)]
+pub struct Connection {
+    peer: SocketAddr,
+    sender: http1::SendRequest<RequestBody>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection to `peer`. Runs its transport on the current tokio runtime.
+    pub async fn open(peer: SocketAddr, options: ConnectOptions) -> Result<Self, ExchangeError> {
+        let error = |source| ExchangeError::Connect {
+            origin: Origin::new("open connection", peer.to_string()),
+            source,
+        };
+        let connecting = TcpStream::connect(peer);
+        let stream = tokio::time::timeout(options.connect_timeout, connecting)
+            .await
+            .map_err(|elapsed| error(elapsed.into()))?
+            .map_err(error)?;
+        bound_silence(&stream, options.unacknowledged_timeout).map_err(error)?;
+        let (sender, connection) = http1::Builder::new()
+            .handshake(TokioIo::new(stream))
+            .await
+            .map_err(|e| error(std::io::Error::other(e)))?;
+        // An error of the transport reaches the exchange under way, which reports it.
+        let driver = tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self {
+            peer,
+            sender,
+            driver,
+        })
+    }
+
+    /// The peer's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Whether the connection is open and has no exchange under way.
+    pub fn is_ready(&self) -> bool {
+        self.sender.is_ready()
+    }
+
+    /// Waits until the connection can take a request; false if it closed.
+    pub async fn ready(&mut self) -> bool {
+        self.sender.ready().await.is_ok()
+    }
+
+    /// Sends `request` and waits for the head of its answer.
+    pub async fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        let origin = Origin::new("exchange", self.peer.to_string());
+        self.sender
+            .try_send_request(request)
+            .await
+            .map_err(|mut failed| {
+                let returned = failed.take_message().is_some();
+                let source = failed.into_error();
+                if returned {
+                    ExchangeError::NotSent { origin, source }
+                } else {
+                    ExchangeError::Broken { origin, source }
+                }
+            })
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Lets the kernel report a peer that stopped answering, and sends small writes at once.
+fn bound_silence(stream: &TcpStream, timeout: Duration) -> std::io::Result<()> {
+    /// Probes that must go unanswered before the connection counts as broken.
+    const PROBES: u32 = 2;
+    stream.set_nodelay(true)?;
+    let socket = socket2::SockRef::from(stream);
+    // Linux counts probe times in whole seconds, so they only bound idle waits coarsely.
+    let probe_every = timeout
+        .div_f64(f64::from(PROBES))
+        .max(Duration::from_secs(1));
+    let keepalive = socket2::TcpKeepalive::new()
+        .with_time(probe_every)
+        .with_interval(probe_every)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(timeout))
+}
--- /dev/null
+++ b/crates/foxwheel-http1/src/pool.rs
@@ -0,0 +1,103 @@
+//! Idle connections kept for the next exchange with the same peer.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use crate::connection::{ConnectOptions, Connection, ExchangeError};
+
+/// Kept back from a peer's announced idle timeout, so that a request does not cross its
+/// close: covers the way there and a late timer.
+const IDLE_MARGIN: Duration = Duration::from_millis(400);
+
+/// How long a connection stays usable when the peer announces no idle timeout; peers
+/// announce whole seconds, so theirs may be shorter than one.
+const UNANNOUNCED_IDLE: Duration = Duration::from_millis(250);
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    usable_until: Instant,
+}
+
+/// Idle connections by peer; the newest is reused first.
+#[derive(Debug)]
+pub struct Pool {
+    options: ConnectOptions,
+    /// Sorted by peer address; connections of one peer in the order of their return.
+    idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+}
+
+/// A connection taken from the pool or newly opened.
+#[derive(Debug)]
+pub struct Lease {
+    /// The connection.
+    pub connection: Connection,
+    /// Whether it was opened for this exchange.
+    pub is_new: bool,
+}
+
+impl Pool {
+    /// An empty pool that opens connections with `options`.
+    pub fn new(options: ConnectOptions) -> Self {
+        Self {
+            options,
+            idle: Mutex::default(),
+        }
+    }
+
+    /// An idle connection to `peer`, or a new one.
+    pub async fn take(&self, peer: SocketAddr) -> Result<Lease, ExchangeError> {
+        if let Some(connection) = self.take_idle(peer) {
+            return Ok(Lease {
+                connection,
+                is_new: false,
+            });
+        }
+        let connection = Connection::open(peer, self.options).await?;
+        Ok(Lease {
+            connection,
+            is_new: true,
+        })
+    }
+
+    /// Gives back a connection whose exchange ended whole. `idle_timeout` is what the peer
+    /// announced.
+    pub fn put(&self, connection: Connection, idle_timeout: Option<Duration>) {
+        let usable = idle_timeout.map_or(UNANNOUNCED_IDLE, |timeout| {
+            timeout.saturating_sub(IDLE_MARGIN)
+        });
+        let peer = connection.peer();
+        let idle = Idle {
+            connection,
+            usable_until: Instant::now() + usable,
+        };
+        let mut peers = self.idle.lock().expect("pool lock");
+        match peers.binary_search_by_key(&peer, |(addr, _)| *addr) {
+            Ok(at) => peers[at].1.push(idle),
+            Err(at) => peers.insert(at, (peer, vec![idle])),
+        }
+    }
+
+    /// Closes connections that may not be used any more.
+    pub fn close_expired(&self) {
+        let now = Instant::now();
+        let mut peers = self.idle.lock().expect("pool lock");
+        for (_, idle) in peers.iter_mut() {
+            idle.retain(|idle| idle.usable_until > now && idle.connection.is_ready());
+        }
+        peers.retain(|(_, idle)| !idle.is_empty());
+    }
+
+    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+        let now = Instant::now();
+        let mut peers = self.idle.lock().expect("pool lock");
+        let at = peers.binary_search_by_key(&peer, |(addr, _)| *addr).ok()?;
+        while let Some(idle) = peers[at].1.pop() {
+            if idle.usable_until > now && idle.connection.is_ready() {
+                return Some(idle.connection);
+            }
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -0,0 +1,230 @@
+//! One attempt at one backend server.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxwheel_core::ids::{RequestId, ServerId};
+use foxwheel_http1::connection::{Connection, ExchangeError, RequestBody};
+use foxwheel_platform::online::{self, AnswerHead};
+use foxwheel_policy::retry::AttemptOutcome;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use hyper::http::response;
+use hyper::Request;
+use tokio::time::Instant as TokioInstant;
+
+use crate::load_table::{InFlight, WorkClass};
+use crate::node::Node;
+
+/// Silence of a server with work in hand after which it is sent nothing new: engines take
+/// a step every few milliseconds, and a full one still starts a request within this time.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(400);
+
+/// Where an attempt goes and how long it may take.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// The server.
+    pub server: ServerId,
+    /// The request's id, which the answer must carry.
+    pub request_id: RequestId,
+    /// Kind of work.
+    pub class: WorkClass,
+    /// When to stop waiting.
+    pub give_up_at: Instant,
+    /// When to stop waiting for the head of the answer and try elsewhere; none waits on.
+    pub head_by: Option<Instant>,
+}
+
+/// Why an attempt gave no usable answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// What is known to have happened.
+    pub outcome: AttemptOutcome,
+    /// The reason, for the log.
+    pub reason: String,
+    /// The server's own whole failure, if it answered one.
+    pub answer: Option<WholeAnswer>,
+}
+
+/// A server's whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Its head.
+    pub head: response::Parts,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// An answer whose head came and whose body is on its way. Dropping it closes the
+/// connection, so that the server stops working on it.
+#[derive(Debug)]
+pub struct OpenAnswer {
+    /// The answer's head.
+    pub head: response::Parts,
+    /// The decoded head.
+    pub says: AnswerHead,
+    /// The server.
+    pub server: ServerId,
+    node: Arc<Node>,
+    body: Incoming,
+    connection: Connection,
+    in_flight: InFlight,
+}
+
+/// What came next of a body.
+#[derive(Debug)]
+pub enum Piece {
+    /// Bytes.
+    Data(Bytes),
+    /// The body ended whole.
+    End,
+    /// The connection broke or the wait ended first.
+    Broken(String),
+}
+
+/// Sends `request` and waits for the head of an answer that belongs to it.
+pub async fn send(
+    node: &Arc<Node>,
+    target: &Target,
+    request: Request<RequestBody>,
+) -> Result<OpenAnswer, Failure> {
+    let Some(addr) = node.server_addr(&target.server) else {
+        return Err(Failure::new(AttemptOutcome::NotSent, "server is gone"));
+    };
+    let in_flight = node.loads.begin(&target.server, target.class);
+    let exchange = async {
+        let mut lease = node.pool.take(addr).await?;
+        if lease.is_new {
+            node.metrics.incr("server.connections");
+        }
+        let response = lease.connection.send(request).await?;
+        Ok::<_, ExchangeError>((lease.connection, response))
+    };
+    let wait_until = target
+        .head_by
+        .map_or(target.give_up_at, |at| at.min(target.give_up_at));
+    let exchanged = bounded(node, &target.server, wait_until, exchange).await;
+    let (connection, response) = match exchanged {
+        Some(Ok(exchanged)) => exchanged,
+        Some(Err(e)) => {
+            note_suspect(node, &target.server, "broken exchange");
+            let outcome = match e.is_not_sent() {
+                true => AttemptOutcome::NotSent,
+                false => AttemptOutcome::Unknown,
+            };
+            return Err(Failure::new(outcome, e.to_string()));
+        }
+        None => {
+            note_suspect(node, &target.server, "no answer");
+            return Err(Failure::new(AttemptOutcome::Unknown, "no answer in time"));
+        }
+    };
+    let (head, body) = response.into_parts();
+    let says = online::decode_answer(&head, &target.request_id);
+    if says.foreign || says.encoded {
+        note_suspect(node, &target.server, "foreign answer");
+        return Err(Failure::new(
+            AttemptOutcome::Unknown,
+            "answer is not the request's",
+        ));
+    }
+    node.loads.trust(&target.server);
+    Ok(OpenAnswer {
+        head,
+        says,
+        server: target.server.clone(),
+        node: Arc::clone(node),
+        body,
+        connection,
+        in_flight,
+    })
+}
+
+impl OpenAnswer {
+    /// The next piece of the body, waited for until `give_up_at`.
+    pub async fn next_piece(&mut self, give_up_at: Instant) -> Piece {
+        loop {
+            let next = bounded(&self.node, &self.server, give_up_at, self.body.frame()).await;
+            return match next {
+                Some(None) => Piece::End,
+                Some(Some(Ok(frame))) => match frame.into_data() {
+                    Ok(data) => Piece::Data(data),
+                    // Trailers concern the connection only.
+                    Err(_) => continue,
+                },
+                Some(Some(Err(e))) => Piece::Broken(e.to_string()),
+                None => Piece::Broken("silent for too long".to_owned()),
+            };
+        }
+    }
+
+    /// The whole body, waited for until `give_up_at`.
+    pub async fn collect(&mut self, give_up_at: Instant) -> Result<Bytes, String> {
+        let mut whole = bytes::BytesMut::new();
+        loop {
+            match self.next_piece(give_up_at).await {
+                Piece::Data(data) => whole.extend_from_slice(&data),
+                Piece::End => return Ok(whole.freeze()),
+                Piece::Broken(reason) => return Err(reason),
+            }
+        }
+    }
+
+    /// Gives the connection back after a body that ended whole.
+    pub fn finish(self) {
+        let Self {
+            says,
+            node,
+            connection,
+            in_flight,
+            ..
+        } = self;
+        drop(in_flight);
+        if !says.closes {
+            node.pool.put(connection, says.idle_timeout);
+        }
+    }
+}
+
+impl Failure {
+    /// A failure without an answer of the server's.
+    pub fn new(outcome: AttemptOutcome, reason: impl Into<String>) -> Self {
+        Self {
+            outcome,
+            reason: reason.into(),
+            answer: None,
+        }
+    }
+}
+
+/// Waits for `work` until `give_up_at`; meanwhile a server that stays silent is sent
+/// nothing new.
+async fn bounded<T>(
+    node: &Node,
+    server: &ServerId,
+    give_up_at: Instant,
+    work: impl std::future::Future<Output = T>,
+) -> Option<T> {
+    tokio::pin!(work);
+    let suspect_at = Instant::now() + SUSPECT_SILENCE;
+    if suspect_at < give_up_at {
+        tokio::select! {
+            biased;
+            done = &mut work => return Some(done),
+            () = tokio::time::sleep_until(TokioInstant::from_std(suspect_at)) => {}
+        }
+        note_suspect(node, server, "silent");
+    }
+    tokio::select! {
+        biased;
+        done = &mut work => Some(done),
+        () = tokio::time::sleep_until(TokioInstant::from_std(give_up_at)) => None,
+    }
+}
+
+fn note_suspect(node: &Node, server: &ServerId, reason: &str) {
+    if node.loads.suspect(server, Instant::now()) {
+        log::info!(server, reason; "backend server suspected");
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -0,0 +1,363 @@
+//! A front's side of batch jobs: submissions, reads, ends.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_core::time;
+use foxwheel_platform::batch_api::{self, JobCall};
+use foxwheel_platform::online::CallerRequest;
+use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use foxwheel_policy::batch::ledger::{Admission, JobStanding};
+use foxwheel_policy::batch::ownership;
+use foxwheel_policy::routes::Route;
+use hyper::StatusCode;
+
+use crate::job_store::{JobStore, JobStoreError};
+use crate::node::Node;
+use crate::peer_rpc::{BodyAnswer, ReadAnswer};
+use crate::replies::{self, Reply};
+use crate::settings::Role;
+
+/// Longest time for storing a submission; the caller waits about four seconds.
+const SUBMIT_TIME: Duration = Duration::from_millis(3_000);
+
+/// Longest time for recording the end of a job.
+const END_TIME: Duration = Duration::from_millis(3_000);
+
+/// Longest wait of one read for a first result.
+const MAX_READ_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Longest time to read a job from the store when no worker answers.
+const LOAD_TIME: Duration = Duration::from_millis(1_000);
+
+/// When a refused call should come again: about a retry of the store.
+const RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// When a submission over the quota should come again: items finish within seconds.
+const QUOTA_RETRY_AFTER: Duration = Duration::from_millis(800);
+
+/// Longest id of a job; it becomes part of object names.
+const MAX_ID_BYTES: usize = 128;
+
+/// A front's side of batch jobs.
+#[derive(Debug)]
+pub struct BatchFront {
+    node: Arc<Node>,
+    store: JobStore,
+}
+
+impl BatchFront {
+    /// The calls on jobs at this front.
+    pub fn new(node: Arc<Node>) -> Self {
+        Self {
+            store: JobStore::new(Arc::clone(&node)),
+            node,
+        }
+    }
+
+    /// Takes a submission to `route`.
+    pub async fn submit(&self, caller: &CallerRequest, route: &Route, body: Bytes) -> Reply {
+        if !is_valid_id(&caller.id) {
+            return replies::problem(
+                StatusCode::BAD_REQUEST,
+                "the job's id is missing or not valid",
+            );
+        }
+        let items = match batch_api::decode_items(&body) {
+            Ok(items) => items,
+            Err(e) => {
+                log::warn!(request_id = caller.id, error:% = e; "submission not valid");
+                return replies::problem(StatusCode::BAD_REQUEST, &e.to_string());
+            }
+        };
+        let job = JobSpec {
+            id: caller.id.clone(),
+            host: caller.host.clone(),
+            path: caller.path.clone(),
+            route: route.name.clone(),
+            submitted_unix: Duration::from_millis(time::unix_ms()),
+            items,
+        };
+        let received_at = Instant::now();
+        let accepted = self.accept(&job, route).await;
+        let took_ms = received_at.elapsed().as_millis() as u64;
+        match accepted {
+            Ok(Admission::OverQuota) => {
+                log::warn!(request_id = job.id, route = route.name, quota_tokens = route.quota_tokens, tokens = job.tokens(), took_ms; "job refused: over quota");
+                self.node.metrics.incr("batch.over_quota");
+                replies::not_run(StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER)
+            }
+            Ok(admission) => {
+                log::info!(request_id = job.id, route = route.name, admission:? = admission, tokens = job.tokens(), took_ms; "job accepted");
+                self.node.metrics.incr("batch.accepted");
+                self.node
+                    .metrics
+                    .time("batch.accept", received_at.elapsed());
+                if admission == Admission::Accepted {
+                    self.hand_over(job);
+                }
+                replies::status(StatusCode::ACCEPTED)
+            }
+            Err(NotAccepted::Never(e)) => {
+                log::warn!(request_id = job.id, error:% = e, took_ms; "job refused");
+                match e {
+                    JobStoreError::ItemTooLarge { .. } => {
+                        replies::problem(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string())
+                    }
+                    _ => replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER),
+                }
+            }
+            Err(NotAccepted::Perhaps(e)) => {
+                log::warn!(request_id = job.id, error:% = e, took_ms; "job may be accepted or not");
+                replies::status(StatusCode::BAD_GATEWAY)
+            }
+        }
+    }
+
+    async fn accept(&self, job: &JobSpec, route: &Route) -> Result<Admission, NotAccepted> {
+        let deadline = Instant::now() + SUBMIT_TIME;
+        // The job must be stored before it stands in the ledger: a worker may look for it
+        // at once.
+        self.store
+            .save_job(job, deadline)
+            .await
+            .map_err(NotAccepted::Never)?;
+        let tokens = job.tokens();
+        let update = self.store.update_ledger(deadline, |ledger| {
+            ledger.admit(
+                &job.id,
+                &job.route,
+                tokens,
+                route.quota_tokens,
+                job.submitted_unix,
+            )
+        });
+        update.await.map_err(NotAccepted::Perhaps)
+    }
+
+    /// Tells the worker that should run the job. If the call is lost, a worker finds the
+    /// job in the ledger.
+    fn hand_over(&self, job: JobSpec) {
+        let now = Instant::now();
+        let workers = self.node.peers.workers(now);
+        let Some(first) = ownership::first_choice(&job.id, &workers) else {
+            log::warn!(request_id = job.id; "no live worker, the ledger keeps the job");
+            return;
+        };
+        let Some(addr) = self.worker_addr(&first.node, now) else {
+            return;
+        };
+        let node = Arc::clone(&self.node);
+        tokio::spawn(async move {
+            let id = job.id.clone();
+            if let Err(e) = node.peer_calls.accepted(addr, job).await {
+                log::warn!(request_id = id, error:% = e; "job not handed over, the ledger keeps it");
+            }
+        });
+    }
+
+    /// Serves a call on a job.
+    pub async fn call(&self, call: JobCall) -> Reply {
+        match call {
+            JobCall::Read { job, from, wait } => self.read(job, from, wait).await,
+            JobCall::Body { job, item } => self.body(job, item).await,
+            JobCall::End { job } => self.end(job).await,
+        }
+    }
+
+    async fn read(&self, job: JobId, from: usize, wait: Duration) -> Reply {
+        if !is_valid_id(&job) {
+            return replies::status(StatusCode::NOT_FOUND);
+        }
+        let wait = wait.min(MAX_READ_WAIT);
+        let mut answer = ReadAnswer::Unsure;
+        for addr in self.workers_for(&job) {
+            let read = self
+                .node
+                .peer_calls
+                .read(addr, job.clone(), from, batch_api::MAX_READ_BYTES, wait)
+                .await;
+            match read {
+                Ok(ReadAnswer::Unsure) => {}
+                Ok(read) => {
+                    answer = read;
+                    break;
+                }
+                Err(e) => log::info!(request_id = job, error:% = e; "worker did not answer a read"),
+            }
+        }
+        if answer == ReadAnswer::Unsure {
+            answer = self.read_from_store(&job, from).await;
+        }
+        match answer {
+            ReadAnswer::Results {
+                item_count,
+                results,
+            } => replies::json(batch_api::encode_read(item_count, from, &results)),
+            ReadAnswer::NoSuchJob => {
+                log::warn!(request_id = job; "read of an unknown job");
+                replies::status(StatusCode::NOT_FOUND)
+            }
+            ReadAnswer::Unsure => {
+                log::warn!(request_id = job; "job not readable now");
+                replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER)
+            }
+        }
+    }
+
+    async fn body(&self, job: JobId, item: ItemId) -> Reply {
+        if !is_valid_id(&job) {
+            return replies::status(StatusCode::NOT_FOUND);
+        }
+        let mut answer = BodyAnswer::Unsure;
+        for addr in self.workers_for(&job) {
+            let calls = &self.node.peer_calls;
+            match calls.body(addr, job.clone(), item.clone()).await {
+                Ok(BodyAnswer::Unsure) => {}
+                Ok(body) => {
+                    answer = body;
+                    break;
+                }
+                Err(e) => {
+                    log::info!(request_id = item, error:% = e; "worker did not answer a read")
+                }
+            }
+        }
+        if answer == BodyAnswer::Unsure {
+            answer = self.body_from_store(&job, &item).await;
+        }
+        match answer {
+            BodyAnswer::Body(body) => {
+                let mut reply = replies::status(StatusCode::OK);
+                *reply.body_mut() = replies::whole(body);
+                reply
+            }
+            BodyAnswer::NoSuchItem => replies::status(StatusCode::NOT_FOUND),
+            BodyAnswer::Unsure => {
+                log::warn!(request_id = item, job; "item not readable now");
+                replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER)
+            }
+        }
+    }
+
+    async fn end(&self, job: JobId) -> Reply {
+        if !is_valid_id(&job) {
+            return replies::status(StatusCode::NOT_FOUND);
+        }
+        let now_unix = Duration::from_millis(time::unix_ms());
+        let deadline = Instant::now() + END_TIME;
+        let update = self.store.update_ledger(deadline, |ledger| {
+            ledger.close(&job, now_unix);
+            ledger.standing(&job)
+        });
+        match update.await {
+            Ok(JobStanding::Closed) => {
+                log::info!(request_id = job; "job ended by its caller");
+                self.tell_ended(&job);
+                replies::status(StatusCode::OK)
+            }
+            Ok(_) => self.end_unknown(&job).await,
+            Err(e) => {
+                log::warn!(request_id = job, error:% = e; "end of the job not recorded");
+                replies::status(StatusCode::BAD_GATEWAY)
+            }
+        }
+    }
+
+    /// An end of a job that is not in the ledger: it was pruned long after it ended, or
+    /// never was accepted.
+    async fn end_unknown(&self, job: &JobId) -> Reply {
+        let deadline = Instant::now() + LOAD_TIME;
+        match self.store.load_job(job, deadline).await {
+            Ok(Some(_)) => replies::status(StatusCode::OK),
+            Ok(None) => replies::status(StatusCode::NOT_FOUND),
+            Err(_) => replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER),
+        }
+    }
+
+    /// Tells every worker: more than one may believe that it runs the job.
+    fn tell_ended(&self, job: &JobId) {
+        for (_, addr) in self.node.peers.live(Role::Worker, Instant::now()) {
+            let node = Arc::clone(&self.node);
+            let job = job.clone();
+            tokio::spawn(async move {
+                if let Err(e) = node.peer_calls.ended(addr, job.clone()).await {
+                    log::info!(request_id = job, error:% = e; "worker not told of the end, the ledger tells it");
+                }
+            });
+        }
+    }
+
+    /// Addresses of the workers to ask about a job: its holder, then the one that should
+    /// hold it.
+    fn workers_for(&self, job: &JobId) -> Vec<std::net::SocketAddr> {
+        let now = Instant::now();
+        let workers = self.node.peers.workers(now);
+        let holders = workers
+            .iter()
+            .filter(|worker| worker.held.binary_search(job).is_ok());
+        let mut hosts: Vec<&str> = holders.map(|worker| worker.node.as_str()).collect();
+        if let Some(first) = ownership::first_choice(job, &workers) {
+            hosts.push(&first.node);
+        }
+        hosts.dedup();
+        hosts
+            .into_iter()
+            .filter_map(|host| self.worker_addr(host, now))
+            .collect()
+    }
+
+    fn worker_addr(&self, host: &str, now: Instant) -> Option<std::net::SocketAddr> {
+        let live = self.node.peers.live(Role::Worker, now);
+        live.into_iter()
+            .find(|(name, _)| name == host)
+            .map(|(_, addr)| addr)
+    }
+
+    async fn read_from_store(&self, job: &JobId, from: usize) -> ReadAnswer {
+        match self.progress_from_store(job).await {
+            Ok(Some(progress)) => ReadAnswer::Results {
+                item_count: progress.spec.items.len(),
+                results: progress.listed.into_iter().skip(from).collect(),
+            },
+            Ok(None) => ReadAnswer::NoSuchJob,
+            Err(e) => {
+                log::info!(request_id = job, error:% = e; "job not read from the store");
+                ReadAnswer::Unsure
+            }
+        }
+    }
+
+    async fn body_from_store(&self, job: &JobId, item: &ItemId) -> BodyAnswer {
+        let deadline = Instant::now() + LOAD_TIME;
+        match self.store.load_job(job, deadline).await {
+            Ok(found) => found
+                .and_then(|job| job.items.into_iter().find(|spec| spec.id == *item))
+                .map_or(BodyAnswer::NoSuchItem, |spec| BodyAnswer::Body(spec.body)),
+            Err(e) => {
+                log::info!(request_id = item, error:% = e; "item not read from the store");
+                BodyAnswer::Unsure
+            }
+        }
+    }
+
+    async fn progress_from_store(&self, job: &JobId) -> Result<Option<JobProgress>, JobStoreError> {
+        let deadline = Instant::now() + LOAD_TIME;
+        self.store.load_progress(job, deadline).await
+    }
+}
+
+enum NotAccepted {
+    /// No part of the job will run through this submission.
+    Never(JobStoreError),
+    /// The ledger may come to name the job.
+    Perhaps(JobStoreError),
+}
+
+/// Whether an id can stand in a path and an object's name.
+fn is_valid_id(id: &str) -> bool {
+    let valid = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
+    !id.is_empty() && id.len() <= MAX_ID_BYTES && id.bytes().all(valid)
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/bin/foxwheel-front.rs
@@ -0,0 +1,15 @@
+//! The front process: answers callers on the users' platform.
+
+use foxwheel_core::cli;
+use foxwheel_node::{drain, settings};
+
+fn main() -> std::io::Result<()> {
+    let settings: settings::NodeSettings = cli::server_settings(
+        "foxwheel-front",
+        "Answers callers: online requests and the calls on batch jobs.",
+    );
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(drain::run_front(settings))
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/drain.rs
@@ -0,0 +1,112 @@
+//! A process from start to stop.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxwheel_core::{shutdown, structured_log};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::settings::NodeSettings;
+use crate::worker_jobs::WorkerJobs;
+use crate::{followers, front, heartbeat, peer_rpc, worker};
+
+/// Left of the time to stop when open exchanges are cut: the process must be gone before
+/// it is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(500);
+
+/// Runs a front until it is told to stop and its exchanges have ended.
+pub async fn run_front(settings: NodeSettings) -> std::io::Result<()> {
+    let (node, background) = start(settings, None).await?;
+    let settings = &node.settings;
+    let caller_address = settings
+        .caller_address
+        .ok_or_else(|| std::io::Error::other("a front needs a caller address"))?;
+    let listener = TcpListener::bind(caller_address).await?;
+    let closing = CancellationToken::new();
+    let connections = front::serve(Arc::clone(&node), listener, closing.clone());
+    if let Some(addr) = settings.readiness_address {
+        front::serve_readiness(Arc::clone(&node), addr).await?;
+    }
+    node.leaving.cancelled().await;
+    let stop_by = Instant::now() + settings.stop_grace.saturating_sub(STOP_MARGIN);
+    tokio::time::sleep(front::STOP_ANNOUNCED_FOR.min(settings.stop_grace / 2)).await;
+    closing.cancel();
+    connections.close();
+    let until = tokio::time::Instant::from_std(stop_by);
+    let ended = tokio::time::timeout_at(until, connections.wait()).await;
+    log::info!(cut = connections.len(), in_time = ended.is_ok(); "front stopped");
+    background.cancel();
+    Ok(())
+}
+
+/// Runs a worker until it is told to stop and has given its jobs back.
+pub async fn run_worker(settings: NodeSettings) -> std::io::Result<()> {
+    let leaving = shutdown::on_signal();
+    structured_log::init(settings.host.clone());
+    let node = Node::new(settings, leaving);
+    let jobs = WorkerJobs::new(Arc::clone(&node));
+    let background = start_background(&node, Some(Arc::clone(&jobs))).await?;
+    let stopped = CancellationToken::new();
+    let stop_by = stop_deadline(Arc::clone(&node), stopped.clone());
+    let deadline = tokio::spawn(stop_by);
+    worker::run(Arc::clone(&node), jobs, stopped).await;
+    deadline.abort();
+    log::info!(held = node.held_jobs().len(); "worker stopped");
+    background.cancel();
+    Ok(())
+}
+
+async fn stop_deadline(node: Arc<Node>, stopped: CancellationToken) {
+    node.leaving.cancelled().await;
+    let grace = node.settings.stop_grace.saturating_sub(STOP_MARGIN);
+    tokio::time::sleep(grace).await;
+    stopped.cancel();
+}
+
+async fn start(
+    settings: NodeSettings,
+    jobs: Option<Arc<WorkerJobs>>,
+) -> std::io::Result<(Arc<Node>, CancellationToken)> {
+    let leaving = shutdown::on_signal();
+    structured_log::init(settings.host.clone());
+    let node = Node::new(settings, leaving);
+    let background = start_background(&node, jobs).await?;
+    Ok((node, background))
+}
+
+/// Starts what every process does beside its work. Cancelling the answered token stops it.
+async fn start_background(
+    node: &Arc<Node>,
+    jobs: Option<Arc<WorkerJobs>>,
+) -> std::io::Result<CancellationToken> {
+    let settings = &node.settings;
+    log::info!(role:? = settings.role, zone = settings.availability_zone, incarnation = node.incarnation, version = env!("CARGO_PKG_VERSION"); "process started");
+    let cancel = CancellationToken::new();
+    let addr = settings.peer_address();
+    let socket = UdpSocket::bind(addr).await?;
+    peer_rpc::serve(Arc::clone(node), jobs, addr, cancel.clone()).await?;
+    if let Some(port) = settings.metrics_port {
+        let addr = SocketAddr::new(settings.ip, port);
+        front::serve_metrics(Arc::clone(node), addr).await?;
+    }
+    tokio::spawn(heartbeat::run(Arc::clone(node), socket, cancel.clone()));
+    tokio::spawn(followers::run(Arc::clone(node), cancel.clone()));
+    tokio::spawn(log_reloads());
+    Ok(cancel)
+}
+
+/// Notes each SIGHUP. Settings name addresses that cannot change while the process lives,
+/// and seeds that only matter at its start, so nothing else follows.
+async fn log_reloads() {
+    use tokio::signal::unix::{signal, SignalKind};
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(e) => return log::warn!(error:% = e; "SIGHUP not handled"),
+    };
+    while hangups.recv().await.is_some() {
+        log::info!(outcome = "kept"; "reload asked for");
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/followers.rs
@@ -0,0 +1,327 @@
+//! Following the platform's store: the configuration, the backend servers, the other
+//! processes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxwheel_platform::store::{Change, EncodedJson, Object, StoreError, Watched, Write, Written};
+use foxwheel_platform::{config, servers};
+use foxwheel_policy::routes::Config;
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::settings::Role;
+use crate::store_access::Backoff;
+
+/// How long one watch waits. Longer costs fewer calls; a connection that fell silent is
+/// found by its keep-alive probes and not by this.
+const WATCH_WAIT: Duration = Duration::from_secs(20);
+
+/// How often servers whose entries vanished are looked over.
+const EXPIRE_EVERY: Duration = Duration::from_millis(200);
+
+/// How long the store may fail before a peer is asked for what it knows.
+const ASK_PEERS_AFTER: Duration = Duration::from_millis(600);
+
+/// Time between questions to peers while the store is out of reach.
+const ASK_PEERS_EVERY: Duration = Duration::from_millis(1_000);
+
+/// Kind of the entries with which processes announce themselves.
+const NODES_KIND: &str = "foxwheel-nodes";
+
+/// What follows one kind of object.
+trait Follower: Send + Sync + 'static {
+    /// The kind.
+    const KIND: &'static str;
+
+    /// The store stopped answering.
+    fn lost(&self, _node: &Node) {}
+
+    /// The store answers again; called before the next list is taken.
+    fn regained(&self, _node: &Node) {}
+
+    /// Takes every object of the kind.
+    fn take_all(&self, node: &Node, objects: Vec<Object>);
+
+    /// Takes one change.
+    fn take_change(&self, node: &Node, change: Change);
+}
+
+/// Follows the store until cancelled.
+pub async fn run(node: Arc<Node>, cancel: CancellationToken) {
+    let following = async {
+        tokio::join!(
+            follow(&node, ConfigFollower),
+            follow(&node, ServerFollower),
+            follow(&node, NodeFollower),
+            expire(&node),
+            ask_peers(&node),
+            announce(&node),
+        )
+    };
+    tokio::select! {
+        () = cancel.cancelled() => {}
+        _ = following => {}
+    }
+}
+
+async fn follow<F: Follower>(node: &Node, follower: F) {
+    let mut backoff = Backoff::default();
+    let mut revision = None;
+    let mut failing = false;
+    loop {
+        let step = follow_once(node, &follower, revision).await;
+        match step {
+            Ok(next) => {
+                if failing {
+                    follower.regained(node);
+                    failing = false;
+                }
+                backoff = Backoff::default();
+                revision = next;
+            }
+            Err(_) => {
+                // StoreAccess logs the loss of the store once for all followers.
+                if !failing {
+                    follower.lost(node);
+                    failing = true;
+                    revision = None;
+                }
+                tokio::time::sleep(backoff.pause()).await;
+            }
+        }
+    }
+}
+
+/// Lists the kind if `revision` is none, else watches from it. Answers where to go on, or
+/// none to list again.
+async fn follow_once<F: Follower>(
+    node: &Node,
+    follower: &F,
+    revision: Option<u64>,
+) -> Result<Option<u64>, StoreError> {
+    let Some(revision) = revision else {
+        let listing = node.store.list(F::KIND).await?;
+        follower.regained(node);
+        follower.take_all(node, listing.objects);
+        return Ok(Some(listing.revision));
+    };
+    match node.store.watch(F::KIND, revision, WATCH_WAIT).await? {
+        Watched::Changes { changes, revision } => {
+            for change in changes {
+                follower.take_change(node, change);
+            }
+            Ok(Some(revision))
+        }
+        Watched::HistoryGone => {
+            log::info!(kind = F::KIND, revision; "history gone, listing again");
+            Ok(None)
+        }
+    }
+}
+
+struct ConfigFollower;
+
+impl Follower for ConfigFollower {
+    const KIND: &'static str = config::KIND;
+
+    fn take_all(&self, node: &Node, objects: Vec<Object>) {
+        for object in objects {
+            take_config(node, &object);
+        }
+    }
+
+    fn take_change(&self, node: &Node, change: Change) {
+        if !change.removed {
+            take_config(node, &change.object);
+        }
+    }
+}
+
+fn take_config(node: &Node, object: &Object) {
+    if object.name != config::NAME {
+        return;
+    }
+    match config::decode(&object.spec) {
+        Ok((config, faults)) => {
+            for fault in faults {
+                log::warn!(revision = object.revision, fault; "configuration entry left out");
+            }
+            put_in_force(node, config, "store");
+        }
+        Err(e) => {
+            log::warn!(revision = object.revision, error:% = e; "configuration refused, the one before stays");
+        }
+    }
+}
+
+/// Puts `config` in force if it is newer.
+pub fn put_in_force(node: &Node, config: Config, source: &str) {
+    let version = config.version;
+    let routes = config.routes.len();
+    let mut in_force = node.config.lock().expect("config lock");
+    let before = in_force.version();
+    if in_force.offer(config) {
+        log::info!(version, before, routes, source; "configuration in force");
+    }
+}
+
+struct ServerFollower;
+
+impl Follower for ServerFollower {
+    const KIND: &'static str = servers::KIND;
+
+    fn lost(&self, node: &Node) {
+        node.directory.lock().expect("directory lock").source_lost();
+    }
+
+    fn regained(&self, node: &Node) {
+        let mut directory = node.directory.lock().expect("directory lock");
+        directory.source_back(Instant::now());
+    }
+
+    fn take_all(&self, node: &Node, objects: Vec<Object>) {
+        let listed: Vec<_> = objects.iter().filter_map(decode_server).collect();
+        log::info!(servers = listed.len(); "backend servers listed");
+        let mut directory = node.directory.lock().expect("directory lock");
+        directory.replace_all(listed, Instant::now());
+    }
+
+    fn take_change(&self, node: &Node, change: Change) {
+        let id = change.object.name.clone();
+        let mut directory = node.directory.lock().expect("directory lock");
+        if change.removed {
+            log::info!(server = id, revision = change.object.revision; "backend server delisted");
+            directory.remove(&id, Instant::now());
+        } else if let Some(server) = decode_server(&change.object) {
+            log::info!(server = id, revision = change.object.revision, state:? = server.state, service = server.service; "backend server changed");
+            directory.upsert(server);
+        }
+    }
+}
+
+fn decode_server(object: &Object) -> Option<foxwheel_policy::membership::BackendServer> {
+    servers::decode(&object.name, &object.spec)
+        .inspect_err(
+            |e| log::warn!(server = object.name, error:% = e; "backend server's entry unreadable"),
+        )
+        .ok()
+}
+
+/// Drops servers whose time as a last resort is over, and idle connections past theirs.
+async fn expire(node: &Node) {
+    let mut ticks = tokio::time::interval(EXPIRE_EVERY);
+    loop {
+        ticks.tick().await;
+        let gone = {
+            let mut directory = node.directory.lock().expect("directory lock");
+            directory.expire(Instant::now())
+        };
+        if !gone.is_empty() {
+            log::info!(servers:? = gone; "backend servers gone");
+            node.loads.forget(&gone);
+        }
+        node.pool.close_expired();
+    }
+}
+
+/// While the store is out of reach, takes what a peer knows.
+async fn ask_peers(node: &Node) {
+    loop {
+        tokio::time::sleep(ASK_PEERS_EVERY).await;
+        let now = Instant::now();
+        let failing = node.store.failing_for(now);
+        if failing.is_none_or(|failing| failing < ASK_PEERS_AFTER) {
+            continue;
+        }
+        for (host, addr) in peers_in_turn(node, now) {
+            let Ok(knowledge) = node.peer_calls.knowledge(addr).await else {
+                continue;
+            };
+            if !knowledge.store_reached {
+                continue;
+            }
+            log::info!(peer = host, servers = knowledge.servers.len(); "state taken from peer");
+            if let Some(config) = knowledge.config {
+                put_in_force(node, config, "peer");
+            }
+            let mut directory = node.directory.lock().expect("directory lock");
+            directory.replace_all(knowledge.servers, now);
+            break;
+        }
+    }
+}
+
+fn peers_in_turn(node: &Node, now: Instant) -> Vec<(String, SocketAddr)> {
+    let mut peers = node.peers.live(Role::Worker, now);
+    peers.extend(node.peers.live(Role::Front, now));
+    let first = rand::random_range(0..peers.len().max(1));
+    peers.rotate_left(first);
+    peers
+}
+
+struct NodeFollower;
+
+impl Follower for NodeFollower {
+    const KIND: &'static str = NODES_KIND;
+
+    fn take_all(&self, node: &Node, objects: Vec<Object>) {
+        for object in objects {
+            note_process(node, &object);
+        }
+    }
+
+    fn take_change(&self, node: &Node, change: Change) {
+        if !change.removed {
+            note_process(node, &change.object);
+        }
+    }
+}
+
+fn note_process(node: &Node, object: &Object) {
+    let addr = object.spec["addr"]
+        .as_str()
+        .and_then(|addr| addr.parse().ok());
+    match addr {
+        Some(addr) => {
+            let own = node.settings.peer_address();
+            node.peers.note_address(addr, own, Instant::now());
+        }
+        None => log::warn!(host = object.name; "process entry without a readable address"),
+    }
+}
+
+/// Announces this process once, so that the others send it heartbeats.
+async fn announce(node: &Node) {
+    let own = node.settings.peer_address();
+    for seed in &node.settings.seeds {
+        let addr = SocketAddr::new(seed.ip(), own.port());
+        node.peers.note_address(addr, own, Instant::now());
+    }
+    let spec: EncodedJson = serde_json::json!({ "addr": own }).to_string();
+    let kind = NODES_KIND.to_owned();
+    let name = node.settings.host.clone();
+    let create = Write::Create {
+        kind: kind.clone(),
+        name: name.clone(),
+        spec: spec.clone(),
+    };
+    let replace = Write::Replace {
+        kind,
+        name,
+        spec,
+        revision: None,
+    };
+    let mut backoff = Backoff::default();
+    loop {
+        let written = match node.store.write(&create).await {
+            Ok(Written::Conflict(_)) => node.store.write(&replace).await,
+            other => other,
+        };
+        match written {
+            Ok(Written::Done(_)) => return log::info!(addr:% = own; "process announced"),
+            Ok(_) | Err(_) => tokio::time::sleep(backoff.pause()).await,
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -0,0 +1,122 @@
+//! Heartbeats between processes, as UDP datagrams.
+//!
+//! They carry liveness, load and held jobs without a call to the platform: a check through
+//! the store would cost a write and a wake-up of every watcher for each beat.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::peers::Heartbeat;
+
+/// Time between heartbeats within a zone; load there decides where work goes.
+const LOCAL_EVERY: Duration = Duration::from_millis(100);
+
+/// Heartbeats within the zone for each one to other zones, whose bytes are priced.
+const LOCAL_PER_REMOTE: u64 = 4;
+
+/// Largest datagram: below the usual path limit, so that it is not split.
+const MAX_DATAGRAM_BYTES: usize = 1_400;
+
+/// Most addresses of others told in one heartbeat.
+const MAX_KNOWN: usize = 12;
+
+/// Sends and receives heartbeats until cancelled.
+pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
+    let socket = Arc::new(socket);
+    let receiving = receive(Arc::clone(&node), Arc::clone(&socket));
+    let sending = send(node, socket);
+    tokio::select! {
+        () = cancel.cancelled() => {}
+        () = receiving => {}
+        () = sending => {}
+    }
+}
+
+async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let own = node.settings.peer_address();
+    let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
+    loop {
+        let received = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => &buffer[..length],
+            Err(e) => {
+                log::warn!(error:% = e; "heartbeat not received");
+                tokio::time::sleep(LOCAL_EVERY).await;
+                continue;
+            }
+        };
+        let Ok(beat) = postcard::from_bytes::<Heartbeat>(received) else {
+            node.metrics.incr("heartbeat.unreadable");
+            continue;
+        };
+        let host = beat.host.clone();
+        let (incarnation, leaving) = (beat.incarnation, beat.leaving);
+        if node.peers.hear(beat, own, Instant::now()) {
+            log::info!(peer = host, incarnation, leaving; "peer is alive");
+        }
+        node.peer_news.notify_waiters();
+    }
+}
+
+async fn send(node: Arc<Node>, socket: Arc<UdpSocket>) {
+    let mut ticks = tokio::time::interval(LOCAL_EVERY);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut sequence = 0;
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = node.load_alarm.notified() => {}
+        }
+        sequence += 1;
+        send_one(&node, &socket, sequence).await;
+    }
+}
+
+async fn send_one(node: &Node, socket: &UdpSocket, sequence: u64) {
+    let now = Instant::now();
+    let to_all = sequence % LOCAL_PER_REMOTE == 1;
+    let addresses = node.peers.addresses(now);
+    let beat = heartbeat(node, sequence, &addresses);
+    let Ok(bytes) = postcard::to_stdvec(&beat) else {
+        node.metrics.incr("heartbeat.unencodable");
+        return;
+    };
+    for (addr, zone) in addresses {
+        let local = zone.as_deref() == Some(node.settings.availability_zone.as_str());
+        if local || to_all {
+            // A lost datagram is made good by the next one.
+            let _ = socket.send_to(&bytes, addr).await;
+        }
+    }
+}
+
+fn heartbeat(
+    node: &Node,
+    sequence: u64,
+    addresses: &[(std::net::SocketAddr, Option<String>)],
+) -> Heartbeat {
+    let loads = node.loads.snapshot();
+    Heartbeat {
+        host: node.settings.host.clone(),
+        incarnation: node.incarnation,
+        sequence,
+        role: node.settings.role,
+        zone: node.settings.availability_zone.clone(),
+        addr: node.settings.peer_address(),
+        leaving: node.is_leaving(),
+        loads: loads
+            .into_iter()
+            .map(|(id, online, batch)| (id, online as u16, batch as u16))
+            .collect(),
+        held_jobs: node.held_jobs(),
+        known: addresses
+            .iter()
+            .filter(|(_, zone)| zone.is_some())
+            .map(|(addr, _)| *addr)
+            .take(MAX_KNOWN)
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -0,0 +1,132 @@
+//! One run of a batch item at a backend server.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::{JobId, ServerId};
+use foxwheel_platform::online::{self, Attempt};
+use foxwheel_policy::batch::item::{ItemSpec, PartialOutput, RunEnd};
+use foxwheel_policy::retry::AttemptOutcome;
+use hyper::StatusCode;
+use tokio_util::sync::CancellationToken;
+
+use crate::attempt::{self, OpenAnswer, Piece, Target};
+use crate::event_stream::EventSplitter;
+use crate::load_table::WorkClass;
+use crate::node::Node;
+
+/// Longest wait for the first event: an engine that does not begin within it is full.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(4_000);
+
+/// Longest pause between events before the run goes on elsewhere.
+const EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// What to run and where.
+#[derive(Debug)]
+pub struct ItemRun {
+    /// The item's job, for the log.
+    pub job: JobId,
+    /// Host header of the job's route.
+    pub host: String,
+    /// The item.
+    pub item: ItemSpec,
+    /// Output of earlier runs.
+    pub partial: PartialOutput,
+    /// The server.
+    pub server: ServerId,
+    /// Cancelled to free the slot or when the job ends.
+    pub cancel: CancellationToken,
+}
+
+/// Runs the item; answers how the run ended and the output so far.
+pub async fn run(node: Arc<Node>, mut run: ItemRun) -> (RunEnd, PartialOutput) {
+    let cancel = run.cancel.clone();
+    let started = Instant::now();
+    let resumed_after = run.partial.last_event_id;
+    let running = run_to_end(&node, &mut run);
+    let (end, reason) = tokio::select! {
+        () = cancel.cancelled() => (RunEnd::Preempted, "slot needed or job ended".to_owned()),
+        ended = running => ended,
+    };
+    let took_ms = started.elapsed().as_millis() as u64;
+    log::info!(request_id = run.item.id, job = run.job, server = run.server, end:? = end, reason, resumed_after, last_event = run.partial.last_event_id, took_ms; "item run ended");
+    node.metrics.incr(match end {
+        RunEnd::Whole => "batch.runs_whole",
+        RunEnd::Preempted => "batch.runs_preempted",
+        _ => "batch.runs_failed",
+    });
+    (end, run.partial)
+}
+
+async fn run_to_end(node: &Arc<Node>, run: &mut ItemRun) -> (RunEnd, String) {
+    let attempt = Attempt {
+        server: &run.server,
+        time_left: None,
+        last_event_id: run.partial.last_event_id,
+    };
+    let request = match online::item_request(&run.item, &run.host, attempt) {
+        Ok(request) => request,
+        Err(e) => return (RunEnd::Impossible, format!("not a valid request: {e}")),
+    };
+    let target = Target {
+        server: run.server.clone(),
+        request_id: run.item.id.clone(),
+        class: WorkClass::Batch,
+        give_up_at: Instant::now() + FIRST_EVENT_PATIENCE,
+        head_by: None,
+    };
+    match attempt::send(node, &target, request).await {
+        Ok(answer) => read_answer(answer, run).await,
+        Err(failure) => match failure.outcome {
+            AttemptOutcome::NotSent | AttemptOutcome::Rejected => (RunEnd::NotRun, failure.reason),
+            AttemptOutcome::Failed | AttemptOutcome::Unknown => (RunEnd::Broken, failure.reason),
+        },
+    }
+}
+
+async fn read_answer(mut answer: OpenAnswer, run: &mut ItemRun) -> (RunEnd, String) {
+    let status = answer.says.status;
+    if status.is_success() && !answer.says.not_run {
+        return read_events(answer, run).await;
+    }
+    let end = match status {
+        _ if answer.says.not_run => RunEnd::NotRun,
+        StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Impossible,
+        StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+        _ => RunEnd::Broken,
+    };
+    let whole = answer.collect(Instant::now() + EVENT_PATIENCE).await;
+    if whole.is_ok() {
+        answer.finish();
+    }
+    (end, format!("server answered {}", status.as_u16()))
+}
+
+async fn read_events(mut answer: OpenAnswer, run: &mut ItemRun) -> (RunEnd, String) {
+    let mut splitter = EventSplitter::default();
+    let mut patience = FIRST_EVENT_PATIENCE;
+    loop {
+        match answer.next_piece(Instant::now() + patience).await {
+            Piece::Data(data) => splitter.push(&data),
+            Piece::End if splitter.has_rest() => {
+                return (RunEnd::Broken, "ended within an event".to_owned())
+            }
+            Piece::End if run.partial.last_event_id.is_none() => {
+                return (RunEnd::Broken, "ended without an event".to_owned())
+            }
+            Piece::End => {
+                answer.finish();
+                return (RunEnd::Whole, String::new());
+            }
+            Piece::Broken(reason) => return (RunEnd::Broken, reason),
+        }
+        patience = EVENT_PATIENCE;
+        while let Some(event) = splitter.next_event() {
+            let Some(id) = event.id else { continue };
+            if !run.partial.push(id, &event.data()) {
+                let last = run.partial.last_event_id;
+                return (RunEnd::Broken, format!("event {id} follows event {last:?}"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/lib.rs
@@ -0,0 +1,32 @@
+//! The processes foxwheel runs on the users' platform.
+//!
+//! A *front* answers callers; a *worker* runs batch jobs. Both follow the operator's
+//! configuration and the list of backend servers in the platform's store, tell each other
+//! of their load, and ask `foxwheel-policy` for every decision.
+
+pub mod attempt;
+pub mod batch_front;
+pub mod drain;
+pub mod event_stream;
+pub mod followers;
+pub mod front;
+pub mod heartbeat;
+pub mod item_run;
+pub mod job_store;
+pub mod load_table;
+pub mod metrics;
+pub mod node;
+pub mod online;
+pub mod peer_rpc;
+pub mod peers;
+pub mod relay;
+pub mod replies;
+pub mod settings;
+pub mod store_access;
+pub mod worker;
+pub mod worker_jobs;
+
+/// The crate's modules, for `use foxwheel_node::prelude::*`.
+pub mod prelude {
+    pub use crate::{front, node, settings, worker};
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -0,0 +1,143 @@
+//! What this process knows of each backend server's load and health.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::ServerId;
+use tokio::sync::Notify;
+
+/// How long a server that broke or was silent is avoided.
+const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
+
+/// Which kind of work a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkClass {
+    /// A caller waits for it.
+    Online,
+    /// A batch item.
+    Batch,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Entry {
+    server: ServerId,
+    online: u32,
+    batch: u32,
+    suspect_until: Option<Instant>,
+}
+
+/// In-flight requests of this process by server, and servers it has reason to avoid.
+#[derive(Debug, Default)]
+pub struct LoadTable {
+    /// Sorted by server id.
+    entries: Mutex<Vec<Entry>>,
+    /// Woken when a request ends and its slot is free.
+    pub freed: Notify,
+}
+
+/// A request in flight; dropping it frees its slot.
+#[derive(Debug)]
+pub struct InFlight {
+    table: Arc<LoadTable>,
+    server: ServerId,
+    class: WorkClass,
+}
+
+/// One server's load from this process.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OwnLoad {
+    /// Online requests in flight.
+    pub online: u32,
+    /// Batch items in flight.
+    pub batch: u32,
+    /// It has been silent or broke connections lately.
+    pub suspect: bool,
+}
+
+impl LoadTable {
+    /// Counts a request as in flight at `server` until the answer is dropped.
+    pub fn begin(self: &Arc<Self>, server: &ServerId, class: WorkClass) -> InFlight {
+        self.with(server, |entry| *entry.count(class) += 1);
+        InFlight {
+            table: Arc::clone(self),
+            server: server.clone(),
+            class,
+        }
+    }
+
+    /// The load this process puts on `server`.
+    pub fn own(&self, server: &str, now: Instant) -> OwnLoad {
+        let entries = self.entries.lock().expect("load lock");
+        match entries.binary_search_by(|entry| entry.server.as_str().cmp(server)) {
+            Ok(at) => OwnLoad {
+                online: entries[at].online,
+                batch: entries[at].batch,
+                suspect: entries[at].suspect_until.is_some_and(|until| now < until),
+            },
+            Err(_) => OwnLoad::default(),
+        }
+    }
+
+    /// Every server with requests in flight: its id, online and batch requests.
+    pub fn snapshot(&self) -> Vec<(ServerId, u32, u32)> {
+        let entries = self.entries.lock().expect("load lock");
+        entries
+            .iter()
+            .filter(|entry| entry.online + entry.batch > 0)
+            .map(|entry| (entry.server.clone(), entry.online, entry.batch))
+            .collect()
+    }
+
+    /// Avoids `server` for a while; answers whether that is new.
+    pub fn suspect(&self, server: &ServerId, now: Instant) -> bool {
+        self.with(server, |entry| {
+            let known = entry.suspect_until.is_some_and(|until| now < until);
+            entry.suspect_until = Some(now + SUSPECT_FOR);
+            !known
+        })
+    }
+
+    /// `server` made progress: it is not avoided any more.
+    pub fn trust(&self, server: &ServerId) {
+        self.with(server, |entry| entry.suspect_until = None);
+    }
+
+    /// Forgets servers that are gone.
+    pub fn forget(&self, gone: &[ServerId]) {
+        let mut entries = self.entries.lock().expect("load lock");
+        entries.retain(|entry| entry.online + entry.batch > 0 || !gone.contains(&entry.server));
+    }
+
+    fn with<T>(&self, server: &str, act: impl FnOnce(&mut Entry) -> T) -> T {
+        let mut entries = self.entries.lock().expect("load lock");
+        let at = entries
+            .binary_search_by(|entry| entry.server.as_str().cmp(server))
+            .unwrap_or_else(|at| {
+                let entry = Entry {
+                    server: server.to_owned(),
+                    ..Entry::default()
+                };
+                entries.insert(at, entry);
+                at
+            });
+        act(&mut entries[at])
+    }
+}
+
+impl Entry {
+    fn count(&mut self, class: WorkClass) -> &mut u32 {
+        match class {
+            WorkClass::Online => &mut self.online,
+            WorkClass::Batch => &mut self.batch,
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let class = self.class;
+        self.table
+            .with(&self.server, |entry| *entry.count(class) -= 1);
+        self.table.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/metrics.rs
@@ -0,0 +1,117 @@
+//! Counters and latency histograms, served as text on the metrics address.
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cadence::prelude::*;
+use cadence::{MetricSink, StatsdClient};
+use hdrhistogram::Histogram;
+
+/// Totals and histograms by name, fed with statsd lines by cadence.
+#[derive(Debug, Clone, Default)]
+struct Registry(Arc<Mutex<Tables>>);
+
+#[derive(Debug, Default)]
+struct Tables {
+    /// Sorted by name.
+    counters: Vec<(String, i64)>,
+    /// Sorted by name; values in milliseconds.
+    timers_ms: Vec<(String, Histogram<u64>)>,
+}
+
+impl MetricSink for Registry {
+    fn emit(&self, line: &str) -> std::io::Result<usize> {
+        if let Some((name, value, kind)) = parse_statsd(line) {
+            let mut tables = self.0.lock().expect("metrics lock");
+            match kind {
+                "c" => tables.count(name, value),
+                "ms" => tables.time(name, value.max(0) as u64),
+                _ => {}
+            }
+        }
+        Ok(line.len())
+    }
+}
+
+impl Tables {
+    fn count(&mut self, name: &str, value: i64) {
+        let found = self
+            .counters
+            .binary_search_by(|(n, _)| n.as_str().cmp(name));
+        match found {
+            Ok(at) => self.counters[at].1 += value,
+            Err(at) => self.counters.insert(at, (name.to_owned(), value)),
+        }
+    }
+
+    fn time(&mut self, name: &str, value_ms: u64) {
+        let found = self
+            .timers_ms
+            .binary_search_by(|(n, _)| n.as_str().cmp(name));
+        let at = found.unwrap_or_else(|at| {
+            let empty = Histogram::new(SIGNIFICANT_DIGITS).expect("a valid precision");
+            self.timers_ms.insert(at, (name.to_owned(), empty));
+            at
+        });
+        self.timers_ms[at].1.saturating_record(value_ms);
+    }
+}
+
+/// Precision of the histograms: values are exact to one in a hundred.
+const SIGNIFICANT_DIGITS: u8 = 2;
+
+/// Reads `prefix.name:12|c` or `prefix.name:12|ms`.
+fn parse_statsd(line: &str) -> Option<(&str, i64, &str)> {
+    let (name, rest) = line.split_once(':')?;
+    let (value, kind) = rest.split_once('|')?;
+    Some((name, value.parse().ok()?, kind.trim()))
+}
+
+/// A process's counters and latency histograms.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    client: Arc<StatsdClient>,
+    registry: Registry,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::default();
+        Self {
+            client: Arc::new(StatsdClient::from_sink("foxwheel", registry.clone())),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one event.
+    pub fn incr(&self, name: &str) {
+        // The sink is in memory and cannot fail.
+        let _ = self.client.incr(name);
+    }
+
+    /// Records how long something took.
+    pub fn time(&self, name: &str, took: Duration) {
+        let _ = self.client.time(name, took);
+    }
+
+    /// Every counter and histogram, one a line.
+    pub fn render(&self) -> String {
+        use std::fmt::Write;
+        let tables = self.registry.0.lock().expect("metrics lock");
+        let mut text = String::new();
+        for (name, total) in &tables.counters {
+            let _ = writeln!(text, "{name} {total}");
+        }
+        for (name, times) in &tables.timers_ms {
+            let quantiles = [("p50", 0.5), ("p95", 0.95), ("p99", 0.99), ("max", 1.0)];
+            let _ = writeln!(text, "{name}_count {}", times.len());
+            for (label, quantile) in quantiles {
+                let value_ms = times.value_at_quantile(quantile);
+                let _ = writeln!(text, "{name}_{label}_ms {value_ms}");
+            }
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/node.rs
@@ -0,0 +1,149 @@
+//! What the parts of one process share.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::JobId;
+use foxwheel_core::time;
+use foxwheel_http1::connection::ConnectOptions;
+use foxwheel_http1::pool::Pool;
+use foxwheel_policy::config_in_force::ConfigInForce;
+use foxwheel_policy::membership::Directory;
+use foxwheel_policy::placement::Candidate;
+use foxwheel_policy::routes::Config;
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::load_table::LoadTable;
+use crate::metrics::Metrics;
+use crate::peer_rpc::PeerCalls;
+use crate::peers::Peers;
+use crate::settings::NodeSettings;
+use crate::store_access::StoreAccess;
+
+/// Bounds on a backend server's silence at the connection level.
+const SERVER_CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
+    // A round trip takes a few milliseconds and a new connection one more; a server that
+    // drops the opening packet is full or gone, and the packet comes again too late.
+    connect_timeout: Duration::from_millis(250),
+    unacknowledged_timeout: Duration::from_millis(2_000),
+};
+
+/// The shared state of a front or worker.
+#[derive(Debug)]
+pub struct Node {
+    /// Settings at start.
+    pub settings: NodeSettings,
+    /// When the process started, in milliseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// The operator's configuration in force here.
+    pub config: Mutex<ConfigInForce>,
+    /// The backend servers known here.
+    pub directory: Mutex<Directory>,
+    /// This process's load on each backend server.
+    pub loads: Arc<LoadTable>,
+    /// Woken to send a heartbeat at once.
+    pub load_alarm: Notify,
+    /// The other processes.
+    pub peers: Peers,
+    /// Woken at every heartbeat heard.
+    pub peer_news: Notify,
+    /// Calls to the other processes.
+    pub peer_calls: PeerCalls,
+    /// The platform's store.
+    pub store: StoreAccess,
+    /// Connections to backend servers.
+    pub pool: Pool,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Jobs that this process runs; sorted.
+    held_jobs: Mutex<Vec<JobId>>,
+    /// Cancelled when the process is told to stop: it takes no new work from then on.
+    pub leaving: CancellationToken,
+    /// Cancelled when the operator asks that this host be emptied.
+    pub retiring: CancellationToken,
+}
+
+impl Node {
+    /// A process that knows nothing yet. `leaving` is cancelled when it must stop.
+    pub fn new(settings: NodeSettings, leaving: CancellationToken) -> Arc<Self> {
+        let metrics = Metrics::default();
+        Arc::new(Self {
+            incarnation: time::unix_ms(),
+            config: Mutex::default(),
+            directory: Mutex::default(),
+            loads: Arc::default(),
+            load_alarm: Notify::new(),
+            peers: Peers::default(),
+            peer_news: Notify::new(),
+            peer_calls: PeerCalls::default(),
+            store: StoreAccess::new(settings.store_address, metrics.clone()),
+            pool: Pool::new(SERVER_CONNECT_OPTIONS),
+            metrics,
+            held_jobs: Mutex::default(),
+            leaving,
+            retiring: CancellationToken::new(),
+            settings,
+        })
+    }
+
+    /// The configuration in force, or none before the first.
+    pub fn config(&self) -> Option<Arc<Config>> {
+        self.config.lock().expect("config lock").get()
+    }
+
+    /// Whether the process takes no new work: it was told to stop or its host is emptied.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.is_cancelled() || self.retiring.is_cancelled()
+    }
+
+    /// Whether the process knows enough to serve.
+    pub fn is_informed(&self) -> bool {
+        let knows_servers = {
+            let directory = self.directory.lock().expect("directory lock");
+            !directory.members().is_empty()
+        };
+        knows_servers && self.config().is_some()
+    }
+
+    /// The servers of `service` that may take work, without those named in `tried`.
+    pub fn candidates(&self, service: &str, tried: &[String], now: Instant) -> Vec<Candidate> {
+        let directory = self.directory.lock().expect("directory lock");
+        directory
+            .usable(service)
+            .filter(|member| !tried.contains(&member.server.id))
+            .map(|member| {
+                let server = &member.server;
+                let own = self.loads.own(&server.id, now);
+                let (online, batch) = self.peers.load(&server.id, now);
+                Candidate {
+                    id: server.id.clone(),
+                    zone: server.zone.clone(),
+                    slots: server.slots,
+                    in_flight: own.online + own.batch + online + batch,
+                    batch_in_flight: own.batch + batch,
+                    lapsed: member.lapsed_until.is_some(),
+                    suspect: own.suspect,
+                }
+            })
+            .collect()
+    }
+
+    /// The address of the server `id`.
+    pub fn server_addr(&self, id: &str) -> Option<std::net::SocketAddr> {
+        let directory = self.directory.lock().expect("directory lock");
+        let members = directory.members();
+        let found = members.binary_search_by(|member| member.server.id.as_str().cmp(id));
+        found.ok().map(|at| members[at].server.addr)
+    }
+
+    /// Jobs that this process runs; sorted.
+    pub fn held_jobs(&self) -> Vec<JobId> {
+        self.held_jobs.lock().expect("held jobs lock").clone()
+    }
+
+    /// Replaces the list of jobs that this process runs; `jobs` must be sorted.
+    pub fn set_held_jobs(&self, jobs: Vec<JobId>) {
+        *self.held_jobs.lock().expect("held jobs lock") = jobs;
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/peer_rpc.rs
@@ -0,0 +1,295 @@
+//! Calls between processes, over `tarpc`.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foxwheel_core::error::Origin;
+use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_policy::batch::item::ItemResult;
+use foxwheel_policy::batch::job::JobSpec;
+use foxwheel_policy::membership::BackendServer;
+use foxwheel_policy::routes::Config;
+use futures::StreamExt;
+use serde::{Deserialize, Serialize};
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Json;
+use tarpc::{client, context, serde_transport};
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::worker_jobs::WorkerJobs;
+
+/// Longest wait for a connection to a peer: a few round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for a peer's answer, beside what the call itself may wait.
+const CALL_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What a process knows of the platform.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Knowledge {
+    /// Whether its own last call to the store succeeded.
+    pub store_reached: bool,
+    /// The configuration in force there.
+    pub config: Option<Config>,
+    /// The backend servers listed there.
+    pub servers: Vec<BackendServer>,
+}
+
+/// A worker's answer to a read of results.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ReadAnswer {
+    /// Results from the wanted position on; empty if there are none yet.
+    Results {
+        /// Items of the job.
+        item_count: usize,
+        /// The results.
+        results: Vec<ItemResult>,
+    },
+    /// No such job was ever accepted.
+    NoSuchJob,
+    /// It cannot be told now.
+    Unsure,
+}
+
+/// A worker's answer to a read of an item's body.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum BodyAnswer {
+    /// The body.
+    Body(Vec<u8>),
+    /// No such job or item.
+    NoSuchItem,
+    /// It cannot be told now.
+    Unsure,
+}
+
+/// Calls that processes make to each other; all idempotent.
+#[tarpc::service]
+pub trait PeerService {
+    /// What the peer knows of the platform.
+    async fn knowledge() -> Knowledge;
+    /// Tells a worker of a job that was just accepted.
+    async fn accepted(job: JobSpec);
+    /// Tells a worker that a job was ended.
+    async fn ended(job: JobId);
+    /// Reads at most `max_bytes` of results from position `from` on, waiting up to
+    /// `wait_ms` for a first one.
+    async fn read(job: JobId, from: usize, max_bytes: usize, wait_ms: u64) -> ReadAnswer;
+    /// Reads the body of an item.
+    async fn body(job: JobId, item: ItemId) -> BodyAnswer;
+}
+
+/// Why a call to a peer got no answer.
+#[derive(Debug, thiserror::Error)]
+#[error("no answer {origin}: {reason}")]
+pub struct PeerError {
+    /// The step and the peer's address.
+    origin: Origin,
+    /// What the connection or tarpc said.
+    reason: String,
+}
+
+/// Connections to peers; one each, opened when first needed and after a failure.
+#[derive(Debug, Default)]
+pub struct PeerCalls {
+    /// Sorted by address.
+    clients: Mutex<Vec<(SocketAddr, PeerServiceClient)>>,
+}
+
+impl PeerCalls {
+    /// What the peer at `addr` knows of the platform.
+    pub async fn knowledge(&self, addr: SocketAddr) -> Result<Knowledge, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.knowledge(context_for(CALL_TIMEOUT)).await;
+        self.checked("ask for knowledge", addr, answer)
+    }
+
+    /// Tells the worker at `addr` of an accepted job.
+    pub async fn accepted(&self, addr: SocketAddr, job: JobSpec) -> Result<(), PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.accepted(context_for(CALL_TIMEOUT), job).await;
+        self.checked("hand over job", addr, answer)
+    }
+
+    /// Tells the worker at `addr` that a job was ended.
+    pub async fn ended(&self, addr: SocketAddr, job: JobId) -> Result<(), PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.ended(context_for(CALL_TIMEOUT), job).await;
+        self.checked("tell of ended job", addr, answer)
+    }
+
+    /// Reads results from the worker at `addr`.
+    pub async fn read(
+        &self,
+        addr: SocketAddr,
+        job: JobId,
+        from: usize,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> Result<ReadAnswer, PeerError> {
+        let client = self.client(addr).await?;
+        let context = context_for(wait + CALL_TIMEOUT);
+        let wait_ms = wait.as_millis() as u64;
+        let answer = client.read(context, job, from, max_bytes, wait_ms).await;
+        self.checked("read results", addr, answer)
+    }
+
+    /// Reads an item's body from the worker at `addr`.
+    pub async fn body(
+        &self,
+        addr: SocketAddr,
+        job: JobId,
+        item: ItemId,
+    ) -> Result<BodyAnswer, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.body(context_for(CALL_TIMEOUT), job, item).await;
+        self.checked("read item body", addr, answer)
+    }
+
+    async fn client(&self, addr: SocketAddr) -> Result<PeerServiceClient, PeerError> {
+        if let Some(client) = self.known(addr) {
+            return Ok(client);
+        }
+        let connecting = serde_transport::tcp::connect(addr, Json::default);
+        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .map_err(std::io::Error::from)
+            .and_then(|connected| connected)
+            .map_err(|e| PeerError {
+                origin: Origin::new("connect to peer", addr.to_string()),
+                reason: e.to_string(),
+            })?;
+        let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
+        let mut clients = self.clients.lock().expect("peer clients lock");
+        match clients.binary_search_by_key(&addr, |(addr, _)| *addr) {
+            Ok(at) => clients[at].1 = client.clone(),
+            Err(at) => clients.insert(at, (addr, client.clone())),
+        }
+        Ok(client)
+    }
+
+    fn known(&self, addr: SocketAddr) -> Option<PeerServiceClient> {
+        let clients = self.clients.lock().expect("peer clients lock");
+        let found = clients.binary_search_by_key(&addr, |(addr, _)| *addr);
+        found.ok().map(|at| clients[at].1.clone())
+    }
+
+    /// Forgets the connection after a failure: it may be silent for good.
+    fn checked<T>(
+        &self,
+        step: &'static str,
+        addr: SocketAddr,
+        answer: Result<T, client::RpcError>,
+    ) -> Result<T, PeerError> {
+        answer.map_err(|e| {
+            let mut clients = self.clients.lock().expect("peer clients lock");
+            clients.retain(|(known, _)| *known != addr);
+            PeerError {
+                origin: Origin::new(step, addr.to_string()),
+                reason: e.to_string(),
+            }
+        })
+    }
+}
+
+fn context_for(timeout: Duration) -> context::Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
+
+#[derive(Clone)]
+struct Handler {
+    node: Arc<Node>,
+    /// None on a front: it answers that it cannot tell.
+    jobs: Option<Arc<WorkerJobs>>,
+}
+
+impl PeerService for Handler {
+    async fn knowledge(self, _: context::Context) -> Knowledge {
+        let config = self.node.config();
+        let directory = self.node.directory.lock().expect("directory lock");
+        let members = directory.members().iter();
+        Knowledge {
+            store_reached: self.node.store.failing_for(Instant::now()).is_none(),
+            config: config.map(|config| config.as_ref().clone()),
+            servers: members
+                .filter(|member| member.lapsed_until.is_none())
+                .map(|member| member.server.clone())
+                .collect(),
+        }
+    }
+
+    async fn accepted(self, _: context::Context, job: JobSpec) {
+        if let Some(jobs) = &self.jobs {
+            jobs.take_new(job);
+        }
+    }
+
+    async fn ended(self, _: context::Context, job: JobId) {
+        if let Some(jobs) = &self.jobs {
+            jobs.end(&job, "caller");
+        }
+    }
+
+    async fn read(
+        self,
+        _: context::Context,
+        job: JobId,
+        from: usize,
+        max_bytes: usize,
+        wait_ms: u64,
+    ) -> ReadAnswer {
+        let Some(jobs) = &self.jobs else {
+            return ReadAnswer::Unsure;
+        };
+        let wait = Duration::from_millis(wait_ms);
+        jobs.read(&job, from, max_bytes, wait).await
+    }
+
+    async fn body(self, _: context::Context, job: JobId, item: ItemId) -> BodyAnswer {
+        match &self.jobs {
+            Some(jobs) => jobs.body(&job, &item).await,
+            None => BodyAnswer::Unsure,
+        }
+    }
+}
+
+/// Answers peers' calls on `addr` until cancelled.
+pub async fn serve(
+    node: Arc<Node>,
+    jobs: Option<Arc<WorkerJobs>>,
+    addr: SocketAddr,
+    cancel: CancellationToken,
+) -> std::io::Result<()> {
+    let mut incoming = serde_transport::tcp::listen(addr, Json::default).await?;
+    let handler = Handler { node, jobs };
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                () = cancel.cancelled() => return,
+                accepted = incoming.next() => accepted,
+            };
+            match accepted {
+                Some(Ok(transport)) => {
+                    let calls = BaseChannel::with_defaults(transport)
+                        .execute(handler.clone().serve())
+                        .for_each(|call| async {
+                            tokio::spawn(call);
+                        });
+                    let cancel = cancel.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = cancel.cancelled() => {}
+                            () = calls => {}
+                        }
+                    });
+                }
+                Some(Err(e)) => log::warn!(error:% = e; "peer connection not accepted"),
+                None => return,
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/peers.rs
@@ -0,0 +1,199 @@
+//! What this process knows of the others, from their heartbeats.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::{JobId, NodeId, ServerId, Zone};
+use foxwheel_policy::batch::ownership::Worker;
+use serde::{Deserialize, Serialize};
+
+use crate::settings::Role;
+
+/// Silence after which a process counts as dead: four heartbeats between zones, so that a
+/// lost datagram or two changes nothing.
+pub const DEAD_AFTER: Duration = Duration::from_millis(1_600);
+
+/// Silence after which a process's address is forgotten.
+const FORGET_AFTER: Duration = Duration::from_secs(60);
+
+/// What a process tells the others several times a second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The process's host.
+    pub host: NodeId,
+    /// When it started, in milliseconds since the Unix epoch; tells restarts apart.
+    pub incarnation: u64,
+    /// Grows with each heartbeat of an incarnation.
+    pub sequence: u64,
+    /// What it does.
+    pub role: Role,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Where it takes calls and heartbeats.
+    pub addr: SocketAddr,
+    /// It is stopping and takes no new work.
+    pub leaving: bool,
+    /// Requests in flight from it: server, online, batch.
+    pub loads: Vec<(ServerId, u16, u16)>,
+    /// Jobs it runs; sorted.
+    pub held_jobs: Vec<JobId>,
+    /// Addresses of processes it knows.
+    pub known: Vec<SocketAddr>,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    beat: Heartbeat,
+    heard_at: Instant,
+}
+
+/// The other processes.
+#[derive(Debug, Default)]
+pub struct Peers(Mutex<Tables>);
+
+#[derive(Debug, Default)]
+struct Tables {
+    /// Sorted by host.
+    peers: Vec<Peer>,
+    /// Addresses to tell, whether or not they were ever heard; sorted by address.
+    addresses: Vec<(SocketAddr, Instant)>,
+}
+
+impl Peers {
+    /// Takes a heartbeat; answers whether its sender is new or was taken for dead.
+    pub fn hear(&self, beat: Heartbeat, own: SocketAddr, now: Instant) -> bool {
+        let mut tables = self.0.lock().expect("peers lock");
+        for addr in beat.known.iter().chain([&beat.addr]) {
+            tables.note_address(*addr, own, now);
+        }
+        tables.refresh_address(beat.addr, now);
+        match tables.position(&beat.host) {
+            Ok(at) => {
+                let known = &mut tables.peers[at];
+                let order = (beat.incarnation, beat.sequence);
+                if order <= (known.beat.incarnation, known.beat.sequence) {
+                    return false;
+                }
+                let was_dead = now.duration_since(known.heard_at) >= DEAD_AFTER;
+                *known = Peer {
+                    beat,
+                    heard_at: now,
+                };
+                was_dead
+            }
+            Err(at) => {
+                let peer = Peer {
+                    beat,
+                    heard_at: now,
+                };
+                tables.peers.insert(at, peer);
+                true
+            }
+        }
+    }
+
+    /// Adds an address to tell.
+    pub fn note_address(&self, addr: SocketAddr, own: SocketAddr, now: Instant) {
+        let mut tables = self.0.lock().expect("peers lock");
+        tables.note_address(addr, own, now);
+    }
+
+    /// Every address to tell, with the zone of the process there if it was heard.
+    pub fn addresses(&self, now: Instant) -> Vec<(SocketAddr, Option<Zone>)> {
+        let mut tables = self.0.lock().expect("peers lock");
+        tables
+            .addresses
+            .retain(|(_, noted)| now.duration_since(*noted) < FORGET_AFTER);
+        let zone_of = |addr: SocketAddr| {
+            let live = tables.peers.iter().filter(|peer| peer.is_live(now));
+            live.map(|peer| &peer.beat)
+                .find(|beat| beat.addr == addr)
+                .map(|beat| beat.zone.clone())
+        };
+        let addresses = tables.addresses.iter();
+        addresses.map(|(addr, _)| (*addr, zone_of(*addr))).collect()
+    }
+
+    /// Addresses of live processes that do `role`, in the order of their hosts.
+    pub fn live(&self, role: Role, now: Instant) -> Vec<(NodeId, SocketAddr)> {
+        let tables = self.0.lock().expect("peers lock");
+        tables
+            .live(now)
+            .filter(|beat| beat.role == role)
+            .map(|beat| (beat.host.clone(), beat.addr))
+            .collect()
+    }
+
+    /// Live workers.
+    pub fn workers(&self, now: Instant) -> Vec<Worker> {
+        let tables = self.0.lock().expect("peers lock");
+        tables
+            .live(now)
+            .filter(|beat| beat.role == Role::Worker)
+            .map(|beat| Worker {
+                node: beat.host.clone(),
+                leaving: beat.leaving,
+                held: beat.held_jobs.clone(),
+            })
+            .collect()
+    }
+
+    /// Requests in flight at `server` from all live peers: online and batch.
+    pub fn load(&self, server: &str, now: Instant) -> (u32, u32) {
+        let tables = self.0.lock().expect("peers lock");
+        let mut sum = (0, 0);
+        for beat in tables.live(now) {
+            let found = beat
+                .loads
+                .binary_search_by(|(id, _, _)| id.as_str().cmp(server));
+            if let Ok(at) = found {
+                sum.0 += u32::from(beat.loads[at].1);
+                sum.1 += u32::from(beat.loads[at].2);
+            }
+        }
+        sum
+    }
+}
+
+impl Peer {
+    fn is_live(&self, now: Instant) -> bool {
+        now.duration_since(self.heard_at) < DEAD_AFTER
+    }
+}
+
+impl Tables {
+    fn position(&self, host: &str) -> Result<usize, usize> {
+        self.peers
+            .binary_search_by(|peer| peer.beat.host.as_str().cmp(host))
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &Heartbeat> {
+        self.peers
+            .iter()
+            .filter(move |peer| peer.is_live(now))
+            .map(|peer| &peer.beat)
+    }
+
+    fn note_address(&mut self, addr: SocketAddr, own: SocketAddr, now: Instant) {
+        if addr == own {
+            return;
+        }
+        let found = self
+            .addresses
+            .binary_search_by_key(&addr, |(addr, _)| *addr);
+        if let Err(at) = found {
+            self.addresses.insert(at, (addr, now));
+        }
+    }
+
+    /// Only the process itself keeps its address from being forgotten; hearsay does not.
+    fn refresh_address(&mut self, addr: SocketAddr, now: Instant) {
+        let found = self
+            .addresses
+            .binary_search_by_key(&addr, |(addr, _)| *addr);
+        if let Ok(at) = found {
+            self.addresses[at].1 = now;
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/relay.rs
@@ -0,0 +1,139 @@
+//! Passing a stream of events on to its caller, and resuming it elsewhere after a break.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxwheel_core::ids::RequestId;
+use futures::Stream;
+use hyper::body::Frame;
+
+use crate::attempt::{OpenAnswer, Piece};
+use crate::event_stream::EventSplitter;
+use crate::node::Node;
+use crate::online::OnlineRequest;
+
+/// Silence between events after which a resumable stream goes on elsewhere: several times
+/// the longest pause that callers count as on time, far below where they give up.
+const RESUME_SILENCE: Duration = Duration::from_millis(900);
+
+/// Why a relayed stream ended before its end. The caller's connection is closed, so that
+/// the answer does not look whole.
+#[derive(Debug, thiserror::Error)]
+#[error("stream of request {request_id} broke: {reason}")]
+pub struct RelayError {
+    /// The caller's request.
+    pub request_id: RequestId,
+    /// What broke it.
+    pub reason: String,
+}
+
+/// Passes `answer` on as it comes. The stream ends in an error if it breaks for good.
+pub fn relay(
+    node: Arc<Node>,
+    mut request: OnlineRequest,
+    mut answer: OpenAnswer,
+) -> impl Stream<Item = Result<Frame<Bytes>, RelayError>> {
+    async_stream::try_stream! {
+        let mut splitter = EventSplitter::default();
+        let started = Instant::now();
+        let mut events = 0_u32;
+        loop {
+            let resumable = request.route.is_repeatable();
+            let give_up_at = silence_limit(&request);
+            match answer.next_piece(give_up_at).await {
+                Piece::Data(data) if !resumable => yield Frame::data(data),
+                Piece::Data(data) => {
+                    splitter.push(&data);
+                    let whole = whole_events(&mut splitter, &mut request, &mut events)?;
+                    if !whole.is_empty() {
+                        yield Frame::data(whole);
+                    }
+                }
+                Piece::End if !splitter.has_rest() => {
+                    log::info!(request_id = request.caller.id, server = answer.server, events, took_ms = started.elapsed().as_millis() as u64; "stream complete");
+                    answer.finish();
+                    break;
+                }
+                Piece::End => {
+                    answer = resume(&node, &mut request, answer, "ended within an event").await?;
+                    splitter.clear();
+                }
+                Piece::Broken(reason) => {
+                    answer = resume(&node, &mut request, answer, &reason).await?;
+                    splitter.clear();
+                }
+            }
+        }
+    }
+}
+
+/// Until when the next piece is waited for.
+fn silence_limit(request: &OnlineRequest) -> Instant {
+    let elsewhere = request.route.is_repeatable() && request.attempts.may_run_again();
+    if elsewhere {
+        request
+            .caller_gives_up_at
+            .min(Instant::now() + RESUME_SILENCE)
+    } else {
+        request.caller_gives_up_at
+    }
+}
+
+/// The bytes of the events that are whole now. Fails on an event that does not follow the
+/// one before.
+fn whole_events(
+    splitter: &mut EventSplitter,
+    request: &mut OnlineRequest,
+    events: &mut u32,
+) -> Result<Bytes, RelayError> {
+    let mut whole = bytes::BytesMut::new();
+    while let Some(event) = splitter.next_event() {
+        if let Some(id) = event.id {
+            let last = request.last_event_id;
+            if last.is_some_and(|last| id != last + 1) {
+                return Err(RelayError {
+                    request_id: request.caller.id.clone(),
+                    reason: format!("event {id} follows event {last:?}"),
+                });
+            }
+            request.last_event_id = Some(id);
+        }
+        *events += 1;
+        whole.extend_from_slice(&event.bytes);
+    }
+    Ok(whole.freeze())
+}
+
+/// Opens the rest of a broken stream at another server.
+async fn resume(
+    node: &Arc<Node>,
+    request: &mut OnlineRequest,
+    broken: OpenAnswer,
+    reason: &str,
+) -> Result<OpenAnswer, RelayError> {
+    let server = broken.server.clone();
+    // Closes the connection first, so that two servers never work on one request.
+    drop(broken);
+    node.loads.suspect(&server, Instant::now());
+    let opened = match request.may_resume() {
+        true => request.open_elsewhere(node, &server).await,
+        false => None,
+    };
+    let after = request.last_event_id;
+    match opened {
+        Some(answer) => {
+            log::warn!(request_id = request.caller.id, server, reason, after, resumed_at = answer.server; "stream resumed");
+            node.metrics.incr("stream.resumed");
+            Ok(answer)
+        }
+        None => {
+            log::warn!(request_id = request.caller.id, server, reason, after; "stream broken");
+            node.metrics.incr("stream.broken");
+            Err(RelayError {
+                request_id: request.caller.id.clone(),
+                reason: reason.to_owned(),
+            })
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/replies.rs
@@ -0,0 +1,61 @@
+//! Answers of the system's own.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+
+use crate::relay::RelayError;
+
+/// Body of every answer to a caller.
+pub type ReplyBody = UnsyncBoxBody<Bytes, RelayError>;
+
+/// An answer to a caller.
+pub type Reply = Response<ReplyBody>;
+
+/// A whole body.
+pub fn whole(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into())
+        .map_err(|never: Infallible| match never {})
+        .boxed_unsync()
+}
+
+/// An answer without a body.
+pub fn status(status: StatusCode) -> Reply {
+    let mut reply = Response::new(whole(Bytes::new()));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// An answer with a line of text that says what is wrong.
+pub fn problem(code: StatusCode, text: &str) -> Reply {
+    let mut reply = Response::new(whole(text.to_owned()));
+    *reply.status_mut() = code;
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    reply
+}
+
+/// A JSON answer.
+pub fn json(bytes: Vec<u8>) -> Reply {
+    let mut reply = Response::new(whole(bytes));
+    reply
+        .headers_mut()
+        .insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    reply
+}
+
+/// "Not run, come back after `retry_after`": only for a request that never will run.
+pub fn not_run(code: StatusCode, retry_after: Duration) -> Reply {
+    let mut reply = status(code);
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        reply.headers_mut().insert(RETRY_AFTER, value);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/settings.rs
@@ -0,0 +1,96 @@
+//! Settings of a front or worker.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxwheel_core::ids::{NodeId, Zone};
+use foxwheel_core::settings::{require_non_empty, Check, FieldError};
+use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DurationMilliSeconds};
+
+/// What a process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Answers callers.
+    Front,
+    /// Runs batch jobs.
+    Worker,
+}
+
+/// Settings of a front or worker; a JSON object.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the host; unique in the fleet.
+    pub host: NodeId,
+    /// What the process does.
+    pub role: Role,
+    /// Its availability zone.
+    pub availability_zone: Zone,
+    /// Address it binds and peers reach.
+    pub ip: std::net::IpAddr,
+    /// First and last port for talk between processes; the first one is used, on TCP for
+    /// calls and on UDP for heartbeats.
+    pub peer_ports: (u16, u16),
+    /// Addresses of some processes to hear of the others; may be stale. Only their IP
+    /// counts: the port is that of `peer_ports`.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Where callers connect; a front's only.
+    #[serde(default)]
+    pub caller_address: Option<SocketAddr>,
+    /// Where the platform asks whether the process is ready; a front's only.
+    #[serde(default)]
+    pub readiness_address: Option<SocketAddr>,
+    /// Port of `GET /metrics` on `ip`; none serves no metrics.
+    #[serde(default)]
+    pub metrics_port: Option<u16>,
+    /// The platform's store.
+    pub store_address: SocketAddr,
+    /// Most bytes of one value in the store.
+    pub store_value_bytes: usize,
+    /// Time from the signal to stop until the process is killed.
+    #[serde(rename = "stop_grace_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub stop_grace: Duration,
+    /// How long after its submission a job's results stay readable.
+    #[serde(rename = "results_readable_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub results_readable: Duration,
+}
+
+impl NodeSettings {
+    /// Address for calls and heartbeats between processes.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.peer_ports.0)
+    }
+}
+
+impl Check for NodeSettings {
+    fn check(&self) -> Result<(), FieldError> {
+        require_non_empty("host", &self.host)?;
+        require_non_empty("availability_zone", &self.availability_zone)?;
+        if self.peer_ports.0 == 0 || self.peer_ports.1 < self.peer_ports.0 {
+            return Err(FieldError::new("peer_ports", "must be an ascending range"));
+        }
+        if self.store_value_bytes < MIN_STORE_VALUE_BYTES {
+            let least = format!("must be at least {MIN_STORE_VALUE_BYTES}");
+            return Err(FieldError::new("store_value_bytes", least));
+        }
+        if self.role == Role::Front && self.caller_address.is_none() {
+            return Err(FieldError::new("caller_address", "must be set for a front"));
+        }
+        if self.stop_grace.is_zero() {
+            return Err(FieldError::new(
+                "stop_grace_ms",
+                "must be greater than zero",
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Room for one job's head and one result of ordinary size.
+const MIN_STORE_VALUE_BYTES: usize = 16 * 1024;
--- /dev/null
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -0,0 +1,159 @@
+//! Calls to the platform's store with repetition and a record of its health.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use foxwheel_platform::store::{Listing, Object, Store, StoreError, Watched, Write, Written};
+use rand::RngExt;
+
+use crate::metrics::Metrics;
+
+/// First pause before a call that the store did not act on is made again.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+
+/// Longest such pause: short against the seconds within which changes must be followed.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// The store, as this process reaches it.
+#[derive(Debug)]
+pub struct StoreAccess {
+    store: Store,
+    metrics: Metrics,
+    health: Mutex<Health>,
+}
+
+#[derive(Debug, Default)]
+struct Health {
+    /// Set from the first failed call until one succeeds.
+    failing_since: Option<Instant>,
+}
+
+/// Pauses that grow from one failed try to the next, with jitter so that processes which
+/// lost the store together do not return together.
+#[derive(Debug, Clone, Copy)]
+pub struct Backoff {
+    next: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Self {
+        Self { next: FIRST_PAUSE }
+    }
+}
+
+impl Backoff {
+    /// The next pause.
+    pub fn pause(&mut self) -> Duration {
+        let pause = self.next.mul_f64(rand::rng().random_range(0.5..1.5));
+        self.next = (self.next * 2).min(LONGEST_PAUSE);
+        pause
+    }
+}
+
+impl StoreAccess {
+    /// Access to the store at `addr`.
+    pub fn new(addr: SocketAddr, metrics: Metrics) -> Self {
+        Self {
+            store: Store::new(addr),
+            metrics,
+            health: Mutex::default(),
+        }
+    }
+
+    /// How long calls have been failing, or none if the last one succeeded.
+    pub fn failing_for(&self, now: Instant) -> Option<Duration> {
+        let health = self.health.lock().expect("health lock");
+        health.failing_since.map(|since| now.duration_since(since))
+    }
+
+    /// Every object of `kind`.
+    pub async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
+        let listed = self.store.list(kind).await;
+        self.note("list", &listed);
+        listed
+    }
+
+    /// Changes of `kind` after `revision`, waited for up to `wait`.
+    pub async fn watch(
+        &self,
+        kind: &str,
+        revision: u64,
+        wait: Duration,
+    ) -> Result<Watched, StoreError> {
+        let watched = self.store.watch(kind, revision, wait).await;
+        self.note("watch", &watched);
+        watched
+    }
+
+    /// One object, or none.
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
+        let got = self.store.get(kind, name).await;
+        self.note("get", &got);
+        got
+    }
+
+    /// Performs `write` once.
+    pub async fn write(&self, write: &Write) -> Result<Written, StoreError> {
+        let written = self.store.write(write).await;
+        self.note("write", &written);
+        written
+    }
+
+    /// Performs `write`, again while the store certainly did not act, until `deadline`.
+    pub async fn write_until(
+        &self,
+        write: &Write,
+        deadline: Instant,
+    ) -> Result<Written, StoreError> {
+        let mut backoff = Backoff::default();
+        loop {
+            let written = self.write(write).await;
+            let pause = backoff.pause();
+            match &written {
+                Err(e) if e.is_not_done() && Instant::now() + pause < deadline => {
+                    tokio::time::sleep(pause).await;
+                }
+                _ => return written,
+            }
+        }
+    }
+
+    /// Reads one object, again after failures, until `deadline`.
+    pub async fn get_until(
+        &self,
+        kind: &str,
+        name: &str,
+        deadline: Instant,
+    ) -> Result<Option<Object>, StoreError> {
+        let mut backoff = Backoff::default();
+        loop {
+            let got = self.get(kind, name).await;
+            let pause = backoff.pause();
+            if got.is_ok() || Instant::now() + pause >= deadline {
+                return got;
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    fn note<T>(&self, call: &str, result: &Result<T, StoreError>) {
+        let mut health = self.health.lock().expect("health lock");
+        match result {
+            Ok(_) => {
+                self.metrics.incr(&format!("store.{call}.ok"));
+                if let Some(since) = health.failing_since.take() {
+                    let lost_ms = since.elapsed().as_millis() as u64;
+                    log::info!(call, lost_ms; "platform store regained");
+                }
+            }
+            Err(e) => {
+                self.metrics.incr(&format!("store.{call}.failed"));
+                if health.failing_since.is_none() {
+                    health.failing_since = Some(Instant::now());
+                    log::warn!(call, error:% = e; "platform store lost");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -0,0 +1,302 @@
+//! The jobs in a worker's memory: those it runs, and those it only reads for callers.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_policy::batch::item::ItemResult;
+use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use crate::job_store::{JobStore, JobStoreError};
+use crate::node::Node;
+use crate::peer_rpc::{BodyAnswer, ReadAnswer};
+
+/// How often a job that another worker runs is looked up again for a reader.
+const REFRESH_EVERY: Duration = Duration::from_millis(500);
+
+/// Longest time to read a job from the store for a caller.
+const LOAD_TIME: Duration = Duration::from_millis(600);
+
+/// How long a job that nobody reads stays in memory after it ended.
+const KEEP_UNREAD: Duration = Duration::from_secs(20);
+
+/// A job in memory.
+#[derive(Debug)]
+pub struct JobEntry {
+    /// Its progress.
+    pub progress: JobProgress,
+    /// This worker runs it.
+    pub held: bool,
+    /// A part of its results is being stored.
+    pub storing: bool,
+    /// Cancelled when no item of it may run any more.
+    pub cancel: CancellationToken,
+    /// Woken when results are listed.
+    listed: Arc<Notify>,
+    /// When the store was last asked for more parts.
+    refreshed_at: Instant,
+    /// When it was last read or changed.
+    used_at: Instant,
+}
+
+/// The jobs in a worker's memory.
+#[derive(Debug)]
+pub struct WorkerJobs {
+    node: Arc<Node>,
+    /// The jobs in the platform's store.
+    pub store: JobStore,
+    /// Sorted by job id.
+    entries: Mutex<Vec<JobEntry>>,
+    /// Woken when there may be something to run.
+    pub wake: Notify,
+}
+
+impl WorkerJobs {
+    /// No jobs yet.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        Arc::new(Self {
+            store: JobStore::new(Arc::clone(&node)),
+            node,
+            entries: Mutex::default(),
+            wake: Notify::new(),
+        })
+    }
+
+    /// Runs a job that was just accepted, unless it is known.
+    pub fn take_new(&self, job: JobSpec) {
+        if self.node.is_leaving() {
+            // It stands in the ledger: another worker takes it.
+            return;
+        }
+        log::info!(job = job.id, items = job.items.len(); "job taken");
+        self.insert(JobProgress::new(job), true);
+    }
+
+    /// Runs a job that no live worker runs, from what the store has of it.
+    pub async fn adopt(&self, id: &JobId) -> Result<(), JobStoreError> {
+        let deadline = Instant::now() + 4 * LOAD_TIME;
+        match self.store.load_progress(id, deadline).await? {
+            Some(progress) => {
+                let listed = progress.listed.len();
+                log::info!(job = id, listed, parts = progress.parts; "job adopted");
+                self.insert(progress, true);
+            }
+            None => log::warn!(job = id; "job of the ledger is not in the store"),
+        }
+        Ok(())
+    }
+
+    /// Stops a job's items; what is listed stays readable.
+    pub fn end(&self, id: &str, by: &str) {
+        let ended = self.with(id, |entry| {
+            let news = entry.held && !entry.progress.ended;
+            entry.progress.ended = true;
+            entry.held = false;
+            entry.cancel.cancel();
+            news
+        });
+        if ended == Some(true) {
+            log::info!(job = id, by; "job ended");
+            self.publish_held();
+        }
+    }
+
+    /// Stops running a job without ending it: another worker goes on.
+    pub fn release(&self, id: &str) {
+        self.with(id, |entry| entry.held = false);
+        self.publish_held();
+    }
+
+    /// Does `act` with the job `id`, if it is in memory.
+    pub fn with<T>(&self, id: &str, act: impl FnOnce(&mut JobEntry) -> T) -> Option<T> {
+        let mut entries = self.entries.lock().expect("jobs lock");
+        let at = position(&entries, id).ok()?;
+        Some(act(&mut entries[at]))
+    }
+
+    /// Does `act` with every job that this worker runs.
+    pub fn each_held(&self, mut act: impl FnMut(&mut JobEntry)) {
+        let mut entries = self.entries.lock().expect("jobs lock");
+        for entry in entries.iter_mut().filter(|entry| entry.held) {
+            act(entry);
+        }
+    }
+
+    /// Takes a part of results as stored and wakes readers.
+    pub fn take_part(&self, id: &str, number: u32, results: Vec<ItemResult>) {
+        self.with(id, |entry| {
+            entry.progress.take_part(number, results);
+            entry.used_at = Instant::now();
+            entry.listed.notify_waiters();
+        });
+    }
+
+    /// Drops jobs that ended and that nobody read for a while.
+    pub fn evict(&self, now: Instant) {
+        let mut entries = self.entries.lock().expect("jobs lock");
+        entries.retain(|entry| {
+            entry.held || entry.storing || now.duration_since(entry.used_at) < KEEP_UNREAD
+        });
+    }
+
+    /// Reads results for a caller; see `PeerService::read`.
+    pub async fn read(
+        &self,
+        id: &JobId,
+        from: usize,
+        max_bytes: usize,
+        wait: Duration,
+    ) -> ReadAnswer {
+        let until = Instant::now() + wait;
+        loop {
+            match self.ensure(id).await {
+                Ok(true) => {}
+                Ok(false) => return ReadAnswer::NoSuchJob,
+                Err(e) => {
+                    log::warn!(job = id, error:% = e; "job not readable for a caller");
+                    return ReadAnswer::Unsure;
+                }
+            }
+            let Some((answer, listed)) = self.with(id, |entry| entry.read(from, max_bytes)) else {
+                return ReadAnswer::Unsure;
+            };
+            let now = Instant::now();
+            let is_final =
+                !matches!(&answer, ReadAnswer::Results { results, .. } if results.is_empty());
+            if is_final || now >= until {
+                return answer;
+            }
+            let pause = (until - now).min(REFRESH_EVERY);
+            // A wake-up between the look and this wait costs one pause.
+            let _ = tokio::time::timeout(pause, listed.notified()).await;
+        }
+    }
+
+    /// Reads an item's body for a caller.
+    pub async fn body(&self, id: &JobId, item: &ItemId) -> BodyAnswer {
+        match self.ensure(id).await {
+            Ok(true) => {}
+            Ok(false) => return BodyAnswer::NoSuchItem,
+            Err(e) => {
+                log::warn!(job = id, request_id = item, error:% = e; "item not readable for a caller");
+                return BodyAnswer::Unsure;
+            }
+        }
+        let found = self.with(id, |entry| {
+            entry.used_at = Instant::now();
+            let items = &entry.progress.spec.items;
+            items
+                .iter()
+                .find(|spec| spec.id == *item)
+                .map(|spec| spec.body.clone())
+        });
+        match found.flatten() {
+            Some(body) => BodyAnswer::Body(body),
+            None => BodyAnswer::NoSuchItem,
+        }
+    }
+
+    /// Brings a job into memory for a reader; answers whether it exists.
+    async fn ensure(&self, id: &JobId) -> Result<bool, JobStoreError> {
+        let deadline = Instant::now() + LOAD_TIME;
+        let next_part = self.with(id, |entry| entry.part_to_look_for(Instant::now()));
+        match next_part {
+            Some(None) => Ok(true),
+            Some(Some(number)) => {
+                if let Some(results) = self.store.load_part(id, number, deadline).await? {
+                    self.take_part(id, number, results);
+                }
+                Ok(true)
+            }
+            None => match self.store.load_progress(id, deadline).await? {
+                Some(progress) => {
+                    self.insert(progress, false);
+                    Ok(true)
+                }
+                None => Ok(false),
+            },
+        }
+    }
+
+    fn insert(&self, progress: JobProgress, held: bool) {
+        {
+            let mut entries = self.entries.lock().expect("jobs lock");
+            match position(&entries, &progress.spec.id) {
+                Ok(at) => entries[at].refresh(progress, held),
+                Err(at) => entries.insert(at, JobEntry::new(progress, held)),
+            }
+        }
+        if held {
+            self.publish_held();
+            self.wake.notify_one();
+        }
+    }
+
+    fn publish_held(&self) {
+        let held = {
+            let entries = self.entries.lock().expect("jobs lock");
+            let held = entries.iter().filter(|entry| entry.held);
+            held.map(|entry| entry.progress.spec.id.clone()).collect()
+        };
+        self.node.set_held_jobs(held);
+        self.node.load_alarm.notify_one();
+    }
+}
+
+impl JobEntry {
+    fn new(progress: JobProgress, held: bool) -> Self {
+        let now = Instant::now();
+        Self {
+            progress,
+            held,
+            storing: false,
+            cancel: CancellationToken::new(),
+            listed: Arc::new(Notify::new()),
+            refreshed_at: now,
+            used_at: now,
+        }
+    }
+
+    /// Takes a newer reading of the store, and whether this worker runs the job now.
+    fn refresh(&mut self, loaded: JobProgress, held: bool) {
+        if self.held || self.progress.ended {
+            return;
+        }
+        if loaded.parts >= self.progress.parts {
+            self.progress = loaded;
+        }
+        self.held = held;
+        self.used_at = Instant::now();
+    }
+
+    fn read(&mut self, from: usize, max_bytes: usize) -> (ReadAnswer, Arc<Notify>) {
+        self.used_at = Instant::now();
+        let mut bytes = 0;
+        let results = self.progress.listed.iter().skip(from).take_while(|result| {
+            let first = bytes == 0;
+            bytes += result.output.len();
+            first || bytes <= max_bytes
+        });
+        let answer = ReadAnswer::Results {
+            item_count: self.progress.spec.items.len(),
+            results: results.cloned().collect(),
+        };
+        (answer, Arc::clone(&self.listed))
+    }
+
+    /// The part that a reader may be missing, if it is time to look.
+    fn part_to_look_for(&mut self, now: Instant) -> Option<u32> {
+        let current = self.held || self.storing || self.progress.is_listed();
+        if current || now.duration_since(self.refreshed_at) < REFRESH_EVERY {
+            return None;
+        }
+        self.refreshed_at = now;
+        Some(self.progress.parts)
+    }
+}
+
+fn position(entries: &[JobEntry], id: &str) -> Result<usize, usize> {
+    entries.binary_search_by(|entry| entry.progress.spec.id.as_str().cmp(id))
+}
--- /dev/null
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -0,0 +1,243 @@
+//! A job on the worker that runs it: which item runs next, what a run's end means and
+//! which results are stored next.
+//!
+//! Results are stored as numbered parts that can each be created once. A worker creates
+//! part n only after it knows parts 0 to n-1, so an item stands in one part only,
+//! whichever workers took turns at the job.
+
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::JobId;
+use serde::{Deserialize, Serialize};
+
+use crate::batch::item::{Ending, ItemResult, ItemSpec, ItemState, PartialOutput, RunEnd};
+
+/// Wait before an item runs again after a run that did not count as a failure.
+const RERUN_PAUSE: Duration = Duration::from_millis(150);
+
+/// Wait before an item runs again after its server failed it; the fault may be short.
+const FAILURE_PAUSE: Duration = Duration::from_millis(400);
+
+/// A job as it was accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The client's id of the job.
+    pub id: JobId,
+    /// Host header of the submission; selects the route of its items.
+    pub host: String,
+    /// Path of the submission; selects the route of its items.
+    pub path: String,
+    /// Name of the route at the submission.
+    pub route: String,
+    /// When it was submitted, since the Unix epoch.
+    #[serde(rename = "submitted_unix_ms")]
+    #[serde(with = "serde_with::As::<serde_with::DurationMilliSeconds<u64>>")]
+    pub submitted_unix: Duration,
+    /// The items in the client's order.
+    pub items: Vec<ItemSpec>,
+}
+
+impl JobSpec {
+    /// Tokens of all items.
+    pub fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).sum()
+    }
+}
+
+/// One item's progress.
+#[derive(Debug, Clone)]
+pub struct ItemProgress {
+    /// Where it stands.
+    pub state: ItemState,
+    /// Runs that a server answered as failed.
+    pub failures: u32,
+    /// Output received so far.
+    pub partial: PartialOutput,
+}
+
+/// A job's progress.
+#[derive(Debug, Clone)]
+pub struct JobProgress {
+    /// The job.
+    pub spec: JobSpec,
+    /// One entry for each of the job's items, in the same order.
+    pub items: Vec<ItemProgress>,
+    /// Stored results in the order of their positions.
+    pub listed: Vec<ItemResult>,
+    /// Parts stored so far; the next part has this number.
+    pub parts: u32,
+    /// When the oldest finished, unstored result was finished.
+    pub unstored_since: Option<Instant>,
+    /// No item may run any more.
+    pub ended: bool,
+}
+
+impl JobProgress {
+    /// A job none of whose results are stored.
+    pub fn new(spec: JobSpec) -> Self {
+        let waiting = ItemProgress {
+            state: ItemState::Waiting { not_before: None },
+            failures: 0,
+            partial: PartialOutput::default(),
+        };
+        Self {
+            items: vec![waiting; spec.items.len()],
+            spec,
+            listed: Vec::new(),
+            parts: 0,
+            unstored_since: None,
+            ended: false,
+        }
+    }
+
+    /// Takes the results of part `number` as stored, whoever stored it. Parts must come in
+    /// order; answers false for one that is known already or comes too early.
+    pub fn take_part(&mut self, number: u32, results: Vec<ItemResult>) -> bool {
+        if number != self.parts {
+            return false;
+        }
+        self.parts += 1;
+        for result in results {
+            if let Some(at) = self.position(&result.id) {
+                self.items[at].state = ItemState::Listed;
+                self.items[at].partial = PartialOutput::default();
+            }
+            self.listed.push(result);
+        }
+        if self.unstored().next().is_none() {
+            self.unstored_since = None;
+        }
+        true
+    }
+
+    /// The next item to run: the first in the client's order that waits no longer.
+    pub fn next_item(&self, now: Instant) -> Option<usize> {
+        if self.ended {
+            return None;
+        }
+        self.items.iter().position(|item| match item.state {
+            ItemState::Waiting { not_before } => not_before.is_none_or(|at| at <= now),
+            _ => false,
+        })
+    }
+
+    /// Marks an item as running.
+    pub fn start(&mut self, at: usize) {
+        self.items[at].state = ItemState::Running;
+    }
+
+    /// Takes the end of an item's run. Ignores items that were finished meanwhile.
+    pub fn run_ended(
+        &mut self,
+        at: usize,
+        end: RunEnd,
+        partial: PartialOutput,
+        max_failures: u32,
+        now: Instant,
+    ) {
+        if !matches!(self.items[at].state, ItemState::Running) {
+            return;
+        }
+        self.items[at].partial = partial;
+        match end {
+            RunEnd::Whole => self.finish(at, Ending::Completed, now),
+            RunEnd::Impossible => self.finish(at, Ending::GivenUp, now),
+            RunEnd::Failed => {
+                self.items[at].failures += 1;
+                if self.items[at].failures >= max_failures.max(1) {
+                    self.finish(at, Ending::GivenUp, now);
+                } else {
+                    self.wait(at, now + FAILURE_PAUSE);
+                }
+            }
+            RunEnd::NotRun | RunEnd::Broken => self.wait(at, now + RERUN_PAUSE),
+            RunEnd::Preempted => self.wait(at, now),
+        }
+    }
+
+    /// Gives up every item that is not finished, e.g. after the retention time.
+    pub fn give_up_rest(&mut self, now: Instant) {
+        for at in 0..self.items.len() {
+            if matches!(
+                self.items[at].state,
+                ItemState::Waiting { .. } | ItemState::Running
+            ) {
+                self.finish(at, Ending::GivenUp, now);
+            }
+        }
+    }
+
+    /// Results that are finished and not stored, in the client's order.
+    pub fn unstored(&self) -> impl Iterator<Item = &ItemResult> {
+        self.items.iter().filter_map(|item| match &item.state {
+            ItemState::Done(result) => Some(result),
+            _ => None,
+        })
+    }
+
+    /// The results of the next part: as many unstored ones as fit into `max_bytes`, at
+    /// least one.
+    pub fn next_part(&self, max_bytes: usize) -> Vec<ItemResult> {
+        let mut bytes = 0;
+        self.unstored()
+            .take_while(|result| {
+                let first = bytes == 0;
+                bytes += result.output.len() + result.id.len() + RESULT_OVERHEAD_BYTES;
+                first || bytes <= max_bytes
+            })
+            .cloned()
+            .collect()
+    }
+
+    /// Whether every item is finished, stored or not.
+    pub fn is_finished(&self) -> bool {
+        self.items
+            .iter()
+            .all(|item| matches!(item.state, ItemState::Done(_) | ItemState::Listed))
+    }
+
+    /// Whether every result is stored.
+    pub fn is_listed(&self) -> bool {
+        self.listed.len() >= self.spec.items.len()
+    }
+
+    /// Tokens of the items that are not finished.
+    pub fn waiting_tokens(&self) -> u64 {
+        self.spec
+            .items
+            .iter()
+            .zip(&self.items)
+            .filter(|(_, item)| {
+                matches!(item.state, ItemState::Waiting { .. } | ItemState::Running)
+            })
+            .map(|(spec, _)| spec.tokens)
+            .sum()
+    }
+
+    fn finish(&mut self, at: usize, ending: Ending, now: Instant) {
+        let partial = std::mem::take(&mut self.items[at].partial);
+        let output = match ending {
+            Ending::Completed => partial.text,
+            Ending::GivenUp => String::new(),
+        };
+        self.items[at].state = ItemState::Done(ItemResult {
+            id: self.spec.items[at].id.clone(),
+            ending,
+            output,
+        });
+        self.unstored_since.get_or_insert(now);
+    }
+
+    fn wait(&mut self, at: usize, until: Instant) {
+        self.items[at].state = ItemState::Waiting {
+            not_before: Some(until),
+        };
+    }
+
+    fn position(&self, id: &str) -> Option<usize> {
+        self.spec.items.iter().position(|item| item.id == id)
+    }
+}
+
+/// Bytes that a result's field names and escapes may add to its stored form, roughly.
+const RESULT_OVERHEAD_BYTES: usize = 128;
--- /dev/null
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -0,0 +1,6 @@
+//! Batch jobs: acceptance, ownership, items and results.
+
+pub mod item;
+pub mod job;
+pub mod ledger;
+pub mod ownership;
--- /dev/null
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of the serving path, apart from input and output.
+//!
+//! Every function takes the time and its inputs as arguments and touches no socket, so a
+//! test can replay any order of events. The runtime (`foxwheel-node`) feeds them.
+
+pub mod batch;
+pub mod config_in_force;
+pub mod membership;
+pub mod placement;
+pub mod retry;
+pub mod routes;
+
+/// The decision modules, for `use foxwheel_policy::prelude::*`.
+pub mod prelude {
+    pub use crate::{batch, config_in_force, membership, placement, retry, routes};
+}
--- /dev/null
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -0,0 +1,160 @@
+//! Which backend servers may be sent new work.
+//!
+//! The platform's list is followed as events and as whole lists. An entry that vanishes
+//! while the list's source was out of reach may only have expired, so its server stays a
+//! last resort until it had time to register again.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::{ServerId, ServiceName, Zone};
+use serde::{Deserialize, Serialize};
+
+/// How long after an entry vanished in calm times its server is still a last resort.
+/// Half of the shortest drain bound met so far (2 s), so that no request arrives late.
+const LAPSE_GRACE: Duration = Duration::from_millis(800);
+
+/// How long after the list's source came back entries that lapsed meanwhile are awaited.
+/// Live servers register again within about 2 s of its return.
+const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_400);
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ServerState {
+    /// Takes new work.
+    Ready,
+    /// Is leaving: takes no new work.
+    Draining,
+}
+
+/// One backend server as the platform lists it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendServer {
+    /// Unique for each start of the server.
+    pub id: ServerId,
+    /// The service it belongs to.
+    pub service: ServiceName,
+    /// Where it listens; may be reused by another service's server later.
+    pub addr: SocketAddr,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests it processes at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub state: ServerState,
+}
+
+/// A listed server and what this process thinks of its entry.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// The newest entry seen.
+    pub server: BackendServer,
+    /// Set when the entry vanished: until then the server is a last resort.
+    pub lapsed_until: Option<Instant>,
+}
+
+/// The backend servers known to one process.
+#[derive(Debug, Default)]
+pub struct Directory {
+    /// Sorted by server id.
+    members: Vec<Member>,
+    /// Set while the list's source is out of reach.
+    source_lost: bool,
+    /// When the list's source was last found again.
+    source_back_at: Option<Instant>,
+}
+
+impl Directory {
+    /// Takes one changed entry.
+    pub fn upsert(&mut self, server: BackendServer) {
+        let member = Member {
+            server,
+            lapsed_until: None,
+        };
+        match self.position(&member.server.id) {
+            Ok(at) => self.members[at] = member,
+            Err(at) => self.members.insert(at, member),
+        }
+    }
+
+    /// Takes note that the entry of `id` was removed.
+    pub fn remove(&mut self, id: &str, now: Instant) {
+        let Ok(at) = self.position(id) else { return };
+        let until = self.lapse_end(now);
+        let member = &mut self.members[at];
+        if member.server.state == ServerState::Draining {
+            self.members.remove(at);
+        } else {
+            member.lapsed_until.get_or_insert(until);
+        }
+    }
+
+    /// Takes a whole list: what is missing from it counts as removed.
+    pub fn replace_all(&mut self, listed: Vec<BackendServer>, now: Instant) {
+        let missing: Vec<ServerId> = self
+            .members
+            .iter()
+            .map(|member| &member.server.id)
+            .filter(|id| !listed.iter().any(|server| server.id == **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for server in listed {
+            self.upsert(server);
+        }
+    }
+
+    /// The list's source cannot be reached.
+    pub fn source_lost(&mut self) {
+        self.source_lost = true;
+    }
+
+    /// The list's source answers again; call before taking its first list.
+    pub fn source_back(&mut self, now: Instant) {
+        if self.source_lost {
+            self.source_lost = false;
+            self.source_back_at = Some(now);
+        }
+    }
+
+    /// Drops servers whose grace after a vanished entry is over; answers their ids.
+    pub fn expire(&mut self, now: Instant) -> Vec<ServerId> {
+        let mut gone = Vec::new();
+        self.members.retain(|member| {
+            let keep = member.lapsed_until.is_none_or(|until| now < until);
+            if !keep {
+                gone.push(member.server.id.clone());
+            }
+            keep
+        });
+        gone
+    }
+
+    /// Servers of `service` that may be sent new work, last resorts included.
+    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+        self.members
+            .iter()
+            .filter(move |member| member.server.service == service)
+            .filter(|member| member.server.state == ServerState::Ready)
+    }
+
+    /// Every member, sorted by id.
+    pub fn members(&self) -> &[Member] {
+        &self.members
+    }
+
+    fn lapse_end(&self, now: Instant) -> Instant {
+        let calm = now + LAPSE_GRACE;
+        match self.source_back_at {
+            Some(back_at) => calm.max(back_at + REREGISTRATION_GRACE),
+            None => calm,
+        }
+    }
+
+    fn position(&self, id: &str) -> Result<usize, usize> {
+        self.members
+            .binary_search_by(|member| member.server.id.as_str().cmp(id))
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -0,0 +1,99 @@
+//! Which backend server takes a request, and when none should.
+//!
+//! Load pattern: steps of five times the trough every few seconds against engines that
+//! batch a fixed number of requests and queue the rest in order of arrival. A request
+//! that queues behind a full engine misses its target, so the least loaded engine is
+//! taken, the caller's own zone first.
+
+use foxwheel_core::ids::{ServerId, Zone};
+
+/// What is known of one server at the time of a choice.
+#[derive(Debug, Clone)]
+pub struct Candidate {
+    /// The server.
+    pub id: ServerId,
+    /// Its availability zone.
+    pub zone: Zone,
+    /// Requests it runs at once; at least 1.
+    pub slots: u32,
+    /// Requests in flight there: this process's own and what peers last told.
+    pub in_flight: u32,
+    /// Batch items among `in_flight`.
+    pub batch_in_flight: u32,
+    /// Its list entry vanished a moment ago.
+    pub lapsed: bool,
+    /// It has been silent or broke connections lately.
+    pub suspect: bool,
+}
+
+/// Load, as a share of a server's slots, that a server in another zone must be below a
+/// local one to be preferred: crossing zones costs a round trip and priced bytes.
+const CROSS_ZONE_PENALTY: f64 = 0.25;
+
+/// Ranks lapsed servers behind all others that are not suspect.
+const LAPSED_PENALTY: f64 = 4.0;
+
+/// Ranks suspect servers last.
+const SUSPECT_PENALTY: f64 = 16.0;
+
+/// Requests beyond its slots, as a share of them, with which a server is still given
+/// online work. One queued round of the slots clears in about one generation.
+const ONLINE_QUEUE_SHARE: f64 = 0.5;
+
+/// Picks the server for an online request. `draw` breaks ties. None when every server is
+/// at its slots and queue allowance: the request would miss its target anywhere.
+pub fn pick_online<'a>(
+    candidates: &'a [Candidate],
+    own_zone: &str,
+    draw: usize,
+) -> Option<&'a Candidate> {
+    let best = least_cost(candidates, own_zone, draw)?;
+    let limit = f64::from(best.slots) * (1.0 + ONLINE_QUEUE_SHARE);
+    (f64::from(best.in_flight) < limit).then_some(best)
+}
+
+/// Picks the server for a batch item: one with a slot that online work leaves free and
+/// `reserve` slots besides. None when there is none; the item waits.
+pub fn pick_batch<'a>(
+    candidates: &'a [Candidate],
+    own_zone: &str,
+    reserve: u32,
+    draw: usize,
+) -> Option<&'a Candidate> {
+    let best = least_cost(candidates, own_zone, draw)?;
+    let usable = !best.suspect && best.in_flight + reserve < best.slots;
+    usable.then_some(best)
+}
+
+/// Batch items to take off a server so that its online requests have slots.
+pub fn batch_excess(candidate: &Candidate) -> u32 {
+    candidate
+        .in_flight
+        .saturating_sub(candidate.slots)
+        .min(candidate.batch_in_flight)
+}
+
+fn least_cost<'a>(
+    candidates: &'a [Candidate],
+    own_zone: &str,
+    draw: usize,
+) -> Option<&'a Candidate> {
+    let count = candidates.len();
+    (0..count)
+        .map(|step| &candidates[(draw + step) % count])
+        .min_by(|a, b| cost(a, own_zone).total_cmp(&cost(b, own_zone)))
+}
+
+fn cost(candidate: &Candidate, own_zone: &str) -> f64 {
+    let mut cost = f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1));
+    if candidate.zone != own_zone {
+        cost += CROSS_ZONE_PENALTY;
+    }
+    if candidate.lapsed {
+        cost += LAPSED_PENALTY;
+    }
+    if candidate.suspect {
+        cost += SUSPECT_PENALTY;
+    }
+    cost
+}
