One worker runs a job: claims with known parts in heartbeats

Change: heartbeats carry a claim for each job (parts known, held or closed); a reader is never answered with fewer parts than any worker tells of; of two holders the one that knows less yields; others wait 3.5 s; a job that nobody tells of any more has the ledger read at once; an item given up is stored after 0.2 s, not 2.5 s. Ruled out: a lease in the store (a write every second or so for each job), reading the store at every read (two calls a second for each open job). With the patience of 1.5 s a_second_worker_waits_for_the_first_choices_claim fails.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -16,7 +16,7 @@
 
 use crate::job_store::{JobStore, JobStoreError};
 use crate::node::Node;
-use crate::peer_rpc::{BodyAnswer, ReadAnswer};
+use crate::peer_rpc::{BodyAnswer, ReadAnswer, ReadSpec};
 use crate::replies::{self, Reply};
 use crate::settings::Role;
 
@@ -171,18 +171,19 @@
         if !is_valid_id(&job) {
             return replies::status(StatusCode::NOT_FOUND);
         }
-        let wait = wait.min(MAX_READ_WAIT);
+        let workers = self.node.peers.workers(Instant::now());
+        let read = ReadSpec {
+            from,
+            max_bytes: batch_api::MAX_READ_BYTES,
+            known_parts: ownership::known_parts(&job, &workers),
+            wait: wait.min(MAX_READ_WAIT),
+        };
         let mut answer = ReadAnswer::Unsure;
         for addr in self.workers_for(&job) {
-            let read = self
-                .node
-                .peer_calls
-                .read(addr, job.clone(), from, batch_api::MAX_READ_BYTES, wait)
-                .await;
-            match read {
+            match self.node.peer_calls.read(addr, job.clone(), read).await {
                 Ok(ReadAnswer::Unsure) => {}
-                Ok(read) => {
-                    answer = read;
+                Ok(told) => {
+                    answer = told;
                     break;
                 }
                 Err(e) => log::info!(request_id = job, error:% = e; "worker did not answer a read"),
@@ -295,9 +296,7 @@
     fn workers_for(&self, job: &JobId) -> Vec<std::net::SocketAddr> {
         let now = Instant::now();
         let workers = self.node.peers.workers(now);
-        let holders = workers
-            .iter()
-            .filter(|worker| worker.held.binary_search(job).is_ok());
+        let holders = workers.iter().filter(|worker| worker.holds(job));
         let mut hosts: Vec<&str> = holders.map(|worker| worker.node.as_str()).collect();
         if let Some(first) = ownership::first_choice(job, &workers) {
             hosts.push(&first.node);
--- a/crates/foxwheel-node/src/drain.rs
+++ b/crates/foxwheel-node/src/drain.rs
@@ -54,7 +54,7 @@
     let deadline = tokio::spawn(stop_by);
     worker::run(Arc::clone(&node), jobs, stopped).await;
     deadline.abort();
-    log::info!(held = node.held_jobs().len(); "worker stopped");
+    log::info!(holds_jobs = node.holds_jobs(); "worker stopped");
     background.cancel();
     Ok(())
 }
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -111,7 +111,7 @@
             .into_iter()
             .map(|(id, online, batch)| (id, online as u16, batch as u16))
             .collect(),
-        held_jobs: node.held_jobs(),
+        claims: node.claims(),
         known: addresses
             .iter()
             .filter(|(_, zone)| zone.is_some())
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -3,10 +3,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::JobId;
 use foxwheel_core::time;
 use foxwheel_http1::connection::ConnectOptions;
 use foxwheel_http1::pool::Pool;
+use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
 use foxwheel_policy::membership::Directory;
 use foxwheel_policy::placement::Candidate;
@@ -56,8 +56,8 @@
     pub pool: Pool,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// Jobs that this process runs; sorted.
-    held_jobs: Mutex<Vec<JobId>>,
+    /// Jobs that this process runs or closed a short while ago; sorted by job.
+    claims: Mutex<Vec<JobClaim>>,
     /// Cancelled when the process is told to stop: it takes no new work from then on.
     pub leaving: CancellationToken,
     /// Cancelled when the operator asks that this host be emptied.
@@ -80,7 +80,7 @@
             store: StoreAccess::new(settings.store_address, metrics.clone()),
             pool: Pool::new(SERVER_CONNECT_OPTIONS),
             metrics,
-            held_jobs: Mutex::default(),
+            claims: Mutex::default(),
             leaving,
             retiring: CancellationToken::new(),
             settings,
@@ -137,13 +137,21 @@
         found.ok().map(|at| members[at].server.addr)
     }
 
-    /// Jobs that this process runs; sorted.
-    pub fn held_jobs(&self) -> Vec<JobId> {
-        self.held_jobs.lock().expect("held jobs lock").clone()
+    /// Jobs that this process runs or closed a short while ago; sorted by job.
+    pub fn claims(&self) -> Vec<JobClaim> {
+        self.claims.lock().expect("claims lock").clone()
     }
 
-    /// Replaces the list of jobs that this process runs; `jobs` must be sorted.
-    pub fn set_held_jobs(&self, jobs: Vec<JobId>) {
-        *self.held_jobs.lock().expect("held jobs lock") = jobs;
+    /// Replaces what this process tells of its jobs; `claims` must be sorted by job.
+    pub fn set_claims(&self, claims: Vec<JobClaim>) {
+        *self.claims.lock().expect("claims lock") = claims;
+    }
+
+    /// Whether this process runs any job.
+    pub fn holds_jobs(&self) -> bool {
+        let claims = self.claims.lock().expect("claims lock");
+        claims
+            .iter()
+            .any(|claim| claim.standing == ClaimStanding::Held)
     }
 }
--- a/crates/foxwheel-node/src/peer_rpc.rs
+++ b/crates/foxwheel-node/src/peer_rpc.rs
@@ -12,6 +12,7 @@
 use foxwheel_policy::routes::Config;
 use futures::StreamExt;
 use serde::{Deserialize, Serialize};
+use serde_with::{serde_as, DurationMilliSeconds};
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Json;
 use tarpc::{client, context, serde_transport};
@@ -37,6 +38,22 @@
     pub servers: Vec<BackendServer>,
 }
 
+/// Which results to read.
+#[serde_as]
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct ReadSpec {
+    /// First position wanted.
+    pub from: usize,
+    /// Most bytes of results; one result is answered even if it is larger.
+    pub max_bytes: usize,
+    /// Parts of the results that are known to be stored: the answer must know them.
+    pub known_parts: u32,
+    /// Longest wait for a first result.
+    #[serde(rename = "wait_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub wait: Duration,
+}
+
 /// A worker's answer to a read of results.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ReadAnswer {
@@ -73,9 +90,8 @@
     async fn accepted(job: JobSpec);
     /// Tells a worker that a job was ended.
     async fn ended(job: JobId);
-    /// Reads at most `max_bytes` of results from position `from` on, waiting up to
-    /// `wait_ms` for a first one.
-    async fn read(job: JobId, from: usize, max_bytes: usize, wait_ms: u64) -> ReadAnswer;
+    /// Reads results.
+    async fn read(job: JobId, read: ReadSpec) -> ReadAnswer;
     /// Reads the body of an item.
     async fn body(job: JobId, item: ItemId) -> BodyAnswer;
 }
@@ -124,14 +140,11 @@
         &self,
         addr: SocketAddr,
         job: JobId,
-        from: usize,
-        max_bytes: usize,
-        wait: Duration,
+        read: ReadSpec,
     ) -> Result<ReadAnswer, PeerError> {
         let client = self.client(addr).await?;
-        let context = context_for(wait + CALL_TIMEOUT);
-        let wait_ms = wait.as_millis() as u64;
-        let answer = client.read(context, job, from, max_bytes, wait_ms).await;
+        let context = context_for(read.wait + CALL_TIMEOUT);
+        let answer = client.read(context, job, read).await;
         self.checked("read results", addr, answer)
     }
 
@@ -233,19 +246,11 @@
         }
     }
 
-    async fn read(
-        self,
-        _: context::Context,
-        job: JobId,
-        from: usize,
-        max_bytes: usize,
-        wait_ms: u64,
-    ) -> ReadAnswer {
-        let Some(jobs) = &self.jobs else {
-            return ReadAnswer::Unsure;
-        };
-        let wait = Duration::from_millis(wait_ms);
-        jobs.read(&job, from, max_bytes, wait).await
+    async fn read(self, _: context::Context, job: JobId, read: ReadSpec) -> ReadAnswer {
+        match &self.jobs {
+            Some(jobs) => jobs.read(&job, read).await,
+            None => ReadAnswer::Unsure,
+        }
     }
 
     async fn body(self, _: context::Context, job: JobId, item: ItemId) -> BodyAnswer {
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -4,8 +4,8 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{JobId, NodeId, ServerId, Zone};
-use foxwheel_policy::batch::ownership::Worker;
+use foxwheel_core::ids::{NodeId, ServerId, Zone};
+use foxwheel_policy::batch::ownership::{JobClaim, Worker};
 use serde::{Deserialize, Serialize};
 
 use crate::settings::Role;
@@ -36,8 +36,8 @@
     pub leaving: bool,
     /// Requests in flight from it: server, online, batch.
     pub loads: Vec<(ServerId, u16, u16)>,
-    /// Jobs it runs; sorted.
-    pub held_jobs: Vec<JobId>,
+    /// Jobs it runs or closed a short while ago; sorted by job.
+    pub claims: Vec<JobClaim>,
     /// Addresses of processes it knows.
     pub known: Vec<SocketAddr>,
 }
@@ -134,7 +134,7 @@
             .map(|beat| Worker {
                 node: beat.host.clone(),
                 leaving: beat.leaving,
-                held: beat.held_jobs.clone(),
+                claims: beat.claims.clone(),
             })
             .collect()
     }
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -28,10 +28,18 @@
 /// that tells of the end is lost.
 const LEDGER_EVERY: Duration = Duration::from_millis(2_000);
 
+/// Least time from a reason to read the ledger until it is read: several reasons come
+/// together when a worker dies.
+const LEDGER_PAUSE: Duration = Duration::from_millis(150);
+
 /// How long finished results of a job with more to run wait for others, so that one write
 /// stores several: a crash in this time costs their runs again.
 const STORE_AFTER: Duration = Duration::from_millis(2_500);
 
+/// The same when an item was given up: until that is stored, a worker that takes over
+/// would let the item fail as often again.
+const STORE_GIVE_UP_AFTER: Duration = Duration::from_millis(200);
+
 /// Slots of each server left free for online requests that come before the next look.
 const ONLINE_RESERVE: u32 = 2;
 
@@ -67,6 +75,8 @@
     ended: tokio::sync::mpsc::UnboundedSender<EndedRun>,
     /// Jobs of the ledger that nobody runs and since when; sorted by job.
     unheld: Vec<(JobId, Instant)>,
+    /// Jobs that other workers told of at the last look; sorted.
+    told_elsewhere: Vec<JobId>,
     /// When the process learned that it must leave.
     leaving_since: Option<Instant>,
     started_at: Instant,
@@ -89,6 +99,7 @@
         runs: Vec::new(),
         ended,
         unheld: Vec::new(),
+        told_elsewhere: Vec::new(),
         leaving_since: None,
         started_at: Instant::now(),
     };
@@ -105,6 +116,8 @@
             () = jobs.wake.notified() => {}
             () = tokio::time::sleep(SCHEDULE_EVERY) => {}
         }
+        worker.yield_jobs();
+        worker.notice_orphans();
         worker.yield_slots();
         worker.store_results();
         if worker.is_done() {
@@ -253,10 +266,14 @@
             if let Some(config) = &config {
                 give_up_overdue(entry, config, now_unix, now, self.started_at);
             }
+            let patience = match entry.progress.has_unstored_give_up() {
+                true => STORE_GIVE_UP_AFTER,
+                false => STORE_AFTER,
+            };
             let waited = entry
                 .progress
                 .unstored_since
-                .is_some_and(|since| now.duration_since(since) >= STORE_AFTER);
+                .is_some_and(|since| now.duration_since(since) >= patience);
             let store = entry.progress.is_finished() || waited || leaving;
             let something = entry.progress.unstored_since.is_some() || entry.progress.is_listed();
             if store && something && !entry.storing {
@@ -270,6 +287,39 @@
         self.jobs.evict(now);
     }
 
+    /// Leaves jobs to workers that run them too.
+    fn yield_jobs(&mut self) {
+        let others = self.node.peers.workers(Instant::now());
+        let own = &self.node.settings.host;
+        let mut yielded = Vec::new();
+        self.jobs.each_held(|entry| {
+            let job = &entry.progress.spec.id;
+            if ownership::should_yield(job, own, entry.progress.parts, &others) {
+                yielded.push(job.clone());
+            }
+        });
+        for job in yielded {
+            log::info!(job; "job left to another worker that runs it too");
+            self.jobs.release(&job);
+        }
+    }
+
+    /// Has the ledger read at once when a worker that ran a job is silent or gave it back.
+    fn notice_orphans(&mut self) {
+        let workers = self.node.peers.workers(Instant::now());
+        let claims = workers.iter().flat_map(|worker| &worker.claims);
+        let mut told: Vec<JobId> = claims.map(|claim| claim.job.clone()).collect();
+        told.sort_unstable();
+        told.dedup();
+        let gone = |job: &&JobId| told.binary_search(job).is_err();
+        let orphaned = self.told_elsewhere.iter().filter(gone).count();
+        if orphaned > 0 {
+            log::info!(jobs = orphaned; "jobs no longer told of by other workers");
+            self.jobs.look_at_ledger.notify_one();
+        }
+        self.told_elsewhere = told;
+    }
+
     /// Looks at the open jobs of the ledger: takes those that nobody runs.
     fn take_ledger(&mut self, open: &[JobId]) {
         let now = Instant::now();
@@ -281,12 +331,11 @@
         workers.push(ownership::Worker {
             node: own.clone(),
             leaving: self.node.is_leaving(),
-            held: self.node.held_jobs(),
+            claims: self.node.claims(),
         });
         let before = std::mem::take(&mut self.unheld);
         for job in open {
-            let held = |worker: &ownership::Worker| worker.held.binary_search(job).is_ok();
-            if workers.iter().any(held) {
+            if workers.iter().any(|worker| worker.holds(job)) {
                 continue;
             }
             let known = before.binary_search_by(|(id, _)| id.cmp(job));
@@ -330,7 +379,7 @@
             log::info!(job; "job released");
             self.jobs.release(&job);
         }
-        self.runs.is_empty() && self.node.held_jobs().is_empty() && self.node.leaving.is_cancelled()
+        self.runs.is_empty() && !self.node.holds_jobs() && self.node.leaving.is_cancelled()
     }
 }
 
@@ -419,7 +468,10 @@
     let mut ticks = tokio::time::interval(LEDGER_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = jobs.look_at_ledger.notified() => tokio::time::sleep(LEDGER_PAUSE).await,
+        }
         let deadline = Instant::now() + LEDGER_EVERY;
         let ledger = match jobs.store.read_ledger(deadline).await {
             Ok(ledger) => ledger,
@@ -508,7 +560,7 @@
     log::info!(host = own; "asked to retire");
     write_retirement(node, Progress::Running).await;
     node.retiring.cancel();
-    while !node.held_jobs().is_empty() {
+    while node.holds_jobs() {
         tokio::time::sleep(SCHEDULE_EVERY).await;
     }
     write_retirement(node, Progress::Completed).await;
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -6,12 +6,13 @@
 use foxwheel_core::ids::{ItemId, JobId};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use foxwheel_policy::batch::ownership::{self, ClaimStanding, JobClaim};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::job_store::{JobStore, JobStoreError};
 use crate::node::Node;
-use crate::peer_rpc::{BodyAnswer, ReadAnswer};
+use crate::peer_rpc::{BodyAnswer, ReadAnswer, ReadSpec};
 
 /// How often a job that another worker runs is looked up again for a reader.
 const REFRESH_EVERY: Duration = Duration::from_millis(500);
@@ -19,6 +20,10 @@
 /// Longest time to read a job from the store for a caller.
 const LOAD_TIME: Duration = Duration::from_millis(600);
 
+/// How long a closed job is told of, so that readers elsewhere know how many parts its
+/// results have. Several times the silence after which a process counts as dead.
+const TELL_CLOSED: Duration = Duration::from_secs(10);
+
 /// How long a job that nobody reads stays in memory after it ended.
 const KEEP_UNREAD: Duration = Duration::from_secs(20);
 
@@ -31,6 +36,8 @@
     pub held: bool,
     /// A part of its results is being stored.
     pub storing: bool,
+    /// When it was closed.
+    closed_at: Option<Instant>,
     /// Cancelled when no item of it may run any more.
     pub cancel: CancellationToken,
     /// Woken when results are listed.
@@ -51,6 +58,8 @@
     entries: Mutex<Vec<JobEntry>>,
     /// Woken when there may be something to run.
     pub wake: Notify,
+    /// Woken when the ledger should be read at once.
+    pub look_at_ledger: Notify,
 }
 
 impl WorkerJobs {
@@ -61,6 +70,7 @@
             node,
             entries: Mutex::default(),
             wake: Notify::new(),
+            look_at_ledger: Notify::new(),
         })
     }
 
@@ -94,6 +104,7 @@
             let news = entry.held && !entry.progress.ended;
             entry.progress.ended = true;
             entry.held = false;
+            entry.closed_at.get_or_insert_with(Instant::now);
             entry.cancel.cancel();
             news
         });
@@ -105,7 +116,11 @@
 
     /// Stops running a job without ending it: another worker goes on.
     pub fn release(&self, id: &str) {
-        self.with(id, |entry| entry.held = false);
+        self.with(id, |entry| {
+            entry.held = false;
+            entry.cancel.cancel();
+            entry.cancel = CancellationToken::new();
+        });
         self.publish_held();
     }
 
@@ -131,6 +146,7 @@
             entry.used_at = Instant::now();
             entry.listed.notify_waiters();
         });
+        self.publish_held();
     }
 
     /// Drops jobs that ended and that nobody read for a while.
@@ -141,17 +157,11 @@
         });
     }
 
-    /// Reads results for a caller; see `PeerService::read`.
-    pub async fn read(
-        &self,
-        id: &JobId,
-        from: usize,
-        max_bytes: usize,
-        wait: Duration,
-    ) -> ReadAnswer {
-        let until = Instant::now() + wait;
+    /// Reads results for a caller.
+    pub async fn read(&self, id: &JobId, read: ReadSpec) -> ReadAnswer {
+        let until = Instant::now() + read.wait;
         loop {
-            match self.ensure(id).await {
+            match self.ensure(id, read.known_parts).await {
                 Ok(true) => {}
                 Ok(false) => return ReadAnswer::NoSuchJob,
                 Err(e) => {
@@ -159,13 +169,13 @@
                     return ReadAnswer::Unsure;
                 }
             }
-            let Some((answer, listed)) = self.with(id, |entry| entry.read(from, max_bytes)) else {
+            let Some((answer, listed)) = self.with(id, |entry| entry.read(read)) else {
                 return ReadAnswer::Unsure;
             };
             let now = Instant::now();
-            let is_final =
-                !matches!(&answer, ReadAnswer::Results { results, .. } if results.is_empty());
-            if is_final || now >= until {
+            let empty =
+                matches!(&answer, ReadAnswer::Results { results, .. } if results.is_empty());
+            if !empty || now >= until {
                 return answer;
             }
             let pause = (until - now).min(REFRESH_EVERY);
@@ -176,7 +186,7 @@
 
     /// Reads an item's body for a caller.
     pub async fn body(&self, id: &JobId, item: &ItemId) -> BodyAnswer {
-        match self.ensure(id).await {
+        match self.ensure(id, 0).await {
             Ok(true) => {}
             Ok(false) => return BodyAnswer::NoSuchItem,
             Err(e) => {
@@ -198,25 +208,27 @@
         }
     }
 
-    /// Brings a job into memory for a reader; answers whether it exists.
-    async fn ensure(&self, id: &JobId) -> Result<bool, JobStoreError> {
+    /// Brings a job into memory for a reader, with `known_parts` of its results at least;
+    /// answers whether it exists.
+    async fn ensure(&self, id: &JobId, known_parts: u32) -> Result<bool, JobStoreError> {
         let deadline = Instant::now() + LOAD_TIME;
-        let next_part = self.with(id, |entry| entry.part_to_look_for(Instant::now()));
-        match next_part {
-            Some(None) => Ok(true),
-            Some(Some(number)) => {
-                if let Some(results) = self.store.load_part(id, number, deadline).await? {
-                    self.take_part(id, number, results);
-                }
+        let workers = self.node.peers.workers(Instant::now());
+        let known_parts = known_parts.max(ownership::known_parts(id, &workers));
+        while let Some(looked) = self.with(id, |entry| entry.look(known_parts, Instant::now())) {
+            let Some(number) = looked else {
+                return Ok(true);
+            };
+            match self.store.load_part(id, number, deadline).await? {
+                Some(results) => self.take_part(id, number, results),
+                None => return Ok(true),
+            }
+        }
+        match self.store.load_progress(id, deadline).await? {
+            Some(progress) => {
+                self.insert(progress, false);
                 Ok(true)
             }
-            None => match self.store.load_progress(id, deadline).await? {
-                Some(progress) => {
-                    self.insert(progress, false);
-                    Ok(true)
-                }
-                None => Ok(false),
-            },
+            None => Ok(false),
         }
     }
 
@@ -235,12 +247,13 @@
     }
 
     fn publish_held(&self) {
-        let held = {
+        let now = Instant::now();
+        let claims = {
             let entries = self.entries.lock().expect("jobs lock");
-            let held = entries.iter().filter(|entry| entry.held);
-            held.map(|entry| entry.progress.spec.id.clone()).collect()
+            let claims = entries.iter().filter_map(|entry| entry.claim(now));
+            claims.collect()
         };
-        self.node.set_held_jobs(held);
+        self.node.set_claims(claims);
         self.node.load_alarm.notify_one();
     }
 }
@@ -252,6 +265,7 @@
             progress,
             held,
             storing: false,
+            closed_at: None,
             cancel: CancellationToken::new(),
             listed: Arc::new(Notify::new()),
             refreshed_at: now,
@@ -271,13 +285,30 @@
         self.used_at = Instant::now();
     }
 
-    fn read(&mut self, from: usize, max_bytes: usize) -> (ReadAnswer, Arc<Notify>) {
+    /// What this worker tells the others of the job.
+    fn claim(&self, now: Instant) -> Option<JobClaim> {
+        let standing = if self.held {
+            ClaimStanding::Held
+        } else {
+            let closed_at = self.closed_at?;
+            let recent = now.duration_since(closed_at) < TELL_CLOSED;
+            recent.then_some(ClaimStanding::Closed)?
+        };
+        Some(JobClaim {
+            job: self.progress.spec.id.clone(),
+            parts: self.progress.parts,
+            standing,
+        })
+    }
+
+    fn read(&mut self, read: ReadSpec) -> (ReadAnswer, Arc<Notify>) {
         self.used_at = Instant::now();
         let mut bytes = 0;
-        let results = self.progress.listed.iter().skip(from).take_while(|result| {
+        let listed = self.progress.listed.iter().skip(read.from);
+        let results = listed.take_while(|result| {
             let first = bytes == 0;
             bytes += result.output.len();
-            first || bytes <= max_bytes
+            first || bytes <= read.max_bytes
         });
         let answer = ReadAnswer::Results {
             item_count: self.progress.spec.items.len(),
@@ -286,8 +317,12 @@
         (answer, Arc::clone(&self.listed))
     }
 
-    /// The part that a reader may be missing, if it is time to look.
-    fn part_to_look_for(&mut self, now: Instant) -> Option<u32> {
+    /// The part that a reader may be missing: one that is known to be stored, or, of a job
+    /// that another worker runs, the next one if the last look is a while ago.
+    fn look(&mut self, known_parts: u32, now: Instant) -> Option<u32> {
+        if self.progress.parts < known_parts {
+            return Some(self.progress.parts);
+        }
         let current = self.held || self.storing || self.progress.is_listed();
         if current || now.duration_since(self.refreshed_at) < REFRESH_EVERY {
             return None;
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -175,6 +175,12 @@
         })
     }
 
+    /// Whether an item was given up and that is not stored yet.
+    pub fn has_unstored_give_up(&self) -> bool {
+        self.unstored()
+            .any(|result| result.ending == Ending::GivenUp)
+    }
+
     /// The results of the next part: as many unstored ones as fit into `max_bytes`, at
     /// least one.
     pub fn next_part(&self, max_bytes: usize) -> Vec<ItemResult> {
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -8,10 +8,32 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{JobId, NodeId};
+use serde::{Deserialize, Serialize};
 
-/// How long a job may stand in the ledger unheld before any worker but the first choice
-/// looks after it: a few heartbeats between zones (300 ms each).
-const UNHELD_PATIENCE: Duration = Duration::from_millis(1_500);
+/// How long a job must stand in the ledger unheld before any worker but the first choice
+/// takes it. Above the time in which the first choice looks at the ledger (2 s) and its
+/// claim is heard between zones (0.4 s): with 1.5 s two workers took one job at once.
+const UNHELD_PATIENCE: Duration = Duration::from_millis(3_500);
+
+/// Whether a worker still runs a job that it tells of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimStanding {
+    /// It runs the job.
+    Held,
+    /// The job was closed a short while ago.
+    Closed,
+}
+
+/// What a worker tells of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobClaim {
+    /// The job.
+    pub job: JobId,
+    /// Parts of its results that the worker knows to be stored; only grows.
+    pub parts: u32,
+    /// Whether it runs the job.
+    pub standing: ClaimStanding,
+}
 
 /// A live worker as its last heartbeat tells it.
 #[derive(Debug, Clone)]
@@ -20,8 +42,24 @@
     pub node: NodeId,
     /// It takes no new jobs and gives back those it holds.
     pub leaving: bool,
-    /// Jobs it holds; sorted.
-    pub held: Vec<JobId>,
+    /// Jobs it tells of; sorted by job.
+    pub claims: Vec<JobClaim>,
+}
+
+impl Worker {
+    /// What it tells of `job`.
+    pub fn claim(&self, job: &str) -> Option<&JobClaim> {
+        let found = self
+            .claims
+            .binary_search_by(|claim| claim.job.as_str().cmp(job));
+        found.ok().map(|at| &self.claims[at])
+    }
+
+    /// Whether it runs `job`.
+    pub fn holds(&self, job: &str) -> bool {
+        self.claim(job)
+            .is_some_and(|claim| claim.standing == ClaimStanding::Held)
+    }
 }
 
 /// The worker that should take `job`, or none if all are leaving.
@@ -32,6 +70,13 @@
         .max_by_key(|worker| (rank(job, &worker.node), &worker.node))
 }
 
+/// Parts of the results of `job` that some worker knows to be stored. A reader that knows
+/// fewer must look in the store before it answers.
+pub fn known_parts(job: &str, workers: &[Worker]) -> u32 {
+    let claims = workers.iter().filter_map(|worker| worker.claim(job));
+    claims.map(|claim| claim.parts).max().unwrap_or(0)
+}
+
 /// Whether the worker `own` should take a job that it does not hold, which it has known
 /// as unheld since `unheld_since`. `workers` are the live workers, `own` among them.
 pub fn should_take(
@@ -41,13 +86,7 @@
     unheld_since: Instant,
     now: Instant,
 ) -> bool {
-    let held = workers.iter().any(|worker| {
-        worker
-            .held
-            .binary_search_by(|held| held.as_str().cmp(job))
-            .is_ok()
-    });
-    if held {
+    if workers.iter().any(|worker| worker.claim(job).is_some()) {
         return false;
     }
     let Some(first) = first_choice(job, workers) else {
@@ -56,6 +95,21 @@
     first.node == own || now.duration_since(unheld_since) >= UNHELD_PATIENCE
 }
 
+/// Whether the worker `own`, which runs `job` and knows `own_parts` of its results, should
+/// leave it to another that runs it too: to the one that knows more, else by rank. Of two
+/// such workers at most one yields, however late they hear of each other, because claims
+/// only grow.
+pub fn should_yield(job: &str, own: &str, own_parts: u32, others: &[Worker]) -> bool {
+    let own_rank = (own_parts, rank(job, own), own);
+    others
+        .iter()
+        .filter(|worker| worker.node != own && !worker.leaving && worker.holds(job))
+        .filter_map(|worker| worker.claim(job).map(|claim| (worker, claim)))
+        .any(|(worker, claim)| {
+            (claim.parts, rank(job, &worker.node), worker.node.as_str()) > own_rank
+        })
+}
+
 fn rank(job: &str, node: &str) -> u64 {
     let mut hasher = DefaultHasher::new();
     job.hash(&mut hasher);
--- /dev/null
+++ b/crates/foxwheel-policy/tests/ownership.rs
@@ -0,0 +1,156 @@
+//! Which worker runs a job, as heartbeats arrive late and workers die and wake.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use foxwheel_policy::batch::ownership::{self, ClaimStanding, JobClaim, Worker};
+
+const JOB: &str = "7c41e09b52d6a3f8";
+
+fn worker(node: &str, held_parts: Option<u32>) -> Worker {
+    let claim = held_parts.map(|parts| JobClaim {
+        job: JOB.to_owned(),
+        parts,
+        standing: ClaimStanding::Held,
+    });
+    Worker {
+        node: node.to_owned(),
+        leaving: false,
+        claims: claim.into_iter().collect(),
+    }
+}
+
+fn idle_workers() -> Vec<Worker> {
+    ["a", "b", "c"].map(|node| worker(node, None)).to_vec()
+}
+
+#[test]
+fn the_first_choice_takes_an_unheld_job_at_once_and_no_other_does() {
+    let workers = idle_workers();
+    let now = Instant::now();
+    let taking = workers
+        .iter()
+        .filter(|worker| ownership::should_take(JOB, &worker.node, &workers, now, now))
+        .count();
+    assert_eq!(taking, 1);
+}
+
+/// A worker gives a job back; the first choice and another see it unheld in ledger reads
+/// that are 2 s apart, and claims take up to 0.4 s to be heard. The other must not take it
+/// before the first choice's claim can have reached it.
+#[test]
+fn a_second_worker_waits_for_the_first_choices_claim() {
+    let workers = idle_workers();
+    let first = ownership::first_choice(JOB, &workers)
+        .expect("none leaves")
+        .node
+        .clone();
+    let other = workers
+        .iter()
+        .find(|w| w.node != first)
+        .expect("three workers");
+    let seen_unheld = Instant::now();
+    let next_read = seen_unheld + Duration::from_millis(2_400);
+    assert!(!ownership::should_take(
+        JOB,
+        &other.node,
+        &workers,
+        seen_unheld,
+        next_read
+    ));
+    let later = seen_unheld + Duration::from_secs(4);
+    assert!(ownership::should_take(
+        JOB,
+        &other.node,
+        &workers,
+        seen_unheld,
+        later
+    ));
+}
+
+#[test]
+fn a_job_that_any_worker_tells_of_is_not_taken() {
+    for standing in [ClaimStanding::Held, ClaimStanding::Closed] {
+        let mut workers = idle_workers();
+        workers[0].claims.push(JobClaim {
+            job: JOB.to_owned(),
+            parts: 0,
+            standing,
+        });
+        let start = Instant::now();
+        let later = start + Duration::from_secs(60);
+        for worker in &workers {
+            assert!(!ownership::should_take(
+                JOB,
+                &worker.node,
+                &workers,
+                start,
+                later
+            ));
+        }
+    }
+}
+
+#[test]
+fn a_leaving_worker_is_no_first_choice_and_gets_no_job_by_yield() {
+    let mut workers = idle_workers();
+    let first = ownership::first_choice(JOB, &workers)
+        .expect("none leaves")
+        .node
+        .clone();
+    let at = workers
+        .iter()
+        .position(|w| w.node == first)
+        .expect("it is one of them");
+    workers[at].leaving = true;
+    assert_ne!(
+        ownership::first_choice(JOB, &workers)
+            .expect("two stay")
+            .node,
+        first
+    );
+    workers[at].claims.push(JobClaim {
+        job: JOB.to_owned(),
+        parts: 9,
+        standing: ClaimStanding::Held,
+    });
+    assert!(!ownership::should_yield(JOB, "other", 0, &workers));
+}
+
+#[test]
+fn a_reader_is_told_of_the_most_parts_that_any_worker_knows() {
+    let mut workers = vec![
+        worker("a", Some(1)),
+        worker("b", Some(3)),
+        worker("c", None),
+    ];
+    workers[1].claims[0].standing = ClaimStanding::Closed;
+    assert_eq!(ownership::known_parts(JOB, &workers), 3);
+    assert_eq!(ownership::known_parts("unknown", &workers), 0);
+}
+
+/// Two workers run one job and hear old claims of each other. In any order and age of the
+/// claims at most one yields, and once both hear the newest claims exactly one does.
+#[test]
+fn of_two_holders_exactly_one_yields() {
+    common::seeded(500, 64, |u| {
+        let parts_a: u32 = u.int_in_range(0..=5)?;
+        let parts_b: u32 = u.int_in_range(0..=5)?;
+        let heard_a: u32 = u.int_in_range(0..=parts_a)?;
+        let heard_b: u32 = u.int_in_range(0..=parts_b)?;
+        let job = format!("job-{}", u.int_in_range(0..=50)?);
+        let claim = |node: &str, parts| {
+            let mut worker = worker(node, Some(parts));
+            worker.claims[0].job.clone_from(&job);
+            worker
+        };
+        let a_yields = ownership::should_yield(&job, "a", parts_a, &[claim("b", heard_b)]);
+        let b_yields = ownership::should_yield(&job, "b", parts_b, &[claim("a", heard_a)]);
+        assert!(!(a_yields && b_yields));
+        let a_yields = ownership::should_yield(&job, "a", parts_a, &[claim("b", parts_b)]);
+        let b_yields = ownership::should_yield(&job, "b", parts_b, &[claim("a", parts_a)]);
+        assert!(a_yields != b_yields);
+        Ok(())
+    });
+}
--- /dev/null
+++ b/crates/foxwheel-policy/tests/retry.rs
@@ -0,0 +1,78 @@
+//! What follows a failed attempt, by kind of request and by what is known to have run.
+
+mod common;
+
+use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
+
+const ALL: [AttemptOutcome; 4] = [
+    AttemptOutcome::NotSent,
+    AttemptOutcome::Rejected,
+    AttemptOutcome::Failed,
+    AttemptOutcome::Unknown,
+];
+
+#[test]
+fn a_request_that_may_not_repeat_is_never_sent_after_a_possible_run() {
+    for max_runs in [1, 2, 5] {
+        let cases = [
+            (AttemptOutcome::NotSent, NextStep::TryAnother),
+            (AttemptOutcome::Rejected, NextStep::TryAnother),
+            (AttemptOutcome::Failed, NextStep::PassOn),
+            (AttemptOutcome::Unknown, NextStep::FailUnknown),
+        ];
+        for (outcome, expected) in cases {
+            let mut attempts = Attempts::new(false, max_runs);
+            assert_eq!(attempts.record(outcome), expected, "{outcome:?}");
+        }
+    }
+}
+
+#[test]
+fn a_repeatable_request_runs_on_as_many_servers_as_its_route_allows() {
+    let mut attempts = Attempts::new(true, 3);
+    assert_eq!(
+        attempts.record(AttemptOutcome::Unknown),
+        NextStep::TryAnother
+    );
+    assert_eq!(
+        attempts.record(AttemptOutcome::Rejected),
+        NextStep::TryAnother
+    );
+    assert_eq!(
+        attempts.record(AttemptOutcome::Failed),
+        NextStep::TryAnother
+    );
+    assert_eq!(
+        attempts.record(AttemptOutcome::Unknown),
+        NextStep::FailUnknown
+    );
+}
+
+/// In any order of outcomes: runs stay within the route's count, "not run" is said only
+/// when nothing can have run, and a request that may not repeat has at most one run.
+#[test]
+fn promises_hold_in_any_order_of_outcomes() {
+    common::seeded(500, 128, |u| {
+        let repeatable: bool = u.arbitrary()?;
+        let max_runs: u32 = u.int_in_range(0..=4)?;
+        let mut attempts = Attempts::new(repeatable, max_runs);
+        let mut runs = 0;
+        loop {
+            let outcome = *u.choose(&ALL)?;
+            let ran = matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Unknown);
+            runs += u32::from(ran);
+            let next = attempts.record(outcome);
+            assert!(runs <= if repeatable { max_runs.max(1) } else { 1 });
+            assert_eq!(attempts.may_have_run(), runs > 0);
+            match next {
+                NextStep::TryAnother => assert!(runs == 0 || repeatable),
+                NextStep::RefuseNotRun => assert_eq!(runs, 0),
+                NextStep::PassOn => assert_eq!(outcome, AttemptOutcome::Failed),
+                NextStep::FailUnknown => assert!(runs > 0),
+            }
+            if next != NextStep::TryAnother {
+                return Ok(());
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/foxwheel-policy/tests/routing.rs
@@ -0,0 +1,117 @@
+//! Choice of route and service, and the configuration in force.
+
+mod common;
+
+use std::time::Duration;
+
+use foxwheel_policy::config_in_force::ConfigInForce;
+use foxwheel_policy::routes::{CallerLimits, Config, Route, RouteKind, WeightedService};
+
+fn route(name: &str, host: &str, prefix: &str) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: host.to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(5),
+        target_latency: Duration::from_millis(300),
+        priority: 0,
+        targets: vec![WeightedService {
+            service: "model".to_owned(),
+            weight: 1,
+        }],
+        max_attempts: 1,
+        resumable: false,
+        completion_target: Duration::ZERO,
+        retention: Duration::ZERO,
+        quota_tokens: 0,
+    }
+}
+
+fn config(version: u64, routes: Vec<Route>) -> Config {
+    Config {
+        version,
+        routes,
+        services: Vec::new(),
+        limits: CallerLimits {
+            header_bytes: 16_384,
+            body_bytes: 4_194_304,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let config = config(
+        1,
+        vec![
+            route("short", "a.example", "/x/"),
+            route("long", "a.example", "/x/y/"),
+            route("other", "b.example", "/x/y/z/"),
+        ],
+    );
+    let matched = |host, path| {
+        config
+            .match_route(host, path)
+            .map(|route| route.name.as_str())
+    };
+    assert_eq!(matched("a.example", "/x/y/z/1"), Some("long"));
+    assert_eq!(matched("A.Example:8080", "/x/1"), Some("short"));
+    assert_eq!(matched("a.example", "/x"), None);
+    assert_eq!(matched("c.example", "/x/1"), None);
+}
+
+#[test]
+fn a_split_route_follows_its_weights_and_the_draw_alone() {
+    let mut split = route("split", "a.example", "/x/");
+    split.targets = [("old", 90), ("new", 10), ("never", 0)]
+        .map(|(service, weight)| WeightedService {
+            service: service.to_owned(),
+            weight,
+        })
+        .to_vec();
+    let picks = |service: &str| {
+        (0..100)
+            .filter(|draw| split.pick_service(*draw) == service)
+            .count()
+    };
+    assert_eq!((picks("old"), picks("new"), picks("never")), (90, 10, 0));
+}
+
+#[test]
+fn what_may_run_again_follows_from_the_kind() {
+    let mut route = route("r", "a.example", "/x/");
+    let cases = [
+        (RouteKind::Idempotent, false, true),
+        (RouteKind::NonIdempotent, true, false),
+        (RouteKind::Stream, false, false),
+        (RouteKind::Stream, true, true),
+    ];
+    for (kind, resumable, repeatable) in cases {
+        route.kind = kind;
+        route.resumable = resumable;
+        assert_eq!(
+            route.is_repeatable(),
+            repeatable,
+            "{kind:?}, resumable {resumable}"
+        );
+    }
+}
+
+/// Configurations arrive from the store and from peers in any order.
+#[test]
+fn the_version_in_force_never_falls() {
+    common::seeded(200, 512, |u| {
+        let mut in_force = ConfigInForce::default();
+        for _ in 0..20 {
+            let version: u64 = u.int_in_range(1..=30)?;
+            let before = in_force.version();
+            let taken = in_force.offer(config(version, Vec::new()));
+            assert_eq!(taken, before.is_none_or(|before| version > before));
+            assert!(in_force.version() >= before);
+        }
+        Ok(())
+    });
+}
