A slot counts from the choice of its server; batch runs are not stopped at once

Runs were started in one go on the same servers: a run counted as in flight only when its task was first polled, so every choice of one look saw the same free slots. Change: the slot is taken when the server is chosen and passed on to the attempt; a run is not stopped before 120 ms; a stopped item waits 150 ms; each process stops its share of the excess only; servers in other zones, whose load is heard 0.4 s late, keep 4 slots free instead of 2. Ruled out: keeping 422 answers of stopped runs (they come 2 ms after the stop at best), more frequent heartbeats between zones (priced bytes). Test: workers_that_hear_late_do_not_overfill_a_far_server fails with a reserve of 2.

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -14,7 +14,7 @@
 use hyper::Request;
 use tokio::time::Instant as TokioInstant;
 
-use crate::load_table::{InFlight, WorkClass};
+use crate::load_table::InFlight;
 use crate::node::Node;
 
 /// Silence of a server with work in hand after which it is sent nothing new: engines take
@@ -22,14 +22,12 @@
 const SUSPECT_SILENCE: Duration = Duration::from_millis(400);
 
 /// Where an attempt goes and how long it may take.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Target {
-    /// The server.
-    pub server: ServerId,
+    /// The slot taken when the server was chosen, so that the next choice counts it.
+    pub slot: InFlight,
     /// The request's id, which the answer must carry.
     pub request_id: RequestId,
-    /// Kind of work.
-    pub class: WorkClass,
     /// When to stop waiting.
     pub give_up_at: Instant,
     /// When to stop waiting for the head of the answer and try elsewhere; none waits on.
@@ -69,7 +67,7 @@
     node: Arc<Node>,
     body: Incoming,
     connection: Connection,
-    in_flight: InFlight,
+    slot: InFlight,
 }
 
 /// What came next of a body.
@@ -86,13 +84,13 @@
 /// Sends `request` and waits for the head of an answer that belongs to it.
 pub async fn send(
     node: &Arc<Node>,
-    target: &Target,
+    target: Target,
     request: Request<RequestBody>,
 ) -> Result<OpenAnswer, Failure> {
-    let Some(addr) = node.server_addr(&target.server) else {
+    let server = target.slot.server();
+    let Some(addr) = node.server_addr(server) else {
         return Err(Failure::new(AttemptOutcome::NotSent, "server is gone"));
     };
-    let in_flight = node.loads.begin(&target.server, target.class);
     let exchange = async {
         let mut lease = node.pool.take(addr).await?;
         if lease.is_new {
@@ -104,11 +102,11 @@
     let wait_until = target
         .head_by
         .map_or(target.give_up_at, |at| at.min(target.give_up_at));
-    let exchanged = bounded(node, &target.server, wait_until, exchange).await;
+    let exchanged = bounded(node, server, wait_until, exchange).await;
     let (connection, response) = match exchanged {
         Some(Ok(exchanged)) => exchanged,
         Some(Err(e)) => {
-            note_suspect(node, &target.server, "broken exchange");
+            note_suspect(node, server, "broken exchange");
             let outcome = match e.is_not_sent() {
                 true => AttemptOutcome::NotSent,
                 false => AttemptOutcome::Unknown,
@@ -116,28 +114,28 @@
             return Err(Failure::new(outcome, e.to_string()));
         }
         None => {
-            note_suspect(node, &target.server, "no answer");
+            note_suspect(node, server, "no answer");
             return Err(Failure::new(AttemptOutcome::Unknown, "no answer in time"));
         }
     };
     let (head, body) = response.into_parts();
     let says = online::decode_answer(&head, &target.request_id);
     if says.foreign || says.encoded {
-        note_suspect(node, &target.server, "foreign answer");
+        note_suspect(node, server, "foreign answer");
         return Err(Failure::new(
             AttemptOutcome::Unknown,
             "answer is not the request's",
         ));
     }
-    node.loads.trust(&target.server);
+    node.loads.trust(server);
     Ok(OpenAnswer {
         head,
         says,
-        server: target.server.clone(),
+        server: server.clone(),
         node: Arc::clone(node),
         body,
         connection,
-        in_flight,
+        slot: target.slot,
     })
 }
 
@@ -177,10 +175,10 @@
             says,
             node,
             connection,
-            in_flight,
+            slot,
             ..
         } = self;
-        drop(in_flight);
+        drop(slot);
         if !says.closes {
             node.pool.put(connection, says.idle_timeout);
         }
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{JobId, ServerId};
+use foxwheel_core::ids::JobId;
 use foxwheel_platform::online::{self, Attempt};
 use foxwheel_policy::batch::item::{ItemSpec, PartialOutput, RunEnd};
 use foxwheel_policy::retry::AttemptOutcome;
@@ -12,7 +12,7 @@
 
 use crate::attempt::{self, OpenAnswer, Piece, Target};
 use crate::event_stream::EventSplitter;
-use crate::load_table::WorkClass;
+use crate::load_table::InFlight;
 use crate::node::Node;
 
 /// Longest wait for the first event: an engine that does not begin within it is full.
@@ -32,51 +32,65 @@
     pub item: ItemSpec,
     /// Output of earlier runs.
     pub partial: PartialOutput,
-    /// The server.
-    pub server: ServerId,
+    /// The slot taken at the server.
+    pub slot: InFlight,
     /// Cancelled to free the slot or when the job ends.
     pub cancel: CancellationToken,
 }
 
 /// Runs the item; answers how the run ended and the output so far.
-pub async fn run(node: Arc<Node>, mut run: ItemRun) -> (RunEnd, PartialOutput) {
-    let cancel = run.cancel.clone();
+pub async fn run(node: Arc<Node>, run: ItemRun) -> (RunEnd, PartialOutput) {
+    let server = run.slot.server().clone();
+    let ItemRun {
+        job,
+        host,
+        item,
+        mut partial,
+        slot,
+        cancel,
+    } = run;
     let started = Instant::now();
-    let resumed_after = run.partial.last_event_id;
-    let running = run_to_end(&node, &mut run);
+    let resumed_after = partial.last_event_id;
+    let running = run_to_end(&node, &host, &item, slot, &mut partial);
     let (end, reason) = tokio::select! {
-        () = cancel.cancelled() => (RunEnd::Preempted, "slot needed or job ended".to_owned()),
+        biased;
         ended = running => ended,
+        () = cancel.cancelled() => (RunEnd::Preempted, "slot needed or job ended".to_owned()),
     };
     let took_ms = started.elapsed().as_millis() as u64;
-    log::info!(request_id = run.item.id, job = run.job, server = run.server, end:? = end, reason, resumed_after, last_event = run.partial.last_event_id, took_ms; "item run ended");
+    log::info!(request_id = item.id, job, server, end:? = end, reason, resumed_after, last_event = partial.last_event_id, took_ms; "item run ended");
     node.metrics.incr(match end {
         RunEnd::Whole => "batch.runs_whole",
         RunEnd::Preempted => "batch.runs_preempted",
         _ => "batch.runs_failed",
     });
-    (end, run.partial)
+    (end, partial)
 }
 
-async fn run_to_end(node: &Arc<Node>, run: &mut ItemRun) -> (RunEnd, String) {
+async fn run_to_end(
+    node: &Arc<Node>,
+    host: &str,
+    item: &ItemSpec,
+    slot: InFlight,
+    partial: &mut PartialOutput,
+) -> (RunEnd, String) {
     let attempt = Attempt {
-        server: &run.server,
+        server: slot.server(),
         time_left: None,
-        last_event_id: run.partial.last_event_id,
+        last_event_id: partial.last_event_id,
     };
-    let request = match online::item_request(&run.item, &run.host, attempt) {
+    let request = match online::item_request(item, host, attempt) {
         Ok(request) => request,
         Err(e) => return (RunEnd::Impossible, format!("not a valid request: {e}")),
     };
     let target = Target {
-        server: run.server.clone(),
-        request_id: run.item.id.clone(),
-        class: WorkClass::Batch,
+        slot,
+        request_id: item.id.clone(),
         give_up_at: Instant::now() + FIRST_EVENT_PATIENCE,
         head_by: None,
     };
-    match attempt::send(node, &target, request).await {
-        Ok(answer) => read_answer(answer, run).await,
+    match attempt::send(node, target, request).await {
+        Ok(answer) => read_answer(answer, partial).await,
         Err(failure) => match failure.outcome {
             AttemptOutcome::NotSent | AttemptOutcome::Rejected => (RunEnd::NotRun, failure.reason),
             AttemptOutcome::Failed | AttemptOutcome::Unknown => (RunEnd::Broken, failure.reason),
@@ -84,10 +98,10 @@
     }
 }
 
-async fn read_answer(mut answer: OpenAnswer, run: &mut ItemRun) -> (RunEnd, String) {
+async fn read_answer(mut answer: OpenAnswer, partial: &mut PartialOutput) -> (RunEnd, String) {
     let status = answer.says.status;
     if status.is_success() && !answer.says.not_run {
-        return read_events(answer, run).await;
+        return read_events(answer, partial).await;
     }
     let end = match status {
         _ if answer.says.not_run => RunEnd::NotRun,
@@ -102,7 +116,7 @@
     (end, format!("server answered {}", status.as_u16()))
 }
 
-async fn read_events(mut answer: OpenAnswer, run: &mut ItemRun) -> (RunEnd, String) {
+async fn read_events(mut answer: OpenAnswer, partial: &mut PartialOutput) -> (RunEnd, String) {
     let mut splitter = EventSplitter::default();
     let mut patience = FIRST_EVENT_PATIENCE;
     loop {
@@ -111,7 +125,7 @@
             Piece::End if splitter.has_rest() => {
                 return (RunEnd::Broken, "ended within an event".to_owned())
             }
-            Piece::End if run.partial.last_event_id.is_none() => {
+            Piece::End if partial.last_event_id.is_none() => {
                 return (RunEnd::Broken, "ended without an event".to_owned())
             }
             Piece::End => {
@@ -123,8 +137,8 @@
         patience = EVENT_PATIENCE;
         while let Some(event) = splitter.next_event() {
             let Some(id) = event.id else { continue };
-            if !run.partial.push(id, &event.data()) {
-                let last = run.partial.last_event_id;
+            if !partial.push(id, &event.data()) {
+                let last = partial.last_event_id;
                 return (RunEnd::Broken, format!("event {id} follows event {last:?}"));
             }
         }
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -43,6 +43,13 @@
     class: WorkClass,
 }
 
+impl InFlight {
+    /// The server.
+    pub fn server(&self) -> &ServerId {
+        &self.server
+    }
+}
+
 /// One server's load from this process.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OwnLoad {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -122,6 +122,7 @@
                     slots: server.slots,
                     in_flight: own.online + own.batch + online + batch,
                     batch_in_flight: own.batch + batch,
+                    own_batch: own.batch,
                     lapsed: member.lapsed_until.is_some(),
                     suspect: own.suspect,
                 }
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -14,7 +14,7 @@
 use hyper::{Response, StatusCode};
 
 use crate::attempt::{self, Failure, OpenAnswer, Target, WholeAnswer};
-use crate::load_table::WorkClass;
+use crate::load_table::{InFlight, WorkClass};
 use crate::node::Node;
 use crate::relay;
 use crate::replies::{self, Reply};
@@ -62,7 +62,7 @@
 }
 
 enum Placed {
-    At(ServerId),
+    At(InFlight),
     Full,
     NoServer,
 }
@@ -118,12 +118,13 @@
             if now + LEAST_TIME_LEFT >= self.answer_by {
                 return Err(self.refusal("time is up", FULL_RETRY_AFTER));
             }
-            let server = match self.place(node).await {
-                Placed::At(server) => server,
+            let slot = match self.place(node).await {
+                Placed::At(slot) => slot,
                 Placed::Full => return Err(self.refusal("all servers full", FULL_RETRY_AFTER)),
                 Placed::NoServer => return Err(self.refusal("no server", NO_SERVER_RETRY_AFTER)),
             };
-            let failure = match self.attempt(node, &server).await {
+            let server = slot.server().clone();
+            let failure = match self.attempt(node, slot).await {
                 Ok(answer) => return Ok(answer),
                 Err(failure) => failure,
             };
@@ -167,7 +168,7 @@
                     // Batch work there should yield at once.
                     node.load_alarm.notify_one();
                 }
-                return Placed::At(pick.id.clone());
+                return Placed::At(node.loads.begin(&pick.id, WorkClass::Online));
             }
             let freed = node.loads.freed.notified();
             let until = tokio::time::Instant::from_std(wait_until);
@@ -177,14 +178,14 @@
         }
     }
 
-    async fn attempt(&self, node: &Arc<Node>, server: &ServerId) -> Result<OpenAnswer, Failure> {
+    async fn attempt(&self, node: &Arc<Node>, slot: InFlight) -> Result<OpenAnswer, Failure> {
         let now = Instant::now();
         let limit = match self.route.kind {
             RouteKind::Stream => self.caller_gives_up_at,
             _ => self.answer_by,
         };
         let attempt = Attempt {
-            server,
+            server: slot.server(),
             time_left: Some(limit.saturating_duration_since(now)),
             last_event_id: self.last_event_id,
         };
@@ -192,13 +193,12 @@
         let again =
             self.route.is_repeatable() && self.route.max_attempts > self.attempts.count() + 1;
         let target = Target {
-            server: server.clone(),
+            slot,
             request_id: self.caller.id.clone(),
-            class: WorkClass::Online,
             give_up_at: self.answer_by,
             head_by: again.then(|| now + HEAD_PATIENCE),
         };
-        let mut answer = attempt::send(node, &target, request).await?;
+        let mut answer = attempt::send(node, target, request).await?;
         if answer.says.status.is_success() && !answer.says.not_run {
             if answer.says.signed {
                 return Ok(answer);
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -15,6 +15,7 @@
 
 use crate::item_run::{self, ItemRun};
 use crate::job_store::PartCreated;
+use crate::load_table::WorkClass;
 use crate::node::Node;
 use crate::settings::Role;
 use crate::store_access::Backoff;
@@ -40,9 +41,6 @@
 /// would let the item fail as often again.
 const STORE_GIVE_UP_AFTER: Duration = Duration::from_millis(200);
 
-/// Slots of each server left free for online requests that come before the next look.
-const ONLINE_RESERVE: u32 = 2;
-
 /// Longest time for one change of the ledger.
 const LEDGER_TIME: Duration = Duration::from_millis(3_000);
 
@@ -64,6 +62,7 @@
     job: JobId,
     item: usize,
     server: ServerId,
+    started_at: Instant,
     cancel: CancellationToken,
 }
 
@@ -194,8 +193,8 @@
         let candidates = self.node.candidates(service, &[], now);
         let zone = &self.node.settings.availability_zone;
         let draw = rand::random::<u32>() as usize;
-        let server = placement::pick_batch(&candidates, zone, ONLINE_RESERVE, draw)?;
-        let server = server.id.clone();
+        let server = placement::pick_batch(&candidates, zone, draw)?;
+        let slot = self.node.loads.begin(&server.id, WorkClass::Batch);
         self.jobs.with(job, |entry| {
             entry.progress.start(item);
             let run = ItemRun {
@@ -203,7 +202,7 @@
                 host,
                 item: entry.progress.spec.items[item].clone(),
                 partial: entry.progress.items[item].partial.clone(),
-                server,
+                slot,
                 cancel: entry.cancel.child_token(),
             };
             (item, run)
@@ -214,7 +213,8 @@
         self.runs.push(Run {
             job: run.job.clone(),
             item,
-            server: run.server.clone(),
+            server: run.slot.server().clone(),
+            started_at: Instant::now(),
             cancel: run.cancel.clone(),
         });
         let node = Arc::clone(&self.node);
@@ -246,7 +246,7 @@
                     if excess == 0 {
                         break;
                     }
-                    if !run.cancel.is_cancelled() {
+                    if now.duration_since(run.started_at) >= placement::LEAST_RUN {
                         run.cancel.cancel();
                     }
                     excess -= 1;
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::item::{Ending, ItemResult, ItemSpec, ItemState, PartialOutput, RunEnd};
+use crate::placement;
 
 /// Wait before an item runs again after a run that did not count as a failure.
 const RERUN_PAUSE: Duration = Duration::from_millis(150);
@@ -151,7 +152,7 @@
                 }
             }
             RunEnd::NotRun | RunEnd::Broken => self.wait(at, now + RERUN_PAUSE),
-            RunEnd::Preempted => self.wait(at, now),
+            RunEnd::Preempted => self.wait(at, now + placement::PREEMPTED_PAUSE),
         }
     }
 
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -5,6 +5,8 @@
 //! that queues behind a full engine misses its target, so the least loaded engine is
 //! taken, the caller's own zone first.
 
+use std::time::Duration;
+
 use foxwheel_core::ids::{ServerId, Zone};
 
 /// What is known of one server at the time of a choice.
@@ -20,6 +22,8 @@
     pub in_flight: u32,
     /// Batch items among `in_flight`.
     pub batch_in_flight: u32,
+    /// Batch items of this process's own among `batch_in_flight`.
+    pub own_batch: u32,
     /// Its list entry vanished a moment ago.
     pub lapsed: bool,
     /// It has been silent or broke connections lately.
@@ -52,25 +56,45 @@
     (f64::from(best.in_flight) < limit).then_some(best)
 }
 
-/// Picks the server for a batch item: one with a slot that online work leaves free and
-/// `reserve` slots besides. None when there is none; the item waits.
+/// Slots of a server that batch items leave free for online requests that come before the
+/// next look at its load.
+const LOCAL_RESERVE: u32 = 2;
+
+/// The same for a server in another zone, whose load is heard four times as late: workers
+/// of several zones that see one free slot there would all fill it.
+const REMOTE_RESERVE: u32 = 4;
+
+/// Picks the server for a batch item: one with a slot that online work leaves free and the
+/// reserve besides. None when there is none; the item waits.
 pub fn pick_batch<'a>(
     candidates: &'a [Candidate],
     own_zone: &str,
-    reserve: u32,
     draw: usize,
 ) -> Option<&'a Candidate> {
     let best = least_cost(candidates, own_zone, draw)?;
+    let reserve = match best.zone == own_zone {
+        true => LOCAL_RESERVE,
+        false => REMOTE_RESERVE,
+    };
     let usable = !best.suspect && best.in_flight + reserve < best.slots;
     usable.then_some(best)
 }
 
-/// Batch items to take off a server so that its online requests have slots.
+/// Age below which a batch run is not stopped. A run started a moment ago costs its slot
+/// for a few milliseconds more, but stopping it wastes its prompt and its connection, and
+/// an item that fails at once would fail again and again without ever being heard.
+pub const LEAST_RUN: Duration = Duration::from_millis(120);
+
+/// Pause before a stopped item runs again, so that it does not return into the same step.
+pub const PREEMPTED_PAUSE: Duration = Duration::from_millis(150);
+
+/// This process's batch items to take off a server so that its online requests have
+/// slots: its share of what all processes have there, rounded up.
 pub fn batch_excess(candidate: &Candidate) -> u32 {
-    candidate
-        .in_flight
-        .saturating_sub(candidate.slots)
-        .min(candidate.batch_in_flight)
+    let over = candidate.in_flight.saturating_sub(candidate.slots);
+    let excess = over.min(candidate.batch_in_flight);
+    let share = (excess * candidate.own_batch).div_ceil(candidate.batch_in_flight.max(1));
+    share.min(candidate.own_batch)
 }
 
 fn least_cost<'a>(
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -9,6 +9,7 @@
         slots: 8,
         in_flight,
         batch_in_flight: 0,
+        own_batch: 0,
         lapsed: false,
         suspect: false,
     }
@@ -58,26 +59,50 @@
 }
 
 #[test]
-fn batch_items_leave_the_reserve_free() {
-    let pick = |in_flight| {
-        placement::pick_batch(&[candidate("a", "here", in_flight)], "here", 2, 0).is_some()
+fn batch_items_leave_the_reserve_free_and_more_in_other_zones() {
+    let pick = |zone, in_flight| {
+        let servers = [candidate("a", zone, in_flight)];
+        placement::pick_batch(&servers, "here", 0).is_some()
     };
-    assert!(pick(5));
-    assert!(!pick(6));
+    assert!(pick("here", 5));
+    assert!(!pick("here", 6));
+    assert!(pick("there", 3));
+    assert!(!pick("there", 4));
 }
 
-/// A step of online requests meets servers that batch items fill: batch gives way by as
-/// much as is over the slots, and never by more than it has there.
+/// A step of online requests meets servers that batch items fill: each process takes its
+/// share of the excess off, and all together no more than the batch items there.
 #[test]
 fn batch_gives_way_to_a_step_of_online_requests() {
-    let excess = |in_flight, batch_in_flight| {
+    let excess = |in_flight, batch_in_flight, own_batch| {
         placement::batch_excess(&Candidate {
             batch_in_flight,
+            own_batch,
             ..candidate("a", "here", in_flight)
         })
     };
-    assert_eq!(excess(8, 5), 0);
-    assert_eq!(excess(11, 5), 3);
-    assert_eq!(excess(14, 5), 5);
-    assert_eq!(excess(14, 0), 0);
+    assert_eq!(excess(8, 5, 5), 0);
+    assert_eq!(excess(11, 5, 5), 3);
+    assert_eq!(excess(14, 5, 5), 5);
+    assert_eq!(excess(14, 0, 0), 0);
+    assert_eq!([4, 1].map(|own| excess(10, 5, own)), [2, 1]);
+    assert_eq!(excess(20, 5, 1), 1);
+}
+
+/// Three workers see one server of a far zone through heartbeats that are 0.4 s old, and
+/// each starts what it sees room for at once. Together they stay within its slots and do
+/// not have to stop runs again.
+#[test]
+fn workers_that_hear_late_do_not_overfill_a_far_server() {
+    let seen = candidate("a", "far", 3);
+    let mut started = 0;
+    for zone in ["one", "two", "three"] {
+        let mut own = seen.clone();
+        while placement::pick_batch(std::slice::from_ref(&own), zone, 0).is_some() {
+            own.in_flight += 1;
+            started += 1;
+        }
+    }
+    assert!(started > 0);
+    assert!(seen.in_flight + started <= seen.slots, "{started} started");
 }
