A stopping front refuses requests that it could not finish

Change: policy::stopping plans a stop from the time left: 3 s announced, new requests refused as not run from 3 s before the end, end 0.5 s before the kill. Ruled out: closing the listener at once (callers are still sent there for two seconds). Tests: the_last_requests_taken_have_time_to_end; with requests taken to the end it fails.

--- a/crates/foxwheel-core/src/structured_log.rs
+++ b/crates/foxwheel-core/src/structured_log.rs
@@ -78,6 +78,12 @@
     }
 }
 
+/// Waits until lines that were just written are out; call before the process ends.
+pub fn flush() {
+    log::logger().flush();
+    std::thread::sleep(WRITE_EVERY + WRITE_EVERY / 2);
+}
+
 fn encode(node: &str, record: &log::Record<'_>) -> String {
     struct Fields<'a>(&'a mut Map<String, Value>);
     impl<'kvs> kv::VisitSource<'kvs> for Fields<'_> {
--- a/crates/foxwheel-node/src/drain.rs
+++ b/crates/foxwheel-node/src/drain.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::{shutdown, structured_log};
+use foxwheel_policy::stopping::StopPlan;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
 
@@ -13,40 +14,47 @@
 use crate::worker_jobs::WorkerJobs;
 use crate::{followers, front, heartbeat, peer_rpc, worker};
 
-/// Left of the time to stop when open exchanges are cut: the process must be gone before
-/// it is killed.
+/// Left of a worker's time to stop when it ends, whatever it still runs: it must be gone
+/// before it is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
 /// Runs a front until it is told to stop and its exchanges have ended.
 pub async fn run_front(settings: NodeSettings) -> std::io::Result<()> {
-    let (node, background) = start(settings, None).await?;
+    let node = new_node(settings);
+    let background = start_background(&node, None).await?;
     let settings = &node.settings;
     let caller_address = settings
         .caller_address
         .ok_or_else(|| std::io::Error::other("a front needs a caller address"))?;
     let listener = TcpListener::bind(caller_address).await?;
-    let closing = CancellationToken::new();
-    let connections = front::serve(Arc::clone(&node), listener, closing.clone());
+    let stop = front::StopSignals::default();
+    let connections = front::serve(Arc::clone(&node), listener, stop.clone());
     if let Some(addr) = settings.readiness_address {
         front::serve_readiness(Arc::clone(&node), addr).await?;
     }
     node.leaving.cancelled().await;
-    let stop_by = Instant::now() + settings.stop_grace.saturating_sub(STOP_MARGIN);
-    tokio::time::sleep(front::STOP_ANNOUNCED_FOR.min(settings.stop_grace / 2)).await;
-    closing.cancel();
+    let plan = StopPlan::new(Instant::now(), settings.stop_grace);
+    tokio::time::sleep_until(plan.close_idle_at.into()).await;
+    stop.close_idle.cancel();
     connections.close();
-    let until = tokio::time::Instant::from_std(stop_by);
-    let ended = tokio::time::timeout_at(until, connections.wait()).await;
-    log::info!(cut = connections.len(), in_time = ended.is_ok(); "front stopped");
+    let refusing = async {
+        tokio::time::sleep_until(plan.refuse_from.into()).await;
+        stop.refuse.cancel();
+        tokio::time::sleep_until(plan.end_at.into()).await;
+    };
+    let in_time = tokio::select! {
+        () = connections.wait() => true,
+        () = refusing => false,
+    };
+    log::info!(cut = connections.len(), in_time; "front stopped");
     background.cancel();
+    structured_log::flush();
     Ok(())
 }
 
 /// Runs a worker until it is told to stop and has given its jobs back.
 pub async fn run_worker(settings: NodeSettings) -> std::io::Result<()> {
-    let leaving = shutdown::on_signal();
-    structured_log::init(settings.host.clone());
-    let node = Node::new(settings, leaving);
+    let node = new_node(settings);
     let jobs = WorkerJobs::new(Arc::clone(&node));
     let background = start_background(&node, Some(Arc::clone(&jobs))).await?;
     let stopped = CancellationToken::new();
@@ -56,6 +64,7 @@
     deadline.abort();
     log::info!(holds_jobs = node.holds_jobs(); "worker stopped");
     background.cancel();
+    structured_log::flush();
     Ok(())
 }
 
@@ -66,15 +75,10 @@
     stopped.cancel();
 }
 
-async fn start(
-    settings: NodeSettings,
-    jobs: Option<Arc<WorkerJobs>>,
-) -> std::io::Result<(Arc<Node>, CancellationToken)> {
-    let leaving = shutdown::on_signal();
+/// Starts logging and listening to signals, and makes the process's shared state.
+fn new_node(settings: NodeSettings) -> Arc<Node> {
     structured_log::init(settings.host.clone());
-    let node = Node::new(settings, leaving);
-    let background = start_background(&node, jobs).await?;
-    Ok((node, background))
+    Node::new(settings, shutdown::on_signal())
 }
 
 /// Starts what every process does beside its work. Cancelling the answered token stops it.
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -35,27 +35,34 @@
 /// When a caller refused for lack of a configuration should come back.
 const UNINFORMED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// How long a stopping front still takes requests on open and new connections: the
-/// platform asks once a second and needs two refusals to send callers elsewhere.
-pub const STOP_ANNOUNCED_FOR: Duration = Duration::from_millis(3_000);
+/// When a caller refused by a stopping front should come back: at once, to another front.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// The front's part that connections share.
 #[derive(Debug)]
 struct Front {
     node: Arc<Node>,
     batch: BatchFront,
+    stop: StopSignals,
+}
+
+/// How a stopping front is told of the steps of its stop.
+#[derive(Debug, Clone, Default)]
+pub struct StopSignals {
     /// Cancelled when idle connections are to be closed.
-    closing: CancellationToken,
+    pub close_idle: CancellationToken,
+    /// Cancelled when new requests are to be refused.
+    pub refuse: CancellationToken,
 }
 
-/// Answers callers on `listener` until `closing` is cancelled; open exchanges end first.
-/// The answered tracker is empty when no connection is left.
-pub fn serve(node: Arc<Node>, listener: TcpListener, closing: CancellationToken) -> TaskTracker {
+/// Answers callers on `listener` for as long as the process lives. The answered tracker
+/// counts the open connections.
+pub fn serve(node: Arc<Node>, listener: TcpListener, stop: StopSignals) -> TaskTracker {
     let connections = TaskTracker::new();
     let front = Arc::new(Front {
         batch: BatchFront::new(Arc::clone(&node)),
         node,
-        closing,
+        stop,
     });
     let tracker = connections.clone();
     tokio::spawn(async move {
@@ -83,7 +90,7 @@
     let idle = front.node.config().map_or(DEFAULT_IDLE, |config| {
         config.limits.idle_timeout + IDLE_SLACK
     });
-    let closing = front.closing.clone();
+    let closing = front.stop.close_idle.clone();
     let service = service_fn(move |request| {
         let front = Arc::clone(&front);
         async move { Ok::<_, std::convert::Infallible>(front.answer(request).await) }
@@ -120,6 +127,10 @@
     async fn route(&self, request: Request<Incoming>, received_at: Instant) -> Reply {
         let (head, body) = request.into_parts();
         let caller = wire::decode_request(&head);
+        if self.stop.refuse.is_cancelled() {
+            log::warn!(request_id = caller.id; "request refused: the front is stopping");
+            return replies::not_run(StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER);
+        }
         let Some(config) = self.node.config() else {
             log::warn!(request_id = caller.id; "request refused: no configuration yet");
             return replies::not_run(StatusCode::SERVICE_UNAVAILABLE, UNINFORMED_RETRY_AFTER);
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -9,8 +9,9 @@
 pub mod placement;
 pub mod retry;
 pub mod routes;
+pub mod stopping;
 
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
-    pub use crate::{batch, config_in_force, membership, placement, retry, routes};
+    pub use crate::{batch, config_in_force, membership, placement, retry, routes, stopping};
 }
