--- a/crates/foxwheel-core/src/keys.rs
+++ b/crates/foxwheel-core/src/keys.rs
@@ -12,6 +12,11 @@
 //! | `archive/<job>` | the record of a job that ended |
 //! | `idempotency/<service>/<key>` | the record of a non-idempotent call |
 
+//!
+//! The store keeps objects by kind and name and lists by kind. [`locate`] turns a key into
+//! both: the first segment is the kind, but each job's chunks and answers are a kind of
+//! their own, because they are listed by job.
+
 use crate::fingerprint;
 
 /// Prefix of all configuration.
@@ -72,3 +77,42 @@
     let caller = fingerprint::of(&[workspace.as_bytes(), key.as_bytes()]);
     format!("idempotency/{service}/{caller}")
 }
+
+/// First segments under which each second segment is a kind of its own.
+const SPLIT_KINDS: [&str; 2] = ["answers", "chunks"];
+
+/// Joins segments within a kind or a name; never part of a segment.
+const JOINER: char = '~';
+
+/// The kind and name of the object at `key`.
+pub fn locate(key: &str) -> (String, String) {
+    let split_at = kind_end(key).unwrap_or(key.len());
+    let (kind, name) = key.split_at(split_at);
+    (joined(kind), joined(name.trim_start_matches('/')))
+}
+
+/// The kind that holds every key under `prefix`, and how names there begin. `prefix` must
+/// name a whole kind; none if it spans several.
+pub fn locate_prefix(prefix: &str) -> Option<(String, String)> {
+    let split_at = kind_end(prefix)?;
+    let (kind, name) = prefix.split_at(split_at);
+    Some((joined(kind), joined(&name[1..])))
+}
+
+/// The key of the object `name` of `kind`.
+pub fn key_of(kind: &str, name: &str) -> String {
+    format!("{kind}/{name}").replace(JOINER, "/")
+}
+
+/// Where the slash between kind and name stands.
+fn kind_end(key: &str) -> Option<usize> {
+    let first = key.find('/')?;
+    if !SPLIT_KINDS.contains(&&key[..first]) {
+        return Some(first);
+    }
+    key[first + 1..].find('/').map(|second| first + 1 + second)
+}
+
+fn joined(part: &str) -> String {
+    part.replace('/', &JOINER.to_string())
+}
--- a/crates/foxwheel-ctl/tests/ctl_contract.rs
+++ b/crates/foxwheel-ctl/tests/ctl_contract.rs
@@ -129,8 +129,8 @@
         let message = text(&out.stderr);
         assert!(message.contains(named), "case '{case}': {message}");
     }
-    let stored = bench.store.list("").await.expect("list");
-    assert!(stored.objects.is_empty(), "nothing was written");
+    let stored = bench.store.stats().await.expect("stats").objects;
+    assert_eq!(stored, 0, "nothing was written");
 }
 
 #[actix_web::test]
--- a/crates/foxwheel-platform-emu/src/data_file.rs
+++ b/crates/foxwheel-platform-emu/src/data_file.rs
@@ -3,10 +3,10 @@
 use std::io;
 use std::path::Path;
 
-use foxwheel_store::api;
+use crate::state::Saved;
 
 /// Reads a data file; `None` when there is none yet.
-pub fn load(path: &Path) -> io::Result<Option<api::ListResponse>> {
+pub fn load(path: &Path) -> io::Result<Option<Saved>> {
     match std::fs::read(path) {
         Ok(bytes) => serde_json::from_slice(&bytes)
             .map(Some)
@@ -17,7 +17,7 @@
 }
 
 /// Replaces the data file whole: a crash leaves the old one or the new one.
-pub fn save(path: &Path, everything: &api::ListResponse) -> io::Result<()> {
+pub fn save(path: &Path, everything: &Saved) -> io::Result<()> {
     let bytes = serde_json::to_vec(everything).map_err(io::Error::other)?;
     let next = path.with_extension("next");
     std::fs::write(&next, bytes)?;
--- a/crates/foxwheel-platform-emu/src/lib.rs
+++ b/crates/foxwheel-platform-emu/src/lib.rs
@@ -1,8 +1,9 @@
-//! A stand-in for the platform's object API, for tests and the main job.
+//! A stand-in for the platform's object store, for tests and the main job.
 //!
-//! It keeps objects in memory with a store-wide revision, answers the routes listed in
-//! [`foxwheel_store::api`], counts every call, limits read and write rates, and injects the
-//! faults the brief names (outage, slowness, a reply lost after the write took effect).
+//! It keeps objects in memory with a store-wide revision, answers the published calls under
+//! `/api/objects`, counts every call, limits read and write rates, and injects faults:
+//! outages in several ways and for some hosts only, slowness, answers lost after the write
+//! took effect or before it does late, a history that is dropped.
 
 pub mod data_file;
 pub mod server;
--- a/crates/foxwheel-platform-emu/src/server.rs
+++ b/crates/foxwheel-platform-emu/src/server.rs
@@ -1,24 +1,27 @@
 //! The emulator's HTTP routes.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use actix_web::{web, HttpResponse};
-use serde::Deserialize;
-use tokio_util::sync::CancellationToken;
-
+use actix_web::{web, HttpRequest, HttpResponse};
 use foxwheel_core::http::{self, ServerShape};
 use foxwheel_core::ids::Version;
-use foxwheel_store::api;
+use foxwheel_store::api::{CallCounts, Faults, Refusal};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use tokio_util::sync::CancellationToken;
 
 use crate::data_file;
 use crate::settings::PlatformSettings;
-use crate::state::{Data, RateLimit, Refused};
+use crate::state::{Data, Metadata, Object, RateLimit, Refused};
 
 /// Longest a watch may wait, in milliseconds.
-const MAX_WATCH_WAIT_MS: u64 = 60_000;
+const MAX_WATCH_WAIT_MS: u64 = 30_000;
+
+/// Most objects on one page of a list.
+const PAGE_OBJECTS: usize = 500;
 
 /// The pause between two saves of the data file.
 const SAVE_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,8 +38,8 @@
     data: Data,
     reads: RateLimit,
     writes: RateLimit,
-    counts: api::CallCounts,
-    faults: api::Faults,
+    counts: CallCounts,
+    faults: Faults,
     writes_seen: u64,
 }
 
@@ -60,8 +63,8 @@
                 data,
                 reads: RateLimit::new(settings.read_limit_per_s),
                 writes: RateLimit::new(settings.write_limit_per_s),
-                counts: api::CallCounts::default(),
-                faults: api::Faults::default(),
+                counts: CallCounts::default(),
+                faults: Faults::default(),
                 writes_seen: 0,
             }),
             changed: tokio::sync::Notify::new(),
@@ -74,156 +77,313 @@
     }
 
     /// Counts the call, applies the delay fault, and refuses it under an outage or limit.
-    async fn admit(&self, kind: CallKind) -> Result<(), HttpResponse> {
+    async fn admit(&self, kind: CallKind, request: &HttpRequest) -> Result<(), HttpResponse> {
+        let caller = request.peer_addr().map(|addr| addr.ip());
         let delay_ms = self.lock().faults.delay_ms;
         if delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(delay_ms)).await;
         }
+        let refusal = self.count(kind, caller);
+        match refusal {
+            None => Ok(()),
+            Some(Refusal::Busy) => Err(HttpResponse::ServiceUnavailable().body("outage")),
+            Some(Refusal::RateLimited) => Err(HttpResponse::TooManyRequests()
+                .insert_header(("retry-after", "1"))
+                .body("rate limited")),
+            Some(Refusal::Reset) => Err(broken_answer()),
+            Some(Refusal::Silent) => std::future::pending().await,
+        }
+    }
+
+    /// Counts the call; answers how it is turned away, if it is.
+    fn count(&self, kind: CallKind, caller: Option<IpAddr>) -> Option<Refusal> {
         let mut inner = self.lock();
         match kind {
             CallKind::Read => inner.counts.reads += 1,
             CallKind::Write => inner.counts.writes += 1,
             CallKind::Watch => inner.counts.watches += 1,
         }
-        if inner.faults.outage {
-            inner.counts.refused += 1;
-            return Err(HttpResponse::ServiceUnavailable().body("outage"));
-        }
-        let started = self.started;
-        let allowed = match kind {
-            CallKind::Write => inner.writes.take(started),
-            CallKind::Read | CallKind::Watch => inner.reads.take(started),
+        let hosts = &inner.faults.only_hosts;
+        let meant = hosts.is_empty() || caller.is_some_and(|ip| hosts.contains(&ip));
+        let refusal = if inner.faults.outage && meant {
+            Some(inner.faults.refusal)
+        } else {
+            let started = self.started;
+            let allowed = match kind {
+                CallKind::Write => inner.writes.take(started),
+                CallKind::Read | CallKind::Watch => inner.reads.take(started),
+            };
+            (!allowed).then_some(Refusal::RateLimited)
         };
-        if !allowed {
-            inner.counts.refused += 1;
-            return Err(HttpResponse::TooManyRequests()
-                .insert_header(("retry-after", "1"))
-                .body("rate limited"));
-        }
-        Ok(())
+        inner.counts.refused += u64::from(refusal.is_some());
+        refusal
     }
 
-    /// Whether this write's reply is to be lost after it took effect.
-    fn lose_this_reply(&self) -> bool {
+    /// If the answer of this write is to be lost: how long before the write is done.
+    fn lost_reply(&self) -> Option<Duration> {
         let mut inner = self.lock();
         inner.writes_seen += 1;
         let every = inner.faults.lose_reply_every;
-        every > 0 && inner.writes_seen % every == 0
+        let lost = every > 0 && inner.writes_seen % every == 0;
+        lost.then(|| Duration::from_millis(inner.faults.late_ms))
+    }
+
+    fn apply(&self, change: Change) -> Result<Object, Refused> {
+        let result = change.apply(&mut self.lock().data);
+        if result.is_ok() {
+            self.changed.notify_waiters();
+        }
+        result
+    }
+}
+
+/// One write.
+enum Change {
+    Create {
+        kind: String,
+        object: Object,
+    },
+    Replace {
+        kind: String,
+        name: String,
+        body: ObjectBody,
+    },
+    SetStatus {
+        kind: String,
+        name: String,
+        body: ObjectBody,
+    },
+    Delete {
+        kind: String,
+        name: String,
+        revision: Option<Version>,
+    },
+}
+
+impl Change {
+    fn apply(self, data: &mut Data) -> Result<Object, Refused> {
+        match self {
+            Self::Create { kind, object } => data.create(&kind, object),
+            Self::Replace { kind, name, body } => {
+                let finalizers = body.metadata.finalizers;
+                data.change(&kind, &name, body.metadata.revision, |object| {
+                    object.spec = body.spec;
+                    if let Some(finalizers) = finalizers {
+                        object.metadata.finalizers = finalizers;
+                    }
+                })
+            }
+            Self::SetStatus { kind, name, body } => {
+                data.change(&kind, &name, body.metadata.revision, |object| {
+                    object.status = body.status;
+                })
+            }
+            Self::Delete {
+                kind,
+                name,
+                revision,
+            } => data.change(&kind, &name, revision, |object| {
+                object.metadata.deleting = true;
+            }),
+        }
     }
 }
 
+/// The body of a write.
+#[derive(Debug, Default, Deserialize)]
+struct ObjectBody {
+    #[serde(default)]
+    metadata: MetadataBody,
+    #[serde(default)]
+    spec: Value,
+    #[serde(default)]
+    status: Value,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct MetadataBody {
+    #[serde(default)]
+    name: String,
+    revision: Option<Version>,
+    finalizers: Option<Vec<String>>,
+}
+
+/// An answer that breaks off, so that the connection closes without a whole answer.
+fn broken_answer() -> HttpResponse {
+    let broken = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
+    let body = futures::stream::once(async move { Err::<web::Bytes, _>(broken) });
+    HttpResponse::Ok().streaming(body)
+}
+
 fn refusal(refused: Refused) -> HttpResponse {
     match refused {
         Refused::NotFound => HttpResponse::NotFound().finish(),
-        Refused::Conflict(current_version) => {
-            HttpResponse::Conflict().json(api::Conflict { current_version })
-        }
+        Refused::Conflict(object) => HttpResponse::Conflict().json(object),
         Refused::Gone => HttpResponse::Gone().finish(),
         Refused::TooLarge => HttpResponse::PayloadTooLarge().body("value larger than 1 MiB"),
     }
 }
 
-async fn get_object(emu: web::Data<Emulator>, key: web::Path<String>) -> HttpResponse {
-    if let Err(r) = emu.admit(CallKind::Read).await {
-        return r;
+async fn write(emu: web::Data<Emulator>, request: HttpRequest, change: Change) -> HttpResponse {
+    if let Err(refused) = emu.admit(CallKind::Write, &request).await {
+        return refused;
     }
-    match emu.lock().data.get(&key) {
-        Ok(object) => HttpResponse::Ok().json(object),
-        Err(e) => refusal(e),
+    match emu.lost_reply() {
+        None => match emu.apply(change) {
+            Ok(object) => HttpResponse::Ok().json(object),
+            Err(refused) => refusal(refused),
+        },
+        Some(late) if late.is_zero() => {
+            // Its answer is lost, whatever it is.
+            let _ = emu.apply(change);
+            broken_answer()
+        }
+        Some(late) => {
+            actix_web::rt::spawn(async move {
+                tokio::time::sleep(late).await;
+                let _ = emu.apply(change);
+            });
+            broken_answer()
+        }
     }
 }
 
-async fn put_object(
+async fn create(
     emu: web::Data<Emulator>,
-    key: web::Path<String>,
-    body: web::Json<api::PutRequest>,
+    request: HttpRequest,
+    kind: web::Path<String>,
+    body: web::Json<ObjectBody>,
 ) -> HttpResponse {
-    if let Err(r) = emu.admit(CallKind::Write).await {
-        return r;
-    }
     let body = body.into_inner();
-    let result = emu.lock().data.put(&key, body.value, body.if_version);
-    match result {
-        Ok(object) => {
-            emu.changed.notify_waiters();
-            if emu.lose_this_reply() {
-                return HttpResponse::ServiceUnavailable().body("reply lost");
-            }
-            HttpResponse::Ok().json(object)
-        }
-        Err(e) => refusal(e),
-    }
+    let change = Change::Create {
+        kind: kind.into_inner(),
+        object: Object {
+            metadata: Metadata {
+                name: body.metadata.name,
+                revision: 0,
+                created: 0,
+                finalizers: body.metadata.finalizers.unwrap_or_default(),
+                deleting: false,
+            },
+            spec: body.spec,
+            status: body.status,
+        },
+    };
+    write(emu, request, change).await
+}
+
+async fn replace(
+    emu: web::Data<Emulator>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
+    body: web::Json<ObjectBody>,
+) -> HttpResponse {
+    let (kind, name) = path.into_inner();
+    let body = body.into_inner();
+    write(emu, request, Change::Replace { kind, name, body }).await
+}
+
+async fn set_status(
+    emu: web::Data<Emulator>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
+    body: web::Json<ObjectBody>,
+) -> HttpResponse {
+    let (kind, name) = path.into_inner();
+    let body = body.into_inner();
+    write(emu, request, Change::SetStatus { kind, name, body }).await
 }
 
 #[derive(Debug, Deserialize)]
 struct DeleteQuery {
-    if_version: Option<Version>,
+    revision: Option<Version>,
 }
 
-async fn delete_object(
+async fn delete(
     emu: web::Data<Emulator>,
-    key: web::Path<String>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
     query: web::Query<DeleteQuery>,
 ) -> HttpResponse {
-    if let Err(r) = emu.admit(CallKind::Write).await {
-        return r;
+    let (kind, name) = path.into_inner();
+    let change = Change::Delete {
+        kind,
+        name,
+        revision: query.revision,
+    };
+    write(emu, request, change).await
+}
+
+async fn get_one(
+    emu: web::Data<Emulator>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
+    if let Err(refused) = emu.admit(CallKind::Read, &request).await {
+        return refused;
     }
-    let result = emu.lock().data.delete(&key, query.if_version);
-    match result {
-        Ok(()) => {
-            emu.changed.notify_waiters();
-            if emu.lose_this_reply() {
-                return HttpResponse::ServiceUnavailable().body("reply lost");
-            }
-            HttpResponse::NoContent().finish()
-        }
-        Err(e) => refusal(e),
+    let (kind, name) = path.into_inner();
+    let found = emu.lock().data.get(&kind, &name);
+    match found {
+        Ok(object) => HttpResponse::Ok().json(object),
+        Err(refused) => refusal(refused),
     }
 }
 
 #[derive(Debug, Deserialize)]
 struct ListQuery {
     #[serde(default)]
-    prefix: String,
+    after: String,
+    watch: Option<Version>,
+    #[serde(default)]
+    wait_ms: u64,
 }
 
-async fn list(emu: web::Data<Emulator>, query: web::Query<ListQuery>) -> HttpResponse {
-    if let Err(r) = emu.admit(CallKind::Read).await {
-        return r;
+async fn list_or_watch(
+    emu: web::Data<Emulator>,
+    request: HttpRequest,
+    kind: web::Path<String>,
+    query: web::Query<ListQuery>,
+) -> HttpResponse {
+    if let Some(from) = query.watch {
+        return watch(emu, request, &kind, from, query.wait_ms).await;
     }
-    let listed = emu.lock().data.list(&query.prefix);
-    HttpResponse::Ok().json(listed)
-}
-
-#[derive(Debug, Deserialize)]
-struct WatchQuery {
-    #[serde(default)]
-    prefix: String,
-    from_version: Version,
-    #[serde(default)]
-    timeout_ms: u64,
+    if let Err(refused) = emu.admit(CallKind::Read, &request).await {
+        return refused;
+    }
+    let inner = emu.lock();
+    let (items, has_more) = inner.data.list(&kind, &query.after, PAGE_OBJECTS);
+    let as_of = inner.data.revision();
+    HttpResponse::Ok().json(json!({ "items": items, "has_more": has_more, "as_of": as_of }))
 }
 
-async fn watch(emu: web::Data<Emulator>, query: web::Query<WatchQuery>) -> HttpResponse {
-    if let Err(r) = emu.admit(CallKind::Watch).await {
-        return r;
+async fn watch(
+    emu: web::Data<Emulator>,
+    request: HttpRequest,
+    kind: &str,
+    from: Version,
+    wait_ms: u64,
+) -> HttpResponse {
+    if let Err(refused) = emu.admit(CallKind::Watch, &request).await {
+        return refused;
     }
-    let deadline = Instant::now() + Duration::from_millis(query.timeout_ms.min(MAX_WATCH_WAIT_MS));
+    let deadline = Instant::now() + Duration::from_millis(wait_ms.min(MAX_WATCH_WAIT_MS));
     loop {
         let notified = emu.changed.notified();
         tokio::pin!(notified);
         notified.as_mut().enable();
-        let (events, revision) = {
+        let (events, as_of) = {
             let inner = emu.lock();
-            match inner.data.changes_since(&query.prefix, query.from_version) {
+            match inner.data.changes_since(kind, from) {
                 Ok(events) => (events, inner.data.revision()),
-                Err(e) => return refusal(e),
+                Err(refused) => return refusal(refused),
             }
         };
         let now = Instant::now();
         if !events.is_empty() || now >= deadline {
-            return HttpResponse::Ok().json(api::WatchResponse { events, revision });
+            return HttpResponse::Ok().json(json!({ "events": events, "as_of": as_of }));
         }
+        // The end of the wait is seen above.
         let _ = tokio::time::timeout(deadline - now, notified).await;
     }
 }
@@ -235,22 +395,36 @@
     HttpResponse::Ok().json(counts)
 }
 
-async fn set_faults(emu: web::Data<Emulator>, faults: web::Json<api::Faults>) -> HttpResponse {
+async fn set_faults(emu: web::Data<Emulator>, faults: web::Json<Faults>) -> HttpResponse {
     let faults = faults.into_inner();
     log::info!("faults set: {faults:?}");
     emu.lock().faults = faults;
-    HttpResponse::Ok().json(serde_json::json!({}))
+    HttpResponse::Ok().json(json!({}))
+}
+
+async fn drop_history(emu: web::Data<Emulator>) -> HttpResponse {
+    log::info!("history dropped");
+    emu.lock().data.drop_history();
+    emu.changed.notify_waiters();
+    HttpResponse::Ok().json(json!({}))
 }
 
 /// Registers the emulator's routes.
 pub fn routes(cfg: &mut web::ServiceConfig) {
-    cfg.route("/objects/{key:.*}", web::get().to(get_object))
-        .route("/objects/{key:.*}", web::put().to(put_object))
-        .route("/objects/{key:.*}", web::delete().to(delete_object))
-        .route("/list", web::get().to(list))
-        .route("/watch", web::get().to(watch))
+    let kind = "/api/objects/{kind}";
+    let one = "/api/objects/{kind}/{name}";
+    cfg.route(kind, web::get().to(list_or_watch))
+        .route(kind, web::post().to(create))
+        .route(one, web::get().to(get_one))
+        .route(one, web::put().to(replace))
+        .route(one, web::delete().to(delete))
+        .route(
+            "/api/objects/{kind}/{name}/status",
+            web::put().to(set_status),
+        )
         .route("/stats", web::get().to(stats))
-        .route("/faults", web::post().to(set_faults));
+        .route("/faults", web::post().to(set_faults))
+        .route("/drop-history", web::post().to(drop_history));
 }
 
 /// Saves the objects whenever they changed, until `cancel` fires and once more then.
@@ -261,7 +435,7 @@
         let everything = {
             let inner = emu.lock();
             let changed = inner.data.revision() != saved_revision;
-            changed.then(|| inner.data.list(""))
+            changed.then(|| inner.data.save())
         };
         if let Some(everything) = everything {
             match data_file::save(&path, &everything) {
--- a/crates/foxwheel-platform-emu/src/state.rs
+++ b/crates/foxwheel-platform-emu/src/state.rs
@@ -1,18 +1,20 @@
-//! The emulator's data: objects, the revision, the change history and the call counters.
+//! The emulator's data: objects by kind and name, the revision, the change history and the
+//! rate limits.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::time::Instant;
 
 use foxwheel_core::ids::Version;
-use foxwheel_store::api;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
 /// Why a call was refused by the data layer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Refused {
     /// The object is not there.
     NotFound,
-    /// A conditional write found another version.
-    Conflict(Version),
+    /// The object exists already, or a conditional write found another revision.
+    Conflict(Box<Object>),
     /// The watch asked for history no longer kept.
     Gone,
     /// The value is larger than 1 MiB.
@@ -55,15 +57,69 @@
     }
 }
 
+/// What the store says of an object beside its content.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Metadata {
+    /// Its name within its kind.
+    pub name: String,
+    /// The revision of its last change; never zero.
+    #[serde(default)]
+    pub revision: Version,
+    /// The revision at which it was created.
+    #[serde(default)]
+    pub created: Version,
+    /// Names that must be taken off before a deleted object goes.
+    #[serde(default)]
+    pub finalizers: Vec<String>,
+    /// It is deleted but for its finalizers.
+    #[serde(default)]
+    pub deleting: bool,
+}
+
+/// A stored object.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Object {
+    /// Name and revision.
+    pub metadata: Metadata,
+    /// What its writer stored.
+    #[serde(default)]
+    pub spec: Value,
+    /// What is reported on it.
+    #[serde(default)]
+    pub status: Value,
+}
+
+/// One change.
+#[derive(Debug, Clone, Serialize)]
+pub struct Event {
+    /// The kind of the object.
+    #[serde(skip)]
+    pub kind: String,
+    /// The object as it is, or last was.
+    pub object: Object,
+    /// It was removed.
+    pub tombstone: bool,
+}
+
+/// Everything that is kept over a restart.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct Saved {
+    /// The store's revision.
+    pub revision: Version,
+    /// Kinds and their objects, sorted by kind and name.
+    pub objects: Vec<(String, Object)>,
+}
+
 /// All objects and their history.
 ///
-/// Invariant: `revision` is the largest version of any object or event, and every event in
+/// Invariant: `revision` is the largest revision of any object or event, and every event in
 /// `history` is newer than `oldest_kept`.
 #[derive(Debug)]
 pub struct Data {
-    objects: BTreeMap<String, api::Object>,
+    /// Sorted by kind and name.
+    objects: Vec<(String, Object)>,
     revision: Version,
-    history: VecDeque<api::Event>,
+    history: VecDeque<Event>,
     history_len: usize,
     oldest_kept: Version,
     stored_bytes: u64,
@@ -73,7 +129,7 @@
     /// Empty, keeping `history_len` changes for watches.
     pub fn new(history_len: usize) -> Self {
         Self {
-            objects: BTreeMap::new(),
+            objects: Vec::new(),
             revision: 0,
             history: VecDeque::new(),
             history_len,
@@ -82,13 +138,12 @@
         }
     }
 
-    /// The objects of `saved` (a list of everything) at its revision. Watches from before it
-    /// must list again, as the changes that led to it are not kept.
-    pub fn restore(saved: api::ListResponse, history_len: usize) -> Self {
-        let stored_bytes = saved.objects.iter().map(|o| json_len(&o.value)).sum();
-        let objects = saved.objects.into_iter();
+    /// The objects of `saved` at its revision. Watches from before it must list again, as
+    /// the changes that led to it are not kept.
+    pub fn restore(saved: Saved, history_len: usize) -> Self {
+        let stored_bytes = saved.objects.iter().map(|(_, o)| value_bytes(o)).sum();
         Self {
-            objects: objects.map(|o| (o.key.clone(), o)).collect(),
+            objects: saved.objects,
             revision: saved.revision,
             oldest_kept: saved.revision,
             stored_bytes,
@@ -96,6 +151,14 @@
         }
     }
 
+    /// What is kept over a restart.
+    pub fn save(&self) -> Saved {
+        Saved {
+            revision: self.revision,
+            objects: self.objects.clone(),
+        }
+    }
+
     /// The current revision.
     pub fn revision(&self) -> Version {
         self.revision
@@ -107,105 +170,122 @@
     }
 
     /// One object.
-    pub fn get(&self, key: &str) -> Result<api::Object, Refused> {
-        self.objects.get(key).cloned().ok_or(Refused::NotFound)
+    pub fn get(&self, kind: &str, name: &str) -> Result<Object, Refused> {
+        let at = self.position(kind, name);
+        at.map(|at| self.objects[at].1.clone())
+            .map_err(|_| Refused::NotFound)
     }
 
-    /// Objects under a prefix, sorted by key.
-    pub fn list(&self, prefix: &str) -> api::ListResponse {
-        let objects = self
-            .objects
-            .range(prefix.to_owned()..)
-            .take_while(|(k, _)| k.starts_with(prefix))
-            .map(|(_, o)| o.clone())
+    /// At most `limit` objects of a kind whose names come after `after`, and whether there
+    /// are more.
+    pub fn list(&self, kind: &str, after: &str, limit: usize) -> (Vec<Object>, bool) {
+        let of_kind = self.objects.iter().filter(|(k, _)| k == kind);
+        let mut objects: Vec<Object> = of_kind
+            .filter(|(_, object)| object.metadata.name.as_str() > after)
+            .map(|(_, object)| object.clone())
+            .take(limit + 1)
             .collect();
-        api::ListResponse {
-            objects,
-            revision: self.revision,
-        }
+        let has_more = objects.len() > limit;
+        objects.truncate(limit);
+        (objects, has_more)
+    }
+
+    /// Creates an object.
+    pub fn create(&mut self, kind: &str, object: Object) -> Result<Object, Refused> {
+        self.check_size(&object)?;
+        let Err(at) = self.position(kind, &object.metadata.name) else {
+            let standing = self.get(kind, &object.metadata.name)?;
+            return Err(Refused::Conflict(Box::new(standing)));
+        };
+        self.revision += 1;
+        let mut created = object;
+        created.metadata.revision = self.revision;
+        created.metadata.created = self.revision;
+        created.metadata.deleting = false;
+        self.stored_bytes += value_bytes(&created);
+        self.objects.insert(at, (kind.to_owned(), created.clone()));
+        self.record(kind, created.clone(), false);
+        Ok(created)
     }
 
-    /// Writes a value, conditionally when `if_version` is set (0: only if absent).
-    pub fn put(
+    /// Changes an object, if it has `revision` where one is given. A change that alters
+    /// nothing makes no event. A deleted object goes with its last finalizer.
+    pub fn change(
         &mut self,
-        key: &str,
-        value: serde_json::Value,
-        if_version: Option<Version>,
-    ) -> Result<api::Object, Refused> {
-        let size = serde_json::to_vec(&value).map(|v| v.len()).unwrap_or(0);
-        if size > MAX_VALUE_BYTES {
-            return Err(Refused::TooLarge);
+        kind: &str,
+        name: &str,
+        revision: Option<Version>,
+        alter: impl FnOnce(&mut Object),
+    ) -> Result<Object, Refused> {
+        let at = self.position(kind, name).map_err(|_| Refused::NotFound)?;
+        let standing = self.objects[at].1.clone();
+        if revision.is_some_and(|revision| revision != standing.metadata.revision) {
+            return Err(Refused::Conflict(Box::new(standing)));
         }
-        let current = self.objects.get(key).map(|o| o.version).unwrap_or(0);
-        if if_version.is_some_and(|v| v != current) {
-            return Err(Refused::Conflict(current));
+        let mut changed = standing.clone();
+        alter(&mut changed);
+        if changed == standing {
+            return Ok(standing);
         }
+        self.check_size(&changed)?;
         self.revision += 1;
-        let object = api::Object {
-            key: key.to_owned(),
-            version: self.revision,
-            value,
-        };
-        if let Some(old) = self.objects.insert(key.to_owned(), object.clone()) {
-            self.stored_bytes -= json_len(&old.value);
-        }
-        self.stored_bytes += size as u64;
-        self.record(api::Event {
-            key: key.to_owned(),
-            version: self.revision,
-            value: Some(object.value.clone()),
-        });
-        Ok(object)
-    }
-
-    /// Deletes an object, conditionally when `if_version` is set.
-    pub fn delete(&mut self, key: &str, if_version: Option<Version>) -> Result<(), Refused> {
-        let current = self
-            .objects
-            .get(key)
-            .map(|o| o.version)
-            .ok_or(Refused::NotFound)?;
-        if if_version.is_some_and(|v| v != current) {
-            return Err(Refused::Conflict(current));
-        }
-        if let Some(old) = self.objects.remove(key) {
-            self.stored_bytes -= json_len(&old.value);
+        changed.metadata.revision = self.revision;
+        self.stored_bytes += value_bytes(&changed);
+        self.stored_bytes -= value_bytes(&standing);
+        let goes = changed.metadata.deleting && changed.metadata.finalizers.is_empty();
+        if goes {
+            self.stored_bytes -= value_bytes(&changed);
+            self.objects.remove(at);
+        } else {
+            self.objects[at].1 = changed.clone();
         }
-        self.revision += 1;
-        self.record(api::Event {
-            key: key.to_owned(),
-            version: self.revision,
-            value: None,
-        });
-        Ok(())
+        self.record(kind, changed.clone(), goes);
+        Ok(changed)
     }
 
-    /// Changes under `prefix` after `from`, or `Gone` when they are no longer all kept.
-    pub fn changes_since(&self, prefix: &str, from: Version) -> Result<Vec<api::Event>, Refused> {
+    /// Changes of `kind` after `from`, or `Gone` when they are no longer all kept.
+    pub fn changes_since(&self, kind: &str, from: Version) -> Result<Vec<Event>, Refused> {
         if from < self.oldest_kept {
             return Err(Refused::Gone);
         }
-        let start = self.history.partition_point(|e| e.version <= from);
-        Ok(self
-            .history
-            .range(start..)
-            .filter(|e| e.key.starts_with(prefix))
-            .cloned()
-            .collect())
+        let newer = |event: &&Event| event.object.metadata.revision > from && event.kind == kind;
+        Ok(self.history.iter().filter(newer).cloned().collect())
+    }
+
+    /// Forgets the whole history.
+    pub fn drop_history(&mut self) {
+        self.history.clear();
+        self.oldest_kept = self.revision;
+    }
+
+    fn check_size(&self, object: &Object) -> Result<(), Refused> {
+        if value_bytes(object) > MAX_VALUE_BYTES as u64 {
+            return Err(Refused::TooLarge);
+        }
+        Ok(())
+    }
+
+    fn position(&self, kind: &str, name: &str) -> Result<usize, usize> {
+        self.objects.binary_search_by(|(k, object)| {
+            (k.as_str(), object.metadata.name.as_str()).cmp(&(kind, name))
+        })
     }
 
-    fn record(&mut self, event: api::Event) {
-        self.history.push_back(event);
+    fn record(&mut self, kind: &str, object: Object, tombstone: bool) {
+        self.history.push_back(Event {
+            kind: kind.to_owned(),
+            object,
+            tombstone,
+        });
         while self.history.len() > self.history_len {
             if let Some(dropped) = self.history.pop_front() {
-                self.oldest_kept = dropped.version;
+                self.oldest_kept = dropped.object.metadata.revision;
             }
         }
     }
 }
 
-fn json_len(value: &serde_json::Value) -> u64 {
-    serde_json::to_vec(value)
-        .map(|v| v.len() as u64)
-        .unwrap_or(0)
+fn value_bytes(object: &Object) -> u64 {
+    let bytes = |value: &Value| serde_json::to_vec(value).map_or(0, |bytes| bytes.len() as u64);
+    bytes(&object.spec) + bytes(&object.status)
 }
--- a/crates/foxwheel-platform-emu/tests/store_contract.rs
+++ b/crates/foxwheel-platform-emu/tests/store_contract.rs
@@ -3,8 +3,9 @@
 
 use std::time::Duration;
 
+use foxwheel_platform::store::{Store, Watched, Write, Written};
 use foxwheel_platform_emu::{server, settings::PlatformSettings};
-use foxwheel_store::api::Faults;
+use foxwheel_store::api::{Faults, Refusal};
 use foxwheel_store::client::{StoreClient, StoreError};
 use tokio_util::sync::CancellationToken;
 
@@ -179,7 +180,7 @@
     let (store, _cancel) = start(&limited);
     let mut refused = 0;
     for i in 0..10 {
-        match store.put(&format!("r/{i}"), &i, None).await {
+        match store.put(&format!("r/{i}"), &i, Some(0)).await {
             Ok(_) => {}
             Err(StoreError::Busy { .. }) => refused += 1,
             Err(e) => panic!("a refusal by the rate limit took no effect and says so: {e}"),
@@ -220,7 +221,9 @@
         listen_addr: addr.to_string(),
         ..settings
     });
-    let listed = store.list("").await.expect("list");
+    let stored = store.stats().await.expect("stats").objects;
+    assert_eq!(stored, 1, "no object of any kind comes back");
+    let listed = store.list("k/").await.expect("list");
     assert_eq!(listed.revision, 4, "versions go on from where they were");
     assert_eq!(listed.objects.len(), 1);
     assert_eq!(listed.objects[0].version, 2);
@@ -237,3 +240,153 @@
         "a watch from before the restart must list again"
     );
 }
+
+/// How the stand-in turns calls away, and what the client makes of it: a call that was
+/// certainly not done may be made again without a look.
+#[actix_web::test]
+async fn every_kind_of_refusal_says_what_is_known() {
+    let (client, _cancel) = start(&settings(100));
+    let addr = client.base_url().rsplit('/').next().expect("an address");
+    let store = Store::new(addr.parse().expect("an address"));
+    let create = |name: &str| Write::Create {
+        kind: "k".to_owned(),
+        name: name.to_owned(),
+        spec: "1".to_owned(),
+    };
+    // (refusal, whether the client knows that nothing was done)
+    let cases = [
+        (Refusal::Busy, true),
+        (Refusal::RateLimited, true),
+        (Refusal::Reset, false),
+        (Refusal::Silent, false),
+    ];
+    for (refusal, not_done) in cases {
+        let faults = Faults {
+            outage: true,
+            refusal,
+            ..Faults::default()
+        };
+        client.set_faults(&faults).await.expect("faults set");
+        let error = store.write(&create("x")).await.expect_err("turned away");
+        assert_eq!(error.is_not_done(), not_done, "{refusal:?}: {error}");
+    }
+    client
+        .set_faults(&Faults::default())
+        .await
+        .expect("faults cleared");
+    assert_eq!(store.get("k", "x").await.expect("read"), None);
+}
+
+/// Only some hosts are turned away; the others and the operator are served.
+#[actix_web::test]
+async fn an_outage_may_concern_some_hosts_only() {
+    let (client, _cancel) = start(&settings(100));
+    let faults = |host: &str| Faults {
+        outage: true,
+        only_hosts: vec![host.parse().expect("an address")],
+        ..Faults::default()
+    };
+    client
+        .set_faults(&faults("127.0.0.9"))
+        .await
+        .expect("faults set");
+    client
+        .put("k/1", &1, Some(0))
+        .await
+        .expect("another host is served");
+    client
+        .set_faults(&faults("127.0.0.1"))
+        .await
+        .expect("faults set");
+    judge("own host", client.get("k/1").await, &Expect::Unavailable);
+}
+
+/// A write whose answer is lost may be done seconds later, if its condition still holds.
+#[actix_web::test]
+async fn a_late_write_is_done_only_if_its_condition_still_holds() {
+    let (client, _cancel) = start(&settings(100));
+    client.put("k/1", &1, Some(0)).await.expect("create");
+    client.put("k/2", &1, Some(0)).await.expect("create");
+    let faults = Faults {
+        lose_reply_every: 1,
+        late_ms: 150,
+        ..Faults::default()
+    };
+    client.set_faults(&faults).await.expect("faults set");
+    judge(
+        "late write",
+        client.put("k/1", &2, Some(1)).await,
+        &Expect::Unavailable,
+    );
+    judge(
+        "late write",
+        client.put("k/2", &2, Some(2)).await,
+        &Expect::Unavailable,
+    );
+    client
+        .set_faults(&Faults::default())
+        .await
+        .expect("faults cleared");
+    client
+        .put("k/2", &3, Some(2))
+        .await
+        .expect("overtakes the late write");
+    let mut late = 1;
+    for _ in 0..200 {
+        late = client
+            .get_value("k/1")
+            .await
+            .expect("read")
+            .map_or(0, |(value, _)| value);
+        if late == 2 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    assert_eq!(late, 2, "its condition held");
+    let (overtaken, _) = client
+        .get_value::<u64>("k/2")
+        .await
+        .expect("read")
+        .expect("there");
+    assert_eq!(overtaken, 3, "its condition did not hold any more");
+}
+
+/// Lists come in pages, writes that alter nothing make no event, and a status is written
+/// apart from the rest.
+#[actix_web::test]
+async fn lists_statuses_and_events_follow_the_protocol() {
+    let (client, _cancel) = start(&settings(10_000));
+    let addr = client.base_url().rsplit('/').next().expect("an address");
+    let store = Store::new(addr.parse().expect("an address"));
+    for at in 0..1_200 {
+        client
+            .put(&format!("k/{at:05}"), &at, Some(0))
+            .await
+            .expect("create");
+    }
+    let listing = store.list("k").await.expect("list");
+    assert_eq!(listing.objects.len(), 1_200);
+    assert!(listing
+        .objects
+        .windows(2)
+        .all(|pair| pair[0].name < pair[1].name));
+    let status = Write::SetStatus {
+        kind: "k".to_owned(),
+        name: "00007".to_owned(),
+        status: "{\"state\":\"running\"}".to_owned(),
+    };
+    for _ in 0..2 {
+        assert!(matches!(store.write(&status).await, Ok(Written::Done(_))));
+    }
+    let watched = store
+        .watch("k", listing.revision, Duration::from_secs(1))
+        .await;
+    let Ok(Watched::Changes { changes, revision }) = watched else {
+        panic!("{watched:?}");
+    };
+    assert_eq!(changes.len(), 1, "the repeat altered nothing");
+    assert_eq!(changes[0].object.spec, 7);
+    assert_eq!(changes[0].object.status["state"], "running");
+    assert_eq!(revision, listing.revision + 1);
+}
--- a/crates/foxwheel-store/src/api.rs
+++ b/crates/foxwheel-store/src/api.rs
@@ -1,16 +1,7 @@
-//! Wire types of the platform object API (JSON over HTTP).
+//! Values of the platform's store under the project's own keys, and the stand-in's faults.
 //!
-//! Routes:
-//! - `GET /objects/{key}` answers an [`Object`], or 404.
-//! - `PUT /objects/{key}` takes a [`PutRequest`]; `if_version` makes it conditional
-//!   (0: only if absent). Answers the stored [`Object`], or 409 with a [`Conflict`].
-//! - `DELETE /objects/{key}?if_version=V` answers 204, or 409.
-//! - `GET /list?prefix=P` answers a [`ListResponse`].
-//! - `GET /watch?prefix=P&from_version=V&timeout_ms=T` waits until something under the
-//!   prefix changes after `V` and answers a [`WatchResponse`]; 410 when `V` is too old.
-//! - `GET /stats` answers [`CallCounts`].
-//!
-//! Every object's version is the store-wide revision of its last write, so versions only grow.
+//! Every object's version is the store-wide revision of its last write, so versions only
+//! grow.
 
 use serde::{Deserialize, Serialize};
 
@@ -27,23 +18,6 @@
     pub value: serde_json::Value,
 }
 
-/// The body of a put.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PutRequest {
-    /// The new value.
-    pub value: serde_json::Value,
-    /// Write only if the object's version is this; 0 means only if it does not exist.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub if_version: Option<Version>,
-}
-
-/// The body of a 409: the version found instead of the one asked for.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Conflict {
-    /// The object's current version; 0 when it does not exist.
-    pub current_version: Version,
-}
-
 /// The answer to a list.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListResponse {
@@ -90,17 +64,41 @@
     pub objects: u64,
 }
 
-/// Faults the emulator can be told to inject, via `POST /faults`.
+/// How the stand-in turns calls away.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// With 503: nothing was done.
+    #[default]
+    Busy,
+    /// With 429: nothing was done.
+    RateLimited,
+    /// By closing the connection.
+    Reset,
+    /// By never answering.
+    Silent,
+}
+
+/// Faults the stand-in can be told to inject, via `POST /faults`.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Faults {
-    /// Refuse every call with 503.
+    /// Turn every call away.
     #[serde(default)]
     pub outage: bool,
+    /// In this way.
+    #[serde(default)]
+    pub refusal: Refusal,
+    /// Only calls from these addresses; empty is all.
+    #[serde(default)]
+    pub only_hosts: Vec<std::net::IpAddr>,
     /// Delay every call by this many milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
-    /// Apply every n-th write, then answer 503 as if the reply was lost; 0 turns it off.
+    /// Do every n-th write, then close the connection without an answer; 0 turns it off.
     #[serde(default)]
     pub lose_reply_every: u64,
+    /// Do such a write only after this many milliseconds, if its condition still holds.
+    #[serde(default)]
+    pub late_ms: u64,
 }
--- a/crates/foxwheel-store/src/client.rs
+++ b/crates/foxwheel-store/src/client.rs
@@ -1,23 +1,21 @@
-//! An HTTP client of the platform object API.
+//! The platform's store under the project's own keys.
 //!
-//! Built on `awc`, so it lives on one actix thread; make one per thread or task group.
-//! Every error says the step and the store's address.
+//! A thin layer over the platform's one client: it turns keys into kinds and names, and
+//! writes at a version into the store's conditional calls. Every error says the step and
+//! the store's address.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use awc::http::StatusCode;
+use foxwheel_core::ids::Version;
+use foxwheel_core::keys;
+use foxwheel_platform::store::{self, Store, Watched, Write, Written};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
-use foxwheel_core::ids::Version;
-
 use crate::api;
 
-/// Largest body the client reads, in bytes: a value holds at most 1 MiB, a list more.
-const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
-/// How long a plain call may take before it counts as failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Why a store call failed.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -79,23 +77,24 @@
     }
 }
 
-/// A client of one store, addressed by its base URL, e.g. `http://127.0.0.1:7100`.
-#[derive(Clone)]
+/// A client of one store, addressed by its base URL, e.g. `http://127.0.0.1:7100`. Use it
+/// on one runtime only: its connections live there.
+#[derive(Debug, Clone)]
 pub struct StoreClient {
     base_url: String,
-    http: awc::Client,
+    /// None when the base URL holds no `ip:port`: every call then fails and says so.
+    store: Option<Arc<Store>>,
 }
 
 impl StoreClient {
-    /// A client for the store at `base_url` (no trailing slash).
+    /// A client for the store at `base_url`.
     pub fn new(base_url: impl Into<String>) -> Self {
-        let http = awc::Client::builder()
-            .timeout(CALL_TIMEOUT)
-            .disable_redirects()
-            .finish();
+        let base_url = base_url.into().trim_end_matches('/').to_owned();
+        let addr = base_url.rsplit('/').next().unwrap_or_default();
+        let addr: Option<SocketAddr> = addr.parse().ok();
         Self {
-            base_url: base_url.into().trim_end_matches('/').to_owned(),
-            http,
+            store: addr.map(|addr| Arc::new(Store::new(addr))),
+            base_url,
         }
     }
 
@@ -106,9 +105,13 @@
 
     /// Reads one object.
     pub async fn get(&self, key: &str) -> Result<api::Object, StoreError> {
-        let url = format!("{}/objects/{}", self.base_url, key);
-        let response = self.http.get(url).send();
-        self.answer("get", response).await
+        const STEP: &str = "get";
+        let (kind, name) = keys::locate(key);
+        let got = self.store(STEP)?.get(&kind, &name).await;
+        let found = got.map_err(|e| self.error(STEP, e))?;
+        found
+            .map(|object| object_at(key.to_owned(), object))
+            .ok_or(StoreError::NotFound)
     }
 
     /// Reads one object and decodes its value; `None` when absent.
@@ -117,7 +120,11 @@
         key: &str,
     ) -> Result<Option<(T, Version)>, StoreError> {
         match self.get(key).await {
-            Ok(object) => Ok(Some((self.decode("get", object.value)?, object.version))),
+            Ok(object) => {
+                let decoded = serde_json::from_value(object.value);
+                let value = decoded.map_err(|e| self.decode_error("get", &e))?;
+                Ok(Some((value, object.version)))
+            }
             Err(StoreError::NotFound) => Ok(None),
             Err(e) => Err(e),
         }
@@ -130,31 +137,79 @@
         value: &T,
         if_version: Option<Version>,
     ) -> Result<api::Object, StoreError> {
-        let url = format!("{}/objects/{}", self.base_url, key);
-        let value = serde_json::to_value(value).map_err(|e| self.decode_error("put", e))?;
-        let body = api::PutRequest { value, if_version };
-        let response = self.http.put(url).send_json(&body);
-        self.answer("put", response).await
+        const STEP: &str = "put";
+        let value = serde_json::to_value(value).map_err(|e| self.decode_error(STEP, &e))?;
+        let (kind, name) = keys::locate(key);
+        let spec = value.to_string();
+        let create = Write::Create {
+            kind: kind.clone(),
+            name: name.clone(),
+            spec: spec.clone(),
+        };
+        let replace = |revision| Write::Replace {
+            kind,
+            name,
+            spec,
+            revision,
+        };
+        let written = match if_version {
+            Some(0) => self.write(STEP, &create).await?,
+            Some(version) => self.write(STEP, &replace(Some(version))).await?,
+            None => {
+                let replace = replace(None);
+                match self.write(STEP, &replace).await? {
+                    Written::Missing => match self.write(STEP, &create).await? {
+                        // Created by another writer in between.
+                        Written::Conflict(_) => self.write(STEP, &replace).await?,
+                        created => created,
+                    },
+                    replaced => replaced,
+                }
+            }
+        };
+        match written {
+            Written::Done(object) => Ok(api::Object {
+                key: key.to_owned(),
+                version: object.revision,
+                value,
+            }),
+            Written::Conflict(object) => Err(StoreError::Conflict {
+                current_version: object.map_or(0, |object| object.revision),
+            }),
+            Written::Missing => Err(StoreError::Conflict { current_version: 0 }),
+        }
     }
 
     /// Deletes an object; with `if_version` only if it is at that version.
     pub async fn delete(&self, key: &str, if_version: Option<Version>) -> Result<(), StoreError> {
-        let mut url = format!("{}/objects/{}", self.base_url, key);
-        if let Some(v) = if_version {
-            url.push_str(&format!("?if_version={v}"));
-        }
-        let response = self.http.delete(url).send();
-        match self.answer::<serde_json::Value>("delete", response).await {
-            Ok(_) | Err(StoreError::NotFound) => Ok(()),
-            Err(e) => Err(e),
+        let (kind, name) = keys::locate(key);
+        let delete = Write::Delete {
+            kind,
+            name,
+            revision: if_version,
+        };
+        match self.write("delete", &delete).await? {
+            Written::Done(_) | Written::Missing => Ok(()),
+            Written::Conflict(object) => Err(StoreError::Conflict {
+                current_version: object.map_or(0, |object| object.revision),
+            }),
         }
     }
 
-    /// Lists the objects under `prefix`.
+    /// Lists the objects under `prefix`, sorted by key.
     pub async fn list(&self, prefix: &str) -> Result<api::ListResponse, StoreError> {
-        let url = format!("{}/list?prefix={}", self.base_url, prefix);
-        let response = self.http.get(url).send();
-        self.answer("list", response).await
+        const STEP: &str = "list";
+        let (kind, names) = self.kind_of(STEP, prefix)?;
+        let listed = self.store(STEP)?.list(&kind).await;
+        let listing = listed.map_err(|e| self.error(STEP, e))?;
+        let objects = listing.objects.into_iter();
+        Ok(api::ListResponse {
+            objects: objects
+                .filter(|object| object.name.starts_with(&names))
+                .map(|object| object_at(keys::key_of(&kind, &object.name), object))
+                .collect(),
+            revision: listing.revision,
+        })
     }
 
     /// Waits up to `wait` for changes under `prefix` after `from_version`.
@@ -164,97 +219,100 @@
         from_version: Version,
         wait: Duration,
     ) -> Result<api::WatchResponse, StoreError> {
-        let url = format!(
-            "{}/watch?prefix={}&from_version={}&timeout_ms={}",
-            self.base_url,
-            prefix,
-            from_version,
-            wait.as_millis()
-        );
-        let response = self.http.get(url).timeout(wait + CALL_TIMEOUT).send();
-        self.answer("watch", response).await
+        const STEP: &str = "watch";
+        let (kind, names) = self.kind_of(STEP, prefix)?;
+        let watched = self.store(STEP)?.watch(&kind, from_version, wait).await;
+        match watched.map_err(|e| self.error(STEP, e))? {
+            Watched::HistoryGone => Err(StoreError::Gone),
+            Watched::Changes { changes, revision } => {
+                let changes = changes.into_iter();
+                let events = changes
+                    .filter(|change| change.object.name.starts_with(&names))
+                    .map(|change| api::Event {
+                        key: keys::key_of(&kind, &change.object.name),
+                        version: change.object.revision,
+                        value: (!change.removed).then_some(change.object.spec),
+                    });
+                Ok(api::WatchResponse {
+                    events: events.collect(),
+                    revision,
+                })
+            }
+        }
     }
 
-    /// The store's call counters.
+    /// The stand-in's call counters.
     pub async fn stats(&self) -> Result<api::CallCounts, StoreError> {
-        let url = format!("{}/stats", self.base_url);
-        let response = self.http.get(url).send();
-        self.answer("stats", response).await
+        let request = awc::Client::default().get(format!("{}/stats", self.base_url));
+        let mut response = request
+            .send()
+            .await
+            .map_err(|e| self.unavailable("stats", e))?;
+        response
+            .json()
+            .await
+            .map_err(|e| self.unavailable("stats", e))
     }
 
-    /// Sets the emulator's faults.
+    /// Sets the stand-in's faults.
     pub async fn set_faults(&self, faults: &api::Faults) -> Result<(), StoreError> {
-        let url = format!("{}/faults", self.base_url);
-        let response = self.http.post(url).send_json(faults);
-        self.answer::<serde_json::Value>("set faults", response)
-            .await
-            .map(|_| ())
+        let request = awc::Client::default().post(format!("{}/faults", self.base_url));
+        let sent = request.send_json(faults).await;
+        sent.map(|_| ())
+            .map_err(|e| self.unavailable("set faults", e))
     }
 
-    async fn answer<T: DeserializeOwned>(
-        &self,
-        step: &'static str,
-        request: awc::SendClientRequest,
-    ) -> Result<T, StoreError> {
-        let mut response = request
-            .await
-            .map_err(|e| self.unavailable(step, e.to_string()))?;
-        let status = response.status();
-        let body = response
-            .body()
-            .limit(MAX_BODY_BYTES)
-            .await
-            .map_err(|e| self.unavailable(step, e.to_string()))?;
-        match status {
-            s if s.is_success() => {
-                let body = if body.is_empty() { &b"null"[..] } else { &body };
-                serde_json::from_slice(body).map_err(|e| self.decode_error(step, e))
-            }
-            StatusCode::NOT_FOUND => Err(StoreError::NotFound),
-            StatusCode::GONE => Err(StoreError::Gone),
-            StatusCode::TOO_MANY_REQUESTS => Err(StoreError::Busy {
-                step,
-                peer: self.base_url.clone(),
-            }),
-            StatusCode::PAYLOAD_TOO_LARGE => Err(StoreError::TooLarge {
-                step,
-                peer: self.base_url.clone(),
-            }),
-            StatusCode::CONFLICT => {
-                let conflict: api::Conflict =
-                    serde_json::from_slice(&body).map_err(|e| self.decode_error(step, e))?;
-                Err(StoreError::Conflict {
-                    current_version: conflict.current_version,
-                })
-            }
-            s => Err(self.unavailable(
-                step,
-                format!("status {s}: {}", String::from_utf8_lossy(&body)),
-            )),
-        }
+    async fn write(&self, step: &'static str, write: &Write) -> Result<Written, StoreError> {
+        let written = self.store(step)?.write(write).await;
+        written.map_err(|e| self.error(step, e))
     }
 
-    fn decode<T: DeserializeOwned>(
-        &self,
-        step: &'static str,
-        value: serde_json::Value,
-    ) -> Result<T, StoreError> {
-        serde_json::from_value(value).map_err(|e| self.decode_error(step, e))
+    fn store(&self, step: &'static str) -> Result<&Store, StoreError> {
+        self.store
+            .as_deref()
+            .ok_or_else(|| self.unavailable(step, "the base URL holds no ip:port"))
+    }
+
+    fn kind_of(&self, step: &'static str, prefix: &str) -> Result<(String, String), StoreError> {
+        keys::locate_prefix(prefix)
+            .ok_or_else(|| self.unavailable(step, format!("'{prefix}' spans several kinds")))
     }
 
-    fn unavailable(&self, step: &'static str, detail: String) -> StoreError {
+    fn error(&self, step: &'static str, error: store::StoreError) -> StoreError {
+        let peer = self.base_url.clone();
+        match error {
+            store::StoreError::RateLimited { .. } => StoreError::Busy { step, peer },
+            store::StoreError::TooLarge { .. } => StoreError::TooLarge { step, peer },
+            store::StoreError::Unreadable { reason, .. } => StoreError::Decode {
+                step,
+                peer,
+                detail: reason,
+            },
+            other => self.unavailable(step, other),
+        }
+    }
+
+    fn unavailable(&self, step: &'static str, detail: impl std::fmt::Display) -> StoreError {
         StoreError::Unavailable {
             step,
             peer: self.base_url.clone(),
-            detail,
+            detail: detail.to_string(),
         }
     }
 
-    fn decode_error(&self, step: &'static str, e: serde_json::Error) -> StoreError {
+    fn decode_error(&self, step: &'static str, error: &serde_json::Error) -> StoreError {
         StoreError::Decode {
             step,
             peer: self.base_url.clone(),
-            detail: e.to_string(),
+            detail: error.to_string(),
         }
     }
 }
+
+fn object_at(key: String, object: store::Object) -> api::Object {
+    api::Object {
+        key,
+        version: object.revision,
+        value: object.spec,
+    }
+}
