--- a/crates/foxwheel-node/src/bin/foxwheel-front.rs
+++ b/crates/foxwheel-node/src/bin/foxwheel-front.rs
@@ -1,6 +1,6 @@
 //! The front process: answers callers on the users' platform.
 
-use foxwheel_core::cli;
+use foxwheel_core::{cli, shutdown, structured_log};
 use foxwheel_node::{drain, settings};
 
 fn main() -> std::io::Result<()> {
@@ -11,5 +11,6 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(drain::run_front(settings))
+    structured_log::init(settings.host.clone());
+    runtime.block_on(async { drain::run_front(settings, shutdown::on_signal()).await })
 }
--- a/crates/foxwheel-node/src/bin/foxwheel-worker.rs
+++ b/crates/foxwheel-node/src/bin/foxwheel-worker.rs
@@ -1,6 +1,6 @@
 //! The worker process: runs batch jobs on the users' platform.
 
-use foxwheel_core::cli;
+use foxwheel_core::{cli, shutdown, structured_log};
 use foxwheel_node::{drain, settings};
 
 fn main() -> std::io::Result<()> {
@@ -9,5 +9,6 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    runtime.block_on(drain::run_worker(settings))
+    structured_log::init(settings.host.clone());
+    runtime.block_on(async { drain::run_worker(settings, shutdown::on_signal()).await })
 }
--- a/crates/foxwheel-node/src/drain.rs
+++ b/crates/foxwheel-node/src/drain.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::{shutdown, structured_log};
+use foxwheel_core::structured_log;
 use foxwheel_policy::stopping::StopPlan;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio_util::sync::CancellationToken;
@@ -18,9 +18,9 @@
 /// before it is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(500);
 
-/// Runs a front until it is told to stop and its exchanges have ended.
-pub async fn run_front(settings: NodeSettings) -> std::io::Result<()> {
-    let node = new_node(settings);
+/// Runs a front until it is told to stop (`leaving`) and its exchanges have ended.
+pub async fn run_front(settings: NodeSettings, leaving: CancellationToken) -> std::io::Result<()> {
+    let node = Node::new(settings, leaving);
     let background = start_background(&node, None).await?;
     let settings = &node.settings;
     let caller_address = settings
@@ -52,9 +52,9 @@
     Ok(())
 }
 
-/// Runs a worker until it is told to stop and has given its jobs back.
-pub async fn run_worker(settings: NodeSettings) -> std::io::Result<()> {
-    let node = new_node(settings);
+/// Runs a worker until it is told to stop (`leaving`) and has given its jobs back.
+pub async fn run_worker(settings: NodeSettings, leaving: CancellationToken) -> std::io::Result<()> {
+    let node = Node::new(settings, leaving);
     let jobs = WorkerJobs::new(Arc::clone(&node));
     let background = start_background(&node, Some(Arc::clone(&jobs))).await?;
     let stopped = CancellationToken::new();
@@ -75,12 +75,6 @@
     stopped.cancel();
 }
 
-/// Starts logging and listening to signals, and makes the process's shared state.
-fn new_node(settings: NodeSettings) -> Arc<Node> {
-    structured_log::init(settings.host.clone());
-    Node::new(settings, shutdown::on_signal())
-}
-
 /// Starts what every process does beside its work. Cancelling the answered token stops it.
 async fn start_background(
     node: &Arc<Node>,
--- /dev/null
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -0,0 +1,458 @@
+//! Fronts and workers in one process, with stand-ins for everything around them.
+//!
+//! Each host has a loopback address of its own, as the processes' ports are the same on
+//! all hosts.
+
+// Each test file uses its own part of this.
+#![allow(dead_code)]
+
+pub mod gate;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxwheel_core::keys;
+use foxwheel_http1::connection::{ConnectOptions, Connection, ExchangeError};
+use foxwheel_node::drain;
+use foxwheel_node::settings::{NodeSettings, Role};
+use foxwheel_platform_emu::settings::PlatformSettings;
+use foxwheel_server_emu::server::{self, Server, Shape};
+use foxwheel_store::api::Faults;
+use foxwheel_store::client::StoreClient;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, StatusCode};
+use serde_json::{json, Value};
+use tokio_util::sync::CancellationToken;
+
+/// Port for talk between the processes, on each host's own address.
+const PEER_PORT: u16 = 27_660;
+
+/// Host header of every route.
+pub const HOST: &str = "calls.example";
+
+/// A store, backend servers, fronts and workers.
+pub struct Fleet {
+    /// The store, as the operator and the backend servers reach it.
+    pub store: StoreClient,
+    /// The backend servers of the service `model`.
+    pub servers: Vec<Server>,
+    /// Where callers reach each front.
+    pub fronts: Vec<SocketAddr>,
+    /// The processes: fronts first, then workers, then those added later.
+    pub processes: Vec<Process>,
+    /// Ends everything.
+    pub cancel: CancellationToken,
+    hosts: u32,
+    network: u8,
+    store_addr: SocketAddr,
+}
+
+/// A front or worker on a thread and runtime of its own.
+pub struct Process {
+    /// Its settings.
+    pub settings: NodeSettings,
+    /// Its path to the store.
+    pub gate: gate::Gate,
+    /// Tells it to stop.
+    pub stop: CancellationToken,
+    kill: CancellationToken,
+    thread: std::thread::JoinHandle<()>,
+}
+
+impl Process {
+    fn start(settings: NodeSettings, gate: gate::Gate, fleet: &CancellationToken) -> Self {
+        let stop = CancellationToken::new();
+        let kill = fleet.child_token();
+        let (told, killed, own) = (stop.clone(), kill.clone(), settings.clone());
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build()
+                .expect("a runtime");
+            runtime.block_on(async move {
+                let run = async {
+                    match own.role {
+                        Role::Front => drain::run_front(own, told).await,
+                        Role::Worker => drain::run_worker(own, told).await,
+                    }
+                };
+                tokio::select! {
+                    () = killed.cancelled() => {}
+                    ended = run => ended.expect("the process runs"),
+                }
+            });
+            // Everything the process had spawned goes with its runtime.
+            drop(runtime);
+        });
+        Self {
+            settings,
+            gate,
+            stop,
+            kill,
+            thread,
+        }
+    }
+
+    /// Kills it without a stop.
+    pub fn kill(&self) {
+        self.kill.cancel();
+    }
+
+    /// Whether it ended.
+    pub fn has_ended(&self) -> bool {
+        self.thread.is_finished()
+    }
+}
+
+/// How large a fleet is.
+pub struct Plan {
+    /// Shapes of the backend servers.
+    pub servers: Vec<Shape>,
+    /// Fronts.
+    pub fronts: u32,
+    /// Workers.
+    pub workers: u32,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            servers: shapes(2),
+            fronts: 1,
+            workers: 1,
+        }
+    }
+}
+
+/// Shapes of `count` servers.
+pub fn shapes(count: usize) -> Vec<Shape> {
+    (0..count)
+        .map(|at| Shape {
+            id: format!("server-{at}"),
+            ..Shape::default()
+        })
+        .collect()
+}
+
+/// Tests of one binary run at once: each fleet has a network of its own.
+fn next_network() -> u8 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let own = std::process::id() % 40;
+    let next = NEXT.fetch_add(1, Ordering::Relaxed);
+    (10 + (own * 6 + next) % 240) as u8
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every front is ready.
+    pub async fn start(plan: Plan) -> Self {
+        let cancel = CancellationToken::new();
+        let settings = PlatformSettings::for_test();
+        let (store_addr, store) =
+            foxwheel_platform_emu::server::start(&settings, cancel.clone()).expect("store starts");
+        actix_web::rt::spawn(store);
+        let mut fleet = Self {
+            store: StoreClient::new(format!("http://{store_addr}")),
+            servers: Vec::new(),
+            fronts: Vec::new(),
+            processes: Vec::new(),
+            cancel,
+            hosts: 0,
+            network: next_network(),
+            store_addr,
+        };
+        fleet.configure(1, |_| {}).await;
+        for shape in plan.servers {
+            fleet.add_server(shape).await;
+        }
+        for _ in 0..plan.fronts {
+            fleet.add_process(Role::Front).await;
+        }
+        for _ in 0..plan.workers {
+            fleet.add_process(Role::Worker).await;
+        }
+        for front in fleet.fronts.clone() {
+            fleet.until_served(front).await;
+        }
+        fleet
+    }
+
+    /// Starts a backend server and lists it.
+    pub async fn add_server(&mut self, shape: Shape) {
+        let id = shape.id.clone();
+        let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        let started = server::start(ip, shape, self.cancel.clone()).await;
+        let server = started.expect("server starts");
+        self.list_server(&id, server.addr, "ready").await;
+        self.servers.push(server);
+    }
+
+    /// Writes a backend server's entry.
+    pub async fn list_server(&self, id: &str, addr: SocketAddr, state: &str) {
+        let entry = json!({
+            "service": "model", "addr": addr, "zone": "hall", "slots": 8, "state": state,
+        });
+        let written = self.store.put(&format!("servers/{id}"), &entry, None).await;
+        written.expect("entry written");
+    }
+
+    /// Writes a configuration; `alter` changes the usual one.
+    pub async fn configure(&self, version: u64, alter: impl FnOnce(&mut Value)) {
+        let route = |name: &str, kind: &str, more: Value| {
+            let mut route = json!({
+                "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+                "timeout_ms": 3_000, "target_latency_ms": 300, "service": "model",
+                "max_attempts": 2, "priority": 0,
+            });
+            let fields = route.as_object_mut().expect("an object");
+            fields.extend(more.as_object().expect("an object").clone());
+            route
+        };
+        let mut config = json!({
+            "version": version,
+            "routes": [
+                route("plain", "idempotent", json!({})),
+                route("once", "non_idempotent", json!({})),
+                route("stream", "streaming", json!({"resumable": true})),
+                route("stream-once", "streaming", json!({"max_attempts": 1})),
+                route("batch", "batch", json!({
+                    "completion_target_ms": 18_000, "retention_s": 60, "cap": 0,
+                    "max_attempts": 3, "priority": 2,
+                })),
+            ],
+            "services": [{"name": "model", "health_path": "/healthz", "max_conns": 100}],
+            "limits": {
+                "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
+                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
+            },
+        });
+        alter(&mut config);
+        let written = self.store.put("config/main", &config, None).await;
+        written.expect("configuration written");
+    }
+
+    /// Starts a front or worker; a front's address is appended to `fronts`.
+    pub async fn add_process(&mut self, role: Role) {
+        let gate = gate::Gate::start(self.store_addr, self.cancel.clone()).await;
+        self.hosts += 1;
+        let ip = IpAddr::V4(Ipv4Addr::new(127, 27, self.network, self.hosts as u8));
+        let first = IpAddr::V4(Ipv4Addr::new(127, 27, self.network, 1));
+        let caller_address = (role == Role::Front).then(|| SocketAddr::new(ip, PEER_PORT + 1));
+        let settings = NodeSettings {
+            host: format!("host-{}", self.hosts),
+            role,
+            availability_zone: "hall".to_owned(),
+            ip,
+            peer_ports: (PEER_PORT, PEER_PORT),
+            seeds: vec![SocketAddr::new(first, PEER_PORT)],
+            caller_address,
+            readiness_address: caller_address.map(|addr| SocketAddr::new(ip, addr.port() + 1)),
+            metrics_port: None,
+            store_address: gate.addr,
+            store_value_bytes: 1_048_576,
+            stop_grace: Duration::from_secs(6),
+            results_readable: Duration::from_secs(120),
+        };
+        self.fronts.extend(caller_address);
+        self.processes
+            .push(Process::start(settings, gate, &self.cancel));
+    }
+
+    /// Waits until `front` knows its configuration and servers and hears the workers.
+    pub async fn until_served(&self, front: SocketAddr) {
+        for attempt in 0..400 {
+            let id = format!("probe-{front}-{attempt}");
+            let reply = call(front, Method::GET, "/plain/probe", &id, &[], "").await;
+            if reply.is_ok_and(|reply| reply.status == StatusCode::OK) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        panic!("front {front} never served");
+    }
+
+    /// Sets the store's faults.
+    pub async fn store_faults(&self, faults: Faults) {
+        self.store.set_faults(&faults).await.expect("faults set");
+    }
+
+    /// Every run of a request on all servers, in no certain order between servers.
+    pub fn runs_of(&self, request_id: &str) -> Vec<foxwheel_server_emu::runs::Run> {
+        let servers = self.servers.iter();
+        servers
+            .flat_map(|server| server.runs.of(request_id))
+            .collect()
+    }
+
+    /// The store's objects whose keys begin with `prefix`.
+    pub async fn stored(&self, prefix: &str) -> Vec<Value> {
+        assert!(keys::locate_prefix(prefix).is_some(), "one kind");
+        let listed = self.store.list(prefix).await.expect("listed");
+        listed
+            .objects
+            .into_iter()
+            .map(|object| object.value)
+            .collect()
+    }
+}
+
+/// An answer as its caller saw it.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its headers.
+    pub headers: hyper::HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// Whether the body ended whole.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("a JSON body")
+    }
+}
+
+const OPTIONS: ConnectOptions = ConnectOptions {
+    connect_timeout: Duration::from_secs(1),
+    unacknowledged_timeout: Duration::from_secs(5),
+};
+
+/// Opens a caller's connection.
+pub async fn connect(front: SocketAddr) -> Result<Connection, ExchangeError> {
+    Connection::open(front, OPTIONS).await
+}
+
+/// A caller's request.
+pub fn request(
+    method: Method,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let mut builder = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header(foxwheel_platform::online::REQUEST_ID, id);
+    for (name, value) in headers {
+        builder = builder.header(*name, *value);
+    }
+    let body = Full::new(Bytes::from(body.to_owned()));
+    builder.body(body).expect("a valid request")
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub async fn call(
+    front: SocketAddr,
+    method: Method,
+    path: &str,
+    id: &str,
+    headers: &[(&str, &str)],
+    body: &str,
+) -> Result<Answer, ExchangeError> {
+    let mut connection = connect(front).await?;
+    let answer = connection
+        .send(request(method, path, id, headers, body))
+        .await?;
+    Ok(read(answer).await)
+}
+
+/// Reads an answer to its end, or to where it broke.
+pub async fn read(answer: hyper::Response<hyper::body::Incoming>) -> Answer {
+    let (head, mut body) = answer.into_parts();
+    let mut bytes = bytes::BytesMut::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame.map(hyper::body::Frame::into_data) {
+            Ok(Ok(data)) => bytes.extend_from_slice(&data),
+            Ok(Err(_)) => {}
+            Err(_) => {
+                whole = false;
+                break;
+            }
+        }
+    }
+    Answer {
+        status: head.status,
+        headers: head.headers,
+        body: bytes.freeze(),
+        whole,
+    }
+}
+
+/// The body of a submission of `count` items, named after the job.
+pub fn job_body(job: &str, count: usize) -> String {
+    let items: Vec<Value> = (0..count)
+        .map(|at| {
+            json!({
+                "id": format!("{job}-item-{at}"), "path": format!("/batch/{job}/{at}"),
+                "headers": {"X-Model": "m"}, "body": "q83vEjRWeJA=", "tokens": 100,
+            })
+        })
+        .collect();
+    json!({ "items": items }).to_string()
+}
+
+/// Submits a job.
+pub async fn submit(front: SocketAddr, job: &str, count: usize) -> Result<Answer, ExchangeError> {
+    let body = job_body(job, count);
+    let headers = [("content-type", "application/json")];
+    call(front, Method::POST, "/batch/submit", job, &headers, &body).await
+}
+
+/// Reads results of a job from position `after` on; waits at the front for a first one.
+pub async fn read_results(front: SocketAddr, job: &str, after: usize) -> Option<Value> {
+    let path = format!("/api/lots/{job}?after={after}");
+    let headers = [("x-wait-ms", "300")];
+    let answer = call(front, Method::GET, &path, "read", &headers, "")
+        .await
+        .ok()?;
+    (answer.status == StatusCode::OK).then(|| answer.json())
+}
+
+/// Reads a job until `count` results are listed; answers them all.
+pub async fn until_listed(front: SocketAddr, job: &str, count: usize) -> Vec<Value> {
+    let mut results = Vec::new();
+    for _ in 0..300 {
+        if let Some(read) = read_results(front, job, results.len()).await {
+            results.extend(read["results"].as_array().expect("a list").clone());
+        }
+        if results.len() >= count {
+            return results;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    panic!("only {} of {count} results of {job}", results.len());
+}
+
+/// The ids of results, sorted.
+pub fn ids(results: &[Value]) -> Vec<String> {
+    let ids = results
+        .iter()
+        .map(|result| result["id"].as_str().expect("an id"));
+    let mut ids: Vec<String> = ids.map(str::to_owned).collect();
+    ids.sort();
+    ids
+}
+
+/// The ids of a job's items as submitted, sorted.
+pub fn item_ids(job: &str, count: usize) -> Vec<String> {
+    let mut ids: Vec<String> = (0..count).map(|at| format!("{job}-item-{at}")).collect();
+    ids.sort();
+    ids
+}
+
+/// A shared fleet for cases that do not disturb each other.
+pub type SharedFleet = Arc<Fleet>;
--- /dev/null
+++ b/crates/foxwheel-node/tests/membership_contract.rs
@@ -0,0 +1,292 @@
+//! Configuration, backend servers and processes that come and go, with and without the
+//! store.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{call, Fleet, Plan};
+use foxwheel_node::settings::Role;
+use foxwheel_server_emu::server::Shape;
+use foxwheel_store::api::Faults;
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+/// Longest wait for something that takes milliseconds when all is well.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+async fn status(front: SocketAddr, path: &str) -> Option<StatusCode> {
+    let answer = call(front, Method::GET, path, "r", &[], "").await.ok()?;
+    Some(answer.status)
+}
+
+/// Waits until `front` answers `path` with `wanted`.
+async fn until(front: SocketAddr, path: &str, wanted: StatusCode) {
+    let waiting = async {
+        while status(front, path).await != Some(wanted) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "{front}{path} never answered {wanted}");
+}
+
+fn readiness(fleet: &Fleet, at: usize) -> SocketAddr {
+    fleet.processes[at]
+        .settings
+        .readiness_address
+        .expect("a front")
+}
+
+/// Moves the route of `/plain/` to `/moved/`.
+fn move_plain(config: &mut serde_json::Value) {
+    config["routes"][0]["path_prefix"] = json!("/moved/");
+}
+
+#[actix_web::test]
+async fn a_configuration_reaches_every_front_and_an_older_one_none() {
+    let fleet = Fleet::start(Plan {
+        fronts: 3,
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    fleet.configure(7, move_plain).await;
+    for front in &fleet.fronts {
+        until(*front, "/moved/a", StatusCode::OK).await;
+        assert_eq!(
+            status(*front, "/plain/a").await,
+            Some(StatusCode::NOT_FOUND)
+        );
+    }
+    fleet.configure(5, |_| {}).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for front in &fleet.fronts {
+        assert_eq!(status(*front, "/moved/a").await, Some(StatusCode::OK));
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn an_unreadable_configuration_changes_nothing_and_a_bad_route_only_itself() {
+    let fleet = Fleet::start(Plan::default()).await;
+    fleet
+        .configure(2, |config| config["limits"] = json!("none"))
+        .await;
+    fleet
+        .configure(3, |config| {
+            config["routes"][1]["kind"] = json!("of its own");
+            move_plain(config);
+        })
+        .await;
+    until(fleet.fronts[0], "/moved/a", StatusCode::OK).await;
+    assert_eq!(
+        status(fleet.fronts[0], "/once/a").await,
+        Some(StatusCode::NOT_FOUND)
+    );
+    fleet.cancel.cancel();
+}
+
+/// The store turns one front away: it goes on serving and follows changes through peers.
+#[actix_web::test]
+async fn a_front_without_the_store_follows_its_peers() {
+    let fleet = Fleet::start(Plan {
+        fronts: 2,
+        ..Plan::default()
+    })
+    .await;
+    fleet.processes[0].gate.cut();
+    fleet.configure(4, move_plain).await;
+    until(fleet.fronts[1], "/moved/a", StatusCode::OK).await;
+    until(fleet.fronts[0], "/moved/a", StatusCode::OK).await;
+    fleet.processes[0].gate.heal();
+    fleet.configure(6, |_| {}).await;
+    until(fleet.fronts[0], "/plain/a", StatusCode::OK).await;
+    fleet.cancel.cancel();
+}
+
+/// A front that starts while the store is down takes over what a peer knows; until then it
+/// answers that nothing was run, and is not ready.
+#[actix_web::test]
+async fn a_front_started_in_an_outage_learns_from_a_peer() {
+    let mut fleet = Fleet::start(Plan::default()).await;
+    fleet.add_process(Role::Front).await;
+    let front = fleet.fronts[1];
+    fleet.processes[2].gate.cut();
+    let mut refused = 0;
+    for _ in 0..500 {
+        match status(front, "/plain/a").await {
+            Some(StatusCode::OK) => {
+                let ready = status(readiness(&fleet, 2), "/api/readyz").await;
+                assert_eq!(ready, Some(StatusCode::OK));
+                fleet.cancel.cancel();
+                return;
+            }
+            Some(StatusCode::SERVICE_UNAVAILABLE) => refused += 1,
+            None => {}
+            Some(other) => panic!("answered {other} without a configuration"),
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("never served; refused {refused} times");
+}
+
+/// All entries vanish in an outage and come back after it: requests are served all along.
+#[actix_web::test]
+async fn servers_whose_entries_lapsed_in_an_outage_stay_in_use() {
+    let fleet = Fleet::start(Plan {
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    fleet.processes[0].gate.cut();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for id in ["server-0", "server-1"] {
+        fleet
+            .store
+            .delete(&format!("servers/{id}"), None)
+            .await
+            .expect("removed");
+    }
+    fleet.processes[0].gate.heal();
+    for at in 0..20 {
+        if at == 15 {
+            for (id, server) in ["server-0", "server-1"].iter().zip(&fleet.servers) {
+                fleet.list_server(id, server.addr, "ready").await;
+            }
+        }
+        assert_eq!(
+            status(front, "/plain/a").await,
+            Some(StatusCode::OK),
+            "at {at}"
+        );
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.cancel.cancel();
+}
+
+/// The address of a server that went is reused by another: the request is not run there.
+#[actix_web::test]
+async fn a_reused_address_never_runs_a_request() {
+    let fleet = Fleet::start(Plan {
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let other = foxwheel_server_emu::server::start(
+        "127.0.0.1".parse().expect("an address"),
+        Shape {
+            id: "of another service".to_owned(),
+            ..Shape::default()
+        },
+        fleet.cancel.clone(),
+    )
+    .await
+    .expect("server starts");
+    fleet.list_server("server-0", other.addr, "ready").await;
+    fleet.list_server("server-1", other.addr, "draining").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let status = status(fleet.fronts[0], "/once/a").await;
+    assert_eq!(status, Some(StatusCode::SERVICE_UNAVAILABLE));
+    assert!(other.runs.all().is_empty());
+    fleet.cancel.cancel();
+}
+
+/// A front that is told to stop is not ready at once, ends what it took, and is gone in
+/// time. A request sent meanwhile is served or refused as not run, never cut.
+#[actix_web::test]
+async fn a_stopping_front_cuts_nothing() {
+    let slow = common::shapes(2).into_iter().map(|shape| Shape {
+        step: Duration::from_millis(60),
+        ..shape
+    });
+    let fleet = Fleet::start(Plan {
+        servers: slow.collect(),
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    let ready = readiness(&fleet, 0);
+    assert_eq!(status(ready, "/api/readyz").await, Some(StatusCode::OK));
+    fleet.processes[0].stop.cancel();
+    assert_eq!(
+        status(ready, "/api/readyz").await,
+        Some(StatusCode::SERVICE_UNAVAILABLE)
+    );
+    let mut served = 0;
+    for at in 0.. {
+        if fleet.processes[0].has_ended() {
+            break;
+        }
+        let id = format!("late-{at}");
+        // A refused or reset connection took no request.
+        let Ok(answer) = call(front, Method::POST, "/stream-once/a", &id, &[], "").await else {
+            assert!(fleet.runs_of(&id).is_empty(), "{id} was cut");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        match answer.status {
+            StatusCode::OK => {
+                assert!(answer.whole, "{id} was cut");
+                served += 1;
+            }
+            StatusCode::SERVICE_UNAVAILABLE => assert!(fleet.runs_of(&id).is_empty()),
+            other => panic!("{id} was answered {other}"),
+        }
+    }
+    assert!(
+        served > 0,
+        "requests are served while the stop is announced"
+    );
+    fleet.cancel.cancel();
+}
+
+/// The store's history is dropped while servers change: the list is read anew.
+#[actix_web::test]
+async fn a_dropped_history_loses_no_change() {
+    let fleet = Fleet::start(Plan {
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let store = fleet.store.base_url().to_owned();
+    fleet
+        .store_faults(Faults {
+            outage: true,
+            ..Faults::default()
+        })
+        .await;
+    fleet.processes[0].gate.cut();
+    fleet.store_faults(Faults::default()).await;
+    fleet
+        .list_server("server-0", fleet.servers[0].addr, "draining")
+        .await;
+    let drop = awc_post(&format!("{store}/drop-history")).await;
+    assert!(drop, "history dropped");
+    fleet.processes[0].gate.heal();
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    for at in 0..10 {
+        let id = format!("after-{at}");
+        let answer = call(fleet.fronts[0], Method::GET, "/plain/a", &id, &[], "").await;
+        assert_eq!(answer.expect("answered").status, StatusCode::OK);
+        assert!(
+            fleet.servers[0].runs.of(&id).is_empty(),
+            "a draining server ran {id}"
+        );
+    }
+    fleet.cancel.cancel();
+}
+
+async fn awc_post(url: &str) -> bool {
+    let addr: SocketAddr = url
+        .trim_start_matches("http://")
+        .split('/')
+        .next()
+        .and_then(|addr| addr.parse().ok())
+        .expect("an address");
+    let answer = call(addr, Method::POST, "/drop-history", "drop", &[], "").await;
+    answer.is_ok_and(|answer| answer.status.is_success())
+}
--- /dev/null
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -0,0 +1,50 @@
+//! How the stand-in fails.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+/// What happens to one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing: it is served.
+    None,
+    /// Rejected as not run, as when full.
+    Reject,
+    /// Runs and answers 500.
+    Fail,
+    /// Runs and answers that it can never be done.
+    Impossible,
+    /// Runs, and the connection closes without an answer.
+    LoseAnswer,
+    /// Runs, and nothing is ever answered.
+    Silent,
+    /// Runs, and the connection closes after this many events.
+    BreakAfter(u64),
+    /// Runs, and the connection closes within the event after this many.
+    BreakWithin(u64),
+    /// Runs, and the stream falls silent after this many events.
+    SilentAfter(u64),
+    /// Answers with another request's id.
+    ForeignId,
+    /// Answers without a signature.
+    Unsigned,
+    /// The body is shorter than its head says.
+    Truncate,
+}
+
+/// The faults of the next requests; served once they are used up.
+#[derive(Debug, Default)]
+pub struct Script(Mutex<VecDeque<Fault>>);
+
+impl Script {
+    /// Appends faults for the next requests.
+    pub fn extend(&self, faults: impl IntoIterator<Item = Fault>) {
+        self.0.lock().expect("script lock").extend(faults);
+    }
+
+    /// The fault of the request that came now.
+    pub fn next_fault(&self) -> Fault {
+        let mut script = self.0.lock().expect("script lock");
+        script.pop_front().unwrap_or(Fault::None)
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-server-emu/src/runs.rs
@@ -0,0 +1,51 @@
+//! The record of what ran.
+
+use std::sync::Mutex;
+
+/// One run of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The request's id.
+    pub request_id: String,
+    /// Its method and path with the query.
+    pub target: String,
+    /// Its body.
+    pub body: Vec<u8>,
+    /// Milliseconds the sender said it would wait.
+    pub deadline_ms: Option<u64>,
+    /// The event behind which it was resumed.
+    pub resumed_after: Option<u64>,
+    /// Whether the sender was still there when it ended; none while it runs.
+    pub finished: Option<bool>,
+}
+
+/// All runs, in the order of their starts.
+#[derive(Debug, Default)]
+pub struct Runs(Mutex<Vec<Run>>);
+
+impl Runs {
+    /// Records a start; answers the run's number.
+    pub fn start(&self, run: Run) -> usize {
+        let mut runs = self.0.lock().expect("runs lock");
+        runs.push(run);
+        runs.len() - 1
+    }
+
+    /// Records an end.
+    pub fn end(&self, number: usize, finished: bool) {
+        let mut runs = self.0.lock().expect("runs lock");
+        runs[number].finished.get_or_insert(finished);
+    }
+
+    /// Every run so far.
+    pub fn all(&self) -> Vec<Run> {
+        self.0.lock().expect("runs lock").clone()
+    }
+
+    /// Runs of one request.
+    pub fn of(&self, request_id: &str) -> Vec<Run> {
+        let runs = self.0.lock().expect("runs lock");
+        let of_request = runs.iter().filter(|run| run.request_id == request_id);
+        of_request.cloned().collect()
+    }
+}
