--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -27,6 +27,13 @@
 /// Time between questions to peers while the store is out of reach.
 const ASK_PEERS_EVERY: Duration = Duration::from_millis(1_000);
 
+/// How often the other processes' entries are read again.
+const FIND_PROCESSES_EVERY: Duration = Duration::from_secs(45);
+
+/// Pause after a watch that brought changes of servers. Servers register and drain together;
+/// far below the time within which a draining server must get no more work (2 s).
+const SERVER_CHANGES_PAUSE: Duration = Duration::from_millis(150);
+
 /// Kind of the entries with which processes announce themselves.
 const NODES_KIND: &str = "foxwheel-nodes";
 
@@ -35,6 +42,9 @@
     /// The kind.
     const KIND: &'static str;
 
+    /// Pause after a watch that brought changes, so that several cost one call.
+    const PAUSE: Duration = Duration::ZERO;
+
     /// The store stopped answering.
     fn lost(&self, _node: &Node) {}
 
@@ -54,7 +64,7 @@
         tokio::join!(
             follow(&node, ConfigFollower),
             follow(&node, ServerFollower),
-            follow(&node, NodeFollower),
+            find_processes(&node),
             expire(&node),
             ask_peers(&node),
             announce(&node),
@@ -109,9 +119,13 @@
     };
     match node.store.watch(F::KIND, revision, WATCH_WAIT).await? {
         Watched::Changes { changes, revision } => {
+            let changed = !changes.is_empty();
             for change in changes {
                 follower.take_change(node, change);
             }
+            if changed && !F::PAUSE.is_zero() {
+                tokio::time::sleep(F::PAUSE).await;
+            }
             Ok(Some(revision))
         }
         Watched::HistoryGone => {
@@ -171,6 +185,7 @@
 
 impl Follower for ServerFollower {
     const KIND: &'static str = servers::KIND;
+    const PAUSE: Duration = SERVER_CHANGES_PAUSE;
 
     fn lost(&self, node: &Node) {
         node.directory.lock().expect("directory lock").source_lost();
@@ -261,20 +276,21 @@
     peers
 }
 
-struct NodeFollower;
-
-impl Follower for NodeFollower {
-    const KIND: &'static str = NODES_KIND;
-
-    fn take_all(&self, node: &Node, objects: Vec<Object>) {
-        for object in objects {
-            note_process(node, &object);
-        }
-    }
-
-    fn take_change(&self, node: &Node, change: Change) {
-        if !change.removed {
-            note_process(node, &change.object);
+/// Reads where the other processes are. A process that starts later is heard by its
+/// heartbeats, so this is a start and a remedy, not a watch: a watch would wake every
+/// process for each one that starts.
+async fn find_processes(node: &Node) {
+    let mut backoff = Backoff::default();
+    loop {
+        match node.store.list(NODES_KIND).await {
+            Ok(listing) => {
+                for object in &listing.objects {
+                    note_process(node, object);
+                }
+                backoff = Backoff::default();
+                tokio::time::sleep(FIND_PROCESSES_EVERY).await;
+            }
+            Err(_) => tokio::time::sleep(backoff.pause()).await,
         }
     }
 }
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -125,6 +125,7 @@
                     own_batch: own.batch,
                     lapsed: member.lapsed_until.is_some(),
                     suspect: own.suspect,
+                    slot_keeper: false,
                 }
             })
             .collect()
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -133,6 +133,7 @@
             .filter(|beat| beat.role == Role::Worker)
             .map(|beat| Worker {
                 node: beat.host.clone(),
+                zone: beat.zone.clone(),
                 leaving: beat.leaving,
                 claims: beat.claims.clone(),
             })
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -190,7 +190,13 @@
         })??;
         let route = batch_route(config, &host, &path)?;
         let service = route.pick_service(rand::random());
-        let candidates = self.node.candidates(service, &[], now);
+        let mut candidates = self.node.candidates(service, &[], now);
+        let workers = self.all_workers(now);
+        for candidate in &mut candidates {
+            let keeper = ownership::slot_keeper(&candidate.id, &candidate.zone, &workers);
+            let own = &self.node.settings.host;
+            candidate.slot_keeper = keeper.is_some_and(|keeper| keeper.node == *own);
+        }
         let zone = &self.node.settings.availability_zone;
         let draw = rand::random::<u32>() as usize;
         let server = placement::pick_batch(&candidates, zone, draw)?;
@@ -287,6 +293,20 @@
         self.jobs.evict(now);
     }
 
+    /// The live workers with this one.
+    fn all_workers(&self, now: Instant) -> Vec<ownership::Worker> {
+        let settings = &self.node.settings;
+        let mut workers = self.node.peers.workers(now);
+        workers.retain(|worker| worker.node != settings.host);
+        workers.push(ownership::Worker {
+            node: settings.host.clone(),
+            zone: settings.availability_zone.clone(),
+            leaving: self.node.is_leaving(),
+            claims: self.node.claims(),
+        });
+        workers
+    }
+
     /// Leaves jobs to workers that run them too.
     fn yield_jobs(&mut self) {
         let others = self.node.peers.workers(Instant::now());
@@ -325,14 +345,8 @@
         let now = Instant::now();
         // Right after the start nobody was heard yet.
         let heard = now.duration_since(self.started_at) >= LEDGER_EVERY;
-        let mut workers = self.node.peers.workers(now);
+        let workers = self.all_workers(now);
         let own = self.node.settings.host.clone();
-        workers.retain(|worker| worker.node != own);
-        workers.push(ownership::Worker {
-            node: own.clone(),
-            leaving: self.node.is_leaving(),
-            claims: self.node.claims(),
-        });
         let before = std::mem::take(&mut self.unheld);
         for job in open {
             if workers.iter().any(|worker| worker.holds(job)) {
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -7,7 +7,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{JobId, NodeId};
+use foxwheel_core::ids::{JobId, NodeId, Zone};
 use serde::{Deserialize, Serialize};
 
 /// How long a job must stand in the ledger unheld before any worker but the first choice
@@ -40,6 +40,8 @@
 pub struct Worker {
     /// The worker's name.
     pub node: NodeId,
+    /// Its availability zone.
+    pub zone: Zone,
     /// It takes no new jobs and gives back those it holds.
     pub leaving: bool,
     /// Jobs it tells of; sorted by job.
@@ -70,6 +72,16 @@
         .max_by_key(|worker| (rank(job, &worker.node), &worker.node))
 }
 
+/// The worker that gives out the batch slots of a server in `zone`: one of that zone if any
+/// lives there. Workers that look at the same free slots at once would overfill them.
+pub fn slot_keeper<'a>(server: &str, zone: &str, workers: &'a [Worker]) -> Option<&'a Worker> {
+    let staying = || workers.iter().filter(|worker| !worker.leaving);
+    let any_local = staying().any(|worker| worker.zone == zone);
+    staying()
+        .filter(|worker| !any_local || worker.zone == zone)
+        .max_by_key(|worker| (rank(server, &worker.node), &worker.node))
+}
+
 /// Parts of the results of `job` that some worker knows to be stored. A reader that knows
 /// fewer must look in the store before it answers.
 pub fn known_parts(job: &str, workers: &[Worker]) -> u32 {
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -28,6 +28,8 @@
     pub lapsed: bool,
     /// It has been silent or broke connections lately.
     pub suspect: bool,
+    /// This process gives out its batch slots.
+    pub slot_keeper: bool,
 }
 
 /// Load, as a share of a server's slots, that a server in another zone must be below a
@@ -58,11 +60,11 @@
 
 /// Slots of a server that batch items leave free for online requests that come before the
 /// next look at its load.
-const LOCAL_RESERVE: u32 = 2;
+const KEEPER_RESERVE: u32 = 2;
 
-/// The same for a server in another zone, whose load is heard four times as late: workers
-/// of several zones that see one free slot there would all fill it.
-const REMOTE_RESERVE: u32 = 4;
+/// The same at a server whose batch slots another worker gives out: workers that see one
+/// free slot there would all fill it before they hear of each other.
+const GUEST_RESERVE: u32 = 4;
 
 /// Picks the server for a batch item: one with a slot that online work leaves free and the
 /// reserve besides. None when there is none; the item waits.
@@ -72,9 +74,9 @@
     draw: usize,
 ) -> Option<&'a Candidate> {
     let best = least_cost(candidates, own_zone, draw)?;
-    let reserve = match best.zone == own_zone {
-        true => LOCAL_RESERVE,
-        false => REMOTE_RESERVE,
+    let reserve = match best.slot_keeper {
+        true => KEEPER_RESERVE,
+        false => GUEST_RESERVE,
     };
     let usable = !best.suspect && best.in_flight + reserve < best.slots;
     usable.then_some(best)
--- a/crates/foxwheel-policy/tests/ownership.rs
+++ b/crates/foxwheel-policy/tests/ownership.rs
@@ -16,6 +16,7 @@
     });
     Worker {
         node: node.to_owned(),
+        zone: "hall".to_owned(),
         leaving: false,
         claims: claim.into_iter().collect(),
     }
@@ -154,3 +155,34 @@
         Ok(())
     });
 }
+
+/// Each server has one worker that gives out its batch slots: one of its own zone while any
+/// lives there, and not one that leaves.
+#[test]
+fn one_worker_keeps_the_batch_slots_of_a_server() {
+    let mut workers = idle_workers();
+    workers[2].zone = "far".to_owned();
+    for server in 0..20 {
+        let id = format!("server-{server}");
+        let keeper = ownership::slot_keeper(&id, "hall", &workers).expect("one keeps it");
+        assert_eq!(keeper.zone, "hall");
+        let far = ownership::slot_keeper(&id, "far", &workers).expect("one keeps it");
+        assert_eq!(far.node, "c");
+        let none = ownership::slot_keeper(&id, "elsewhere", &workers);
+        assert!(none.is_some(), "a zone without a worker");
+    }
+    workers[2].leaving = true;
+    let keeper = ownership::slot_keeper("server-0", "far", &workers).expect("one keeps it");
+    assert_ne!(keeper.node, "c");
+    let kept = |node: &str| {
+        let ids = (0..200).map(|server| format!("server-{server}"));
+        ids.filter(|id| {
+            ownership::slot_keeper(id, "hall", &workers).is_some_and(|w| w.node == node)
+        })
+        .count()
+    };
+    assert!(
+        kept("a") > 50 && kept("b") > 50,
+        "the servers are shared out"
+    );
+}
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -12,6 +12,7 @@
         own_batch: 0,
         lapsed: false,
         suspect: false,
+        slot_keeper: false,
     }
 }
 
@@ -59,15 +60,18 @@
 }
 
 #[test]
-fn batch_items_leave_the_reserve_free_and_more_in_other_zones() {
-    let pick = |zone, in_flight| {
-        let servers = [candidate("a", zone, in_flight)];
-        placement::pick_batch(&servers, "here", 0).is_some()
+fn batch_items_leave_the_reserve_free_and_more_where_another_worker_keeps_the_slots() {
+    let pick = |slot_keeper, in_flight| {
+        let server = Candidate {
+            slot_keeper,
+            ..candidate("a", "here", in_flight)
+        };
+        placement::pick_batch(&[server], "here", 0).is_some()
     };
-    assert!(pick("here", 5));
-    assert!(!pick("here", 6));
-    assert!(pick("there", 3));
-    assert!(!pick("there", 4));
+    assert!(pick(true, 5));
+    assert!(!pick(true, 6));
+    assert!(pick(false, 3));
+    assert!(!pick(false, 4));
 }
 
 /// A step of online requests meets servers that batch items fill: each process takes its
