--- a/crates/foxwheel-agent/src/settings.rs
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -4,7 +4,7 @@
 
 use foxwheel_core::declarations::BackendKind;
 use foxwheel_core::ids::{DeploymentName, HostId, Zone};
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-agent`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -115,24 +115,21 @@
 }
 
 impl Check for AgentSettings {
-    fn check(&self) -> Result<(), FieldError> {
-        settings::require_non_empty("listen_addr", &self.listen_addr)?;
-        settings::require_non_empty("host", &self.host)?;
-        settings::require_non_empty("zone", &self.zone)?;
-        settings::require_non_empty("deployment", &self.deployment)?;
-        settings::require_non_empty("backend_url", &self.backend_url)?;
-        settings::require_non_empty("store_url", &self.store_url)?;
-        settings::require_positive("max_running", self.max_running.into())?;
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("listen_addr", &self.listen_addr);
+        problems.non_empty("host", &self.host);
+        problems.non_empty("zone", &self.zone);
+        problems.non_empty("deployment", &self.deployment);
+        problems.non_empty("backend_url", &self.backend_url);
+        problems.non_empty("store_url", &self.store_url);
+        problems.positive("max_running", self.max_running.into());
         if self.max_batch_running > self.max_running {
-            return Err(FieldError::new(
-                "max_batch_running",
-                "must not exceed max_running",
-            ));
+            problems.add("max_batch_running", "must not exceed max_running");
         }
-        settings::require_positive("heartbeat_ms", self.heartbeat_ms)?;
+        problems.positive("heartbeat_ms", self.heartbeat_ms);
         if self.lease_ttl_ms <= self.heartbeat_ms {
-            return Err(FieldError::new("lease_ttl_ms", "must exceed heartbeat_ms"));
+            problems.add("lease_ttl_ms", "must exceed heartbeat_ms");
         }
-        settings::require_positive("request_timeout_ms", self.request_timeout_ms)
+        problems.positive("request_timeout_ms", self.request_timeout_ms);
     }
 }
--- a/crates/foxwheel-core/src/cli.rs
+++ b/crates/foxwheel-core/src/cli.rs
@@ -1,10 +1,11 @@
-//! The command line shared by the long-running processes: `--settings FILE` and `--help`.
+//! The command line shared by the long-running processes: `--settings FILE`,
+//! `--check-settings FILE`, `--version` and `--help`.
 
 use std::path::PathBuf;
 
 use serde::de::DeserializeOwned;
 
-use crate::settings::{self, Check};
+use crate::settings::{self, Check, SettingsError};
 
 /// What a server process was asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -14,11 +15,18 @@
         /// The JSON settings file.
         settings: PathBuf,
     },
+    /// Say what is wrong with the settings in this file and exit.
+    CheckSettings {
+        /// The JSON settings file.
+        settings: PathBuf,
+    },
+    /// Print the version and exit.
+    Version,
     /// Print the usage text and exit.
     Help,
 }
 
-/// Parses `--settings FILE` (or `-s FILE`) and `--help` from the process's arguments.
+/// Parses the process's arguments; `-s`, `-h` and `-V` are short forms.
 pub fn parse_server_args(
     args: impl IntoIterator<Item = std::ffi::OsString>,
 ) -> Result<Command, lexopt::Error> {
@@ -28,6 +36,11 @@
     while let Some(arg) = parser.next()? {
         match arg {
             Short('s') | Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
+            Long("check-settings") => {
+                let settings = PathBuf::from(parser.value()?);
+                return Ok(Command::CheckSettings { settings });
+            }
+            Short('V') | Long("version") => return Ok(Command::Version),
             Short('h') | Long("help") => return Ok(Command::Help),
             _ => return Err(arg.unexpected()),
         }
@@ -38,20 +51,31 @@
     Ok(Command::Run { settings })
 }
 
-/// Reads the settings of the process `name` from the file its arguments name. Prints the
-/// usage and exits on `--help`; prints what is wrong and exits with 2 on bad arguments or a
-/// refused file.
+/// Reads the settings of the process `name` from the file its arguments name. Prints what
+/// was asked for and exits on the other options; prints every problem and exits with 2 on
+/// bad arguments or a refused file.
 pub fn server_settings<T: DeserializeOwned + Check>(name: &str, about: &str) -> T {
-    let usage = format!("{about}\n\nusage: {name} --settings FILE.json");
-    let path = match parse_server_args(std::env::args_os().skip(1)) {
-        Ok(Command::Run { settings }) => settings,
-        Ok(Command::Help) => {
-            println!("{usage}");
-            std::process::exit(0);
+    let usage = format!(
+        "{about}\n\nusage: {name} --settings FILE.json\n       \
+         {name} --check-settings FILE.json | --version | --help"
+    );
+    let load = |path: &PathBuf| {
+        settings::load(path).unwrap_or_else(|e: SettingsError| refuse(name, &e.to_string()))
+    };
+    let done = |text: &str| -> ! {
+        println!("{text}");
+        std::process::exit(0);
+    };
+    match parse_server_args(std::env::args_os().skip(1)) {
+        Ok(Command::Run { settings }) => load(&settings),
+        Ok(Command::CheckSettings { settings }) => {
+            let _: T = load(&settings);
+            done("the settings are valid")
         }
+        Ok(Command::Version) => done(&format!("{name} {}", env!("CARGO_PKG_VERSION"))),
+        Ok(Command::Help) => done(&usage),
         Err(e) => refuse(name, &format!("{e}\n{usage}")),
-    };
-    settings::load(&path).unwrap_or_else(|e| refuse(name, &e.to_string()))
+    }
 }
 
 fn refuse(name: &str, message: &str) -> ! {
--- a/crates/foxwheel-core/src/declarations.rs
+++ b/crates/foxwheel-core/src/declarations.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DeploymentName, ModelName, Zone};
-use crate::settings::{self, FieldError};
+use crate::settings::{Check, Problems};
 
 /// What kind of back end a deployment serves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -300,63 +300,55 @@
     }
 }
 
-impl settings::Check for Manifest {
-    fn check(&self) -> Result<(), FieldError> {
+impl Check for Manifest {
+    fn check(&self, problems: &mut Problems) {
         let mut names: Vec<&str> = Vec::with_capacity(self.deployments.len());
         for (i, d) in self.deployments.iter().enumerate() {
             let field = |f: &str| format!("deployments[{i}].{f}");
-            settings::require_non_empty(&field("name"), &d.name)?;
+            problems.non_empty(&field("name"), &d.name);
             if names.contains(&d.name.as_str()) {
-                return Err(FieldError::new(
-                    field("name"),
-                    format!("repeats `{}`", d.name),
-                ));
+                problems.add(field("name"), format!("repeats `{}`", d.name));
             }
             names.push(&d.name);
             if d.backend == BackendKind::Model && d.models.is_empty() {
-                return Err(FieldError::new(field("models"), "must name a model"));
+                problems.add(field("models"), "must name a model");
             }
             if d.zones.is_empty() {
-                return Err(FieldError::new(field("zones"), "must name a zone"));
+                problems.add(field("zones"), "must name a zone");
             }
-            settings::require_positive(&field("request_timeout_ms"), d.request_timeout_ms)?;
-            check_gate(d.batch_gate.as_ref(), &field("batch_gate"))?;
+            problems.positive(&field("request_timeout_ms"), d.request_timeout_ms);
+            check_gate(d.batch_gate.as_ref(), &field("batch_gate"), problems);
         }
         let mut rule_names: Vec<&str> = Vec::with_capacity(self.rules.len());
         for (i, rule) in self.rules.iter().enumerate() {
             let field = |f: &str| format!("rules[{i}].{f}");
-            settings::require_non_empty(&field("name"), &rule.name)?;
+            problems.non_empty(&field("name"), &rule.name);
             if rule_names.contains(&rule.name.as_str()) {
-                return Err(FieldError::new(
-                    field("name"),
-                    format!("repeats `{}`", rule.name),
-                ));
+                problems.add(field("name"), format!("repeats `{}`", rule.name));
             }
             rule_names.push(&rule.name);
             match &rule.then {
                 Action::Route { deployment, .. } if !names.contains(&deployment.as_str()) => {
-                    return Err(FieldError::new(
+                    problems.add(
                         field("then.deployment"),
                         format!("names `{deployment}`, which is not declared"),
-                    ));
+                    );
                 }
                 Action::Reject { status, .. } if !(400..=599).contains(status) => {
-                    return Err(FieldError::new(field("then.status"), "must be 400 to 599"));
+                    problems.add(field("then.status"), "must be 400 to 599");
                 }
                 _ => {}
             }
         }
-        Ok(())
     }
 }
 
-fn check_gate(gate: Option<&BatchGate>, field: &str) -> Result<(), FieldError> {
+fn check_gate(gate: Option<&BatchGate>, field: &str, problems: &mut Problems) {
     for (i, rule) in gate.iter().flat_map(|gate| &gate.rules).enumerate() {
-        settings::require_non_empty(&format!("{field}.rules[{i}].workspace"), &rule.workspace)?;
+        problems.non_empty(&format!("{field}.rules[{i}].workspace"), &rule.workspace);
         if matches!(rule.effect, GateEffect::RejectPercent(percent) if percent > 100) {
             let field = format!("{field}.rules[{i}].effect.reject_percent");
-            return Err(FieldError::new(field, "must be 0 to 100"));
+            problems.add(field, "must be 0 to 100");
         }
     }
-    Ok(())
 }
--- a/crates/foxwheel-core/src/settings.rs
+++ b/crates/foxwheel-core/src/settings.rs
@@ -3,6 +3,7 @@
 //! Every process has its own settings type; each implements [`Check`] so that values which
 //! parse but make no sense (a zero timeout, an empty address) are refused before start.
 
+use std::fmt;
 use std::path::Path;
 
 use serde::de::DeserializeOwned;
@@ -26,15 +27,13 @@
         /// serde_json's error, which gives the line, column and field.
         source: serde_json::Error,
     },
-    /// A field parsed but its value is refused.
-    #[error("settings file {path}: field `{field}` {problem}")]
+    /// Fields parsed but their values are refused.
+    #[error("settings file {path}: {problems}")]
     Invalid {
         /// The file's path as given.
         path: String,
-        /// The field's path, e.g. `listen_addr`.
-        field: String,
-        /// What is wrong with it.
-        problem: String,
+        /// Every refused field.
+        problems: Problems,
     },
 }
 
@@ -47,20 +46,55 @@
     pub problem: String,
 }
 
-impl FieldError {
-    /// A refusal of `field` because of `problem`.
-    pub fn new(field: impl Into<String>, problem: impl Into<String>) -> Self {
-        Self {
+/// Every refused field, in the order of the checks; shown as one line.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Problems {
+    /// The refused fields.
+    pub fields: Vec<FieldError>,
+}
+
+impl Problems {
+    /// Refuses `field` because of `problem`.
+    pub fn add(&mut self, field: impl Into<String>, problem: impl Into<String>) {
+        self.fields.push(FieldError {
             field: field.into(),
             problem: problem.into(),
+        });
+    }
+
+    /// Refuses an empty string field.
+    pub fn non_empty(&mut self, field: &str, value: &str) {
+        if value.trim().is_empty() {
+            self.add(field, "must not be empty");
+        }
+    }
+
+    /// Refuses a zero duration or count.
+    pub fn positive(&mut self, field: &str, value: u64) {
+        if value == 0 {
+            self.add(field, "must be greater than zero");
         }
     }
 }
 
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (at, refused) in self.fields.iter().enumerate() {
+            let separator = if at == 0 { "" } else { "; " };
+            write!(
+                f,
+                "{separator}field `{}` {}",
+                refused.field, refused.problem
+            )?;
+        }
+        Ok(())
+    }
+}
+
 /// Checks that go beyond parsing.
 pub trait Check {
-    /// Returns the first refused field, if any.
-    fn check(&self) -> Result<(), FieldError>;
+    /// Adds every refused field to `problems`.
+    fn check(&self, problems: &mut Problems);
 }
 
 /// Reads, parses and checks a settings file.
@@ -79,26 +113,13 @@
         path: path.to_owned(),
         source,
     })?;
-    value.check().map_err(|e| SettingsError::Invalid {
-        path: path.to_owned(),
-        field: e.field,
-        problem: e.problem,
-    })?;
-    Ok(value)
-}
-
-/// Refuses an empty string field.
-pub fn require_non_empty(field: &str, value: &str) -> Result<(), FieldError> {
-    if value.trim().is_empty() {
-        return Err(FieldError::new(field, "must not be empty"));
+    let mut problems = Problems::default();
+    value.check(&mut problems);
+    if problems.fields.is_empty() {
+        return Ok(value);
     }
-    Ok(())
-}
-
-/// Refuses a zero duration or count.
-pub fn require_positive(field: &str, value: u64) -> Result<(), FieldError> {
-    if value == 0 {
-        return Err(FieldError::new(field, "must be greater than zero"));
-    }
-    Ok(())
+    Err(SettingsError::Invalid {
+        path: path.to_owned(),
+        problems,
+    })
 }
--- a/crates/foxwheel-engine-emu/src/settings.rs
+++ b/crates/foxwheel-engine-emu/src/settings.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::ids::ModelName;
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// What the engine does with an order whose fencing number is older than one it has seen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -118,13 +118,13 @@
 }
 
 impl Check for EngineSettings {
-    fn check(&self) -> Result<(), FieldError> {
-        settings::require_non_empty("listen_addr", &self.listen_addr)?;
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("listen_addr", &self.listen_addr);
         if self.models.is_empty() {
-            return Err(FieldError::new("models", "must name a model"));
+            problems.add("models", "must name a model");
         }
-        settings::require_positive("max_batch", self.max_batch as u64)?;
-        settings::require_positive("decode_step_us", self.decode_step_us)?;
-        settings::require_positive("cache_capacity_tokens", self.cache_capacity_tokens as u64)
+        problems.positive("max_batch", self.max_batch as u64);
+        problems.positive("decode_step_us", self.decode_step_us);
+        problems.positive("cache_capacity_tokens", self.cache_capacity_tokens as u64);
     }
 }
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::ids::Zone;
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-gateway`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,31 +103,31 @@
 }
 
 impl Check for GatewaySettings {
-    fn check(&self) -> Result<(), FieldError> {
-        settings::require_non_empty("listen_addr", &self.listen_addr)?;
-        settings::require_non_empty("name", &self.name)?;
-        settings::require_non_empty("zone", &self.zone)?;
-        settings::require_non_empty("store_url", &self.store_url)?;
-        settings::require_positive("online_max_in_flight", self.online_max_in_flight.into())?;
-        settings::require_positive("max_attempts", self.max_attempts.into())?;
-        settings::require_positive("stream_stall_ms", self.stream_stall_ms)?;
-        settings::require_positive("control_poll_ms", self.control_poll_ms)?;
-        settings::require_positive("control_poll_timeout_ms", self.control_poll_timeout_ms)?;
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("listen_addr", &self.listen_addr);
+        problems.non_empty("name", &self.name);
+        problems.non_empty("zone", &self.zone);
+        problems.non_empty("store_url", &self.store_url);
+        problems.positive("online_max_in_flight", self.online_max_in_flight.into());
+        problems.positive("max_attempts", self.max_attempts.into());
+        problems.positive("stream_stall_ms", self.stream_stall_ms);
+        problems.positive("control_poll_ms", self.control_poll_ms);
+        problems.positive("control_poll_timeout_ms", self.control_poll_timeout_ms);
         if self.control_missed_polls < 2 {
-            return Err(FieldError::new(
+            problems.add(
                 "control_missed_polls",
                 "must be at least 2, so one lost poll drops no host",
-            ));
+            );
         }
-        settings::require_positive("batch_chunks_in_flight", self.batch_chunks_in_flight as u64)?;
-        settings::require_positive("batch_items_in_flight", self.batch_items_in_flight as u64)?;
-        settings::require_positive("chunk_lease_ms", self.chunk_lease_ms)?;
+        problems.positive("batch_chunks_in_flight", self.batch_chunks_in_flight as u64);
+        problems.positive("batch_items_in_flight", self.batch_items_in_flight as u64);
+        problems.positive("chunk_lease_ms", self.chunk_lease_ms);
         if self.commit_interval_ms * 2 >= self.chunk_lease_ms {
-            return Err(FieldError::new(
+            problems.add(
                 "commit_interval_ms",
                 "must be less than half of chunk_lease_ms, so leases are renewed in time",
-            ));
+            );
         }
-        settings::require_positive("dispatch_poll_ms", self.dispatch_poll_ms)
+        problems.positive("dispatch_poll_ms", self.dispatch_poll_ms);
     }
 }
--- a/crates/foxwheel-load/src/experiment.rs
+++ b/crates/foxwheel-load/src/experiment.rs
@@ -6,7 +6,7 @@
 use foxwheel_core::ids::{DeploymentName, Zone};
 use serde::{Deserialize, Serialize};
 
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// Online load for one model.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -234,61 +234,48 @@
 }
 
 impl Check for Experiment {
-    fn check(&self) -> Result<(), FieldError> {
+    fn check(&self, problems: &mut Problems) {
         match &self.fleet {
             None if self.gateways.is_empty() => {
-                return Err(FieldError::new("gateways", "must name a gateway"));
+                problems.add("gateways", "must name a gateway");
             }
             None if !self.faults.is_empty() => {
-                return Err(FieldError::new("faults", "need a `fleet` to befall"));
+                problems.add("faults", "need a `fleet` to befall");
             }
             Some(fleet) if fleet.gateway_zones.is_empty() => {
-                return Err(FieldError::new("fleet.gateway_zones", "must name a zone"));
+                problems.add("fleet.gateway_zones", "must name a zone");
             }
             _ => {}
         }
         if !(self.objective.target > 0.0 && self.objective.target < 1.0) {
             let problem = "must lie between 0 and 1";
-            return Err(FieldError::new("objective.target", problem));
+            problems.add("objective.target", problem);
         }
-        settings::require_positive("objective.window_s", self.objective.window_s)?;
-        settings::require_positive("duration_s", self.duration_s)?;
+        problems.positive("objective.window_s", self.objective.window_s);
+        problems.positive("duration_s", self.duration_s);
         for (i, o) in self.online.iter().enumerate() {
             if o.prompts.is_empty() {
-                return Err(FieldError::new(
-                    format!("online[{i}].prompts"),
-                    "must not be empty",
-                ));
+                problems.add(format!("online[{i}].prompts"), "must not be empty");
             }
             if o.rate_per_s.is_nan() || o.rate_per_s <= 0.0 {
-                return Err(FieldError::new(
+                problems.add(
                     format!("online[{i}].rate_per_s"),
                     "must be greater than zero",
-                ));
+                );
             }
         }
         for (i, b) in self.batches.iter().enumerate() {
             if b.prompts.is_empty() || b.items == 0 {
-                return Err(FieldError::new(
-                    format!("batches[{i}]"),
-                    "needs prompts and items",
-                ));
+                problems.add(format!("batches[{i}]"), "needs prompts and items");
             }
         }
         for (i, s) in self.services.iter().enumerate() {
             if s.bodies.is_empty() {
-                return Err(FieldError::new(
-                    format!("services[{i}].bodies"),
-                    "must not be empty",
-                ));
+                problems.add(format!("services[{i}].bodies"), "must not be empty");
             }
             if !(0.0..=1.0).contains(&s.resend_share) {
-                return Err(FieldError::new(
-                    format!("services[{i}].resend_share"),
-                    "must be 0 to 1",
-                ));
+                problems.add(format!("services[{i}].resend_share"), "must be 0 to 1");
             }
         }
-        Ok(())
     }
 }
--- a/crates/foxwheel-load/src/sweep.rs
+++ b/crates/foxwheel-load/src/sweep.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 use std::path::{Path, PathBuf};
 
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{self, Check, Problems};
 use serde::{Deserialize, Serialize};
 
 use crate::experiment::Experiment;
@@ -34,11 +34,10 @@
 }
 
 impl Check for Sweep {
-    fn check(&self) -> Result<(), FieldError> {
+    fn check(&self, problems: &mut Problems) {
         if self.points.is_empty() {
-            return Err(FieldError::new("points", "must not be empty"));
+            problems.add("points", "must not be empty");
         }
-        Ok(())
     }
 }
 
--- a/crates/foxwheel-load/tests/figures.rs
+++ b/crates/foxwheel-load/tests/figures.rs
@@ -89,7 +89,10 @@
     ];
     for (case, text, named) in cases {
         match settings::parse::<Experiment>("test", text) {
-            Err(SettingsError::Invalid { field, .. }) => assert_eq!(field, named, "case '{case}'"),
+            Err(SettingsError::Invalid { problems, .. }) => {
+                assert_eq!(problems.fields.len(), 1, "case '{case}': {problems}");
+                assert_eq!(problems.fields[0].field, named, "case '{case}'");
+            }
             other => panic!("case '{case}': {other:?}"),
         }
     }
--- a/crates/foxwheel-node/src/settings.rs
+++ b/crates/foxwheel-node/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foxwheel_core::ids::{NodeId, Zone};
-use foxwheel_core::settings::{require_non_empty, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
@@ -69,26 +69,22 @@
 }
 
 impl Check for NodeSettings {
-    fn check(&self) -> Result<(), FieldError> {
-        require_non_empty("host", &self.host)?;
-        require_non_empty("availability_zone", &self.availability_zone)?;
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("host", &self.host);
+        problems.non_empty("availability_zone", &self.availability_zone);
         if self.peer_ports.0 == 0 || self.peer_ports.1 < self.peer_ports.0 {
-            return Err(FieldError::new("peer_ports", "must be an ascending range"));
+            problems.add("peer_ports", "must be an ascending range");
         }
         if self.store_value_bytes < MIN_STORE_VALUE_BYTES {
             let least = format!("must be at least {MIN_STORE_VALUE_BYTES}");
-            return Err(FieldError::new("store_value_bytes", least));
+            problems.add("store_value_bytes", least);
         }
         if self.role == Role::Front && self.caller_address.is_none() {
-            return Err(FieldError::new("caller_address", "must be set for a front"));
+            problems.add("caller_address", "must be set for a front");
         }
         if self.stop_grace.is_zero() {
-            return Err(FieldError::new(
-                "stop_grace_ms",
-                "must be greater than zero",
-            ));
+            problems.add("stop_grace_ms", "must be greater than zero");
         }
-        Ok(())
     }
 }
 
--- a/crates/foxwheel-platform-emu/src/settings.rs
+++ b/crates/foxwheel-platform-emu/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-platform-emu`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -53,10 +53,10 @@
 }
 
 impl Check for PlatformSettings {
-    fn check(&self) -> Result<(), FieldError> {
-        settings::require_non_empty("listen_addr", &self.listen_addr)?;
-        settings::require_positive("write_limit_per_s", self.write_limit_per_s)?;
-        settings::require_positive("read_limit_per_s", self.read_limit_per_s)?;
-        settings::require_positive("history_len", self.history_len as u64)
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("listen_addr", &self.listen_addr);
+        problems.positive("write_limit_per_s", self.write_limit_per_s);
+        problems.positive("read_limit_per_s", self.read_limit_per_s);
+        problems.positive("history_len", self.history_len as u64);
     }
 }
--- a/crates/foxwheel-service-emu/src/lib.rs
+++ b/crates/foxwheel-service-emu/src/lib.rs
@@ -16,7 +16,7 @@
 
 use foxwheel_core::http::{self, ServerShape};
 use foxwheel_core::protocol::IDEMPOTENCY_KEY_HEADER;
-use foxwheel_core::settings::{self, Check, FieldError};
+use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-service-emu`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -36,9 +36,9 @@
 }
 
 impl Check for ServiceSettings {
-    fn check(&self) -> Result<(), FieldError> {
-        settings::require_non_empty("listen_addr", &self.listen_addr)?;
-        settings::require_non_empty("service", &self.service)
+    fn check(&self, problems: &mut Problems) {
+        problems.non_empty("listen_addr", &self.listen_addr);
+        problems.non_empty("service", &self.service);
     }
 }
 
