foxwheel-ctl explain: from a request's id to its cause

Cause: the on-call engineers have only logs; the lines of one request are spread over processes whose clocks differ. Change: explain reads the structured logs of several processes and prints what became of a request, batch item or job, with what the same processes learned of the servers, the store and their configuration meanwhile, and the cause. An item that is given up has a line of its own. Ruled out: tracing headers between processes (the id is on every line already).

--- a/crates/foxwheel-ctl/src/args.rs
+++ b/crates/foxwheel-ctl/src/args.rs
@@ -15,6 +15,8 @@
   batch status ID         print a job's counts
   batch cancel ID         cancel a job
   batch results ID        print a job's results as JSON lines
+  explain ID LOG...       tell what became of a request, item or job, and why,
+                          from the logs of several processes
 
 defaults: --store http://127.0.0.1:7100 --gateway http://127.0.0.1:7000";
 
@@ -48,6 +50,13 @@
     BatchCancel(String),
     /// `batch results ID`.
     BatchResults(String),
+    /// `explain ID LOG...`.
+    Explain {
+        /// Id of a request, batch item or job.
+        id: String,
+        /// Log files.
+        logs: Vec<PathBuf>,
+    },
     /// `--help`.
     Help,
 }
@@ -108,6 +117,11 @@
         ["batch", "status", id] => Command::BatchStatus((*id).to_owned()),
         ["batch", "cancel", id] => Command::BatchCancel((*id).to_owned()),
         ["batch", "results", id] => Command::BatchResults((*id).to_owned()),
+        ["explain", id, logs @ ..] if !logs.is_empty() => Command::Explain {
+            id: (*id).to_owned(),
+            logs: logs.iter().map(PathBuf::from).collect(),
+        },
+        ["explain", ..] => return Err(usage("explain needs an id and log files")),
         [] => return Err(usage("no command given")),
         other => return Err(usage(format!("unknown command `{}`", other.join(" ")))),
     };
--- a/crates/foxwheel-ctl/src/lib.rs
+++ b/crates/foxwheel-ctl/src/lib.rs
@@ -1,11 +1,13 @@
 //! The operators' command line, as a library so that its contract can be tested.
 //!
 //! [`args`] parses the command line, [`apply`] applies, diffs and reads declarations in the
-//! platform store with conditional updates, and [`batch`] calls a gateway's batch API.
+//! platform store with conditional updates, [`batch`] calls a gateway's batch API, and
+//! [`explain`] tells what became of a request from the processes' logs.
 
 pub mod apply;
 pub mod args;
 pub mod batch;
+pub mod explain;
 
 /// Why a command failed; the message is printed and the exit code is non-zero.
 #[derive(Debug, thiserror::Error)]
@@ -27,6 +29,17 @@
         /// Its version now.
         current_version: u64,
     },
+    /// A log file could not be read.
+    #[error("cannot read {path}: {source}")]
+    File {
+        /// The file's path as given.
+        path: String,
+        /// The underlying I/O error.
+        source: std::io::Error,
+    },
+    /// No line of the logs names the id.
+    #[error("no line names `{0}`: its lines may be in other logs, or were dropped")]
+    UnknownId(String),
     /// The gateway refused or failed.
     #[error("gateway at {peer}, step '{step}': {detail}")]
     Gateway {
--- a/crates/foxwheel-ctl/src/main.rs
+++ b/crates/foxwheel-ctl/src/main.rs
@@ -2,7 +2,7 @@
 
 use foxwheel_core::keys;
 use foxwheel_ctl::args::{self, Command, Kind};
-use foxwheel_ctl::{apply, batch::GatewayClient, CtlError};
+use foxwheel_ctl::{apply, batch::GatewayClient, explain, CtlError};
 use foxwheel_store::client::StoreClient;
 
 async fn run(args: args::Args) -> Result<(), CtlError> {
@@ -49,6 +49,7 @@
         Command::BatchCreate(path) => println!("{}", gateway.create(&path).await?),
         Command::BatchStatus(id) => println!("{}", gateway.status(&id).await?),
         Command::BatchCancel(id) => println!("{}", gateway.cancel(&id).await?),
+        Command::Explain { id, logs } => print!("{}", explain::explain(&id, &logs)?),
         Command::BatchResults(id) => print!("{}", gateway.results(&id).await?),
     }
     Ok(())
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -8,6 +8,7 @@
 use foxwheel_core::time;
 use foxwheel_platform::retirement::{self, Progress};
 use foxwheel_platform::store::{Watched, Write, Written};
+use foxwheel_policy::batch::item::{Ending, ItemState};
 use foxwheel_policy::batch::ownership;
 use foxwheel_policy::placement;
 use foxwheel_policy::routes::{Config, Route, RouteKind};
@@ -135,9 +136,13 @@
         let max_failures = self.max_failures(&ended.job);
         self.jobs.with(&ended.job, |entry| {
             let now = Instant::now();
-            entry
-                .progress
-                .run_ended(ended.item, ended.end, ended.partial, max_failures, now);
+            let progress = &mut entry.progress;
+            progress.run_ended(ended.item, ended.end, ended.partial, max_failures, now);
+            let item = &progress.items[ended.item];
+            if matches!(&item.state, ItemState::Done(result) if result.ending == Ending::GivenUp) {
+                let id = &progress.spec.items[ended.item].id;
+                log::warn!(request_id = id, job = ended.job, reason:? = ended.end, failures = item.failures, max_failures; "item given up");
+            }
         });
     }
 
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -237,27 +237,33 @@
     pub async fn add_process(&mut self, role: Role) {
         let gate = gate::Gate::start(self.store_addr, self.cancel.clone()).await;
         self.hosts += 1;
-        let ip = IpAddr::V4(Ipv4Addr::new(127, 27, self.network, self.hosts as u8));
-        let first = IpAddr::V4(Ipv4Addr::new(127, 27, self.network, 1));
-        let caller_address = (role == Role::Front).then(|| SocketAddr::new(ip, PEER_PORT + 1));
-        let settings = NodeSettings {
-            host: format!("host-{}", self.hosts),
+        let mut settings = self.settings_of(self.hosts, role);
+        settings.store_address = gate.addr;
+        self.fronts.extend(settings.caller_address);
+        self.processes
+            .push(Process::start(settings, gate, &self.cancel));
+    }
+
+    /// Settings of the process on host `number`, with a straight path to the store.
+    pub fn settings_of(&self, number: u32, role: Role) -> NodeSettings {
+        let ip_of = |host| IpAddr::V4(Ipv4Addr::new(127, 27, self.network, host));
+        let ip = ip_of(number as u8);
+        let front_port = |port| (role == Role::Front).then(|| SocketAddr::new(ip, port));
+        NodeSettings {
+            host: format!("host-{number}"),
             role,
             availability_zone: "hall".to_owned(),
             ip,
             peer_ports: (PEER_PORT, PEER_PORT),
-            seeds: vec![SocketAddr::new(first, PEER_PORT)],
-            caller_address,
-            readiness_address: caller_address.map(|addr| SocketAddr::new(ip, addr.port() + 1)),
+            seeds: vec![SocketAddr::new(ip_of(1), PEER_PORT)],
+            caller_address: front_port(PEER_PORT + 1),
+            readiness_address: front_port(PEER_PORT + 2),
             metrics_port: None,
-            store_address: gate.addr,
+            store_address: self.store_addr,
             store_value_bytes: 1_048_576,
             stop_grace: Duration::from_secs(6),
             results_readable: Duration::from_secs(120),
-        };
-        self.fronts.extend(caller_address);
-        self.processes
-            .push(Process::start(settings, gate, &self.cancel));
+        }
     }
 
     /// Waits until `front` knows its configuration and servers and hears the workers.
