A worker that others hear lives: its jobs are left to it

Change: a worker that any live process hears counts as alive; its jobs are left to it, and ones that it may have taken since wait 9 s instead of 3.5 s. Ruled out: asking a third process by a call before each adoption (the heartbeats say it already). Tests: ownership::jobs_of_a_worker_that_only_others_hear_are_left_to_it, peers (4 tests).

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -24,7 +24,7 @@
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
 /// Most addresses of others told in one heartbeat.
-const MAX_KNOWN: usize = 12;
+const MAX_KNOWN: usize = 40;
 
 /// Sends and receives heartbeats until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -38,7 +38,7 @@
     pub loads: Vec<(ServerId, u16, u16)>,
     /// Jobs it runs or closed a short while ago; sorted by job.
     pub claims: Vec<JobClaim>,
-    /// Addresses of processes it knows.
+    /// Addresses of the processes it hears.
     pub known: Vec<SocketAddr>,
 }
 
@@ -125,17 +125,21 @@
             .collect()
     }
 
-    /// Live workers.
+    /// Live workers: those heard, and those that live processes hear though this one does
+    /// not, because the path between them is cut.
     pub fn workers(&self, now: Instant) -> Vec<Worker> {
         let tables = self.0.lock().expect("peers lock");
-        tables
-            .live(now)
-            .filter(|beat| beat.role == Role::Worker)
-            .map(|beat| Worker {
-                node: beat.host.clone(),
-                zone: beat.zone.clone(),
-                leaving: beat.leaving,
-                claims: beat.claims.clone(),
+        let workers = tables.peers.iter().filter(|peer| {
+            let is_worker = peer.beat.role == Role::Worker;
+            is_worker && (peer.is_live(now) || tables.is_heard_by_others(peer.beat.addr, now))
+        });
+        workers
+            .map(|peer| Worker {
+                node: peer.beat.host.clone(),
+                zone: peer.beat.zone.clone(),
+                leaving: peer.beat.leaving,
+                heard: peer.is_live(now),
+                claims: peer.beat.claims.clone(),
             })
             .collect()
     }
@@ -176,6 +180,10 @@
             .map(|peer| &peer.beat)
     }
 
+    fn is_heard_by_others(&self, addr: SocketAddr, now: Instant) -> bool {
+        self.live(now).any(|beat| beat.known.contains(&addr))
+    }
+
     fn note_address(&mut self, addr: SocketAddr, own: SocketAddr, now: Instant) {
         if addr == own {
             return;
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -307,6 +307,7 @@
             node: settings.host.clone(),
             zone: settings.availability_zone.clone(),
             leaving: self.node.is_leaving(),
+            heard: true,
             claims: self.node.claims(),
         });
         workers
--- /dev/null
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -0,0 +1,86 @@
+//! What a process makes of heartbeats that come late, twice, or only by way of others.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foxwheel_node::peers::{Heartbeat, Peers, DEAD_AFTER};
+use foxwheel_node::settings::Role;
+
+fn addr(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 7_660))
+}
+
+fn beat(host: u8, sequence: u64, known: &[u8]) -> Heartbeat {
+    Heartbeat {
+        host: format!("host-{host}"),
+        incarnation: 1,
+        sequence,
+        role: Role::Worker,
+        zone: "hall".to_owned(),
+        addr: addr(host),
+        leaving: false,
+        loads: vec![("server-1".to_owned(), u16::from(host), 1)],
+        claims: Vec::new(),
+        known: known.iter().map(|host| addr(*host)).collect(),
+    }
+}
+
+#[test]
+fn a_silent_process_counts_as_dead_and_its_load_is_forgotten() {
+    let (peers, now) = (Peers::default(), Instant::now());
+    assert!(peers.hear(beat(2, 1, &[]), addr(1), now));
+    assert_eq!(peers.load("server-1", now), (2, 1));
+    assert_eq!(peers.workers(now).len(), 1);
+    let later = now + DEAD_AFTER;
+    assert!(peers.workers(later).is_empty());
+    assert_eq!(peers.load("server-1", later), (0, 0));
+    assert!(
+        peers.hear(beat(2, 2, &[]), addr(1), later),
+        "it is news that it lives"
+    );
+}
+
+#[test]
+fn heartbeats_out_of_order_change_nothing() {
+    let (peers, now) = (Peers::default(), Instant::now());
+    peers.hear(beat(2, 5, &[]), addr(1), now);
+    let mut old = beat(2, 4, &[]);
+    old.loads.clear();
+    peers.hear(old, addr(1), now);
+    assert_eq!(peers.load("server-1", now), (2, 1));
+    let mut restarted = beat(2, 1, &[]);
+    restarted.incarnation = 2;
+    restarted.loads.clear();
+    peers.hear(restarted, addr(1), now);
+    assert_eq!(
+        peers.load("server-1", now),
+        (0, 0),
+        "a restarted process counts anew"
+    );
+}
+
+#[test]
+fn a_worker_that_others_hear_lives() {
+    let (peers, start) = (Peers::default(), Instant::now());
+    peers.hear(beat(2, 1, &[]), addr(1), start);
+    let later = start + DEAD_AFTER + Duration::from_millis(1);
+    peers.hear(beat(3, 1, &[2]), addr(1), later);
+    let workers = peers.workers(later);
+    let heard: Vec<(&str, bool)> = workers.iter().map(|w| (w.node.as_str(), w.heard)).collect();
+    assert_eq!(heard, [("host-2", false), ("host-3", true)]);
+    assert_eq!(
+        peers.load("server-1", later),
+        (3, 1),
+        "its load is not known any more"
+    );
+}
+
+#[test]
+fn addresses_spread_and_are_forgotten_without_their_process() {
+    let (peers, start) = (Peers::default(), Instant::now());
+    peers.hear(beat(2, 1, &[1, 3]), addr(1), start);
+    let known: Vec<SocketAddr> = peers.addresses(start).into_iter().map(|(a, _)| a).collect();
+    assert_eq!(known, [addr(2), addr(3)], "its own address is not told to");
+    let later = start + Duration::from_secs(61);
+    assert!(peers.addresses(later).is_empty());
+}
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -15,6 +15,10 @@
 /// claim is heard between zones (0.3 s): with 1.5 s two workers took one job at once.
 const UNHELD_PATIENCE: Duration = Duration::from_millis(3_500);
 
+/// The same if the first choice lives but is not heard here: it probably runs the job and
+/// cannot say so. Paths between hosts were cut for about 5 s; jobs are due in 18 s.
+const UNHEARD_PATIENCE: Duration = Duration::from_millis(9_000);
+
 /// Whether a worker still runs a job that it tells of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimStanding {
@@ -44,6 +48,9 @@
     pub zone: Zone,
     /// It takes no new jobs and gives back those it holds.
     pub leaving: bool,
+    /// It is heard by this process, and its claims are new. Otherwise only others hear it:
+    /// it lives, but what it took since is not known here.
+    pub heard: bool,
     /// Jobs it tells of; sorted by job.
     pub claims: Vec<JobClaim>,
 }
@@ -104,7 +111,11 @@
     let Some(first) = first_choice(job, workers) else {
         return false;
     };
-    first.node == own || now.duration_since(unheld_since) >= UNHELD_PATIENCE
+    let patience = match first.heard {
+        true => UNHELD_PATIENCE,
+        false => UNHEARD_PATIENCE,
+    };
+    first.node == own || now.duration_since(unheld_since) >= patience
 }
 
 /// Whether the worker `own`, which runs `job` and knows `own_parts` of its results, should
--- a/crates/foxwheel-policy/tests/ownership.rs
+++ b/crates/foxwheel-policy/tests/ownership.rs
@@ -18,6 +18,7 @@
         node: node.to_owned(),
         zone: "hall".to_owned(),
         leaving: false,
+        heard: true,
         claims: claim.into_iter().collect(),
     }
 }
@@ -186,3 +187,38 @@
         "the servers are shared out"
     );
 }
+
+/// The path between two workers is cut one way for 5 s: the one that hears nothing must not
+/// take what the other, alive for everybody else, probably runs.
+#[test]
+fn jobs_of_a_worker_that_only_others_hear_are_left_to_it() {
+    let mut workers = idle_workers();
+    let first = ownership::first_choice(JOB, &workers)
+        .expect("none leaves")
+        .node
+        .clone();
+    for worker in &mut workers {
+        worker.heard = worker.node != first;
+    }
+    let other = workers
+        .iter()
+        .find(|w| w.node != first)
+        .expect("three workers");
+    let unheld = Instant::now();
+    let in_the_cut = unheld + Duration::from_secs(5);
+    assert!(!ownership::should_take(
+        JOB,
+        &other.node,
+        &workers,
+        unheld,
+        in_the_cut
+    ));
+    let much_later = unheld + Duration::from_secs(10);
+    assert!(ownership::should_take(
+        JOB,
+        &other.node,
+        &workers,
+        unheld,
+        much_later
+    ));
+}
