A server that is at work on other requests is not silent

Change: a server is suspected for silence only if it sent nothing to any request of the process for 0.4 s. Ruled out: a longer silence (dark servers would be found later).

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -17,8 +17,8 @@
 use crate::load_table::InFlight;
 use crate::node::Node;
 
-/// Silence of a server with work in hand after which it is sent nothing new: engines take
-/// a step every few milliseconds, and a full one still starts a request within this time.
+/// Silence of a server on all requests of this process after which it is sent nothing new:
+/// engines take a step every few milliseconds.
 const SUSPECT_SILENCE: Duration = Duration::from_millis(400);
 
 /// Where an attempt goes and how long it may take.
@@ -127,7 +127,7 @@
             "answer is not the request's",
         ));
     }
-    node.loads.trust(server);
+    node.loads.progress(server, Instant::now());
     Ok(OpenAnswer {
         head,
         says,
@@ -147,7 +147,10 @@
             return match next {
                 Some(None) => Piece::End,
                 Some(Some(Ok(frame))) => match frame.into_data() {
-                    Ok(data) => Piece::Data(data),
+                    Ok(data) => {
+                        self.node.loads.progress(&self.server, Instant::now());
+                        Piece::Data(data)
+                    }
                     // Trailers concern the connection only.
                     Err(_) => continue,
                 },
@@ -212,7 +215,12 @@
             done = &mut work => return Some(done),
             () = tokio::time::sleep_until(TokioInstant::from_std(suspect_at)) => {}
         }
-        note_suspect(node, server, "silent");
+        if node
+            .loads
+            .is_silent(server, SUSPECT_SILENCE, Instant::now())
+        {
+            note_suspect(node, server, "silent");
+        }
     }
     tokio::select! {
         biased;
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -24,6 +24,7 @@
     online: u32,
     batch: u32,
     suspect_until: Option<Instant>,
+    progress_at: Option<Instant>,
 }
 
 /// In-flight requests of this process by server, and servers it has reason to avoid.
@@ -104,9 +105,22 @@
         })
     }
 
-    /// `server` made progress: it is not avoided any more.
-    pub fn trust(&self, server: &ServerId) {
-        self.with(server, |entry| entry.suspect_until = None);
+    /// `server` sent something: it is not avoided any more.
+    pub fn progress(&self, server: &ServerId, now: Instant) {
+        self.with(server, |entry| {
+            entry.suspect_until = None;
+            entry.progress_at = Some(now);
+        });
+    }
+
+    /// Whether `server` sent nothing for any request of this process for `silence`. One
+    /// request may wait long at a full server that is at work on others.
+    pub fn is_silent(&self, server: &str, silence: Duration, now: Instant) -> bool {
+        self.with(server, |entry| {
+            entry
+                .progress_at
+                .is_none_or(|at| now.duration_since(at) >= silence)
+        })
     }
 
     /// Forgets servers that are gone.
