No file imports in a loop

Cause: five loops: gateway server/forwarding/online/services/answers/batch::api around its state, agent gate/queue and proxy/server, node job_store/node/peer_rpc/worker_jobs and online/relay/replies. Change: the shared state of gateway and agent stands in state.rs, what a gate admits in admits.rs, header_string in core; peer_rpc is split into peer_calls and peer_server, online into online_request and online; RelayError stands with the reply bodies.

--- a/crates/foxwheel-agent/src/proxy.rs
+++ b/crates/foxwheel-agent/src/proxy.rs
@@ -16,20 +16,11 @@
 
 use crate::batch_answer::{self, BatchAnswer};
 use crate::queue::{Permit, QueueError};
-use crate::server::AgentState;
+use crate::state::AgentState;
 
 /// Largest whole batch answer read, in bytes.
 const MAX_BATCH_ANSWER_BYTES: usize = 8 * 1024 * 1024;
 
-/// The backend this agent fronts.
-#[derive(Clone)]
-pub struct Backend {
-    /// Its base URL.
-    pub base_url: String,
-    /// How long one request may take.
-    pub timeout: Duration,
-}
-
 /// Told in `Retry-After` when every waiting place is taken or the backend is gone.
 const RETRY_AFTER_S: u64 = 1;
 
--- a/crates/foxwheel-agent/src/queue.rs
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -16,7 +16,7 @@
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::protocol::LoadReport;
 
-use crate::gate::Admits;
+use crate::admits::Admits;
 
 /// How many requests may run at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -19,42 +19,15 @@
 use foxwheel_control::server::{self as control, AgentHandle};
 use foxwheel_core::declarations::{BackendKind, PriorityClass};
 use foxwheel_core::http;
-use foxwheel_core::ids::Version;
-use foxwheel_core::protocol::{AgentConfig, LoadReport, CLASS_HEADER};
+use foxwheel_core::protocol::CLASS_HEADER;
 use foxwheel_core::telemetry::Counters;
 
 use crate::gate::{self, Gate};
 use crate::membership::{Advertised, Membership};
-use crate::proxy::{self, Backend};
+use crate::proxy;
 use crate::queue::{Limits, Queue};
 use crate::settings::AgentSettings;
-
-/// What every request handler shares.
-pub struct AgentState {
-    /// The local queue.
-    pub queue: Queue,
-    /// The batch gate.
-    pub gate: Gate,
-    /// The backend.
-    pub backend: Backend,
-    /// Asks the membership lease for an immediate write when the agent starts draining.
-    pub membership_nudge: Arc<tokio::sync::Notify>,
-    /// This process's counters.
-    pub counters: Counters,
-}
-
-impl AgentHandle for AgentState {
-    fn load(&self) -> LoadReport {
-        LoadReport {
-            config_revision: self.gate.revision(),
-            ..self.queue.report()
-        }
-    }
-
-    fn configure(&self, config: AgentConfig) -> Version {
-        self.gate.configure(config)
-    }
-}
+use crate::state::{AgentState, Backend};
 
 fn class_of(req: &HttpRequest) -> PriorityClass {
     req.headers()
--- a/crates/foxwheel-agent/tests/gate_contract.rs
+++ b/crates/foxwheel-agent/tests/gate_contract.rs
@@ -1,7 +1,8 @@
 //! The batch gate: which signals close it, for whom, and until when; and that the queue
 //! holds back what it does not admit.
 
-use foxwheel_agent::gate::{Admits, Gate, Signals};
+use foxwheel_agent::admits::{Admits, Signals};
+use foxwheel_agent::gate::Gate;
 use foxwheel_agent::queue::{Limits, Queue};
 use foxwheel_core::declarations::{
     BatchGate, GateCheck, GateEffect, GateRule, PriorityClass, Signal,
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_web::http::StatusCode;
-use actix_web::HttpResponse;
+use actix_web::{HttpRequest, HttpResponse};
 use tokio_util::sync::CancellationToken;
 
 use crate::protocol::{Refusal, RefusalBody, RunState};
@@ -266,3 +266,11 @@
 
 /// A backend's answer as awc gives it.
 pub type BackendResponse = <<awc::SendClientRequest as std::future::Future>::Output as OkType>::Ok;
+
+/// A request header's value as a string, if present and readable.
+pub fn header_string(req: &HttpRequest, name: &str) -> Option<String> {
+    req.headers()
+        .get(name)
+        .and_then(|v| v.to_str().ok())
+        .map(str::to_owned)
+}
--- a/crates/foxwheel-ctl/src/explain/story.rs
+++ b/crates/foxwheel-ctl/src/explain/story.rs
@@ -111,7 +111,13 @@
 fn cause(own: &[&Line], lines: &[Line], nodes: &[&str]) -> String {
     let failure = own.iter().rev().find(|line| line.level == "WARN");
     let Some(failure) = failure else {
-        return "no failure: the lines tell of no refusal or loss".to_owned();
+        return match own.iter().rev().find(|line| line.message == "job adopted") {
+            Some(adopted) => format!(
+                "no failure; the job changed its worker, and unstored items ran again ({})",
+                adopted.node
+            ),
+            None => "no failure: the lines tell of no refusal or loss".to_owned(),
+        };
     };
     let mut text = failure.message.clone();
     for name in ["reason", "error"] {
--- a/crates/foxwheel-gateway/src/answers.rs
+++ b/crates/foxwheel-gateway/src/answers.rs
@@ -17,7 +17,7 @@
 
 use crate::filters::AdmissionGuard;
 use crate::forwarding::{Answered, Outbound};
-use crate::server::{GatewayState, WorkerState};
+use crate::state::{GatewayState, WorkerState};
 
 /// Ends one server-sent event.
 const EVENT_END: &[u8] = b"\n\n";
--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -23,8 +23,7 @@
 };
 use crate::batch::{intake, progress};
 use crate::filters::{self, Exchange};
-use crate::online::header_string;
-use crate::server::{GatewayState, WorkerState};
+use crate::state::{GatewayState, WorkerState};
 
 /// Tries of a cancel that met another write or a lost reply.
 const CANCEL_TRIES: u32 = 8;
@@ -106,7 +105,7 @@
         Ok(items) => items,
         Err(message) => return bad_request(message),
     };
-    let workspace = header_string(&req, WORKSPACE_HEADER).unwrap_or_default();
+    let workspace = http::header_string(&req, WORKSPACE_HEADER).unwrap_or_default();
     let mut exchange = Exchange::new(
         Workload::Batch,
         "/v1/batches".to_owned(),
--- a/crates/foxwheel-gateway/src/forwarding.rs
+++ b/crates/foxwheel-gateway/src/forwarding.rs
@@ -19,7 +19,7 @@
 
 use crate::filters::Exchange;
 use crate::hosts::InFlight;
-use crate::server::{GatewayState, WorkerState};
+use crate::state::{GatewayState, WorkerState};
 
 /// Why no backend answered.
 #[derive(Debug)]
--- a/crates/foxwheel-gateway/src/lib.rs
+++ b/crates/foxwheel-gateway/src/lib.rs
@@ -17,10 +17,11 @@
 pub mod server;
 pub mod services;
 pub mod settings;
+pub mod state;
 
 /// The gateway's parts for `use foxwheel_gateway::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        batch, config, filters, hosts, idempotency, online, server, services, settings,
+        batch, config, filters, hosts, idempotency, online, server, services, settings, state,
     };
 }
--- a/crates/foxwheel-gateway/src/online.rs
+++ b/crates/foxwheel-gateway/src/online.rs
@@ -8,14 +8,14 @@
 use actix_web::{web, HttpRequest, HttpResponse};
 use bytes::Bytes;
 use foxwheel_core::declarations::Workload;
-use foxwheel_core::http::Refused;
+use foxwheel_core::http::{self, Refused};
 use foxwheel_core::protocol::WORKSPACE_HEADER;
 use serde::Deserialize;
 
 use crate::answers;
 use crate::filters::{self, Exchange};
 use crate::forwarding::Outbound;
-use crate::server::{GatewayState, WorkerState};
+use crate::state::{GatewayState, WorkerState};
 
 /// Longest accepted request body, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
@@ -65,7 +65,7 @@
         state.config.current(),
     );
     exchange.model = Some(head.model);
-    exchange.workspace = header_string(&req, WORKSPACE_HEADER);
+    exchange.workspace = http::header_string(&req, WORKSPACE_HEADER);
     if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
@@ -81,11 +81,3 @@
         answers::whole(&state, &worker, outbound, answered).await
     }
 }
-
-/// A header's value as a string, if present and readable.
-pub fn header_string(req: &HttpRequest, name: &str) -> Option<String> {
-    req.headers()
-        .get(name)
-        .and_then(|v| v.to_str().ok())
-        .map(str::to_owned)
-}
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -31,32 +31,9 @@
 use crate::filters::{Admission, Filter, MatchRules};
 use crate::hosts::{self, HostTable};
 use crate::settings::GatewaySettings;
+use crate::state::{GatewayState, WorkerState};
 use crate::{online, services};
 
-/// What every worker thread shares.
-pub struct GatewayState {
-    /// The settings.
-    pub settings: GatewaySettings,
-    /// The configuration in force.
-    pub config: ConfigHandle,
-    /// The routing table.
-    pub hosts: HostTable,
-    /// The copies of the store that peers may ask for.
-    pub reflectors: [Reflector; 2],
-    /// The filter chain, in order.
-    pub chain: Vec<Box<dyn Filter>>,
-    /// This process's counters.
-    pub counters: Counters,
-}
-
-/// What each worker thread has of its own (awc clients live on one thread).
-pub struct WorkerState {
-    /// Client for forwarding to agents.
-    pub http: awc::Client,
-    /// Client of the platform store.
-    pub store: StoreClient,
-}
-
 async fn status(state: web::Data<GatewayState>) -> HttpResponse {
     let config = state.config.current();
     let live: Vec<serde_json::Value> = config
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -15,8 +15,7 @@
 use crate::filters::{self, Exchange};
 use crate::forwarding::{Answered, Outbound, SendFailure};
 use crate::idempotency::{self, Begin, CallState, Claim};
-use crate::online::header_string;
-use crate::server::{GatewayState, WorkerState};
+use crate::state::{GatewayState, WorkerState};
 
 /// Largest service answer stored for replay, in bytes.
 const MAX_ANSWER_BYTES: usize = 512 * 1024;
@@ -33,7 +32,7 @@
     let path = format!("/{tail}");
     let mut exchange = Exchange::new(Workload::Service, path, state.config.current());
     exchange.service = Some(service.clone());
-    exchange.workspace = header_string(&req, WORKSPACE_HEADER);
+    exchange.workspace = http::header_string(&req, WORKSPACE_HEADER);
     if let Err(refused) = filters::run(&state.chain, &mut exchange, &state.counters) {
         return refused.into_response();
     }
@@ -44,7 +43,7 @@
             Err(failure) => failure.into_response(),
         };
     }
-    let Some(key) = header_string(&req, IDEMPOTENCY_KEY_HEADER) else {
+    let Some(key) = http::header_string(&req, IDEMPOTENCY_KEY_HEADER) else {
         return key_required(&service, &exchange.path);
     };
     let workspace = exchange.workspace.as_deref().unwrap_or_default();
--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -16,7 +16,7 @@
 
 use crate::job_store::{JobStore, JobStoreError};
 use crate::node::Node;
-use crate::peer_rpc::{BodyAnswer, ReadAnswer, ReadSpec};
+use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
 use crate::replies::{self, Reply};
 use crate::settings::Role;
 
--- a/crates/foxwheel-node/src/drain.rs
+++ b/crates/foxwheel-node/src/drain.rs
@@ -12,7 +12,7 @@
 use crate::node::Node;
 use crate::settings::NodeSettings;
 use crate::worker_jobs::WorkerJobs;
-use crate::{followers, front, heartbeat, peer_rpc, worker};
+use crate::{followers, front, heartbeat, peer_server, worker};
 
 /// Left of a worker's time to stop when it ends, whatever it still runs: it must be gone
 /// before it is killed.
@@ -85,7 +85,7 @@
     let cancel = CancellationToken::new();
     let addr = settings.peer_address();
     let socket = UdpSocket::bind(addr).await?;
-    peer_rpc::serve(Arc::clone(node), jobs, addr, cancel.clone()).await?;
+    peer_server::serve(Arc::clone(node), jobs, addr, cancel.clone()).await?;
     if let Some(port) = settings.metrics_port {
         let addr = SocketAddr::new(settings.ip, port);
         front::serve_metrics(Arc::clone(node), addr).await?;
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -22,7 +22,8 @@
 
 use crate::batch_front::BatchFront;
 use crate::node::Node;
-use crate::online::{self, OnlineRequest};
+use crate::online;
+use crate::online_request::OnlineRequest;
 use crate::replies::{self, Reply};
 
 /// Kept open beyond the operator's idle limit, so that a request sent just before it never
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -16,7 +16,7 @@
 
 use crate::load_table::LoadTable;
 use crate::metrics::Metrics;
-use crate::peer_rpc::PeerCalls;
+use crate::peer_calls::PeerCalls;
 use crate::peers::Peers;
 use crate::settings::NodeSettings;
 use crate::store_access::StoreAccess;
--- /dev/null
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -0,0 +1,285 @@
+//! An online request on its way: attempts at backend servers until one gives a success or
+//! none may.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use foxwheel_core::ids::{ServerId, ServiceName};
+use foxwheel_platform::online::{self, Attempt, CallerRequest};
+use foxwheel_policy::placement;
+use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
+use foxwheel_policy::routes::{Route, RouteKind};
+use hyper::http::request;
+
+use crate::attempt::{self, Failure, OpenAnswer, Target, WholeAnswer};
+use crate::load_table::{InFlight, WorkClass};
+use crate::node::Node;
+
+/// How long a repeatable request waits for the head of an answer before it is sent to
+/// another server: many times a usual answer's time, a third of a usual caller's.
+const HEAD_PATIENCE: Duration = Duration::from_millis(1_200);
+
+/// Longest wait at the front for a slot when every server is full; a quarter of a usual
+/// target, so that a refused caller can still be served in time elsewhere.
+const SLOT_WAIT: Duration = Duration::from_millis(60);
+
+/// When a caller refused for lack of slots should come back: about the time in which a
+/// generation ends and frees one.
+const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
+
+/// When a caller refused for lack of any server should come back.
+const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Left of a caller's time below which no attempt is started: an answer could not be back.
+pub const LEAST_TIME_LEFT: Duration = Duration::from_millis(10);
+
+/// One online request on its way.
+#[derive(Debug)]
+pub struct OnlineRequest {
+    /// What the caller said.
+    pub caller: CallerRequest,
+    /// Its route under the configuration in force when it came.
+    pub route: Route,
+    /// The service picked for it.
+    pub service: ServiceName,
+    /// Attempts so far.
+    pub attempts: Attempts,
+    /// The last event that the caller has or was sent.
+    pub last_event_id: Option<u64>,
+    /// When the caller stops waiting.
+    pub caller_gives_up_at: Instant,
+    /// When the operator wants it answered.
+    pub answer_by: Instant,
+    /// When its head was read.
+    pub received_at: Instant,
+    head: request::Parts,
+    body: Bytes,
+    /// Servers that were tried.
+    pub tried: Vec<ServerId>,
+}
+
+enum Placed {
+    At(InFlight),
+    Full,
+    NoServer,
+}
+
+impl OnlineRequest {
+    /// A request that was received whole.
+    pub fn new(
+        caller: CallerRequest,
+        route: Route,
+        head: request::Parts,
+        body: Bytes,
+        received_at: Instant,
+    ) -> Self {
+        let service = route.pick_service(rand::random()).clone();
+        let time_limit = caller.time_limit.unwrap_or(route.timeout);
+        Self {
+            attempts: Attempts::new(route.is_repeatable(), route.max_attempts),
+            last_event_id: caller.last_event_id,
+            caller_gives_up_at: received_at + time_limit,
+            answer_by: received_at + time_limit.min(route.timeout),
+            tried: Vec::new(),
+            caller,
+            route,
+            service,
+            received_at,
+            head,
+            body,
+        }
+    }
+
+    /// Whether a stream that broke may go on at another server.
+    pub fn may_resume(&mut self) -> bool {
+        self.attempts.record(AttemptOutcome::Unknown) == NextStep::TryAnother
+    }
+
+    /// Opens the rest of a stream behind the last event at a server other than `broken`.
+    pub async fn open_elsewhere(
+        &mut self,
+        node: &Arc<Node>,
+        broken: &ServerId,
+    ) -> Option<OpenAnswer> {
+        self.tried.push(broken.clone());
+        // The operator's time limit ends with the first event; the caller's does not.
+        self.answer_by = self.caller_gives_up_at;
+        let opened = self.open(node).await;
+        opened.inspect_err(|refusal| self.log_refusal(refusal)).ok()
+    }
+
+    /// Tries servers until one gives a success whose body may be passed on.
+    pub async fn open(&mut self, node: &Arc<Node>) -> Result<OpenAnswer, Refusal> {
+        loop {
+            let now = Instant::now();
+            if now + LEAST_TIME_LEFT >= self.answer_by {
+                return Err(self.refusal("time is up", FULL_RETRY_AFTER));
+            }
+            let slot = match self.place(node).await {
+                Placed::At(slot) => slot,
+                Placed::Full => return Err(self.refusal("all servers full", FULL_RETRY_AFTER)),
+                Placed::NoServer => return Err(self.refusal("no server", NO_SERVER_RETRY_AFTER)),
+            };
+            let server = slot.server().clone();
+            let failure = match self.attempt(node, slot).await {
+                Ok(answer) => return Ok(answer),
+                Err(failure) => failure,
+            };
+            let next = self.attempts.record(failure.outcome);
+            let age_ms = self.received_at.elapsed().as_millis() as u64;
+            log::info!(request_id = self.caller.id, server, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
+            node.metrics.incr("online.attempts_failed");
+            self.tried.push(server);
+            match next {
+                NextStep::TryAnother => {}
+                NextStep::PassOn | NextStep::FailUnknown => {
+                    return Err(Refusal::Failed {
+                        reason: failure.reason,
+                        answer: failure.answer,
+                    })
+                }
+                NextStep::RefuseNotRun => {
+                    return Err(self.refusal("all tried servers rejected it", FULL_RETRY_AFTER))
+                }
+            }
+        }
+    }
+
+    async fn place(&self, node: &Node) -> Placed {
+        let wait_until = (Instant::now() + SLOT_WAIT).min(self.answer_by);
+        loop {
+            let now = Instant::now();
+            let mut candidates = node.candidates(&self.service, &self.tried, now);
+            if candidates.is_empty() && self.attempts.count() > 0 {
+                // Every server was tried: the least loaded may do better now.
+                candidates = node.candidates(&self.service, &[], now);
+            }
+            if candidates.is_empty() {
+                return Placed::NoServer;
+            }
+            let zone = &node.settings.availability_zone;
+            if let Some(pick) =
+                placement::pick_online(&candidates, zone, rand::random::<u32>() as usize)
+            {
+                if pick.in_flight >= pick.slots {
+                    // Batch work there should yield at once.
+                    node.load_alarm.notify_one();
+                }
+                return Placed::At(node.loads.begin(&pick.id, WorkClass::Online));
+            }
+            let freed = node.loads.freed.notified();
+            let until = tokio::time::Instant::from_std(wait_until);
+            if tokio::time::timeout_at(until, freed).await.is_err() {
+                return Placed::Full;
+            }
+        }
+    }
+
+    async fn attempt(&self, node: &Arc<Node>, slot: InFlight) -> Result<OpenAnswer, Failure> {
+        let now = Instant::now();
+        let limit = match self.route.kind {
+            RouteKind::Stream => self.caller_gives_up_at,
+            _ => self.answer_by,
+        };
+        let attempt = Attempt {
+            server: slot.server(),
+            time_left: Some(limit.saturating_duration_since(now)),
+            last_event_id: self.last_event_id,
+        };
+        let request = online::forwarded_request(&self.head, self.body.clone(), attempt);
+        let again =
+            self.route.is_repeatable() && self.route.max_attempts > self.attempts.count() + 1;
+        let target = Target {
+            slot,
+            request_id: self.caller.id.clone(),
+            give_up_at: self.answer_by,
+            head_by: again.then(|| now + HEAD_PATIENCE),
+        };
+        let mut answer = attempt::send(node, target, request).await?;
+        if answer.says.status.is_success() && !answer.says.not_run {
+            if answer.says.signed {
+                return Ok(answer);
+            }
+            return Err(Failure::new(
+                AttemptOutcome::Unknown,
+                "success without a signature",
+            ));
+        }
+        if answer.says.not_run {
+            let reason = format!("rejected with {}", answer.says.status.as_u16());
+            if answer.collect(self.answer_by).await.is_ok() {
+                answer.finish();
+            }
+            return Err(Failure::new(AttemptOutcome::Rejected, reason));
+        }
+        Err(self.server_failure(answer).await)
+    }
+
+    /// A failure that the server itself answered.
+    async fn server_failure(&self, mut answer: OpenAnswer) -> Failure {
+        let reason = format!("server answered {}", answer.says.status.as_u16());
+        match answer.collect(self.answer_by).await {
+            Ok(body) if answer.says.signed => {
+                let head = answer.head.clone();
+                answer.finish();
+                Failure {
+                    outcome: AttemptOutcome::Failed,
+                    reason,
+                    answer: Some(WholeAnswer { head, body }),
+                }
+            }
+            _ => Failure::new(AttemptOutcome::Unknown, reason),
+        }
+    }
+
+    fn refusal(&self, reason: &str, retry_after: Duration) -> Refusal {
+        let reason = reason.to_owned();
+        match self.attempts.give_up() {
+            NextStep::RefuseNotRun => Refusal::NotRun {
+                reason,
+                retry_after,
+            },
+            _ => Refusal::Failed {
+                reason,
+                answer: None,
+            },
+        }
+    }
+
+    /// Logs that the request failed for good.
+    pub fn log_refusal(&self, refusal: &Refusal) {
+        let age_ms = self.received_at.elapsed().as_millis() as u64;
+        let attempts = self.attempts.count();
+        let may_have_run = self.attempts.may_have_run();
+        log::warn!(request_id = self.caller.id, route = self.route.name, reason = refusal.reason(), age_ms, attempts, may_have_run; "request failed");
+    }
+}
+
+/// Why a request gets no success.
+#[derive(Debug)]
+pub enum Refusal {
+    /// It has not run and never will.
+    NotRun {
+        /// Why, for the log.
+        reason: String,
+        /// When the caller should come back.
+        retry_after: Duration,
+    },
+    /// It may have run. `answer` is the server's own failure, if it gave one.
+    Failed {
+        /// Why, for the log.
+        reason: String,
+        /// The server's own failure.
+        answer: Option<WholeAnswer>,
+    },
+}
+
+impl Refusal {
+    /// Why, for the log.
+    pub fn reason(&self) -> &str {
+        match self {
+            Self::NotRun { reason, .. } | Self::Failed { reason, .. } => reason,
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -0,0 +1,104 @@
+//! Answering other processes' calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Instant;
+
+use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_policy::batch::job::JobSpec;
+use futures::StreamExt;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Json;
+use tarpc::{context, serde_transport};
+use tokio_util::sync::CancellationToken;
+
+use crate::node::Node;
+use crate::peer_calls::{BodyAnswer, Knowledge, PeerService, ReadAnswer, ReadSpec};
+use crate::worker_jobs::WorkerJobs;
+
+#[derive(Clone)]
+struct Handler {
+    node: Arc<Node>,
+    /// None on a front: it answers that it cannot tell.
+    jobs: Option<Arc<WorkerJobs>>,
+}
+
+impl PeerService for Handler {
+    async fn knowledge(self, _: context::Context) -> Knowledge {
+        let config = self.node.config();
+        let directory = self.node.directory.lock().expect("directory lock");
+        let members = directory.members().iter();
+        Knowledge {
+            store_reached: self.node.store.failing_for(Instant::now()).is_none(),
+            config: config.map(|config| config.as_ref().clone()),
+            servers: members
+                .filter(|member| member.lapsed_until.is_none())
+                .map(|member| member.server.clone())
+                .collect(),
+        }
+    }
+
+    async fn accepted(self, _: context::Context, job: JobSpec) {
+        if let Some(jobs) = &self.jobs {
+            jobs.take_new(job);
+        }
+    }
+
+    async fn ended(self, _: context::Context, job: JobId) {
+        if let Some(jobs) = &self.jobs {
+            jobs.end(&job, "caller");
+        }
+    }
+
+    async fn read(self, _: context::Context, job: JobId, read: ReadSpec) -> ReadAnswer {
+        match &self.jobs {
+            Some(jobs) => jobs.read(&job, read).await,
+            None => ReadAnswer::Unsure,
+        }
+    }
+
+    async fn body(self, _: context::Context, job: JobId, item: ItemId) -> BodyAnswer {
+        match &self.jobs {
+            Some(jobs) => jobs.body(&job, &item).await,
+            None => BodyAnswer::Unsure,
+        }
+    }
+}
+
+/// Answers peers' calls on `addr` until cancelled.
+pub async fn serve(
+    node: Arc<Node>,
+    jobs: Option<Arc<WorkerJobs>>,
+    addr: SocketAddr,
+    cancel: CancellationToken,
+) -> std::io::Result<()> {
+    let mut incoming = serde_transport::tcp::listen(addr, Json::default).await?;
+    let handler = Handler { node, jobs };
+    tokio::spawn(async move {
+        loop {
+            let accepted = tokio::select! {
+                () = cancel.cancelled() => return,
+                accepted = incoming.next() => accepted,
+            };
+            match accepted {
+                Some(Ok(transport)) => {
+                    let calls = BaseChannel::with_defaults(transport)
+                        .execute(handler.clone().serve())
+                        .for_each(|call| async {
+                            tokio::spawn(call);
+                        });
+                    let cancel = cancel.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = cancel.cancelled() => {}
+                            () = calls => {}
+                        }
+                    });
+                }
+                Some(Err(e)) => log::warn!(error:% = e; "peer connection not accepted"),
+                None => return,
+            }
+        }
+    });
+    Ok(())
+}
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -4,30 +4,19 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::RequestId;
 use futures::Stream;
 use hyper::body::Frame;
 
 use crate::attempt::{OpenAnswer, Piece};
 use crate::event_stream::EventSplitter;
 use crate::node::Node;
-use crate::online::OnlineRequest;
+use crate::online_request::OnlineRequest;
+use crate::replies::RelayError;
 
 /// Silence between events after which a resumable stream goes on elsewhere: several times
 /// the longest pause that callers count as on time, far below where they give up.
 const RESUME_SILENCE: Duration = Duration::from_millis(900);
 
-/// Why a relayed stream ended before its end. The caller's connection is closed, so that
-/// the answer does not look whole.
-#[derive(Debug, thiserror::Error)]
-#[error("stream of request {request_id} broke: {reason}")]
-pub struct RelayError {
-    /// The caller's request.
-    pub request_id: RequestId,
-    /// What broke it.
-    pub reason: String,
-}
-
 /// Passes `answer` on as it comes. The stream ends in an error if it breaks for good.
 pub fn relay(
     node: Arc<Node>,
--- a/crates/foxwheel-node/src/replies.rs
+++ b/crates/foxwheel-node/src/replies.rs
@@ -4,12 +4,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foxwheel_core::ids::RequestId;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full};
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use crate::relay::RelayError;
+/// Why a relayed stream ended before its end. The caller's connection is closed, so that
+/// the answer does not look whole.
+#[derive(Debug, thiserror::Error)]
+#[error("stream of request {request_id} broke: {reason}")]
+pub struct RelayError {
+    /// The caller's request.
+    pub request_id: RequestId,
+    /// What broke it.
+    pub reason: String,
+}
 
 /// Body of every answer to a caller.
 pub type ReplyBody = UnsyncBoxBody<Bytes, RelayError>;
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -12,7 +12,7 @@
 
 use crate::job_store::{JobStore, JobStoreError};
 use crate::node::Node;
-use crate::peer_rpc::{BodyAnswer, ReadAnswer, ReadSpec};
+use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
 
 /// How often a job that another worker runs is looked up again for a reader.
 const REFRESH_EVERY: Duration = Duration::from_millis(500);
--- a/crates/foxwheel-node/tests/explain_failures.rs
+++ b/crates/foxwheel-node/tests/explain_failures.rs
@@ -174,6 +174,12 @@
         let job = format!("late-{at}");
         until_listed(front, &job, 4).await;
         let told = story(&job, &processes, "results stored").await;
+        let cause = told.lines().last().expect("a cause");
+        assert_eq!(
+            told.contains("job adopted"),
+            cause.contains("changed its worker"),
+            "{told}"
+        );
         adopted += usize::from(told.contains("job adopted"));
     }
     assert!(adopted > 0, "no job of the dead worker is told as adopted");
