Calls to the store go through a peer while the store turns this host away

Change: store_relay: reads and conditional writes of jobs, results and the ledger go through a live peer while the process's own calls fail. Ruled out: forwarding whole submissions to another front (the writes are few and already conditional, so who makes them does not matter). Tests: batch_contract::a_host_that_the_store_turns_away_works_through_peers; without peers it fails at its first case (503 instead of 202).

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -17,6 +17,7 @@
 
 use crate::node::Node;
 use crate::store_access::Backoff;
+use crate::store_relay;
 
 const JOBS_KIND: &str = "foxwheel-jobs";
 const JOB_PARTS_KIND: &str = "foxwheel-job-parts";
@@ -116,15 +117,14 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<Option<JobSpec>, JobStoreError> {
-        let store = &self.node.store;
-        let Some(object) = store.get_until(JOBS_KIND, id, deadline).await? else {
+        let Some(object) = self.get(JOBS_KIND, id, deadline).await? else {
             return Ok(None);
         };
         let record: JobRecord = decode("job", object.spec)?;
         let mut job = record.job;
         for number in 1..=record.more_parts {
             let name = numbered(id, number);
-            let Some(part) = store.get_until(JOB_PARTS_KIND, &name, deadline).await? else {
+            let Some(part) = self.get(JOB_PARTS_KIND, &name, deadline).await? else {
                 return Ok(None);
             };
             let items: Vec<ItemSpec> = decode("part of a job", part.spec)?;
@@ -161,8 +161,7 @@
         deadline: Instant,
     ) -> Result<Option<Vec<ItemResult>>, JobStoreError> {
         let name = numbered(id, number);
-        let store = &self.node.store;
-        match store.get_until(RESULTS_KIND, &name, deadline).await? {
+        match self.get(RESULTS_KIND, &name, deadline).await? {
             Some(object) => Ok(Some(decode("part of results", object.spec)?)),
             None => Ok(None),
         }
@@ -262,12 +261,11 @@
                 revision: Some(revision),
             },
         };
-        self.node.store.write(&write).await
+        store_relay::write(&self.node, &write).await
     }
 
     async fn fresh_ledger(&self, deadline: Instant) -> Result<(u64, Ledger), JobStoreError> {
-        let store = &self.node.store;
-        let object = store.get_until(LEDGER_KIND, LEDGER_NAME, deadline).await?;
+        let object = self.get(LEDGER_KIND, LEDGER_NAME, deadline).await?;
         let known = match object {
             Some(object) => (object.revision, decode("ledger", object.spec)?),
             None => (NO_LEDGER, Ledger::default()),
@@ -292,7 +290,6 @@
         spec: EncodedJson,
         deadline: Instant,
     ) -> Result<Option<Object>, StoreError> {
-        let store = &self.node.store;
         let write = Write::Create {
             kind: kind.to_owned(),
             name: name.clone(),
@@ -300,13 +297,13 @@
         };
         let mut backoff = Backoff::default();
         loop {
-            match store.write(&write).await {
+            match store_relay::write(&self.node, &write).await {
                 Ok(Written::Done(_)) => return Ok(None),
                 Ok(Written::Conflict(Some(object))) if !object.spec.is_null() => {
                     return Ok(Some(object))
                 }
                 Ok(Written::Conflict(_) | Written::Missing) => {
-                    if let Some(object) = store.get_until(kind, &name, deadline).await? {
+                    if let Some(object) = self.get(kind, &name, deadline).await? {
                         return Ok(Some(object));
                     }
                 }
@@ -317,6 +314,15 @@
         }
     }
 
+    async fn get(
+        &self,
+        kind: &str,
+        name: &str,
+        deadline: Instant,
+    ) -> Result<Option<Object>, StoreError> {
+        store_relay::get_until(&self.node, kind, name, deadline).await
+    }
+
     /// Splits items into chunks that fit into one value each; at least one chunk.
     fn split_items<'a>(&self, items: &'a [ItemSpec]) -> Result<Vec<&'a [ItemSpec]>, JobStoreError> {
         let limit = self.part_bytes();
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod replies;
 pub mod settings;
 pub mod store_access;
+pub mod store_relay;
 pub mod worker;
 pub mod worker_jobs;
 
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -6,6 +6,7 @@
 
 use foxwheel_core::error::Origin;
 use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_platform::store::{Object, Write, Written};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::membership::BackendServer;
@@ -21,6 +22,9 @@
 /// Longest wait for a peer's answer, beside what the call itself may wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest wait for a call that the peer makes to the store: its own bound and a hop.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_700);
+
 /// What a process knows of the platform.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Knowledge {
@@ -75,7 +79,19 @@
     Unsure,
 }
 
-/// Calls that processes make to each other; all idempotent.
+/// What came of a call to the store that a peer made for another process.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Relayed<T> {
+    /// The store answered.
+    Settled(T),
+    /// The store did not act.
+    NotDone(String),
+    /// The store may have acted.
+    Unknown(String),
+}
+
+/// Calls that processes make to each other; all idempotent but `store_write`, which is as
+/// conditional as its write.
 #[tarpc::service]
 pub trait PeerService {
     /// What the peer knows of the platform.
@@ -88,6 +104,10 @@
     async fn read(job: JobId, read: ReadSpec) -> ReadAnswer;
     /// Reads the body of an item.
     async fn body(job: JobId, item: ItemId) -> BodyAnswer;
+    /// Performs a write for a process that the store turns away.
+    async fn store_write(write: Write) -> Relayed<Written>;
+    /// Reads an object for a process that the store turns away.
+    async fn store_get(kind: String, name: String) -> Relayed<Option<Object>>;
 }
 
 /// Why a call to a peer got no answer.
@@ -98,6 +118,15 @@
     origin: Origin,
     /// What the connection or tarpc said.
     reason: String,
+    /// The peer cannot have received the call.
+    not_sent: bool,
+}
+
+impl PeerError {
+    /// Whether the peer certainly never received the call.
+    pub fn is_not_sent(&self) -> bool {
+        self.not_sent
+    }
 }
 
 /// Connections to peers; one each, opened when first needed and after a failure.
@@ -154,6 +183,31 @@
         self.checked("read item body", addr, answer)
     }
 
+    /// Has the peer at `addr` perform a write.
+    pub async fn store_write(
+        &self,
+        addr: SocketAddr,
+        write: Write,
+    ) -> Result<Relayed<Written>, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.store_write(context_for(STORE_TIMEOUT), write).await;
+        self.checked("write through peer", addr, answer)
+    }
+
+    /// Has the peer at `addr` read an object.
+    pub async fn store_get(
+        &self,
+        addr: SocketAddr,
+        kind: String,
+        name: String,
+    ) -> Result<Relayed<Option<Object>>, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client
+            .store_get(context_for(STORE_TIMEOUT), kind, name)
+            .await;
+        self.checked("read through peer", addr, answer)
+    }
+
     async fn client(&self, addr: SocketAddr) -> Result<PeerServiceClient, PeerError> {
         if let Some(client) = self.known(addr) {
             return Ok(client);
@@ -166,6 +220,7 @@
             .map_err(|e| PeerError {
                 origin: Origin::new("connect to peer", addr.to_string()),
                 reason: e.to_string(),
+                not_sent: true,
             })?;
         let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
         let mut clients = self.clients.lock().expect("peer clients lock");
@@ -195,6 +250,7 @@
             PeerError {
                 origin: Origin::new(step, addr.to_string()),
                 reason: e.to_string(),
+                not_sent: false,
             }
         })
     }
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_platform::store::{Object, StoreError, Write, Written};
 use foxwheel_policy::batch::job::JobSpec;
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
@@ -13,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
-use crate::peer_calls::{BodyAnswer, Knowledge, PeerService, ReadAnswer, ReadSpec};
+use crate::peer_calls::{BodyAnswer, Knowledge, PeerService, ReadAnswer, ReadSpec, Relayed};
 use crate::worker_jobs::WorkerJobs;
 
 #[derive(Clone)]
@@ -63,6 +64,27 @@
             None => BodyAnswer::Unsure,
         }
     }
+
+    async fn store_write(self, _: context::Context, write: Write) -> Relayed<Written> {
+        relayed(self.node.store.write(&write).await)
+    }
+
+    async fn store_get(
+        self,
+        _: context::Context,
+        kind: String,
+        name: String,
+    ) -> Relayed<Option<Object>> {
+        relayed(self.node.store.get(&kind, &name).await)
+    }
+}
+
+fn relayed<T>(answer: Result<T, StoreError>) -> Relayed<T> {
+    match answer {
+        Ok(answer) => Relayed::Settled(answer),
+        Err(e) if e.is_not_done() => Relayed::NotDone(e.to_string()),
+        Err(e) => Relayed::Unknown(e.to_string()),
+    }
 }
 
 /// Answers peers' calls on `addr` until cancelled.
--- a/crates/foxwheel-node/src/store_access.rs
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -100,43 +100,6 @@
         written
     }
 
-    /// Performs `write`, again while the store certainly did not act, until `deadline`.
-    pub async fn write_until(
-        &self,
-        write: &Write,
-        deadline: Instant,
-    ) -> Result<Written, StoreError> {
-        let mut backoff = Backoff::default();
-        loop {
-            let written = self.write(write).await;
-            let pause = backoff.pause();
-            match &written {
-                Err(e) if e.is_not_done() && Instant::now() + pause < deadline => {
-                    tokio::time::sleep(pause).await;
-                }
-                _ => return written,
-            }
-        }
-    }
-
-    /// Reads one object, again after failures, until `deadline`.
-    pub async fn get_until(
-        &self,
-        kind: &str,
-        name: &str,
-        deadline: Instant,
-    ) -> Result<Option<Object>, StoreError> {
-        let mut backoff = Backoff::default();
-        loop {
-            let got = self.get(kind, name).await;
-            let pause = backoff.pause();
-            if got.is_ok() || Instant::now() + pause >= deadline {
-                return got;
-            }
-            tokio::time::sleep(pause).await;
-        }
-    }
-
     fn note<T>(&self, call: &str, result: &Result<T, StoreError>) {
         let mut health = self.health.lock().expect("health lock");
         match result {
--- a/crates/foxwheel-node/tests/batch_contract.rs
+++ b/crates/foxwheel-node/tests/batch_contract.rs
@@ -406,3 +406,32 @@
     assert_all_completed(&results, "job", 3);
     fleet.cancel.cancel();
 }
+
+/// The store turns the front away, or the worker, or both: a job is accepted in time, run
+/// and stored through peers.
+#[actix_web::test]
+async fn a_host_that_the_store_turns_away_works_through_peers() {
+    let fleet = Fleet::start(Plan {
+        fronts: 2,
+        workers: 2,
+        ..Plan::default()
+    })
+    .await;
+    // Processes 0 and 1 are fronts, 2 and 3 workers.
+    for (name, cut) in [("front", &[0][..]), ("workers", &[2, 3]), ("both", &[0, 2])] {
+        for at in cut {
+            fleet.processes[*at].gate.cut();
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let accepted = submit(fleet.fronts[0], name, 4).await.expect("answered");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED, "{name}");
+        let results = until_listed(fleet.fronts[0], name, 4).await;
+        assert_all_completed(&results, name, 4);
+        assert_eq!(end(&fleet, name).await, StatusCode::OK, "{name}");
+        for at in cut {
+            fleet.processes[*at].gate.heal();
+        }
+        tokio::time::sleep(Duration::from_millis(700)).await;
+    }
+    fleet.cancel.cancel();
+}
