One worker changes the ledger for all; a job and its entry are written at once

Change: changes of the ledger are typed and idempotent (LedgerChange) and go through one worker, which knows the newest ledger and writes all that wait at once; any process still changes it itself when the keeper does not settle it. Job and entry are written at the same time: a job that stands in the ledger and is not stored is run by nobody, becomes whole when its client comes again, and is withdrawn after 90 s; a repeat is entered anew after it is stored. Ruled out: a lock in the store, forwarding whole submissions to the worker.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -9,12 +9,13 @@
 use foxwheel_platform::batch_api::{self, JobCall};
 use foxwheel_platform::online::CallerRequest;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
-use foxwheel_policy::batch::ledger::{Admission, JobStanding};
+use foxwheel_policy::batch::ledger::{Admission, JobStanding, LedgerAnswer, LedgerChange};
 use foxwheel_policy::batch::ownership;
 use foxwheel_policy::routes::Route;
 use hyper::StatusCode;
 
 use crate::job_store::{JobStore, JobStoreError};
+use crate::ledger_keeper;
 use crate::node::Node;
 use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
 use crate::replies::{self, Reply};
@@ -118,23 +119,54 @@
 
     async fn accept(&self, job: &JobSpec, route: &Route) -> Result<Admission, NotAccepted> {
         let deadline = Instant::now() + SUBMIT_TIME;
-        // The job must be stored before it stands in the ledger: a worker may look for it
-        // at once.
         self.store
-            .save_job(job, deadline)
-            .await
+            .split_items(&job.items)
             .map_err(NotAccepted::Never)?;
-        let tokens = job.tokens();
-        let update = self.store.update_ledger(deadline, |ledger| {
-            ledger.admit(
-                &job.id,
-                &job.route,
-                tokens,
-                route.quota_tokens,
-                job.submitted_unix,
-            )
-        });
-        update.await.map_err(NotAccepted::Perhaps)
+        // Both at once: while the store is slow, one after the other misses the target.
+        let saving = self.store.save_job(job, deadline);
+        let (saved, admitted) = tokio::join!(saving, self.admit(job, route, deadline));
+        let admission = admitted.map_err(NotAccepted::Perhaps)?;
+        match (admission, saved) {
+            (Admission::OverQuota, _) => Ok(Admission::OverQuota),
+            (Admission::Accepted, Ok(())) => Ok(Admission::Accepted),
+            // The job may have been withdrawn for not being stored; now it is stored.
+            (Admission::Repeat, Ok(())) => self
+                .admit(job, route, deadline)
+                .await
+                .map_err(NotAccepted::Perhaps),
+            (_, Err(JobStoreError::Store(e))) if !e.is_not_done() => {
+                Err(NotAccepted::Perhaps(e.into()))
+            }
+            // Not stored, so no worker can run it, whatever the ledger says.
+            (_, Err(e)) => Err(NotAccepted::Never(e)),
+        }
+    }
+
+    async fn admit(
+        &self,
+        job: &JobSpec,
+        route: &Route,
+        deadline: Instant,
+    ) -> Result<Admission, JobStoreError> {
+        let admit = LedgerChange::Admit {
+            id: job.id.clone(),
+            route: job.route.clone(),
+            tokens: job.tokens(),
+            quota_tokens: route.quota_tokens,
+            now_unix: job.submitted_unix,
+        };
+        match self.change_ledger(admit, deadline).await? {
+            LedgerAnswer::Admission(admission) => Ok(admission),
+            LedgerAnswer::Standing(_) => Err(JobStoreError::Contended),
+        }
+    }
+
+    async fn change_ledger(
+        &self,
+        change: LedgerChange,
+        deadline: Instant,
+    ) -> Result<LedgerAnswer, JobStoreError> {
+        ledger_keeper::change(&self.node, &self.store, None, change, deadline).await
     }
 
     /// Tells the worker that should run the job. If the call is lost, a worker finds the
@@ -249,12 +281,12 @@
         }
         let now_unix = Duration::from_millis(time::unix_ms());
         let deadline = Instant::now() + END_TIME;
-        let update = self.store.update_ledger(deadline, |ledger| {
-            ledger.close(&job, now_unix);
-            ledger.standing(&job)
-        });
-        match update.await {
-            Ok(JobStanding::Closed) => {
+        let close = LedgerChange::Close {
+            id: job.clone(),
+            now_unix,
+        };
+        match self.change_ledger(close, deadline).await {
+            Ok(LedgerAnswer::Standing(JobStanding::Closed)) => {
                 log::info!(request_id = job; "job ended by its caller");
                 self.tell_ended(&job);
                 replies::status(StatusCode::OK)
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -90,8 +90,7 @@
         }
     }
 
-    /// Stores a job unless it is stored already. An error means that the job does not
-    /// stand in the ledger through this call.
+    /// Stores a job unless it is stored already.
     pub async fn save_job(&self, job: &JobSpec, deadline: Instant) -> Result<(), JobStoreError> {
         let chunks = self.split_items(&job.items)?;
         for (number, chunk) in chunks.iter().enumerate().skip(1) {
@@ -296,6 +295,8 @@
             spec,
         };
         let mut backoff = Backoff::default();
+        // An earlier try whose answer was lost may be done late.
+        let mut perhaps_done = None;
         loop {
             match store_relay::write(&self.node, &write).await {
                 Ok(Written::Done(_)) => return Ok(None),
@@ -307,9 +308,14 @@
                         return Ok(Some(object));
                     }
                 }
-                Err(e) if Instant::now() >= deadline => return Err(e),
+                Err(e) if Instant::now() >= deadline => return Err(perhaps_done.unwrap_or(e)),
                 // A write that was done after all is met as a conflict.
-                Err(_) => tokio::time::sleep(backoff.pause()).await,
+                Err(e) => {
+                    if !e.is_not_done() {
+                        perhaps_done = Some(e);
+                    }
+                    tokio::time::sleep(backoff.pause()).await;
+                }
             }
         }
     }
@@ -324,7 +330,10 @@
     }
 
     /// Splits items into chunks that fit into one value each; at least one chunk.
-    fn split_items<'a>(&self, items: &'a [ItemSpec]) -> Result<Vec<&'a [ItemSpec]>, JobStoreError> {
+    pub fn split_items<'a>(
+        &self,
+        items: &'a [ItemSpec],
+    ) -> Result<Vec<&'a [ItemSpec]>, JobStoreError> {
         let limit = self.part_bytes();
         let mut chunks = Vec::new();
         let mut start = 0;
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod heartbeat;
 pub mod item_run;
 pub mod job_store;
+pub mod ledger_keeper;
 pub mod load_table;
 pub mod metrics;
 pub mod node;
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -9,6 +9,7 @@
 use foxwheel_platform::store::{Object, Write, Written};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::JobSpec;
+use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
 use foxwheel_policy::membership::BackendServer;
 use foxwheel_policy::routes::Config;
 use serde::{Deserialize, Serialize};
@@ -104,6 +105,8 @@
     async fn read(job: JobId, read: ReadSpec) -> ReadAnswer;
     /// Reads the body of an item.
     async fn body(job: JobId, item: ItemId) -> BodyAnswer;
+    /// Makes a change of the ledger.
+    async fn change_ledger(change: LedgerChange) -> Relayed<LedgerAnswer>;
     /// Performs a write for a process that the store turns away.
     async fn store_write(write: Write) -> Relayed<Written>;
     /// Reads an object for a process that the store turns away.
@@ -183,6 +186,19 @@
         self.checked("read item body", addr, answer)
     }
 
+    /// Has the worker at `addr` make a change of the ledger.
+    pub async fn change_ledger(
+        &self,
+        addr: SocketAddr,
+        change: LedgerChange,
+    ) -> Result<Relayed<LedgerAnswer>, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client
+            .change_ledger(context_for(STORE_TIMEOUT), change)
+            .await;
+        self.checked("change ledger", addr, answer)
+    }
+
     /// Has the peer at `addr` perform a write.
     pub async fn store_write(
         &self,
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -7,6 +7,7 @@
 use foxwheel_core::ids::{ItemId, JobId};
 use foxwheel_platform::store::{Object, StoreError, Write, Written};
 use foxwheel_policy::batch::job::JobSpec;
+use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Json;
@@ -65,6 +66,17 @@
         }
     }
 
+    async fn change_ledger(
+        self,
+        _: context::Context,
+        change: LedgerChange,
+    ) -> Relayed<LedgerAnswer> {
+        match &self.jobs {
+            Some(jobs) => jobs.ledger.change(change).await,
+            None => Relayed::NotDone("not a worker".to_owned()),
+        }
+    }
+
     async fn store_write(self, _: context::Context, write: Write) -> Relayed<Written> {
         relayed(self.node.store.write(&write).await)
     }
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -9,6 +9,7 @@
 use foxwheel_platform::retirement::{self, Progress};
 use foxwheel_platform::store::{Watched, Write, Written};
 use foxwheel_policy::batch::item::{Ending, ItemState};
+use foxwheel_policy::batch::ledger::{LedgerChange, OpenJob};
 use foxwheel_policy::batch::ownership;
 use foxwheel_policy::placement;
 use foxwheel_policy::routes::{Config, Route, RouteKind};
@@ -52,6 +53,10 @@
 /// covers repeats of a submission that are still on their way.
 const REMEMBER_CLOSED: Duration = Duration::from_secs(120);
 
+/// Age from which a job of the ledger is looked for in the store and withdrawn if it was
+/// never stored: far above the time for which clients send a job again.
+const WITHDRAW_AFTER: Duration = Duration::from_secs(90);
+
 /// How long a leaving worker lets items run on before it stops them.
 const LEAVE_RUNS_FOR: Duration = Duration::from_millis(4_500);
 
@@ -474,11 +479,12 @@
 async fn close_job(jobs: &WorkerJobs, job: &JobId) {
     let now_unix = unix_now();
     let deadline = Instant::now() + LEDGER_TIME;
-    let closed = jobs.store.update_ledger(deadline, |ledger| {
-        ledger.close(job, now_unix);
-    });
-    match closed.await {
-        Ok(()) => jobs.end(job, "completion"),
+    let close = LedgerChange::Close {
+        id: job.clone(),
+        now_unix,
+    };
+    match jobs.change_ledger(close, deadline).await {
+        Ok(_) => jobs.end(job, "completion"),
         Err(e) => log::warn!(job, error:% = e; "job not closed, trying again"),
     }
 }
@@ -500,6 +506,7 @@
                 continue;
             }
         };
+        withdraw_unstored(&jobs, &ledger.open).await;
         for closed in &ledger.closed {
             jobs.end(&closed.id, "ledger");
         }
@@ -510,9 +517,32 @@
     }
 }
 
+/// Forgets jobs that stand in the ledger for long and were never stored: their fronts
+/// failed between the two writes and their clients did not come again.
+async fn withdraw_unstored(jobs: &WorkerJobs, open: &[OpenJob]) {
+    let now_unix = unix_now();
+    let old = |job: &&OpenJob| now_unix.saturating_sub(job.accepted_unix) > WITHDRAW_AFTER;
+    for job in open.iter().filter(old) {
+        let held = jobs.with(&job.id, |entry| entry.held) == Some(true);
+        let deadline = Instant::now() + LEDGER_EVERY;
+        if held || !matches!(jobs.store.load_job(&job.id, deadline).await, Ok(None)) {
+            continue;
+        }
+        log::warn!(job = job.id; "job was never stored, withdrawn from the ledger");
+        let withdraw = LedgerChange::Withdraw { id: job.id.clone() };
+        if let Err(e) = jobs.change_ledger(withdraw, deadline).await {
+            log::warn!(job = job.id, error:% = e; "job not withdrawn, trying again");
+        }
+    }
+}
+
 /// Keeps the ledger small, and empties this host when the operator asks for it.
 async fn follow_ledger(node: Arc<Node>, jobs: Arc<WorkerJobs>) {
-    tokio::join!(prune_ledger(&node, &jobs), follow_retirements(&node));
+    tokio::join!(
+        prune_ledger(&node, &jobs),
+        follow_retirements(&node),
+        jobs.ledger.run(&jobs.store),
+    );
 }
 
 async fn prune_ledger(node: &Node, jobs: &WorkerJobs) {
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -6,11 +6,13 @@
 use foxwheel_core::ids::{ItemId, JobId};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
 use foxwheel_policy::batch::ownership::{self, ClaimStanding, JobClaim};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::job_store::{JobStore, JobStoreError};
+use crate::ledger_keeper::{self, LedgerKeeper};
 use crate::node::Node;
 use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
 
@@ -54,6 +56,8 @@
     node: Arc<Node>,
     /// The jobs in the platform's store.
     pub store: JobStore,
+    /// Changes of the ledger that wait here.
+    pub ledger: LedgerKeeper,
     /// Sorted by job id.
     entries: Mutex<Vec<JobEntry>>,
     /// Woken when there may be something to run.
@@ -67,6 +71,7 @@
     pub fn new(node: Arc<Node>) -> Arc<Self> {
         Arc::new(Self {
             store: JobStore::new(Arc::clone(&node)),
+            ledger: LedgerKeeper::default(),
             node,
             entries: Mutex::default(),
             wake: Notify::new(),
@@ -84,6 +89,16 @@
         self.insert(JobProgress::new(job), true);
     }
 
+    /// Changes the ledger, through its keeper if that answers.
+    pub async fn change_ledger(
+        &self,
+        change: LedgerChange,
+        deadline: Instant,
+    ) -> Result<LedgerAnswer, JobStoreError> {
+        let own = Some(&self.ledger);
+        ledger_keeper::change(&self.node, &self.store, own, change, deadline).await
+    }
+
     /// Runs a job that no live worker runs, from what the store has of it.
     pub async fn adopt(&self, id: &JobId) -> Result<(), JobStoreError> {
         let deadline = Instant::now() + 4 * LOAD_TIME;
@@ -93,7 +108,8 @@
                 log::info!(job = id, listed, parts = progress.parts; "job adopted");
                 self.insert(progress, true);
             }
-            None => log::warn!(job = id; "job of the ledger is not in the store"),
+            // Its front was told so and answered no acceptance; its client may come again.
+            None => log::info!(job = id; "job of the ledger is not in the store"),
         }
         Ok(())
     }
--- a/crates/foxwheel-node/tests/batch_contract.rs
+++ b/crates/foxwheel-node/tests/batch_contract.rs
@@ -435,3 +435,46 @@
     }
     fleet.cancel.cancel();
 }
+
+/// The writes that one submission at each front costs together.
+async fn round_writes(fleet: &Fleet, name: &str) -> u64 {
+    let before = fleet.store.stats().await.expect("stats").writes;
+    for (at, front) in fleet.fronts.iter().enumerate() {
+        let job = format!("{name}-{at}");
+        let accepted = submit(*front, &job, 1).await.expect("answered");
+        assert_eq!(accepted.status, StatusCode::ACCEPTED, "{job}");
+    }
+    fleet.store.stats().await.expect("stats").writes - before
+}
+
+/// Each submission is stored and entered in the ledger, whichever front it comes to: no
+/// front meets another's change of the ledger and writes again.
+#[actix_web::test]
+async fn submissions_at_several_fronts_cost_two_writes_each() {
+    let fleet = Fleet::start(Plan {
+        fronts: 3,
+        ..Plan::default()
+    })
+    .await;
+    // No server takes the items, so that nothing but the submissions is written.
+    fleet
+        .configure(2, |config| config["routes"][4]["service"] = json!("none"))
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // Fronts that do not hear the worker yet meet each other's changes, but for their very
+    // first ones: a round costs more. Once all hear it, no round does.
+    let mut cheap_rounds = 0;
+    for round in 0..200 {
+        let writes = round_writes(&fleet, &format!("first-{round}")).await;
+        cheap_rounds = if writes == 6 { cheap_rounds + 1 } else { 0 };
+        if cheap_rounds == 2 {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(cheap_rounds, 2, "submissions never cost two writes each");
+    for round in 0..3 {
+        assert_eq!(round_writes(&fleet, &format!("job-{round}")).await, 6);
+    }
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/batch/ledger.rs
+++ b/crates/foxwheel-policy/src/batch/ledger.rs
@@ -48,7 +48,7 @@
 }
 
 /// What the ledger says to a submission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Admission {
     /// It fits and now stands in the ledger; the caller must store the ledger.
     Accepted,
@@ -59,7 +59,7 @@
 }
 
 /// Where a job stands.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobStanding {
     /// Accepted, with items to run.
     Open,
@@ -69,7 +69,73 @@
     Unknown,
 }
 
+/// A change of the ledger. Each is idempotent: repeated after a lost answer it alters
+/// nothing.
+#[serde_as]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerChange {
+    /// Accept a job, if it fits.
+    Admit {
+        /// The job.
+        id: JobId,
+        /// Name of its route.
+        route: String,
+        /// Tokens of its items.
+        tokens: u64,
+        /// Most tokens that may wait on the route; 0 is no limit.
+        quota_tokens: u64,
+        /// When it was submitted, since the Unix epoch.
+        #[serde(rename = "now_unix_ms")]
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        now_unix: Duration,
+    },
+    /// Close a job that is finished or ended.
+    Close {
+        /// The job.
+        id: JobId,
+        /// When, since the Unix epoch.
+        #[serde(rename = "now_unix_ms")]
+        #[serde_as(as = "DurationMilliSeconds<u64>")]
+        now_unix: Duration,
+    },
+    /// Forget an open job that was never stored.
+    Withdraw {
+        /// The job.
+        id: JobId,
+    },
+}
+
+/// What the ledger says to a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LedgerAnswer {
+    /// To [`LedgerChange::Admit`].
+    Admission(Admission),
+    /// To any other change: where the job stands now.
+    Standing(JobStanding),
+}
+
 impl Ledger {
+    /// Makes `change`; the caller must store the ledger if it is another one then.
+    pub fn apply(&mut self, change: &LedgerChange) -> LedgerAnswer {
+        match change {
+            LedgerChange::Admit {
+                id,
+                route,
+                tokens,
+                quota_tokens,
+                now_unix,
+            } => LedgerAnswer::Admission(self.admit(id, route, *tokens, *quota_tokens, *now_unix)),
+            LedgerChange::Close { id, now_unix } => {
+                self.close(id, *now_unix);
+                LedgerAnswer::Standing(self.standing(id))
+            }
+            LedgerChange::Withdraw { id } => {
+                self.open.retain(|job| job.id != *id);
+                LedgerAnswer::Standing(self.standing(id))
+            }
+        }
+    }
+
     /// Decides on a submission of `tokens` to `route`; `quota_tokens` 0 is no limit.
     pub fn admit(
         &mut self,
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -79,6 +79,11 @@
         .max_by_key(|worker| (rank(job, &worker.node), &worker.node))
 }
 
+/// Whether the worker `one` is chosen before `other` for `job`.
+pub fn outranks(job: &str, one: &str, other: &str) -> bool {
+    (rank(job, one), one) > (rank(job, other), other)
+}
+
 /// The worker that gives out the batch slots of a server in `zone`: one of that zone if any
 /// lives there. Workers that look at the same free slots at once would overfill them.
 pub fn slot_keeper<'a>(server: &str, zone: &str, workers: &'a [Worker]) -> Option<&'a Worker> {
--- a/crates/foxwheel-policy/tests/ledger.rs
+++ b/crates/foxwheel-policy/tests/ledger.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use foxwheel_policy::batch::ledger::{Admission, JobStanding, Ledger};
+use foxwheel_policy::batch::ledger::{Admission, JobStanding, Ledger, LedgerAnswer, LedgerChange};
 
 const NOW: Duration = Duration::from_secs(1_000);
 
@@ -143,3 +143,46 @@
         Ok(())
     });
 }
+
+/// Repeating any change after a lost answer alters nothing more.
+#[test]
+fn changes_are_idempotent() {
+    let admit = |id: &str| LedgerChange::Admit {
+        id: id.to_owned(),
+        route: "route".to_owned(),
+        tokens: 10,
+        quota_tokens: 15,
+        now_unix: NOW,
+    };
+    let mut ledger = Ledger::default();
+    assert_eq!(
+        ledger.apply(&admit("a")),
+        LedgerAnswer::Admission(Admission::Accepted)
+    );
+    let over = LedgerAnswer::Admission(Admission::OverQuota);
+    assert_eq!(ledger.apply(&admit("b")), over);
+    let changes = [
+        (admit("a"), LedgerAnswer::Admission(Admission::Repeat)),
+        (
+            LedgerChange::Close {
+                id: "a".to_owned(),
+                now_unix: NOW,
+            },
+            LedgerAnswer::Standing(JobStanding::Closed),
+        ),
+        (
+            LedgerChange::Withdraw { id: "a".to_owned() },
+            LedgerAnswer::Standing(JobStanding::Closed),
+        ),
+        (
+            LedgerChange::Withdraw { id: "b".to_owned() },
+            LedgerAnswer::Standing(JobStanding::Unknown),
+        ),
+    ];
+    for (change, expected) in changes {
+        assert_eq!(ledger.apply(&change), expected, "{change:?}");
+        let once = ledger.clone();
+        assert_eq!(ledger.apply(&change), expected, "{change:?} again");
+        assert_eq!(ledger, once, "{change:?} again");
+    }
+}
