Calls go through peers only while those reach the store; jobs not stored are looked for once

Change: heartbeats say whether the sender's own calls succeed; calls go through such peers only; a worker that is not a job's first choice leaves a job it found not stored alone for 20 s. Tests: batch_contract and peers pass.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -109,6 +109,7 @@
         zone: node.settings.availability_zone.clone(),
         addr: node.settings.peer_address(),
         leaving: node.is_leaving(),
+        store_reached: node.store.failing_for(std::time::Instant::now()).is_none(),
         loads: loads
             .into_iter()
             .map(|(id, online, batch)| (id, online as u16, batch as u16))
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -34,6 +34,8 @@
     pub addr: SocketAddr,
     /// It is stopping and takes no new work.
     pub leaving: bool,
+    /// Its own last call to the platform's store succeeded.
+    pub store_reached: bool,
     /// Requests in flight from it: server, online, batch.
     pub loads: Vec<(ServerId, u16, u16)>,
     /// Jobs it runs or closed a short while ago; sorted by job.
@@ -125,6 +127,13 @@
             .collect()
     }
 
+    /// Addresses of live processes that reach the platform's store.
+    pub fn reaching_store(&self, now: Instant) -> Vec<SocketAddr> {
+        let tables = self.0.lock().expect("peers lock");
+        let reaching = tables.live(now).filter(|beat| beat.store_reached);
+        reaching.map(|beat| beat.addr).collect()
+    }
+
     /// Live workers: those heard, and those that live processes hear though this one does
     /// not, because the path between them is cut.
     pub fn workers(&self, now: Instant) -> Vec<Worker> {
--- a/crates/foxwheel-node/src/store_relay.rs
+++ b/crates/foxwheel-node/src/store_relay.rs
@@ -5,58 +5,57 @@
 //! its first front comes again elsewhere, too late to count as accepted in time; a call
 //! through a peer takes two hops within the data centre.
 
-use std::time::{Duration, Instant};
+use std::net::SocketAddr;
+use std::time::Instant;
 
 use foxwheel_core::error::Origin;
 use foxwheel_platform::store::{Object, StoreError, Write, Written};
 
 use crate::node::Node;
 use crate::peer_calls::{PeerError, Relayed};
-use crate::settings::Role;
 use crate::store_access::Backoff;
 
 /// Peers asked for one call.
 const MAX_PEERS: usize = 2;
 
-/// Performs `write`, through a peer if this process's own calls fail.
+/// Performs `write`, through a peer if this process's own calls fail and the peer's do not.
 pub async fn write(node: &Node, write: &Write) -> Result<Written, StoreError> {
-    let direct = match is_turned_away(node) {
-        true => None,
-        false => Some(node.store.write(write).await),
-    };
-    match direct {
-        Some(Err(e)) if e.is_not_done() => {}
-        Some(settled) => return settled,
-        None => {}
-    }
-    for addr in peers(node) {
-        let relayed = node.peer_calls.store_write(addr, write.clone()).await;
-        match settled(addr, relayed) {
-            Err(e) if e.is_not_done() => {}
+    let mut last = None;
+    for route in routes(node) {
+        let tried = match route {
+            Route::Own => node.store.write(write).await,
+            Route::Peer(addr) => {
+                let relayed = node.peer_calls.store_write(addr, write.clone()).await;
+                settled(addr, relayed)
+            }
+        };
+        match tried {
+            Err(e) if e.is_not_done() => last = Some(e),
             settled => return settled,
         }
     }
-    // No peer could: the own path may have come back.
-    node.store.write(write).await
+    Err(last.unwrap_or_else(no_route))
 }
 
-/// Reads one object, through a peer if this process's own calls fail.
+/// Reads one object, through a peer if this process's own calls fail and the peer's do not.
 pub async fn get(node: &Node, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
-    if !is_turned_away(node) {
-        let direct = node.store.get(kind, name).await;
-        if direct.is_ok() {
-            return direct;
-        }
-    }
-    for addr in peers(node) {
-        let read = node
-            .peer_calls
-            .store_get(addr, kind.to_owned(), name.to_owned());
-        if let Ok(object) = settled(addr, read.await) {
-            return Ok(object);
+    let mut last = None;
+    for route in routes(node) {
+        let read = match route {
+            Route::Own => node.store.get(kind, name).await,
+            Route::Peer(addr) => {
+                let relayed = node
+                    .peer_calls
+                    .store_get(addr, kind.to_owned(), name.to_owned());
+                settled(addr, relayed.await)
+            }
+        };
+        match read {
+            Ok(object) => return Ok(object),
+            Err(e) => last = Some(e),
         }
     }
-    node.store.get(kind, name).await
+    Err(last.unwrap_or_else(no_route))
 }
 
 /// Reads one object, again after failures, until `deadline`.
@@ -77,29 +76,40 @@
     }
 }
 
-/// Whether this process's last calls failed. The followers go on trying, so the answer
-/// changes soon after the store is back.
-fn is_turned_away(node: &Node) -> bool {
-    node.store
-        .failing_for(Instant::now())
-        .is_some_and(|failing| failing > Duration::ZERO)
+/// A way to the store.
+enum Route {
+    /// This process's own.
+    Own,
+    /// Through a peer.
+    Peer(SocketAddr),
 }
 
-/// Live peers in a random order, workers among them.
-fn peers(node: &Node) -> Vec<std::net::SocketAddr> {
+/// The ways to try, best first. While no peer reaches the store either, it is down and a
+/// call through peers would only be refused several times.
+fn routes(node: &Node) -> Vec<Route> {
     let now = Instant::now();
-    let mut peers = node.peers.live(Role::Worker, now);
-    peers.extend(node.peers.live(Role::Front, now));
+    let mut peers = node.peers.reaching_store(now);
     let first = rand::random_range(0..peers.len().max(1));
     peers.rotate_left(first);
     peers.truncate(MAX_PEERS);
-    peers.into_iter().map(|(_, addr)| addr).collect()
+    let mut routes: Vec<Route> = peers.into_iter().map(Route::Peer).collect();
+    let turned_away = node.store.failing_for(now).is_some();
+    if !turned_away {
+        routes.insert(0, Route::Own);
+    } else if routes.is_empty() {
+        routes.push(Route::Own);
+    }
+    routes
+}
+
+fn no_route() -> StoreError {
+    StoreError::NotDone {
+        origin: Origin::new("call the store", ""),
+        reason: "no way to it".to_owned(),
+    }
 }
 
-fn settled<T>(
-    addr: std::net::SocketAddr,
-    relayed: Result<Relayed<T>, PeerError>,
-) -> Result<T, StoreError> {
+fn settled<T>(addr: SocketAddr, relayed: Result<Relayed<T>, PeerError>) -> Result<T, StoreError> {
     let origin = || Origin::new("call the store through a peer", addr.to_string());
     match relayed {
         Ok(Relayed::Settled(answer)) => Ok(answer),
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -366,7 +366,9 @@
             let known = before.binary_search_by(|(id, _)| id.cmp(job));
             let since = known.map_or(now, |at| before[at].1);
             self.unheld.push((job.clone(), since));
-            let take = ownership::should_take(job, &own, &workers, since, now);
+            let first = ownership::first_choice(job, &workers).is_some_and(|w| w.node == own);
+            let take = ownership::should_take(job, &own, &workers, since, now)
+                && (first || !self.jobs.was_not_stored(job, now));
             if heard && take && !self.node.is_leaving() {
                 let jobs = Arc::clone(&self.jobs);
                 let job = job.clone();
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -26,6 +26,10 @@
 /// results have. Several times the silence after which a process counts as dead.
 const TELL_CLOSED: Duration = Duration::from_secs(10);
 
+/// How long a worker that is not a job's first choice leaves it to that one after it found
+/// it not stored: each look of each worker is a call.
+const LOOK_AGAIN_AFTER: Duration = Duration::from_secs(20);
+
 /// How long a job that nobody reads stays in memory after it ended.
 const KEEP_UNREAD: Duration = Duration::from_secs(20);
 
@@ -60,6 +64,8 @@
     pub ledger: LedgerKeeper,
     /// Sorted by job id.
     entries: Mutex<Vec<JobEntry>>,
+    /// Jobs of the ledger that were not in the store, and when; sorted by job.
+    not_stored: Mutex<Vec<(JobId, Instant)>>,
     /// Woken when there may be something to run.
     pub wake: Notify,
     /// Woken when the ledger should be read at once.
@@ -74,6 +80,7 @@
             ledger: LedgerKeeper::default(),
             node,
             entries: Mutex::default(),
+            not_stored: Mutex::default(),
             wake: Notify::new(),
             look_at_ledger: Notify::new(),
         })
@@ -108,12 +115,29 @@
                 log::info!(job = id, listed, parts = progress.parts; "job adopted");
                 self.insert(progress, true);
             }
-            // Its front was told so and answered no acceptance; its client may come again.
-            None => log::info!(job = id; "job of the ledger is not in the store"),
+            // Its front answered no acceptance; its client may come again.
+            None => self.note_not_stored(id, Instant::now()),
         }
         Ok(())
     }
 
+    fn note_not_stored(&self, id: &JobId, now: Instant) {
+        log::info!(job = id; "job of the ledger is not in the store");
+        let mut missing = self.not_stored.lock().expect("missing jobs lock");
+        missing.retain(|(_, at)| now.duration_since(*at) < LOOK_AGAIN_AFTER);
+        match missing.binary_search_by(|(job, _)| job.cmp(id)) {
+            Ok(at) => missing[at].1 = now,
+            Err(at) => missing.insert(at, (id.clone(), now)),
+        }
+    }
+
+    /// Whether a job was not in the store a short while ago.
+    pub fn was_not_stored(&self, id: &JobId, now: Instant) -> bool {
+        let missing = self.not_stored.lock().expect("missing jobs lock");
+        let found = missing.binary_search_by(|(job, _)| job.cmp(id));
+        found.is_ok_and(|at| now.duration_since(missing[at].1) < LOOK_AGAIN_AFTER)
+    }
+
     /// Stops a job's items; what is listed stays readable.
     pub fn end(&self, id: &str, by: &str) {
         let ended = self.with(id, |entry| {
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -19,6 +19,7 @@
         zone: "hall".to_owned(),
         addr: addr(host),
         leaving: false,
+        store_reached: true,
         loads: vec![("server-1".to_owned(), u16::from(host), 1)],
         claims: Vec::new(),
         known: known.iter().map(|host| addr(*host)).collect(),
