The worker is split by what it follows; when to store and to give up is decided in foxwheel-policy

Change: ledger_follower, retirement_follower and result_store; JobProgress::should_store and job::is_overdue in foxwheel-policy with tests. Ruled out: moving the scheduling loop too (it is what is left).

--- /dev/null
+++ b/crates/foxwheel-node/src/retirement_follower.rs
@@ -0,0 +1,82 @@
+//! Emptying this host when the operator asks for it.
+
+use std::time::Duration;
+
+use foxwheel_platform::retirement::{self, Progress};
+use foxwheel_platform::store::{StoreError, Watched, Write, Written};
+
+use crate::node::Node;
+use crate::store_access::Backoff;
+
+/// Longest wait of one watch for retirements.
+const RETIREMENT_WATCH: Duration = Duration::from_secs(25);
+
+/// How often it is looked whether jobs are left.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// Follows the operator's requests for as long as the process lives.
+pub async fn run(node: &Node) {
+    let mut backoff = Backoff::default();
+    loop {
+        if let Err(e) = retire_when_asked(node).await {
+            log::debug!(error:% = e; "retirements not followed");
+            tokio::time::sleep(backoff.pause()).await;
+        }
+    }
+}
+
+/// Waits until the operator asks to empty this host, and empties it.
+async fn retire_when_asked(node: &Node) -> Result<(), StoreError> {
+    let own = &node.settings.host;
+    let listing = node.store.list(retirement::KIND).await?;
+    let mut asked = listing
+        .objects
+        .iter()
+        .any(|object| object.name == *own && !retirement::is_completed(&object.status));
+    let mut revision = listing.revision;
+    while !asked {
+        let watched = node
+            .store
+            .watch(retirement::KIND, revision, RETIREMENT_WATCH)
+            .await?;
+        match watched {
+            Watched::HistoryGone => return Ok(()),
+            Watched::Changes {
+                changes,
+                revision: next,
+            } => {
+                revision = next;
+                asked = changes.iter().any(|change| {
+                    change.object.name == *own
+                        && !change.removed
+                        && !retirement::is_completed(&change.object.status)
+                });
+            }
+        }
+    }
+    log::info!(host = own; "asked to retire");
+    write_retirement(node, Progress::Running).await;
+    node.retiring.cancel();
+    while node.holds_jobs() {
+        tokio::time::sleep(LOOK_EVERY).await;
+    }
+    write_retirement(node, Progress::Completed).await;
+    log::info!(host = own; "retired: nothing is held here");
+    node.leaving.cancelled().await;
+    Ok(())
+}
+
+async fn write_retirement(node: &Node, progress: Progress) {
+    let write = Write::SetStatus {
+        kind: retirement::KIND.to_owned(),
+        name: node.settings.host.clone(),
+        status: retirement::encode(progress).to_string(),
+    };
+    let mut backoff = Backoff::default();
+    loop {
+        match node.store.write(&write).await {
+            Ok(Written::Done(_) | Written::Missing) => return,
+            Ok(Written::Conflict(_)) | Err(_) => tokio::time::sleep(backoff.pause()).await,
+        }
+    }
+}
--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -1,68 +1,29 @@
-//! Running batch jobs: which item runs next and where, storing results, taking over jobs of
-//! workers that died, and leaving.
+//! Running batch jobs: which item runs next and where, when results are stored, taking over
+//! jobs of workers that died, and leaving.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{JobId, ServerId};
-use foxwheel_core::time;
-use foxwheel_platform::retirement::{self, Progress};
-use foxwheel_platform::store::{Watched, Write, Written};
 use foxwheel_policy::batch::item::{Ending, ItemState};
-use foxwheel_policy::batch::ledger::{LedgerChange, OpenJob};
+use foxwheel_policy::batch::job;
 use foxwheel_policy::batch::ownership;
 use foxwheel_policy::placement;
 use foxwheel_policy::routes::{Config, Route, RouteKind};
 use tokio_util::sync::CancellationToken;
 
 use crate::item_run::{self, ItemRun};
-use crate::job_store::PartCreated;
 use crate::load_table::WorkClass;
 use crate::node::Node;
-use crate::settings::Role;
-use crate::store_access::Backoff;
 use crate::worker_jobs::{JobEntry, WorkerJobs};
+use crate::{ledger_follower, result_store, retirement_follower};
 
 /// Longest pause between looks at what could run.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(50);
 
-/// How often the ledger is read for jobs that nobody runs and jobs that were ended. Below
-/// the time within which an ended job's items must stop (3 s), for the case that the call
-/// that tells of the end is lost.
-const LEDGER_EVERY: Duration = Duration::from_millis(2_000);
-
-/// Least time from a reason to read the ledger until it is read: several reasons come
-/// together when a worker dies.
-const LEDGER_PAUSE: Duration = Duration::from_millis(150);
-
-/// How long finished results of a job with more to run wait for others, so that one write
-/// stores several: a crash in this time costs their runs again.
-const STORE_AFTER: Duration = Duration::from_millis(2_500);
-
-/// The same when an item was given up: until that is stored, a worker that takes over
-/// would let the item fail as often again.
-const STORE_GIVE_UP_AFTER: Duration = Duration::from_millis(200);
-
-/// Longest time for one change of the ledger.
-const LEDGER_TIME: Duration = Duration::from_millis(3_000);
-
-/// How long a route must be missing before its jobs are given up.
-const ROUTE_MISSING_FOR: Duration = Duration::from_secs(5);
-
-/// How long closed jobs are remembered beyond the time their results stay readable:
-/// covers repeats of a submission that are still on their way.
-const REMEMBER_CLOSED: Duration = Duration::from_secs(120);
-
-/// Age from which a job of the ledger is looked for in the store and withdrawn if it was
-/// never stored: far above the time for which clients send a job again.
-const WITHDRAW_AFTER: Duration = Duration::from_secs(90);
-
 /// How long a leaving worker lets items run on before it stops them.
 const LEAVE_RUNS_FOR: Duration = Duration::from_millis(4_500);
 
-/// Longest wait of one watch for retirements.
-const RETIREMENT_WATCH: Duration = Duration::from_secs(25);
-
 /// A run of an item under way.
 struct Run {
     job: JobId,
@@ -108,9 +69,9 @@
         leaving_since: None,
         started_at: Instant::now(),
     };
-    let ledger = tokio::spawn(follow_ledger(Arc::clone(&node), Arc::clone(&jobs)));
+    let background = tokio::spawn(run_background(Arc::clone(&node), Arc::clone(&jobs)));
     let (ledger_sender, mut ledger_news) = tokio::sync::mpsc::channel(1);
-    let reading = tokio::spawn(read_ledger(Arc::clone(&jobs), ledger_sender));
+    let reading = tokio::spawn(ledger_follower::read(Arc::clone(&jobs), ledger_sender));
     loop {
         tokio::select! {
             () = cancel.cancelled() => break,
@@ -130,7 +91,7 @@
         }
         worker.start_items();
     }
-    ledger.abort();
+    background.abort();
     reading.abort();
 }
 
@@ -274,31 +235,21 @@
     /// Stores finished results whose time has come, and closes jobs that are whole.
     fn store_results(&mut self) {
         let now = Instant::now();
-        let now_unix = unix_now();
         let config = self.node.config();
         let leaving = self.leaving_since.is_some();
         let mut due = Vec::new();
         self.jobs.each_held(|entry| {
             if let Some(config) = &config {
-                give_up_overdue(entry, config, now_unix, now, self.started_at);
+                let known_for = now.duration_since(self.started_at);
+                give_up_overdue(entry, config, known_for, now);
             }
-            let patience = match entry.progress.has_unstored_give_up() {
-                true => STORE_GIVE_UP_AFTER,
-                false => STORE_AFTER,
-            };
-            let waited = entry
-                .progress
-                .unstored_since
-                .is_some_and(|since| now.duration_since(since) >= patience);
-            let store = entry.progress.is_finished() || waited || leaving;
-            let something = entry.progress.unstored_since.is_some() || entry.progress.is_listed();
-            if store && something && !entry.storing {
+            if entry.progress.should_store(now, leaving) && !entry.storing {
                 entry.storing = true;
                 due.push(entry.progress.spec.id.clone());
             }
         });
         for job in due {
-            tokio::spawn(store_job_results(Arc::clone(&self.jobs), job));
+            tokio::spawn(result_store::store(Arc::clone(&self.jobs), job));
         }
         self.jobs.evict(now);
     }
@@ -355,7 +306,7 @@
     fn take_ledger(&mut self, open: &[JobId]) {
         let now = Instant::now();
         // Right after the start nobody was heard yet.
-        let heard = now.duration_since(self.started_at) >= LEDGER_EVERY;
+        let heard = now.duration_since(self.started_at) >= ledger_follower::LEDGER_EVERY;
         let workers = self.all_workers(now);
         let own = self.node.settings.host.clone();
         let before = std::mem::take(&mut self.unheld);
@@ -416,226 +367,24 @@
         .filter(|route| route.kind == RouteKind::Batch)
 }
 
-/// Gives up what may be given up: items past the route's retention time, and all items of
-/// a route that is gone.
-fn give_up_overdue(
-    entry: &mut JobEntry,
-    config: &Config,
-    now_unix: Duration,
-    now: Instant,
-    started_at: Instant,
-) {
+/// Gives up what may be given up.
+fn give_up_overdue(entry: &mut JobEntry, config: &Config, known_for: Duration, now: Instant) {
     let spec = &entry.progress.spec;
-    let age = now_unix.saturating_sub(spec.submitted_unix);
-    let overdue = match batch_route(config, &spec.host, &spec.path) {
-        Some(route) => !route.retention.is_zero() && age > route.retention,
-        None => age > ROUTE_MISSING_FOR && now.duration_since(started_at) > ROUTE_MISSING_FOR,
-    };
-    if overdue && !entry.progress.is_finished() {
-        log::warn!(job = spec.id, age_ms = age.as_millis() as u64; "rest of the job given up");
-        entry.progress.give_up_rest(now);
-        entry.cancel.cancel();
+    let age = ledger_follower::unix_now().saturating_sub(spec.submitted_unix);
+    let route = batch_route(config, &spec.host, &spec.path);
+    if !job::is_overdue(route, age, known_for) || entry.progress.is_finished() {
+        return;
     }
+    log::warn!(job = spec.id, age_ms = age.as_millis() as u64, routed = route.is_some(); "rest of the job given up");
+    entry.progress.give_up_rest(now);
+    entry.cancel.cancel();
 }
 
-/// Stores the finished results of `job` part by part; closes the job when it is whole.
-async fn store_job_results(jobs: Arc<WorkerJobs>, job: JobId) {
-    if let Err(e) = store_parts(&jobs, &job).await {
-        log::warn!(job, error:% = e; "results not stored, trying again");
-        tokio::time::sleep(Backoff::default().pause()).await;
-    }
-    let finished = jobs.with(&job, |entry| entry.progress.is_listed());
-    if finished == Some(true) {
-        close_job(&jobs, &job).await;
-    }
-    jobs.with(&job, |entry| entry.storing = false);
-    jobs.wake.notify_one();
-}
-
-async fn store_parts(
-    jobs: &WorkerJobs,
-    job: &JobId,
-) -> Result<(), crate::job_store::JobStoreError> {
-    let max_bytes = jobs.store.part_bytes();
-    loop {
-        let next = jobs.with(job, |entry| {
-            (entry.progress.parts, entry.progress.next_part(max_bytes))
-        });
-        let Some((number, results)) = next.filter(|(_, results)| !results.is_empty()) else {
-            return Ok(());
-        };
-        match jobs.store.create_part(job, number, &results).await? {
-            PartCreated::Done => {
-                log::info!(job, part = number, results = results.len(); "results stored");
-                jobs.take_part(job, number, results);
-            }
-            PartCreated::Taken(others) => {
-                log::info!(job, part = number, results = others.len(); "results of another worker met");
-                jobs.take_part(job, number, others);
-            }
-        }
-    }
-}
-
-/// Marks a job as closed in the ledger; the next look at the ledger repeats a failure.
-async fn close_job(jobs: &WorkerJobs, job: &JobId) {
-    let now_unix = unix_now();
-    let deadline = Instant::now() + LEDGER_TIME;
-    let close = LedgerChange::Close {
-        id: job.clone(),
-        now_unix,
-    };
-    match jobs.change_ledger(close, deadline).await {
-        Ok(_) => jobs.end(job, "completion"),
-        Err(e) => log::warn!(job, error:% = e; "job not closed, trying again"),
-    }
-}
-
-/// Hands the open jobs of the ledger to the scheduler, and ends held ones that are closed.
-async fn read_ledger(jobs: Arc<WorkerJobs>, news: tokio::sync::mpsc::Sender<Vec<JobId>>) {
-    let mut ticks = tokio::time::interval(LEDGER_EVERY);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {}
-            () = jobs.look_at_ledger.notified() => tokio::time::sleep(LEDGER_PAUSE).await,
-        }
-        let deadline = Instant::now() + LEDGER_EVERY;
-        let ledger = match jobs.store.read_ledger(deadline).await {
-            Ok(ledger) => ledger,
-            Err(e) => {
-                log::info!(error:% = e; "ledger not read");
-                continue;
-            }
-        };
-        withdraw_unstored(&jobs, &ledger.open).await;
-        for closed in &ledger.closed {
-            jobs.end(&closed.id, "ledger");
-        }
-        let open = ledger.open.into_iter().map(|job| job.id).collect();
-        if news.send(open).await.is_err() {
-            return;
-        }
-    }
-}
-
-/// Forgets jobs that stand in the ledger for long and were never stored: their fronts
-/// failed between the two writes and their clients did not come again.
-async fn withdraw_unstored(jobs: &WorkerJobs, open: &[OpenJob]) {
-    let now_unix = unix_now();
-    let old = |job: &&OpenJob| now_unix.saturating_sub(job.accepted_unix) > WITHDRAW_AFTER;
-    for job in open.iter().filter(old) {
-        let held = jobs.with(&job.id, |entry| entry.held) == Some(true);
-        let deadline = Instant::now() + LEDGER_EVERY;
-        if held || !matches!(jobs.store.load_job(&job.id, deadline).await, Ok(None)) {
-            continue;
-        }
-        log::warn!(job = job.id; "job was never stored, withdrawn from the ledger");
-        let withdraw = LedgerChange::Withdraw { id: job.id.clone() };
-        if let Err(e) = jobs.change_ledger(withdraw, deadline).await {
-            log::warn!(job = job.id, error:% = e; "job not withdrawn, trying again");
-        }
-    }
-}
-
-/// Keeps the ledger small, and empties this host when the operator asks for it.
-async fn follow_ledger(node: Arc<Node>, jobs: Arc<WorkerJobs>) {
+/// What goes on beside the scheduling of items.
+async fn run_background(node: Arc<Node>, jobs: Arc<WorkerJobs>) {
     tokio::join!(
-        prune_ledger(&node, &jobs),
-        follow_retirements(&node),
+        ledger_follower::prune(&node, &jobs),
+        retirement_follower::run(&node),
         jobs.ledger.run(&jobs.store),
     );
 }
-
-async fn prune_ledger(node: &Node, jobs: &WorkerJobs) {
-    let keep = node.settings.results_readable + REMEMBER_CLOSED;
-    loop {
-        tokio::time::sleep(REMEMBER_CLOSED).await;
-        let first = {
-            let live = node.peers.live(Role::Worker, Instant::now());
-            live.first()
-                .is_none_or(|(host, _)| *host >= node.settings.host)
-        };
-        if !first {
-            continue;
-        }
-        let now_unix = unix_now();
-        let deadline = Instant::now() + LEDGER_TIME;
-        let pruned = jobs
-            .store
-            .update_ledger(deadline, |ledger| ledger.prune(now_unix, keep));
-        if let Err(e) = pruned.await {
-            log::warn!(error:% = e; "ledger not pruned");
-        }
-    }
-}
-
-async fn follow_retirements(node: &Node) {
-    let mut backoff = Backoff::default();
-    loop {
-        if let Err(e) = retire_when_asked(node).await {
-            log::debug!(error:% = e; "retirements not followed");
-            tokio::time::sleep(backoff.pause()).await;
-        }
-    }
-}
-
-/// Waits until the operator asks to empty this host, and empties it.
-async fn retire_when_asked(node: &Node) -> Result<(), foxwheel_platform::store::StoreError> {
-    let own = &node.settings.host;
-    let listing = node.store.list(retirement::KIND).await?;
-    let mut asked = listing
-        .objects
-        .iter()
-        .any(|object| object.name == *own && !retirement::is_completed(&object.status));
-    let mut revision = listing.revision;
-    while !asked {
-        let watched = node
-            .store
-            .watch(retirement::KIND, revision, RETIREMENT_WATCH)
-            .await?;
-        match watched {
-            Watched::HistoryGone => return Ok(()),
-            Watched::Changes {
-                changes,
-                revision: next,
-            } => {
-                revision = next;
-                asked = changes.iter().any(|change| {
-                    change.object.name == *own
-                        && !change.removed
-                        && !retirement::is_completed(&change.object.status)
-                });
-            }
-        }
-    }
-    log::info!(host = own; "asked to retire");
-    write_retirement(node, Progress::Running).await;
-    node.retiring.cancel();
-    while node.holds_jobs() {
-        tokio::time::sleep(SCHEDULE_EVERY).await;
-    }
-    write_retirement(node, Progress::Completed).await;
-    log::info!(host = own; "retired: nothing is held here");
-    node.leaving.cancelled().await;
-    Ok(())
-}
-
-async fn write_retirement(node: &Node, progress: Progress) {
-    let write = Write::SetStatus {
-        kind: retirement::KIND.to_owned(),
-        name: node.settings.host.clone(),
-        status: retirement::encode(progress).to_string(),
-    };
-    let mut backoff = Backoff::default();
-    loop {
-        match node.store.write(&write).await {
-            Ok(Written::Done(_) | Written::Missing) => return,
-            Ok(Written::Conflict(_)) | Err(_) => tokio::time::sleep(backoff.pause()).await,
-        }
-    }
-}
-
-fn unix_now() -> Duration {
-    Duration::from_millis(time::unix_ms())
-}
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -12,6 +12,7 @@
 
 use crate::batch::item::{Ending, ItemResult, ItemSpec, ItemState, PartialOutput, RunEnd};
 use crate::placement;
+use crate::routes::Route;
 
 /// Wait before an item runs again after a run that did not count as a failure.
 const RERUN_PAUSE: Duration = Duration::from_millis(150);
@@ -19,6 +20,26 @@
 /// Wait before an item runs again after its server failed it; the fault may be short.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
+/// How long finished results of a job with more to run wait for others, so that one write
+/// stores several: a crash in this time costs their runs again.
+const STORE_AFTER: Duration = Duration::from_millis(2_500);
+
+/// The same when an item was given up: until that is stored, a worker that takes over
+/// would let the item fail as often again.
+const STORE_GIVE_UP_AFTER: Duration = Duration::from_millis(200);
+
+/// How long a route must be missing before its jobs are given up.
+const ROUTE_MISSING_FOR: Duration = Duration::from_secs(5);
+
+/// Whether what is left of a job may be given up: its route's retention time is over, or
+/// its route is gone. `known_for` is how long the configuration has been known here.
+pub fn is_overdue(route: Option<&Route>, age: Duration, known_for: Duration) -> bool {
+    match route {
+        Some(route) => !route.retention.is_zero() && age > route.retention,
+        None => age > ROUTE_MISSING_FOR && known_for > ROUTE_MISSING_FOR,
+    }
+}
+
 /// A job as it was accepted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -176,6 +197,18 @@
         })
     }
 
+    /// Whether it is time to store results, or to close a job that is whole.
+    pub fn should_store(&self, now: Instant, leaving: bool) -> bool {
+        let Some(since) = self.unstored_since else {
+            return self.is_listed();
+        };
+        let patience = match self.has_unstored_give_up() {
+            true => STORE_GIVE_UP_AFTER,
+            false => STORE_AFTER,
+        };
+        leaving || self.is_finished() || now.duration_since(since) >= patience
+    }
+
     /// Whether an item was given up and that is not stored yet.
     pub fn has_unstored_give_up(&self) -> bool {
         self.unstored()
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::batch::item::{Ending, ItemResult, ItemSpec, PartialOutput, RunEnd};
-use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use foxwheel_policy::batch::job::{self, JobProgress, JobSpec};
+use foxwheel_policy::routes::{Route, RouteKind};
 
 const MAX_FAILURES: u32 = 3;
 
-fn job(items: usize) -> JobSpec {
+fn job_of(items: usize) -> JobSpec {
     let item = |at: usize| ItemSpec {
         id: format!("item-{at}"),
         path: "/batch/item".to_owned(),
@@ -60,7 +61,7 @@
     ];
     for (end, expected) in cases {
         let now = Instant::now();
-        let mut progress = JobProgress::new(job(1));
+        let mut progress = JobProgress::new(job_of(1));
         progress.start(0);
         progress.run_ended(0, end, output(&[(1, "a")]), MAX_FAILURES, now);
         let ending = results(&progress).first().map(|result| result.ending);
@@ -80,7 +81,7 @@
 #[test]
 fn an_item_is_given_up_after_its_failures_and_not_for_broken_runs() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job(1));
+    let mut progress = JobProgress::new(job_of(1));
     for _ in 0..20 {
         progress.start(0);
         progress.run_ended(
@@ -110,7 +111,7 @@
 #[test]
 fn a_part_holds_at_least_one_result_and_no_more_than_fit() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job(4));
+    let mut progress = JobProgress::new(job_of(4));
     for item in 0..4 {
         progress.start(item);
         progress.run_ended(
@@ -128,7 +129,7 @@
 
 #[test]
 fn an_ended_job_runs_nothing_and_keeps_what_is_listed() {
-    let mut progress = JobProgress::new(job(2));
+    let mut progress = JobProgress::new(job_of(2));
     let listed = ItemResult {
         id: "item-1".to_owned(),
         ending: Ending::Completed,
@@ -175,7 +176,7 @@
     common::seeded(8, 120000, |u| {
         let items = 6;
         let mut parts = Parts::default();
-        let mut workers = vec![JobProgress::new(job(items)); 3];
+        let mut workers = vec![JobProgress::new(job_of(items)); 3];
         let mut seen: Vec<String> = Vec::new();
         let now = Instant::now() + Duration::from_secs(3_600);
         for _ in 0..STEPS {
@@ -236,7 +237,7 @@
             }
         }
         8 => {
-            *worker = JobProgress::new(job(items));
+            *worker = JobProgress::new(job_of(items));
             for (number, results) in parts.0.iter().enumerate() {
                 assert!(worker.take_part(number as u32, results.clone()));
             }
@@ -251,3 +252,63 @@
     }
     Ok(())
 }
+
+/// One write stores several results; one that was given up is not kept back, or a worker
+/// that takes over would let the item fail as often again.
+#[test]
+fn results_are_stored_together_and_give_ups_soon() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let mut progress = JobProgress::new(job_of(3));
+    assert!(!progress.should_store(at(60_000), true), "nothing to store");
+    progress.start(0);
+    progress.run_ended(0, RunEnd::Whole, output(&[(1, "a")]), 1, start);
+    assert!(!progress.should_store(at(2_400), false));
+    assert!(progress.should_store(at(2_500), false));
+    assert!(
+        progress.should_store(at(0), true),
+        "a leaving worker stores at once"
+    );
+    progress.start(1);
+    progress.run_ended(1, RunEnd::Impossible, PartialOutput::default(), 1, start);
+    assert!(progress.should_store(at(200), false));
+    progress.start(2);
+    progress.run_ended(2, RunEnd::Whole, output(&[(1, "a")]), 1, start);
+    assert!(
+        progress.should_store(start, false),
+        "nothing else is to come"
+    );
+}
+
+#[test]
+fn a_job_is_overdue_after_its_retention_or_without_its_route() {
+    let seconds = Duration::from_secs;
+    let retention = |retention| Route {
+        name: "batch".to_owned(),
+        host: "host.example".to_owned(),
+        path_prefix: "/batch/".to_owned(),
+        kind: RouteKind::Batch,
+        timeout: seconds(5),
+        target_latency: seconds(1),
+        priority: 2,
+        targets: Vec::new(),
+        max_attempts: 3,
+        resumable: false,
+        completion_target: seconds(18),
+        retention,
+        quota_tokens: 0,
+    };
+    let (kept, unlimited) = (retention(seconds(60)), retention(Duration::ZERO));
+    let cases = [
+        ("within its retention", Some(&kept), 60, 600, false),
+        ("past its retention", Some(&kept), 61, 600, true),
+        ("no retention", Some(&unlimited), 100_000, 600, false),
+        ("route gone", None, 10, 10, true),
+        ("route not yet known", None, 100, 2, false),
+        ("just submitted", None, 2, 600, false),
+    ];
+    for (name, route, age_s, known_s, overdue) in cases {
+        let is_overdue = job::is_overdue(route, seconds(age_s), seconds(known_s));
+        assert_eq!(is_overdue, overdue, "{name}");
+    }
+}
