A worker that reads another's job takes every part stored since its last look

Found by reading: a worker that had read a job early took one part per look, so after its runner had stored two more it answered the job without the last, and claims of closed jobs are told for 10 s only. Change: a look goes on until no part is left; when to look stands apart from the reading. Figures: worker_jobs::a_later_read_finds_every_part_stored_since answered 1 of 3 results before, 3 after.

--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -254,14 +254,14 @@
         let deadline = Instant::now() + LOAD_TIME;
         let workers = self.node.peers.workers(Instant::now());
         let known_parts = known_parts.max(ownership::known_parts(id, &workers));
-        while let Some(looked) = self.with(id, |entry| entry.look(known_parts, Instant::now())) {
-            let Some(number) = looked else {
+        let look = self.with(id, |entry| entry.should_look(known_parts, Instant::now()));
+        match look {
+            Some(true) => {
+                self.load_missing_parts(id, deadline).await?;
                 return Ok(true);
-            };
-            match self.store.load_part(id, number, deadline).await? {
-                Some(results) => self.take_part(id, number, results),
-                None => return Ok(true),
             }
+            Some(false) => return Ok(true),
+            None => {}
         }
         match self.store.load_progress(id, deadline).await? {
             Some(progress) => {
@@ -272,6 +272,18 @@
         }
     }
 
+    /// Takes every part that was stored since the last look; a caller may have read them
+    /// all from another worker.
+    async fn load_missing_parts(&self, id: &JobId, deadline: Instant) -> Result<(), JobStoreError> {
+        while let Some(number) = self.with(id, |entry| entry.next_part()).flatten() {
+            match self.store.load_part(id, number, deadline).await? {
+                Some(results) => self.take_part(id, number, results),
+                None => break,
+            }
+        }
+        Ok(())
+    }
+
     fn insert(&self, progress: JobProgress, held: bool) {
         {
             let mut entries = self.entries.lock().expect("jobs lock");
@@ -357,18 +369,20 @@
         (answer, Arc::clone(&self.listed))
     }
 
-    /// The part that a reader may be missing: one that is known to be stored, or, of a job
-    /// that another worker runs, the next one if the last look is a while ago.
-    fn look(&mut self, known_parts: u32, now: Instant) -> Option<u32> {
-        if self.progress.parts < known_parts {
-            return Some(self.progress.parts);
-        }
+    /// Whether a reader may be missing parts: some are known to be stored, or another
+    /// worker runs the job and the last look is a while ago.
+    fn should_look(&mut self, known_parts: u32, now: Instant) -> bool {
         let current = self.held || self.storing || self.progress.is_listed();
-        if current || now.duration_since(self.refreshed_at) < REFRESH_EVERY {
-            return None;
+        let stale = !current && now.duration_since(self.refreshed_at) >= REFRESH_EVERY;
+        if stale {
+            self.refreshed_at = now;
         }
-        self.refreshed_at = now;
-        Some(self.progress.parts)
+        stale || self.progress.parts < known_parts
+    }
+
+    /// The number of the next part, unless every result is listed.
+    fn next_part(&self) -> Option<u32> {
+        (!self.progress.is_listed()).then_some(self.progress.parts)
     }
 }
 
--- /dev/null
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -0,0 +1,139 @@
+//! A worker that reads a job which another worker runs.
+
+use std::net::{IpAddr, Ipv4Addr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxwheel_node::node::Node;
+use foxwheel_node::peer_calls::{ReadAnswer, ReadSpec};
+use foxwheel_node::settings::{NodeSettings, Role};
+use foxwheel_node::worker_jobs::WorkerJobs;
+use foxwheel_platform_emu::settings::PlatformSettings;
+use foxwheel_policy::batch::item::{Ending, ItemResult, ItemSpec};
+use foxwheel_policy::batch::job::JobSpec;
+use tokio_util::sync::CancellationToken;
+
+fn job(items: usize) -> JobSpec {
+    let item = |at: usize| ItemSpec {
+        id: format!("item-{at}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        tokens: 1,
+    };
+    JobSpec {
+        id: "job".to_owned(),
+        host: "host.example".to_owned(),
+        path: "/batch/job".to_owned(),
+        route: "batch".to_owned(),
+        submitted_unix: Duration::from_secs(1),
+        items: (0..items).map(item).collect(),
+    }
+}
+
+fn result(at: usize) -> ItemResult {
+    ItemResult {
+        id: format!("item-{at}"),
+        ending: Ending::Completed,
+        output: "text".to_owned(),
+    }
+}
+
+fn start(cancel: &CancellationToken) -> Arc<WorkerJobs> {
+    let (store_address, store) =
+        foxwheel_platform_emu::server::start(&PlatformSettings::for_test(), cancel.clone())
+            .expect("store starts");
+    actix_web::rt::spawn(store);
+    let settings = NodeSettings {
+        host: "worker-1".to_owned(),
+        role: Role::Worker,
+        availability_zone: "hall".to_owned(),
+        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        peer_ports: (7_660, 7_660),
+        seeds: Vec::new(),
+        caller_address: None,
+        readiness_address: None,
+        metrics_port: None,
+        store_address,
+        store_value_bytes: 1_048_576,
+        stop_grace: Duration::from_secs(8),
+        results_readable: Duration::from_secs(120),
+    };
+    WorkerJobs::new(Node::new(settings, cancel.clone()))
+}
+
+async fn listed(jobs: &WorkerJobs, known_parts: u32) -> usize {
+    let read = ReadSpec {
+        from: 0,
+        max_bytes: 1_000_000,
+        known_parts,
+        wait: Duration::ZERO,
+    };
+    match jobs.read(&"job".to_owned(), read).await {
+        ReadAnswer::Results { results, .. } => results.len(),
+        other => panic!("{other:?}"),
+    }
+}
+
+/// The worker read the job early; its runner stored several parts since, closed it and is
+/// told of no more. Every part that a caller may have read elsewhere must be answered.
+#[actix_web::test]
+async fn a_later_read_finds_every_part_stored_since() {
+    let cancel = CancellationToken::new();
+    let jobs = start(&cancel);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    jobs.store
+        .save_job(&job(3), deadline)
+        .await
+        .expect("stored");
+    assert_eq!(listed(&jobs, 0).await, 0);
+    for part in 0..3 {
+        let results = [result(part as usize)];
+        let id = "job".to_owned();
+        let stored = jobs.store.create_part(&id, part, &results).await;
+        stored.expect("stored");
+    }
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    assert_eq!(listed(&jobs, 0).await, 3);
+    cancel.cancel();
+}
+
+/// Another worker tells of parts: they are read at once, however fresh the last look is.
+#[actix_web::test]
+async fn parts_that_others_know_are_read_at_once() {
+    let cancel = CancellationToken::new();
+    let jobs = start(&cancel);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    jobs.store
+        .save_job(&job(3), deadline)
+        .await
+        .expect("stored");
+    assert_eq!(listed(&jobs, 0).await, 0);
+    for part in 0..2 {
+        let results = [result(part as usize)];
+        let id = "job".to_owned();
+        let stored = jobs.store.create_part(&id, part, &results).await;
+        stored.expect("stored");
+    }
+    assert_eq!(listed(&jobs, 2).await, 2);
+    cancel.cancel();
+}
+
+#[actix_web::test]
+async fn an_unknown_job_is_told_from_an_unreadable_one() {
+    let cancel = CancellationToken::new();
+    let jobs = start(&cancel);
+    let read = ReadSpec {
+        from: 0,
+        max_bytes: 1,
+        known_parts: 0,
+        wait: Duration::ZERO,
+    };
+    let answer = jobs.read(&"none".to_owned(), read).await;
+    assert_eq!(answer, ReadAnswer::NoSuchJob);
+    cancel.cancel();
+    // Without the store nothing can be said.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = jobs.read(&"other".to_owned(), read).await;
+    assert_eq!(answer, ReadAnswer::Unsure);
+}
