A large fleet's heartbeats are received whole and sent more rarely

Cause: read for CAPACITY.md: a heartbeat names every server in flight (15 B each) and was received into 2,800 B, so that from some 150 servers on every heartbeat would have been unreadable and all workers taken for dead; 740 servers would have made 440 KB/s to each process of a zone. Change: heartbeats of up to 64 KB are received; one of n packets is sent n times more rarely. Ruled out: leaving out claims or loads (a worker's jobs would be taken by others). Tests: peers::a_large_fleets_heartbeat_is_received_and_sent_more_rarely. Conclusion: the size is held, the bytes a second are not (docs/CAPACITY.md).

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -20,8 +20,12 @@
 /// Heartbeats within the zone for each one to other zones, whose bytes are priced.
 const LOCAL_PER_REMOTE: u64 = 12;
 
-/// Largest datagram: below the usual path limit, so that it is not split.
-const MAX_DATAGRAM_BYTES: usize = 1_400;
+/// Bytes of a heartbeat up to which the times above hold: one packet on the usual path. A
+/// larger one is sent as many times more rarely, so that the bytes a second stay bounded.
+const USUAL_BYTES: usize = 1_400;
+
+/// Largest datagram that can be received.
+const MAX_DATAGRAM_BYTES: usize = 65_535;
 
 /// Most addresses of others told in one heartbeat.
 const MAX_KNOWN: usize = 40;
@@ -40,7 +44,7 @@
 
 async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
     let own = node.settings.peer_address();
-    let mut buffer = vec![0; 2 * MAX_DATAGRAM_BYTES];
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let received = match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => &buffer[..length],
@@ -67,24 +71,37 @@
     let mut ticks = tokio::time::interval(LOCAL_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut sequence = 0;
+    let mut next_at = Instant::now();
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = node.load_alarm.notified() => {}
         }
+        let now = Instant::now();
+        if now < next_at {
+            continue;
+        }
         sequence += 1;
-        send_one(&node, &socket, sequence).await;
+        let bytes = send_one(&node, &socket, sequence).await;
+        next_at = now + pause_after(bytes);
     }
 }
 
-async fn send_one(node: &Node, socket: &UdpSocket, sequence: u64) {
+/// The least time until the next heartbeat after one of `bytes`.
+pub fn pause_after(bytes: usize) -> Duration {
+    let packets = bytes.div_ceil(USUAL_BYTES).max(1) as u32;
+    LOCAL_EVERY * (packets - 1)
+}
+
+/// Sends one heartbeat; answers its size.
+async fn send_one(node: &Node, socket: &UdpSocket, sequence: u64) -> usize {
     let now = Instant::now();
     let to_all = sequence % LOCAL_PER_REMOTE == 1;
     let addresses = node.peers.addresses(now);
     let beat = heartbeat(node, sequence, &addresses);
     let Ok(bytes) = postcard::to_stdvec(&beat) else {
         node.metrics.incr("heartbeat.unencodable");
-        return;
+        return 0;
     };
     for (addr, zone) in addresses {
         let local = zone.as_deref() == Some(node.settings.availability_zone.as_str());
@@ -93,6 +110,7 @@
             let _ = socket.send_to(&bytes, addr).await;
         }
     }
+    bytes.len()
 }
 
 fn heartbeat(
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use foxwheel_node::heartbeat;
 use foxwheel_node::peers::{Heartbeat, Peers, DEAD_AFTER};
 use foxwheel_node::settings::Role;
 
@@ -85,3 +86,25 @@
     let later = start + Duration::from_secs(61);
     assert!(peers.addresses(later).is_empty());
 }
+
+/// With 740 servers in flight a heartbeat takes 11 KB: it is still received whole, and sent
+/// more rarely.
+#[test]
+fn a_large_fleets_heartbeat_is_received_and_sent_more_rarely() {
+    let mut large = beat(2, 1, &[]);
+    large.loads = (0..740).map(|at| (format!("i-{at:010x}"), 8, 2)).collect();
+    let bytes = postcard::to_stdvec(&large).expect("it encodes");
+    assert!(
+        bytes.len() > 10_000 && bytes.len() < 65_000,
+        "{}",
+        bytes.len()
+    );
+    assert_eq!(
+        postcard::from_bytes::<Heartbeat>(&bytes).expect("it decodes"),
+        large
+    );
+    assert_eq!(heartbeat::pause_after(1_000), Duration::ZERO);
+    let pause = heartbeat::pause_after(bytes.len());
+    let bytes_per_s = bytes.len() as f64 / pause.as_secs_f64();
+    assert!(bytes_per_s < 80_000.0, "{bytes_per_s}");
+}
