--- a/crates/foxwheel-node/src/bin/foxwheel-front.rs
+++ b/crates/foxwheel-node/src/bin/foxwheel-front.rs
@@ -1,7 +1,7 @@
 //! The front process: answers callers on the users' platform.
 
 use foxwheel_core::{cli, shutdown, structured_log};
-use foxwheel_node::{drain, settings};
+use foxwheel_node::{process, settings};
 
 fn main() -> std::io::Result<()> {
     let settings: settings::NodeSettings = cli::server_settings(
@@ -12,5 +12,5 @@
         .enable_all()
         .build()?;
     structured_log::init(settings.host.clone());
-    runtime.block_on(async { drain::run_front(settings, shutdown::on_signal()).await })
+    runtime.block_on(async { process::run_front(settings, shutdown::on_signal()).await })
 }
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod attempt;
 pub mod batch_front;
-pub mod drain;
 pub mod event_stream;
 pub mod followers;
 pub mod front;
@@ -23,6 +22,7 @@
 pub mod peer_calls;
 pub mod peer_server;
 pub mod peers;
+pub mod process;
 pub mod relay;
 pub mod replies;
 pub mod result_store;
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 use foxwheel_core::keys;
 use foxwheel_http1::connection::{ConnectOptions, Connection, ExchangeError};
-use foxwheel_node::drain;
+use foxwheel_node::process;
 use foxwheel_node::settings::{NodeSettings, Role};
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_server_emu::server::{self, Server, Shape};
@@ -75,8 +75,8 @@
             runtime.block_on(async move {
                 let run = async {
                     match own.role {
-                        Role::Front => drain::run_front(own, told).await,
-                        Role::Worker => drain::run_worker(own, told).await,
+                        Role::Front => process::run_front(own, told).await,
+                        Role::Worker => process::run_worker(own, told).await,
                     }
                 };
                 tokio::select! {
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -312,3 +312,45 @@
         assert_eq!(is_overdue, overdue, "{name}");
     }
 }
+
+/// The end of a job against results on their way: from the moment a worker learns of the
+/// end it starts nothing, whatever runs end then, and parts stored meanwhile by any worker
+/// are still taken, once.
+#[test]
+fn an_end_races_results_and_loses_none() {
+    common::seeded(200, 2_000, |u| {
+        let items = 5;
+        let mut parts = Parts::default();
+        let mut workers = vec![JobProgress::new(job_of(items)); 2];
+        let now = Instant::now() + Duration::from_secs(3_600);
+        for _ in 0..60 {
+            let at = u.choose_index(workers.len())?;
+            if u.ratio(1, 20)? {
+                workers[at].ended = true;
+            }
+            let listed_before = parts.listed().len();
+            let runnable = workers[at].next_item(now);
+            assert!(
+                runnable.is_none() || !workers[at].ended,
+                "an ended job runs {runnable:?}"
+            );
+            step(u, &mut workers[at], &mut parts, items, now)?;
+            assert!(
+                parts.listed().len() >= listed_before,
+                "a listed result is gone"
+            );
+        }
+        for worker in &mut workers {
+            while let Some(results) = parts.0.get(worker.parts as usize) {
+                assert!(worker.take_part(worker.parts, results.clone()));
+            }
+            let listed: Vec<&str> = worker.listed.iter().map(|r| r.id.as_str()).collect();
+            assert_eq!(
+                listed,
+                parts.listed(),
+                "both list the same at the same positions"
+            );
+        }
+        Ok(())
+    });
+}
