The gateway places and retries through foxwheel-policy

Cause: the product's own gateway decided placement and retries by itself, beside the decisions of foxwheel-policy that the platform's processes use. Its placement took its own zone before any load: with the own zone full and another idle, a burst went on queueing at home. Agents now tell their slots, so that load is weighed as a share of them.

Ruled out: a second copy of the policy's rules in the gateway; waiting for a slot there (the agents keep the queue, so the least loaded host is taken whether or not it has a slot).

--- a/crates/foxwheel-agent/src/queue.rs
+++ b/crates/foxwheel-agent/src/queue.rs
@@ -278,6 +278,7 @@
     pub fn report(&self) -> LoadReport {
         let state = self.lock();
         LoadReport {
+            slots: state.limits.max_running,
             running_online: state.running_online,
             running_batch: state.running_batch,
             waiting_online: state.waiting_online.len() as u32,
--- a/crates/foxwheel-core/src/protocol.rs
+++ b/crates/foxwheel-core/src/protocol.rs
@@ -102,6 +102,9 @@
 /// An agent's view of its own queue, answered on `GET /load` and to control polls.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
+    /// Requests the backend runs at once; 0 before the agent was asked.
+    #[serde(default)]
+    pub slots: u32,
     /// Requests running on the backend, by class.
     pub running_online: u32,
     /// Batch requests running on the backend.
--- a/crates/foxwheel-gateway/src/answers.rs
+++ b/crates/foxwheel-gateway/src/answers.rs
@@ -89,7 +89,7 @@
     async fn resume(&mut self) -> Result<(), BrokenOff> {
         self.partial.clear();
         let counters = self.state.counters.clone();
-        self.outbound.exclude(self.answered.host.clone());
+        self.outbound.broke_off(self.answered.host.clone());
         self.outbound.resume_after(self.delivered);
         match self.outbound.send(&self.state, &self.worker).await {
             Ok(answered) if answered.response.status().is_success() => {
@@ -150,7 +150,7 @@
             return http::relayed_head(&answered.response).body(answer);
         }
         state.counters.incr("retried.broke_off");
-        outbound.exclude(answered.host);
+        outbound.broke_off(answered.host);
         answered = match outbound.send(state, worker).await {
             Ok(answered) => answered,
             Err(_) => {
--- a/crates/foxwheel-gateway/src/forwarding.rs
+++ b/crates/foxwheel-gateway/src/forwarding.rs
@@ -1,9 +1,8 @@
 //! Sending a request to a host of its deployment, and to another while that is safe.
 //!
-//! A request that no host received (connection refused, the agent draining or full) is
-//! tried on another host; one whose host broke off before answering only if it is
-//! idempotent. Each request has a fixed number of tries, shared with those that finish its
-//! answer ([`crate::answers`]).
+//! Whether a request may go to another host after a failed try is decided in
+//! [`foxwheel_policy::retry`]; the tries are shared with those that finish its answer
+//! ([`crate::answers`]).
 
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use foxwheel_core::http::{self, BackendResponse};
 use foxwheel_core::ids::{DeploymentName, HostId};
 use foxwheel_core::protocol::{self, RunState, REQUEST_ID_HEADER, RESUME_FROM_HEADER};
+use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 
 use crate::filters::Exchange;
 use crate::hosts::InFlight;
@@ -49,6 +49,16 @@
     pub in_flight: InFlight,
 }
 
+/// What became of one try at one host.
+enum Tried {
+    /// It answered.
+    Answered(BackendResponse),
+    /// It gave no answer within the caller's time.
+    TimedOut(SendFailure),
+    /// It gave no usable answer; the failure is for the caller if no other host answers.
+    Failed(AttemptOutcome, Option<SendFailure>),
+}
+
 /// A request on its way, with the hosts it has been tried on.
 pub struct Outbound {
     method: Method,
@@ -61,7 +71,7 @@
     timeout: Duration,
     /// Hosts it is not to be sent to again.
     excluded: Vec<HostId>,
-    tries_left: u32,
+    attempts: Attempts,
     /// Tokens the caller had before this request, if it resumes a stream itself.
     caller_has: usize,
 }
@@ -85,13 +95,18 @@
             idempotent: exchange.idempotent,
             timeout: Duration::from_millis(deployment.request_timeout_ms),
             excluded: Vec::new(),
-            tries_left: state.settings.max_attempts,
+            attempts: Attempts::new(exchange.idempotent, state.settings.max_attempts),
             caller_has: caller_has.unwrap_or(0),
         }
     }
 
-    /// Never sends to `host` again.
-    pub fn exclude(&mut self, host: HostId) {
+    /// Takes note that `host` broke off its answer; the request is not sent there again.
+    pub fn broke_off(&mut self, host: HostId) {
+        self.attempts.record(AttemptOutcome::Unknown);
+        self.exclude(host);
+    }
+
+    fn exclude(&mut self, host: HostId) {
         self.excluded.push(host);
     }
 
@@ -109,63 +124,80 @@
         worker: &WorkerState,
     ) -> Result<Answered, SendFailure> {
         let counters = &state.counters;
+        // A request whose tries were used up by broken answers is not sent once more.
+        let mut may_try = !self.attempts.may_have_run() || self.attempts.may_run_again();
         let mut broke_off = None;
-        while self.tries_left > 0 {
+        while may_try {
             let zone = &state.settings.zone;
             let picked = state
                 .hosts
                 .pick(&self.deployment, self.class, zone, &self.excluded);
             let Some(target) = picked else { break };
-            self.tries_left -= 1;
             let in_flight = InFlight::start(&target);
             let host = target.member.host;
-            let agent_addr = target.member.agent_addr;
-            match self.send_to(worker, &agent_addr).await {
-                Ok(response) => match http::run_state_of(&response) {
-                    Some(RunState::NotRun) => counters.incr("retried.not_run"),
-                    Some(RunState::Unknown) if self.idempotent => {
-                        counters.incr("retried.broke_off");
-                        broke_off = Some(forward_failed(&agent_addr, &"its backend broke off"));
-                    }
-                    Some(RunState::Unknown) | None => {
-                        return Ok(Answered {
-                            response,
-                            host,
-                            in_flight,
-                        })
-                    }
-                },
-                Err(e) if http::send_never_reached(&e) => {
-                    counters.incr("retried.never_reached");
+            let tried = self.try_host(worker, &target.member.agent_addr).await;
+            let (outcome, failure) = match tried {
+                Tried::Answered(response) => {
+                    return Ok(Answered {
+                        response,
+                        host,
+                        in_flight,
+                    })
                 }
-                Err(e) => {
-                    let failure = forward_failed(&agent_addr, &e);
-                    if !self.idempotent {
-                        counters.incr("failed.unknown");
-                        return Err(failure);
-                    }
-                    if matches!(e, SendRequestError::Timeout) {
-                        // The caller's time is spent.
-                        counters.incr("failed.timeout");
-                        return Err(failure);
-                    }
-                    counters.incr("retried.broke_off");
-                    broke_off = Some(failure);
+                Tried::TimedOut(failure) => {
+                    counters.incr("failed.timeout");
+                    return Err(failure);
                 }
+                Tried::Failed(outcome, failure) => (outcome, failure),
+            };
+            may_try = self.attempts.record(outcome) == NextStep::TryAnother;
+            if may_try {
+                counters.incr(match outcome {
+                    AttemptOutcome::NotSent => "retried.never_reached",
+                    AttemptOutcome::Rejected => "retried.not_run",
+                    AttemptOutcome::Failed | AttemptOutcome::Unknown => "retried.broke_off",
+                });
             }
+            broke_off = failure.or(broke_off);
             self.exclude(host);
         }
-        if let Some(failure) = broke_off {
-            counters.incr("failed.unknown");
-            return Err(failure);
+        if self.attempts.give_up() == NextStep::RefuseNotRun {
+            counters.incr("failed.not_run");
+            return Err(self.no_backend(state.settings.retry_after_s));
+        }
+        counters.incr("failed.unknown");
+        Err(broke_off.unwrap_or_else(|| forward_failed("", &"its hosts broke off")))
+    }
+
+    async fn try_host(&self, worker: &WorkerState, agent_addr: &str) -> Tried {
+        match self.send_to(worker, agent_addr).await {
+            Ok(response) => match http::run_state_of(&response) {
+                Some(RunState::NotRun) => Tried::Failed(AttemptOutcome::Rejected, None),
+                Some(RunState::Unknown) if self.idempotent => {
+                    let failure = forward_failed(agent_addr, &"its backend broke off");
+                    Tried::Failed(AttemptOutcome::Unknown, Some(failure))
+                }
+                Some(RunState::Unknown) | None => Tried::Answered(response),
+            },
+            Err(e) if http::send_never_reached(&e) => Tried::Failed(AttemptOutcome::NotSent, None),
+            Err(e) => {
+                let failure = forward_failed(agent_addr, &e);
+                match e {
+                    // The caller's time is spent.
+                    SendRequestError::Timeout if self.idempotent => Tried::TimedOut(failure),
+                    _ => Tried::Failed(AttemptOutcome::Unknown, Some(failure)),
+                }
+            }
         }
-        counters.incr("failed.not_run");
-        Err(SendFailure::NotRun(http::not_run(
+    }
+
+    fn no_backend(&self, retry_after_s: u64) -> SendFailure {
+        SendFailure::NotRun(http::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "no_backend",
             format!("no host of '{}' could take the request", self.deployment),
-            Some(state.settings.retry_after_s),
-        )))
+            Some(retry_after_s),
+        ))
     }
 
     fn send_to(&self, worker: &WorkerState, agent_addr: &str) -> awc::SendClientRequest {
--- a/crates/foxwheel-gateway/src/hosts.rs
+++ b/crates/foxwheel-gateway/src/hosts.rs
@@ -17,6 +17,7 @@
 use foxwheel_core::ids::{HostId, Version};
 use foxwheel_core::keys;
 use foxwheel_core::protocol::{LoadReport, Member, MemberState};
+use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_store::client::StoreClient;
 use foxwheel_store::reflector::Reflector;
 use tokio_util::sync::CancellationToken;
@@ -82,17 +83,30 @@
         liveness.missed
     }
 
-    /// The host's load for `class` if it takes work: lower is better.
-    fn load_if_live(&self, class: PriorityClass, max_missed: u32) -> Option<u32> {
+    /// Whether the host takes work.
+    fn is_live(&self, max_missed: u32) -> bool {
         let liveness = self.liveness.lock().expect("liveness lock");
-        let live = self.member.state == MemberState::Ready
+        self.member.state == MemberState::Ready
             && !liveness.report.draining
-            && liveness.missed < max_missed;
+            && liveness.missed < max_missed
+    }
+
+    /// What a choice of a host for work of `class` goes by. Batch work that runs does not
+    /// count: the agent preempts it for online requests.
+    fn candidate(&self, class: PriorityClass) -> Candidate {
+        let liveness = self.liveness.lock().expect("liveness lock");
         let online = self.in_flight.load(Ordering::Relaxed) + liveness.others_online;
-        live.then_some(match class {
-            PriorityClass::Online => online,
-            PriorityClass::Batch => online + liveness.report.waiting_batch,
-        })
+        let ahead = match class {
+            PriorityClass::Online => 0,
+            PriorityClass::Batch => liveness.report.waiting_batch,
+        };
+        Candidate {
+            id: self.member.host.clone(),
+            zone: self.member.zone.clone(),
+            slots: liveness.report.slots,
+            in_flight: online + ahead,
+            ..Candidate::default()
+        }
     }
 
     /// Whether the record's lease has run out by `now`.
@@ -137,8 +151,8 @@
         }
     }
 
-    /// Picks a live host of `deployment` for work of `class`, preferring `zone`, skipping
-    /// `excluded` hosts.
+    /// Picks a live host of `deployment` for work of `class` as seen from `zone`, skipping
+    /// `excluded` hosts. Agents keep a queue, so a busy host is picked if none is free.
     pub fn pick(
         &self,
         deployment: &str,
@@ -147,21 +161,24 @@
         excluded: &[HostId],
     ) -> Option<Target> {
         let table = self.by_deployment.read().expect("host table lock");
-        table
-            .get(deployment)?
+        let targets = table.get(deployment)?;
+        let candidates: Vec<Candidate> = targets
             .iter()
-            .filter(|t| !excluded.contains(&t.member.host))
-            .filter_map(|t| Some((t.load_if_live(class, self.max_missed)?, t)))
-            .min_by_key(|(load, t)| (t.member.zone != zone, *load, rand::random::<u16>()))
-            .map(|(_, t)| t.clone())
+            .filter(|target| target.is_live(self.max_missed))
+            .filter(|target| !excluded.contains(&target.member.host))
+            .map(|target| target.candidate(class))
+            .collect();
+        let draw = rand::random::<u32>() as usize;
+        let picked = placement::least_loaded(&candidates, zone, draw)?;
+        let at = targets
+            .binary_search_by(|target| target.member.host.cmp(&picked.id))
+            .ok()?;
+        Some(targets[at].clone())
     }
 
     /// Live hosts of `deployment` now.
     pub fn live_count(&self, deployment: &str) -> usize {
-        let is_live = |t: &&Target| {
-            t.load_if_live(PriorityClass::Online, self.max_missed)
-                .is_some()
-        };
+        let is_live = |target: &&Target| target.is_live(self.max_missed);
         let table = self.by_deployment.read().expect("host table lock");
         table
             .get(deployment)
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -24,7 +24,7 @@
     /// Online requests in flight at once before refusing with 429.
     #[serde(default = "default_online_max_in_flight")]
     pub online_max_in_flight: u32,
-    /// Backend attempts for a request that was not run, at most.
+    /// Hosts that may run one request, at most; those that say they did not are counted apart.
     #[serde(default = "default_max_attempts")]
     pub max_attempts: u32,
     /// A streamed answer of which nothing came for this long is resumed on another host, in
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -10,7 +10,7 @@
 use foxwheel_core::ids::{ServerId, Zone};
 
 /// What is known of one server at the time of a choice.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Candidate {
     /// The server.
     pub id: ServerId,
@@ -53,7 +53,7 @@
     own_zone: &str,
     draw: usize,
 ) -> Option<&'a Candidate> {
-    let best = least_cost(candidates, own_zone, draw)?;
+    let best = least_loaded(candidates, own_zone, draw)?;
     let limit = f64::from(best.slots) * (1.0 + ONLINE_QUEUE_SHARE);
     (f64::from(best.in_flight) < limit).then_some(best)
 }
@@ -73,7 +73,7 @@
     own_zone: &str,
     draw: usize,
 ) -> Option<&'a Candidate> {
-    let best = least_cost(candidates, own_zone, draw)?;
+    let best = least_loaded(candidates, own_zone, draw)?;
     let reserve = match best.slot_keeper {
         true => KEEPER_RESERVE,
         false => GUEST_RESERVE,
@@ -99,7 +99,9 @@
     share.min(candidate.own_batch)
 }
 
-fn least_cost<'a>(
+/// The server at which a request waits least, whether or not it has a slot: for callers
+/// whose servers keep a queue of their own and refuse when that is full. `draw` breaks ties.
+pub fn least_loaded<'a>(
     candidates: &'a [Candidate],
     own_zone: &str,
     draw: usize,
