--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -189,10 +189,15 @@
         self.servers.push(server);
     }
 
-    /// Writes a backend server's entry.
+    /// Writes the entry of a backend server of the service `model`.
     pub async fn list_server(&self, id: &str, addr: SocketAddr, state: &str) {
+        self.list_server_of("model", id, addr, state).await;
+    }
+
+    /// Writes a backend server's entry.
+    pub async fn list_server_of(&self, service: &str, id: &str, addr: SocketAddr, state: &str) {
         let entry = json!({
-            "service": "model", "addr": addr, "zone": "hall", "slots": 8, "state": state,
+            "service": service, "addr": addr, "zone": "hall", "slots": 8, "state": state,
         });
         let written = self.store.put(&format!("servers/{id}"), &entry, None).await;
         written.expect("entry written");
@@ -244,6 +249,21 @@
             .push(Process::start(settings, gate, &self.cancel));
     }
 
+    /// Kills every process and starts it again with the settings it had.
+    pub async fn restart_all(&mut self) {
+        for process in &self.processes {
+            process.kill();
+        }
+        let killed = std::mem::take(&mut self.processes);
+        while !killed.iter().all(Process::has_ended) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let restarted = killed
+            .into_iter()
+            .map(|old| Process::start(old.settings, old.gate, &self.cancel));
+        self.processes = restarted.collect();
+    }
+
     /// Settings of the process on host `number`, with a straight path to the store.
     pub fn settings_of(&self, number: u32, role: Role) -> NodeSettings {
         let ip_of = |host| IpAddr::V4(Ipv4Addr::new(127, 27, self.network, host));
