docs/SETTINGS.md is made from the settings types; every server prints its part

Cause: the settings of the processes stood in their types only; a page beside them would drift.

Ruled out: a generator of our own that parses sources; a page written by hand. Test: foxwheel-load settings_page (the page equals the types; every field has a meaning); it failed before the page was written.

--- a/crates/foxwheel-agent/src/settings.rs
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -1,5 +1,6 @@
 //! The agent's settings file.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::declarations::BackendKind;
@@ -7,7 +8,7 @@
 use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-agent`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct AgentSettings {
     /// Address to listen on, e.g. `127.0.0.1:7400`.
--- a/crates/foxwheel-core/src/cli.rs
+++ b/crates/foxwheel-core/src/cli.rs
@@ -1,11 +1,13 @@
 //! The command line shared by the long-running processes: `--settings FILE`,
-//! `--check-settings FILE`, `--version` and `--help`.
+//! `--check-settings FILE`, `--settings-page`, `--version` and `--help`.
 
 use std::path::PathBuf;
 
+use schemars::JsonSchema;
 use serde::de::DeserializeOwned;
 
 use crate::settings::{self, Check, SettingsError};
+use crate::settings_page;
 
 /// What a server process was asked to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -20,6 +22,8 @@
         /// The JSON settings file.
         settings: PathBuf,
     },
+    /// Print what each field of the settings means and exit.
+    SettingsPage,
     /// Print the version and exit.
     Version,
     /// Print the usage text and exit.
@@ -40,6 +44,7 @@
                 let settings = PathBuf::from(parser.value()?);
                 return Ok(Command::CheckSettings { settings });
             }
+            Long("settings-page") => return Ok(Command::SettingsPage),
             Short('V') | Long("version") => return Ok(Command::Version),
             Short('h') | Long("help") => return Ok(Command::Help),
             _ => return Err(arg.unexpected()),
@@ -54,10 +59,10 @@
 /// Reads the settings of the process `name` from the file its arguments name. Prints what
 /// was asked for and exits on the other options; prints every problem and exits with 2 on
 /// bad arguments or a refused file.
-pub fn server_settings<T: DeserializeOwned + Check>(name: &str, about: &str) -> T {
+pub fn server_settings<T: DeserializeOwned + Check + JsonSchema>(name: &str, about: &str) -> T {
     let usage = format!(
         "{about}\n\nusage: {name} --settings FILE.json\n       \
-         {name} --check-settings FILE.json | --version | --help"
+         {name} --check-settings FILE.json | --settings-page | --version | --help"
     );
     let load = |path: &PathBuf| {
         settings::load(path).unwrap_or_else(|e: SettingsError| refuse(name, &e.to_string()))
@@ -72,6 +77,7 @@
             let _: T = load(&settings);
             done("the settings are valid")
         }
+        Ok(Command::SettingsPage) => done(&settings_page::section::<T>(name)),
         Ok(Command::Version) => done(&format!("{name} {}", env!("CARGO_PKG_VERSION"))),
         Ok(Command::Help) => done(&usage),
         Err(e) => refuse(name, &format!("{e}\n{usage}")),
--- a/crates/foxwheel-core/src/declarations.rs
+++ b/crates/foxwheel-core/src/declarations.rs
@@ -4,13 +4,14 @@
 //! gateways read the applied objects from the platform store. Rules are tried in order and
 //! the first that matches decides.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{DeploymentName, ModelName, Zone};
 use crate::settings::{Check, Problems};
 
 /// What kind of back end a deployment serves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum BackendKind {
     /// Model engines with an OpenAI-compatible API.
--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod keys;
 pub mod protocol;
 pub mod settings;
+pub mod settings_page;
 pub mod shutdown;
 pub mod structured_log;
 pub mod telemetry;
--- a/crates/foxwheel-engine-emu/src/settings.rs
+++ b/crates/foxwheel-engine-emu/src/settings.rs
@@ -1,12 +1,13 @@
 //! The engine emulator's settings file.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::ids::ModelName;
 use foxwheel_core::settings::{Check, Problems};
 
 /// What the engine does with an order whose fencing number is older than one it has seen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum FencingMode {
     /// Refuses it with 409.
@@ -16,7 +17,7 @@
 }
 
 /// How a stream breaks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Break {
     /// The connection is closed in the middle of the answer.
@@ -28,7 +29,7 @@
 }
 
 /// Faults of the engine, set at start or by `POST /faults`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct EngineFaults {
     /// Breaks every answer, streamed or whole, in this way.
@@ -40,7 +41,7 @@
 }
 
 /// Settings of `foxwheel-engine-emu`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct EngineSettings {
     /// Address to listen on, e.g. `127.0.0.1:7300`.
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -1,12 +1,13 @@
 //! The gateway's settings file.
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::ids::Zone;
 use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-gateway`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct GatewaySettings {
     /// Address to listen on, e.g. `127.0.0.1:7000`.
--- /dev/null
+++ b/crates/foxwheel-load/tests/settings_page.rs
@@ -0,0 +1,48 @@
+//! `docs/SETTINGS.md` says what the processes read.
+
+use foxwheel_agent::settings::AgentSettings;
+use foxwheel_core::settings_page;
+use foxwheel_engine_emu::settings::EngineSettings;
+use foxwheel_gateway::settings::GatewaySettings;
+use foxwheel_node::settings::NodeSettings;
+use foxwheel_platform_emu::settings::PlatformSettings;
+use foxwheel_service_emu::ServiceSettings;
+
+const HEAD: &str = "# Settings
+
+Every process reads one JSON object from the file given with `--settings`; fields that it does
+not know are refused. Each section is what the process prints for `--settings-page`; the page
+is made from the types by `FOXWHEEL_WRITE_PAGES=1 cargo test -p foxwheel-load --test
+settings_page`.
+";
+
+fn page() -> String {
+    let sections = [
+        settings_page::section::<NodeSettings>("foxwheel-front and foxwheel-worker"),
+        settings_page::section::<GatewaySettings>("foxwheel-gateway"),
+        settings_page::section::<AgentSettings>("foxwheel-agent"),
+        settings_page::section::<PlatformSettings>("foxwheel-platform-emu"),
+        settings_page::section::<EngineSettings>("foxwheel-engine-emu"),
+        settings_page::section::<ServiceSettings>("foxwheel-service-emu"),
+    ];
+    format!("{HEAD}\n{}", sections.join("\n"))
+}
+
+#[test]
+fn the_page_is_made_from_the_types() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/SETTINGS.md");
+    if std::env::var_os("FOXWHEEL_WRITE_PAGES").is_some() {
+        std::fs::write(path, page()).expect("the page is written");
+    }
+    let written = std::fs::read_to_string(path).unwrap_or_default();
+    assert_eq!(written, page(), "docs/SETTINGS.md is out of date");
+}
+
+#[test]
+fn every_field_has_a_meaning() {
+    let rows = page();
+    let rows = rows.lines().filter(|line| line.starts_with("| `"));
+    for row in rows {
+        assert!(!row.ends_with("|  |"), "no doc comment: {row}");
+    }
+}
--- a/crates/foxwheel-node/src/settings.rs
+++ b/crates/foxwheel-node/src/settings.rs
@@ -5,11 +5,12 @@
 
 use foxwheel_core::ids::{NodeId, Zone};
 use foxwheel_core::settings::{Check, Problems};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
 /// What a process does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Role {
     /// Answers callers.
@@ -20,7 +21,7 @@
 
 /// Settings of a front or worker; a JSON object.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name of the host; unique in the fleet.
--- a/crates/foxwheel-platform-emu/src/settings.rs
+++ b/crates/foxwheel-platform-emu/src/settings.rs
@@ -2,12 +2,13 @@
 
 use std::path::PathBuf;
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-platform-emu`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct PlatformSettings {
     /// Address to listen on, e.g. `127.0.0.1:7100`.
--- a/crates/foxwheel-service-emu/src/lib.rs
+++ b/crates/foxwheel-service-emu/src/lib.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_web::{web, HttpRequest, HttpResponse};
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use tokio_util::sync::CancellationToken;
 
@@ -19,7 +20,7 @@
 use foxwheel_core::settings::{Check, Problems};
 
 /// Settings of `foxwheel-service-emu`.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct ServiceSettings {
     /// Address to listen on.
