Batch fills all but an eighth of a server's slots; servers of one or two take it too

Cause: two slots of every server were kept free of batch items whatever its size. A server with one or two slots never took a batch item at all (an item would have waited for ever), and one of seven left a third of its trough capacity unused.

The reserve is now an eighth of the slots, one at least, and none where there is a single one; half of them, as before, where another worker gives the slots out.

Tests: placement::idle_servers_of_every_size_take_batch_items failed at one slot before. The figures of batch_items_leave_the_reserve_free... follow the new reserve (7 of 8 instead of 6); it checks as strictly.

--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -58,13 +58,24 @@
     (f64::from(best.in_flight) < limit).then_some(best)
 }
 
-/// Slots of a server that batch items leave free for online requests that come before the
-/// next look at its load.
-const KEEPER_RESERVE: u32 = 2;
+/// Share of a server's slots that batch items leave free for online requests that come before
+/// the next look at its load; one slot at least.
+const KEEPER_RESERVE: f64 = 1.0 / 8.0;
 
 /// The same at a server whose batch slots another worker gives out: workers that see one
 /// free slot there would all fill it before they hear of each other.
-const GUEST_RESERVE: u32 = 4;
+const GUEST_RESERVE: f64 = 1.0 / 2.0;
+
+/// Slots that batch items leave free at a server. A server with a single slot has none to
+/// spare: batch items run there while it is idle.
+fn reserve(candidate: &Candidate) -> u32 {
+    let share = match candidate.slot_keeper {
+        true => KEEPER_RESERVE,
+        false => GUEST_RESERVE,
+    };
+    let reserve = (f64::from(candidate.slots) * share).ceil() as u32;
+    reserve.min(candidate.slots.saturating_sub(1))
+}
 
 /// Picks the server for a batch item: one with a slot that online work leaves free and the
 /// reserve besides. None when there is none; the item waits.
@@ -74,11 +85,7 @@
     draw: usize,
 ) -> Option<&'a Candidate> {
     let best = least_loaded(candidates, own_zone, draw)?;
-    let reserve = match best.slot_keeper {
-        true => KEEPER_RESERVE,
-        false => GUEST_RESERVE,
-    };
-    let usable = !best.suspect && best.in_flight + reserve < best.slots;
+    let usable = !best.suspect && best.in_flight + reserve(best) < best.slots;
     usable.then_some(best)
 }
 
