Results that wait for others are stored before their job is due

Cause: a finished item's result waits up to 2.5 s for others, so that one write stores several. An item that ended 1 s before its job was due was listed 1.5 s after it.

Now such results are stored 0.6 s before the due time. Ruled out: storing each result at once (a call for each item).

Test: batch_job::results_are_stored_before_their_job_is_due (written with the change).

--- a/crates/foxwheel-node/src/worker.rs
+++ b/crates/foxwheel-node/src/worker.rs
@@ -282,11 +282,14 @@
         let leaving = self.leaving_since.is_some();
         let mut due = Vec::new();
         self.jobs.each_held(|entry| {
+            let mut nearly_due = false;
             if let Some(config) = &config {
                 let known_for = now.duration_since(self.started_at);
                 give_up_overdue(entry, config, known_for, now);
+                nearly_due = entry.progress.is_nearly_due(due_in(entry, config));
             }
-            if entry.progress.should_store(now, leaving) && !entry.storing {
+            let store = nearly_due || entry.progress.should_store(now, leaving);
+            if store && !entry.storing {
                 entry.storing = true;
                 due.push(entry.progress.spec.id.clone());
             }
@@ -442,6 +445,14 @@
         .filter(|route| route.kind == RouteKind::Batch)
 }
 
+/// How long until a job's results are due; zero when they are.
+fn due_in(entry: &JobEntry, config: &Config) -> Duration {
+    let spec = &entry.progress.spec;
+    let target = batch_route(config, &spec.host, &spec.path).map(|route| route.completion_target);
+    let due_unix = spec.submitted_unix + target.unwrap_or_default();
+    due_unix.saturating_sub(ledger_follower::unix_now())
+}
+
 /// Gives up what may be given up.
 fn give_up_overdue(entry: &mut JobEntry, config: &Config, known_for: Duration, now: Instant) {
     let spec = &entry.progress.spec;
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -24,6 +24,10 @@
 /// stores several: a crash in this time costs their runs again.
 const STORE_AFTER: Duration = Duration::from_millis(2_500);
 
+/// How long before a job is due its finished results wait no longer for others: a slow store
+/// takes a quarter of a second, and a reader looks about twice a second.
+const STORE_BEFORE_DUE: Duration = Duration::from_millis(600);
+
 /// The same when an item was given up: until that is stored, a worker that takes over
 /// would let the item fail as often again.
 const STORE_GIVE_UP_AFTER: Duration = Duration::from_millis(200);
@@ -215,6 +219,13 @@
         leaving || self.is_finished() || now.duration_since(since) >= patience
     }
 
+    /// Whether results must be stored now so that they are listed when the job is due, which
+    /// it is in `due_in`. False when it is due already.
+    pub fn is_nearly_due(&self, due_in: Duration) -> bool {
+        let nearly = !due_in.is_zero() && due_in <= STORE_BEFORE_DUE;
+        nearly && self.unstored_since.is_some()
+    }
+
     /// Whether an item was given up and that is not stored yet.
     pub fn has_unstored_give_up(&self) -> bool {
         self.unstored()
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -280,6 +280,21 @@
     );
 }
 
+/// A result that waits for others is stored before its job is due, so that a reader finds
+/// it in time; behind that there is no hurry any more.
+#[test]
+fn results_are_stored_before_their_job_is_due() {
+    let now = Instant::now();
+    let seconds = Duration::from_secs_f64;
+    let mut progress = JobProgress::new(job_of(2));
+    assert!(!progress.is_nearly_due(seconds(0.1)), "nothing to store");
+    progress.start(0);
+    progress.run_ended(0, RunEnd::Whole, output(&[(1, "a")]), 1, now);
+    assert!(!progress.is_nearly_due(seconds(2.0)));
+    assert!(progress.is_nearly_due(seconds(0.5)));
+    assert!(!progress.is_nearly_due(Duration::ZERO));
+}
+
 #[test]
 fn a_job_is_overdue_after_its_retention_or_without_its_route() {
     let seconds = Duration::from_secs;
