Typed metric names, outcomes of requests, foxwheel-ctl burn

Cause: the burn report read the load tool's figures only, streams were counted neither as served nor as late, refusals not by reason, and names stood as strings at each use.

Every name stands in core::metric_names; requests are counted by kind and outcome (on time, late, refused, failed), refusals by reason. foxwheel-ctl burn sums what GET /metrics of the fronts answered.

Ruled out: counters by route (a configuration may hold 1,400 routes); a second parser of metrics.

Tests: node/metrics_contract (each request counted once by what became of it; every name in docs/OPERATIONS.md, which failed first; burn over several processes).

--- a/crates/foxwheel-core/src/lib.rs
+++ b/crates/foxwheel-core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod http;
 pub mod ids;
 pub mod keys;
+pub mod metric_names;
 pub mod protocol;
 pub mod settings;
 pub mod settings_page;
--- a/crates/foxwheel-ctl/src/args.rs
+++ b/crates/foxwheel-ctl/src/args.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use crate::CtlError;
+use crate::{burn, CtlError};
 
 /// The usage text.
 pub const USAGE: &str = "usage: foxwheel-ctl [--store URL] [--gateway URL] COMMAND
@@ -17,6 +17,9 @@
   batch results ID        print a job's results as JSON lines
   explain ID LOG...       tell what became of a request, item or job, and why,
                           from the logs of several processes
+  burn [--target SHARE] METRICS...
+                          how fast online requests spend their error budget, from
+                          files of what GET /metrics of each front answered
 
 defaults: --store http://127.0.0.1:7100 --gateway http://127.0.0.1:7000";
 
@@ -34,7 +37,7 @@
 }
 
 /// A parsed command.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Command {
     /// `apply -f FILE`.
     Apply(PathBuf),
@@ -57,12 +60,21 @@
         /// Log files.
         logs: Vec<PathBuf>,
     },
+    /// `burn METRICS...`.
+    Burn {
+        /// Share of requests that must be on time.
+        target: f64,
+        /// Files of metrics.
+        files: Vec<PathBuf>,
+    },
     /// `--help`.
     Help,
+    /// `--version`.
+    Version,
 }
 
 /// The whole command line.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Args {
     /// The platform store's base URL.
     pub store_url: String,
@@ -84,12 +96,19 @@
     let mut gateway_url = "http://127.0.0.1:7000".to_owned();
     let mut file: Option<PathBuf> = None;
     let mut words: Vec<String> = Vec::new();
+    let mut target = burn::DEFAULT_TARGET;
     let bad = |e: lexopt::Error| usage(e.to_string());
     while let Some(arg) = parser.next().map_err(bad)? {
         match arg {
             Long("store") => store_url = parser.value().map_err(bad)?.string().map_err(bad)?,
             Long("gateway") => gateway_url = parser.value().map_err(bad)?.string().map_err(bad)?,
             Short('f') | Long("file") => file = Some(PathBuf::from(parser.value().map_err(bad)?)),
+            Long("target") => {
+                target = parser.value().map_err(bad)?.parse().map_err(bad)?;
+                if !(0.0..1.0).contains(&target) {
+                    return Err(usage("--target must be at least 0 and below 1"));
+                }
+            }
             Short('h') | Long("help") => {
                 return Ok(Args {
                     store_url,
@@ -97,6 +116,13 @@
                     command: Command::Help,
                 })
             }
+            Short('V') | Long("version") => {
+                return Ok(Args {
+                    store_url,
+                    gateway_url,
+                    command: Command::Version,
+                })
+            }
             Value(word) => words.push(word.string().map_err(bad)?),
             _ => return Err(bad(arg.unexpected())),
         }
@@ -121,6 +147,11 @@
             id: (*id).to_owned(),
             logs: logs.iter().map(PathBuf::from).collect(),
         },
+        ["burn", files @ ..] if !files.is_empty() => Command::Burn {
+            target,
+            files: files.iter().map(PathBuf::from).collect(),
+        },
+        ["burn"] => return Err(usage("burn needs files of metrics")),
         ["explain", ..] => return Err(usage("explain needs an id and log files")),
         [] => return Err(usage("no command given")),
         other => return Err(usage(format!("unknown command `{}`", other.join(" ")))),
--- a/crates/foxwheel-ctl/src/lib.rs
+++ b/crates/foxwheel-ctl/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! [`args`] parses the command line, [`apply`] applies, diffs and reads declarations in the
 //! platform store with conditional updates, [`batch`] calls a gateway's batch API, and
-//! [`explain`] tells what became of a request from the processes' logs.
+//! [`explain`] tells what became of a request from the processes' logs, and [`burn`] how fast
+//! the error budget is spent from their metrics.
 
 pub mod apply;
 pub mod args;
 pub mod batch;
+pub mod burn;
 pub mod explain;
 
 /// Why a command failed; the message is printed and the exit code is non-zero.
@@ -29,7 +31,7 @@
         /// Its version now.
         current_version: u64,
     },
-    /// A log file could not be read.
+    /// A log or metrics file could not be read.
     #[error("cannot read {path}: {source}")]
     File {
         /// The file's path as given.
--- a/crates/foxwheel-ctl/src/main.rs
+++ b/crates/foxwheel-ctl/src/main.rs
@@ -2,13 +2,15 @@
 
 use foxwheel_core::keys;
 use foxwheel_ctl::args::{self, Command, Kind};
-use foxwheel_ctl::{apply, batch::GatewayClient, explain, CtlError};
+use foxwheel_ctl::{apply, batch::GatewayClient, burn, explain, CtlError};
 use foxwheel_store::client::StoreClient;
 
 async fn run(args: args::Args) -> Result<(), CtlError> {
     let store = StoreClient::new(&args.store_url);
     let gateway = GatewayClient::new(&args.gateway_url);
     match args.command {
+        Command::Version => println!("foxwheel-ctl {}", env!("CARGO_PKG_VERSION")),
+        Command::Burn { target, files } => print!("{}", burn::report(target, &files)?),
         Command::Help => println!("{}", args::USAGE),
         Command::Diff(path) => {
             let manifest = apply::read_manifest(&path)?;
--- a/crates/foxwheel-load/src/args.rs
+++ b/crates/foxwheel-load/src/args.rs
@@ -65,6 +65,8 @@
     },
     /// `--help`.
     Help,
+    /// `--version`.
+    Version,
 }
 
 /// Parses the arguments after the program name.
@@ -88,6 +90,7 @@
             }
             Long("calls") => calls = parser.value()?.parse()?,
             Short('h') | Long("help") => return Ok(Command::Help),
+            Short('V') | Long("version") => return Ok(Command::Version),
             _ => return Err(arg.unexpected()),
         }
     }
--- a/crates/foxwheel-load/src/main.rs
+++ b/crates/foxwheel-load/src/main.rs
@@ -75,6 +75,7 @@
 async fn execute(command: Command) -> Result<bool, Failure> {
     match command {
         Command::Help => println!("{}", args::USAGE),
+        Command::Version => println!("foxwheel-load {}", env!("CARGO_PKG_VERSION")),
         Command::Run { experiment, out } => return run_experiment(&experiment, &out).await,
         Command::Sweep { sweep, out } => run_sweep(&sweep, &out).await?,
         Command::Fit { rows, y, xs } => print_fit(&rows, &y, &xs)?,
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foxwheel_core::ids::{RequestId, ServerId};
+use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::connection::{Connection, ExchangeError, RequestBody};
 use foxwheel_platform::online::{self, AnswerHead};
 use foxwheel_policy::retry::AttemptOutcome;
@@ -94,7 +95,7 @@
     let exchange = async {
         let mut lease = node.pool.take(addr).await?;
         if lease.is_new {
-            node.metrics.incr("server.connections");
+            node.metrics.incr(Counter::ServerConnection);
         }
         let response = lease.connection.send(request).await?;
         Ok::<_, ExchangeError>((lease.connection, response))
--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_core::metric_names::{Counter, Timer};
 use foxwheel_core::time;
 use foxwheel_platform::batch_api::{self, JobCall};
 use foxwheel_platform::online::CallerRequest;
@@ -87,15 +88,15 @@
         match accepted {
             Ok(Admission::OverQuota) => {
                 log::warn!(request_id = job.id, route = route.name, quota_tokens = route.quota_tokens, tokens = job.tokens(), took_ms; "job refused: over quota");
-                self.node.metrics.incr("batch.over_quota");
+                self.node.metrics.incr(Counter::JobOverQuota);
                 replies::not_run(StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER)
             }
             Ok(admission) => {
                 log::info!(request_id = job.id, route = route.name, admission:? = admission, tokens = job.tokens(), took_ms; "job accepted");
-                self.node.metrics.incr("batch.accepted");
+                self.node.metrics.incr(Counter::JobAccepted);
                 self.node
                     .metrics
-                    .time("batch.accept", received_at.elapsed());
+                    .time(Timer::JobAccept, received_at.elapsed());
                 if admission == Admission::Accepted {
                     self.hand_over(job);
                 }
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_core::metric_names::{Counter, RefusalReason};
 use foxwheel_platform::batch_api;
 use foxwheel_platform::online as wire;
 use foxwheel_policy::routes::{CallerLimits, Config, RouteKind};
@@ -125,16 +126,26 @@
         reply
     }
 
+    /// Refuses a request before its route is known.
+    fn refuse(
+        &self,
+        caller: &wire::CallerRequest,
+        reason: RefusalReason,
+        after: Duration,
+    ) -> Reply {
+        log::warn!(request_id = caller.id, reason = reason.text(); "request refused");
+        self.node.metrics.incr(Counter::Refused(reason));
+        replies::not_run(StatusCode::SERVICE_UNAVAILABLE, after)
+    }
+
     async fn route(&self, request: Request<Incoming>, received_at: Instant) -> Reply {
         let (head, body) = request.into_parts();
         let caller = wire::decode_request(&head);
         if self.stop.refuse.is_cancelled() {
-            log::warn!(request_id = caller.id; "request refused: the front is stopping");
-            return replies::not_run(StatusCode::SERVICE_UNAVAILABLE, STOPPING_RETRY_AFTER);
+            return self.refuse(&caller, RefusalReason::Stopping, STOPPING_RETRY_AFTER);
         }
         let Some(config) = self.node.config() else {
-            log::warn!(request_id = caller.id; "request refused: no configuration yet");
-            return replies::not_run(StatusCode::SERVICE_UNAVAILABLE, UNINFORMED_RETRY_AFTER);
+            return self.refuse(&caller, RefusalReason::Uninformed, UNINFORMED_RETRY_AFTER);
         };
         if head_bytes(&head) > config.limits.header_bytes {
             log::warn!(request_id = caller.id, bytes = head_bytes(&head); "request refused: head too large");
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foxwheel_core::metric_names::Counter;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
@@ -55,7 +56,7 @@
             }
         };
         let Ok(beat) = postcard::from_bytes::<Heartbeat>(received) else {
-            node.metrics.incr("heartbeat.unreadable");
+            node.metrics.incr(Counter::HeartbeatUnreadable);
             continue;
         };
         let host = beat.host.clone();
@@ -100,7 +101,7 @@
     let addresses = node.peers.addresses(now);
     let beat = heartbeat(node, sequence, &addresses);
     let Ok(bytes) = postcard::to_stdvec(&beat) else {
-        node.metrics.incr("heartbeat.unencodable");
+        node.metrics.incr(Counter::HeartbeatUnencodable);
         return 0;
     };
     for (addr, zone) in addresses {
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
+use foxwheel_core::metric_names::Counter;
 use foxwheel_platform::online::{self, Attempt};
 use foxwheel_policy::batch::item::{ItemSpec, PartialOutput, RunEnd};
 use foxwheel_policy::retry::AttemptOutcome;
@@ -60,9 +61,9 @@
     let took_ms = started.elapsed().as_millis() as u64;
     log::info!(request_id = item.id, job, server, end:? = end, reason, resumed_after, last_event = partial.last_event_id, took_ms; "item run ended");
     node.metrics.incr(match end {
-        RunEnd::Whole => "batch.runs_whole",
-        RunEnd::Preempted => "batch.runs_preempted",
-        _ => "batch.runs_failed",
+        RunEnd::Whole => Counter::RunWhole,
+        RunEnd::Preempted => Counter::RunPreempted,
+        _ => Counter::RunFailed,
     });
     (end, partial)
 }
--- a/crates/foxwheel-node/src/metrics.rs
+++ b/crates/foxwheel-node/src/metrics.rs
@@ -5,6 +5,7 @@
 
 use cadence::prelude::*;
 use cadence::{MetricSink, StatsdClient};
+use foxwheel_core::metric_names::{self, Counter, Timer};
 use hdrhistogram::Histogram;
 
 /// Totals and histograms by name, fed with statsd lines by cadence.
@@ -78,7 +79,10 @@
     fn default() -> Self {
         let registry = Registry::default();
         Self {
-            client: Arc::new(StatsdClient::from_sink("foxwheel", registry.clone())),
+            client: Arc::new(StatsdClient::from_sink(
+                metric_names::PREFIX,
+                registry.clone(),
+            )),
             registry,
         }
     }
@@ -86,14 +90,14 @@
 
 impl Metrics {
     /// Counts one event.
-    pub fn incr(&self, name: &str) {
+    pub fn incr(&self, counter: Counter) {
         // The sink is in memory and cannot fail.
-        let _ = self.client.incr(name);
+        let _ = self.client.incr(&counter.name());
     }
 
     /// Records how long something took.
-    pub fn time(&self, name: &str, took: Duration) {
-        let _ = self.client.time(name, took);
+    pub fn time(&self, timer: Timer, took: Duration) {
+        let _ = self.client.time(timer.name(), took);
     }
 
     /// Every counter and histogram, one a line.
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use foxwheel_core::metric_names::{Counter, RequestOutcome, Timer};
 use foxwheel_platform::online;
 use foxwheel_policy::retry::{AttemptOutcome, NextStep};
 use foxwheel_policy::routes::RouteKind;
@@ -21,23 +22,24 @@
     let opened = request.open(&node).await;
     let answered = match opened {
         Ok(answer) if request.route.kind == RouteKind::Stream => {
-            node.metrics
-                .time("online.first_answer", request.received_at.elapsed());
-            return stream_reply(node, request, answer);
+            return stream_reply(node, request, answer)
         }
         Ok(answer) => whole_reply(&node, &mut request, answer).await,
         Err(refusal) => Err(refusal),
     };
     match answered {
         Ok(reply) => {
-            node.metrics.incr("online.served");
+            request.count(&node, served_outcome(request.is_on_time()));
             node.metrics
-                .time("online.first_answer", request.received_at.elapsed());
+                .time(Timer::FirstAnswer, request.received_at.elapsed());
             reply
         }
         Err(refusal) => {
             request.log_refusal(&refusal);
-            node.metrics.incr("online.not_served");
+            request.count(&node, refusal_outcome(&refusal));
+            if let Refusal::NotRun { reason, .. } = &refusal {
+                node.metrics.incr(Counter::Refused(*reason));
+            }
             refusal_reply(
                 refusal,
                 Instant::now() + LEAST_TIME_LEFT >= request.answer_by,
@@ -46,6 +48,21 @@
     }
 }
 
+/// The outcome of a request that was answered whole.
+pub fn served_outcome(on_time: bool) -> RequestOutcome {
+    match on_time {
+        true => RequestOutcome::OnTime,
+        false => RequestOutcome::Late,
+    }
+}
+
+fn refusal_outcome(refusal: &Refusal) -> RequestOutcome {
+    match refusal {
+        Refusal::NotRun { .. } => RequestOutcome::Refused,
+        Refusal::Failed { .. } => RequestOutcome::Failed,
+    }
+}
+
 fn stream_reply(node: Arc<Node>, request: OnlineRequest, answer: OpenAnswer) -> Reply {
     let status = answer.head.status;
     let mut headers = online::caller_headers(&answer.head.headers);
@@ -71,7 +88,8 @@
                 let head = answer.head.clone();
                 answer.finish();
                 let age_ms = request.received_at.elapsed().as_millis() as u64;
-                log::info!(request_id = request.caller.id, server, age_ms; "request served");
+                let (in_flight, slots) = request.seen_load();
+                log::info!(request_id = request.caller.id, server, in_flight, slots, age_ms; "request served");
                 return Ok(pass_on(WholeAnswer { head, body }));
             }
             Err(reason) => {
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use foxwheel_core::ids::{ServerId, ServiceName};
+use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
 use foxwheel_policy::placement;
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
@@ -53,12 +54,23 @@
     pub answer_by: Instant,
     /// When its head was read.
     pub received_at: Instant,
+    /// What was known of the server that was chosen last, when it was chosen.
+    pub choice: Option<Choice>,
     head: request::Parts,
     body: Bytes,
     /// Servers that were tried.
     pub tried: Vec<ServerId>,
 }
 
+/// What was known of a server when it was chosen.
+#[derive(Debug, Clone, Copy)]
+pub struct Choice {
+    /// Requests in flight there, those that peers last told included.
+    pub in_flight: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
 enum Placed {
     At(InFlight),
     Full,
@@ -82,6 +94,7 @@
             caller_gives_up_at: received_at + time_limit,
             answer_by: received_at + time_limit.min(route.timeout),
             tried: Vec::new(),
+            choice: None,
             caller,
             route,
             service,
@@ -114,12 +127,16 @@
         loop {
             let now = Instant::now();
             if now + LEAST_TIME_LEFT >= self.answer_by {
-                return Err(self.refusal("time is up", FULL_RETRY_AFTER));
+                return Err(self.refusal(RefusalReason::TimeIsUp, FULL_RETRY_AFTER));
             }
             let slot = match self.place(node).await {
                 Placed::At(slot) => slot,
-                Placed::Full => return Err(self.refusal("all servers full", FULL_RETRY_AFTER)),
-                Placed::NoServer => return Err(self.refusal("no server", NO_SERVER_RETRY_AFTER)),
+                Placed::Full => {
+                    return Err(self.refusal(RefusalReason::ServersFull, FULL_RETRY_AFTER))
+                }
+                Placed::NoServer => {
+                    return Err(self.refusal(RefusalReason::NoServer, NO_SERVER_RETRY_AFTER))
+                }
             };
             let server = slot.server().clone();
             let failure = match self.attempt(node, slot).await {
@@ -128,8 +145,9 @@
             };
             let next = self.attempts.record(failure.outcome);
             let age_ms = self.received_at.elapsed().as_millis() as u64;
-            log::info!(request_id = self.caller.id, server, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
-            node.metrics.incr("online.attempts_failed");
+            let (in_flight, slots) = self.seen_load();
+            log::info!(request_id = self.caller.id, server, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
+            node.metrics.incr(Counter::AttemptFailed);
             self.tried.push(server);
             match next {
                 NextStep::TryAnother => {}
@@ -140,13 +158,13 @@
                     })
                 }
                 NextStep::RefuseNotRun => {
-                    return Err(self.refusal("all tried servers rejected it", FULL_RETRY_AFTER))
+                    return Err(self.refusal(RefusalReason::Rejected, FULL_RETRY_AFTER))
                 }
             }
         }
     }
 
-    async fn place(&self, node: &Node) -> Placed {
+    async fn place(&mut self, node: &Node) -> Placed {
         let wait_until = (Instant::now() + SLOT_WAIT).min(self.answer_by);
         loop {
             let now = Instant::now();
@@ -166,6 +184,10 @@
                     // Batch work there should yield at once.
                     node.load_alarm.notify_one();
                 }
+                self.choice = Some(Choice {
+                    in_flight: pick.in_flight,
+                    slots: pick.slots,
+                });
                 return Placed::At(node.loads.begin(&pick.id, WorkClass::Online));
             }
             let freed = node.loads.freed.notified();
@@ -233,20 +255,40 @@
         }
     }
 
-    fn refusal(&self, reason: &str, retry_after: Duration) -> Refusal {
-        let reason = reason.to_owned();
+    fn refusal(&self, reason: RefusalReason, retry_after: Duration) -> Refusal {
         match self.attempts.give_up() {
             NextStep::RefuseNotRun => Refusal::NotRun {
                 reason,
                 retry_after,
             },
             _ => Refusal::Failed {
-                reason,
+                reason: reason.text().to_owned(),
                 answer: None,
             },
         }
     }
 
+    /// Whether an answer now, or a first event, is within the operator's target.
+    pub fn is_on_time(&self) -> bool {
+        self.received_at.elapsed() <= self.route.target_latency
+    }
+
+    /// Counts what became of the request.
+    pub fn count(&self, node: &Node, outcome: RequestOutcome) {
+        let kind = match self.route.kind {
+            RouteKind::Idempotent | RouteKind::Batch => RequestKind::Idempotent,
+            RouteKind::NonIdempotent => RequestKind::NonIdempotent,
+            RouteKind::Stream => RequestKind::Stream,
+        };
+        node.metrics.incr(Counter::Request(kind, outcome));
+    }
+
+    /// Load and slots of the server that was chosen last, as they were known then.
+    pub fn seen_load(&self) -> (Option<u32>, Option<u32>) {
+        let choice = self.choice;
+        (choice.map(|one| one.in_flight), choice.map(|one| one.slots))
+    }
+
     /// Logs that the request failed for good.
     pub fn log_refusal(&self, refusal: &Refusal) {
         let age_ms = self.received_at.elapsed().as_millis() as u64;
@@ -261,8 +303,8 @@
 pub enum Refusal {
     /// It has not run and never will.
     NotRun {
-        /// Why, for the log.
-        reason: String,
+        /// Why.
+        reason: RefusalReason,
         /// When the caller should come back.
         retry_after: Duration,
     },
@@ -279,7 +321,8 @@
     /// Why, for the log.
     pub fn reason(&self) -> &str {
         match self {
-            Self::NotRun { reason, .. } | Self::Failed { reason, .. } => reason,
+            Self::NotRun { reason, .. } => reason.text(),
+            Self::Failed { reason, .. } => reason,
         }
     }
 }
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -4,12 +4,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_core::metric_names::{Counter, RequestOutcome, Timer};
 use futures::Stream;
 use hyper::body::Frame;
 
 use crate::attempt::{OpenAnswer, Piece};
 use crate::event_stream::EventSplitter;
 use crate::node::Node;
+use crate::online;
 use crate::online_request::OnlineRequest;
 use crate::replies::RelayError;
 
@@ -27,20 +29,34 @@
         let mut splitter = EventSplitter::default();
         let started = Instant::now();
         let mut events = 0_u32;
+        let mut first = None;
         loop {
             let resumable = request.route.is_repeatable();
             let give_up_at = silence_limit(&request);
-            match answer.next_piece(give_up_at).await {
+            let piece = answer.next_piece(give_up_at).await;
+            if first.is_none() && matches!(piece, Piece::Data(_)) {
+                let age = request.received_at.elapsed();
+                node.metrics.time(Timer::FirstAnswer, age);
+                first = Some((age, request.is_on_time()));
+            }
+            match piece {
                 Piece::Data(data) if !resumable => yield Frame::data(data),
                 Piece::Data(data) => {
                     splitter.push(&data);
-                    let whole = whole_events(&mut splitter, &mut request, &mut events)?;
+                    let whole = whole_events(&mut splitter, &mut request, &mut events);
+                    if whole.is_err() {
+                        request.count(&node, RequestOutcome::Failed);
+                    }
+                    let whole = whole?;
                     if !whole.is_empty() {
                         yield Frame::data(whole);
                     }
                 }
                 Piece::End if !splitter.has_rest() => {
-                    log::info!(request_id = request.caller.id, server = answer.server, events, took_ms = started.elapsed().as_millis() as u64; "stream complete");
+                    let (first_age, on_time) = first.unwrap_or_default();
+                    request.count(&node, online::served_outcome(on_time));
+                    let (in_flight, slots) = request.seen_load();
+                    log::info!(request_id = request.caller.id, server = answer.server, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
                     answer.finish();
                     break;
                 }
@@ -113,12 +129,13 @@
     match opened {
         Some(answer) => {
             log::warn!(request_id = request.caller.id, server, reason, after, resumed_at = answer.server; "stream resumed");
-            node.metrics.incr("stream.resumed");
+            node.metrics.incr(Counter::StreamResumed);
             Ok(answer)
         }
         None => {
             log::warn!(request_id = request.caller.id, server, reason, after; "stream broken");
-            node.metrics.incr("stream.broken");
+            request.count(node, RequestOutcome::Failed);
+            node.metrics.incr(Counter::StreamBroken);
             Err(RelayError {
                 request_id: request.caller.id.clone(),
                 reason: reason.to_owned(),
--- a/crates/foxwheel-node/src/store_access.rs
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -4,6 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use foxwheel_core::metric_names::{Counter, StoreCall};
 use foxwheel_platform::store::{Listing, Object, Store, StoreError, Watched, Write, Written};
 use rand::RngExt;
 
@@ -70,7 +71,7 @@
     /// Every object of `kind`.
     pub async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let listed = self.store.list(kind).await;
-        self.note("list", &listed);
+        self.note(StoreCall::List, &listed);
         listed
     }
 
@@ -82,39 +83,39 @@
         wait: Duration,
     ) -> Result<Watched, StoreError> {
         let watched = self.store.watch(kind, revision, wait).await;
-        self.note("watch", &watched);
+        self.note(StoreCall::Watch, &watched);
         watched
     }
 
     /// One object, or none.
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<Object>, StoreError> {
         let got = self.store.get(kind, name).await;
-        self.note("get", &got);
+        self.note(StoreCall::Get, &got);
         got
     }
 
     /// Performs `write` once.
     pub async fn write(&self, write: &Write) -> Result<Written, StoreError> {
         let written = self.store.write(write).await;
-        self.note("write", &written);
+        self.note(StoreCall::Write, &written);
         written
     }
 
-    fn note<T>(&self, call: &str, result: &Result<T, StoreError>) {
+    fn note<T>(&self, call: StoreCall, result: &Result<T, StoreError>) {
         let mut health = self.health.lock().expect("health lock");
         match result {
             Ok(_) => {
-                self.metrics.incr(&format!("store.{call}.ok"));
+                self.metrics.incr(Counter::StoreAnswered(call));
                 if let Some(since) = health.failing_since.take() {
                     let lost_ms = since.elapsed().as_millis() as u64;
-                    log::info!(call, lost_ms; "platform store regained");
+                    log::info!(call = call.name(), lost_ms; "platform store regained");
                 }
             }
             Err(e) => {
-                self.metrics.incr(&format!("store.{call}.failed"));
+                self.metrics.incr(Counter::StoreFailed(call));
                 if health.failing_since.is_none() {
                     health.failing_since = Some(Instant::now());
-                    log::warn!(call, error:% = e; "platform store lost");
+                    log::warn!(call = call.name(), error:% = e; "platform store lost");
                 }
             }
         }
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -30,6 +30,9 @@
 /// Port for talk between the processes, on each host's own address.
 const PEER_PORT: u16 = 27_660;
 
+/// Port of the metrics, on each host's own address.
+const METRICS_PORT: u16 = 27_664;
+
 /// Host header of every route.
 pub const HOST: &str = "calls.example";
 
@@ -278,7 +281,7 @@
             seeds: vec![SocketAddr::new(ip_of(1), PEER_PORT)],
             caller_address: front_port(PEER_PORT + 1),
             readiness_address: front_port(PEER_PORT + 2),
-            metrics_port: None,
+            metrics_port: Some(METRICS_PORT),
             store_address: self.store_addr,
             store_value_bytes: 1_048_576,
             stop_grace: Duration::from_secs(6),
--- /dev/null
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -0,0 +1,163 @@
+//! What the metrics say of requests, and the burn report made from them.
+
+mod common;
+
+use common::{call, Fleet, Plan};
+use foxwheel_core::metric_names::{Counter, RequestKind, RequestOutcome, StoreCall, Timer};
+use foxwheel_core::metric_names::{RefusalReason, PREFIX};
+use foxwheel_ctl::burn::{self, Tally};
+use foxwheel_node::metrics::Metrics;
+use foxwheel_server_emu::faults::Fault;
+use hyper::{Method, StatusCode};
+use serde_json::json;
+use std::time::Duration;
+
+/// Every counter that a process may serve.
+fn all_counters() -> Vec<Counter> {
+    let mut counters = vec![
+        Counter::AttemptFailed,
+        Counter::StreamResumed,
+        Counter::StreamBroken,
+        Counter::ServerConnection,
+        Counter::JobAccepted,
+        Counter::JobOverQuota,
+        Counter::RunWhole,
+        Counter::RunPreempted,
+        Counter::RunFailed,
+        Counter::HeartbeatUnreadable,
+        Counter::HeartbeatUnencodable,
+    ];
+    for kind in RequestKind::ALL {
+        counters.extend(RequestOutcome::ALL.map(|outcome| Counter::Request(kind, outcome)));
+    }
+    let reasons = [
+        RefusalReason::Uninformed,
+        RefusalReason::Stopping,
+        RefusalReason::TimeIsUp,
+        RefusalReason::ServersFull,
+        RefusalReason::NoServer,
+        RefusalReason::Rejected,
+    ];
+    counters.extend(reasons.map(Counter::Refused));
+    for store_call in [
+        StoreCall::List,
+        StoreCall::Watch,
+        StoreCall::Get,
+        StoreCall::Write,
+    ] {
+        counters.push(Counter::StoreAnswered(store_call));
+        counters.push(Counter::StoreFailed(store_call));
+    }
+    counters
+}
+
+#[test]
+fn names_are_distinct_and_stand_in_the_operators_page() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(path).expect("the page");
+    let metrics = Metrics::default();
+    let counters = all_counters();
+    for counter in &counters {
+        metrics.incr(*counter);
+    }
+    let rendered = metrics.render();
+    assert_eq!(rendered.lines().count(), counters.len(), "{rendered}");
+    let names = counters.iter().map(|counter| counter.name().into_owned());
+    let timers = [Timer::FirstAnswer, Timer::JobAccept].map(|timer| timer.name().to_owned());
+    for name in names.chain(timers) {
+        // A name made of parts is listed by its first part and each of the others.
+        let mut parts = name.split('.');
+        let first = parts.next().expect("a part");
+        let by_parts = page.contains(&format!("`{first}."))
+            && parts.all(|part| page.contains(&format!("`{part}`")));
+        let listed = by_parts || page.contains(&format!("`{name}`"));
+        assert!(listed, "{name} is not in docs/OPERATIONS.md");
+    }
+}
+
+async fn fetch(front: &common::Process) -> String {
+    let settings = &front.settings;
+    let port = settings.metrics_port.expect("metrics are served");
+    let addr = std::net::SocketAddr::new(settings.ip, port);
+    let answer = call(addr, Method::GET, "/metrics", "m", &[], "").await;
+    answer.expect("an answer").text()
+}
+
+#[actix_web::test]
+async fn each_request_is_counted_once_by_what_became_of_it() {
+    let mut fleet = Fleet::start(Plan {
+        servers: common::shapes(1),
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    let before = fetch(&fleet.processes[0]).await;
+    let script = fleet.servers[0].script.clone();
+    let send = |path: &'static str, id: &'static str| call(front, Method::POST, path, id, &[], "");
+    // Served, a server's own failure, a lost answer; then a stream that broke off.
+    for (fault, status) in [
+        (Fault::None, StatusCode::OK),
+        (Fault::Fail, StatusCode::INTERNAL_SERVER_ERROR),
+        (Fault::LoseAnswer, StatusCode::BAD_GATEWAY),
+    ] {
+        script.extend([fault]);
+        let answer = send("/once/a", "once").await.expect("an answer");
+        assert_eq!(answer.status, status, "{fault:?}");
+    }
+    let whole = send("/stream-once/a", "whole").await.expect("an answer");
+    assert!(whole.whole);
+    script.extend([Fault::BreakAfter(1)]);
+    let broken = send("/stream-once/a", "broken").await.expect("an answer");
+    assert!(!broken.whole);
+    // Nothing is on time when the target is zero.
+    fleet
+        .configure(2, |config| {
+            let routes = config["routes"].as_array_mut().expect("routes");
+            routes[0]["target_latency_ms"] = json!(0);
+            routes[0]["path_prefix"] = json!("/late/");
+        })
+        .await;
+    let mut late = StatusCode::NOT_FOUND;
+    while late != StatusCode::OK {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        late = send("/late/a", "late").await.expect("an answer").status;
+    }
+    // Without a server nothing runs.
+    let gone = fleet.servers.remove(0);
+    fleet.list_server("server-0", gone.addr, "draining").await;
+    let mut refused = StatusCode::OK;
+    while refused != StatusCode::SERVICE_UNAVAILABLE {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        refused = send("/once/a", "refused").await.expect("an answer").status;
+    }
+    let pages = [fetch(&fleet.processes[0]).await];
+    let once = burn::tally(RequestKind::NonIdempotent, &pages);
+    assert_eq!((once.failed, once.refused), (2, 1), "{}", pages[0]);
+    assert!(once.on_time + once.late >= 1);
+    let streams = burn::tally(RequestKind::Stream, &pages);
+    assert_eq!((streams.total(), streams.failed), (2, 1));
+    let plain_before = burn::tally(RequestKind::Idempotent, &[before]);
+    let plain = burn::tally(RequestKind::Idempotent, &pages);
+    assert_eq!(plain.late - plain_before.late, 1);
+    assert!(pages[0].contains(&format!("{PREFIX}.refused.no_server 1")));
+    fleet.cancel.cancel();
+}
+
+#[test]
+fn burn_is_the_bad_share_over_the_budget_and_sums_processes() {
+    let pages = [
+        "foxwheel.request.stream.on_time 90\nfoxwheel.request.stream.late 4\n".to_owned(),
+        "foxwheel.request.stream.refused 5\nfoxwheel.request.stream.failed 1\n".to_owned(),
+    ];
+    let tally = burn::tally(RequestKind::Stream, &pages);
+    let expected = Tally {
+        on_time: 90,
+        late: 4,
+        refused: 5,
+        failed: 1,
+    };
+    assert_eq!(tally, expected);
+    assert!((tally.burn_rate(0.95) - 2.0).abs() < 1e-9);
+    assert_eq!(Tally::default().burn_rate(0.95), 0.0);
+}
