Callers refused for lack of slots return one after the other

Callers come back once, so they are lost.

A refused caller is now told when a slot will be free: after one hold time of the service (measured on requests that ended), and each further one a share of a hold time later, 1.5 s at most, beyond that spread. The front's share counts the live fronts.

Ruled out: a longer fixed time (all still return together); holding callers at the front (they must be answered at once).

--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod replies;
 pub mod result_store;
 pub mod retirement_follower;
+pub mod service_pace;
 pub mod settings;
 pub mod store_access;
 pub mod store_relay;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use foxwheel_core::ids::ServiceName;
 use foxwheel_core::time;
 use foxwheel_http1::connection::ConnectOptions;
 use foxwheel_http1::pool::Pool;
@@ -18,7 +19,8 @@
 use crate::metrics::Metrics;
 use crate::peer_calls::PeerCalls;
 use crate::peers::Peers;
-use crate::settings::NodeSettings;
+use crate::service_pace::ServicePaces;
+use crate::settings::{NodeSettings, Role};
 use crate::store_access::StoreAccess;
 
 /// Bounds on a backend server's silence at the connection level.
@@ -42,6 +44,8 @@
     pub directory: Mutex<Directory>,
     /// This process's load on each backend server.
     pub loads: Arc<LoadTable>,
+    /// How fast the slots of each service are freed.
+    pub paces: ServicePaces,
     /// Woken to send a heartbeat at once.
     pub load_alarm: Notify,
     /// The other processes.
@@ -73,6 +77,7 @@
             config: Mutex::default(),
             directory: Mutex::default(),
             loads: Arc::default(),
+            paces: ServicePaces::default(),
             load_alarm: Notify::new(),
             peers: Peers::default(),
             peer_news: Notify::new(),
@@ -131,6 +136,17 @@
             .collect()
     }
 
+    /// When a caller should come back who found every slot of `service` taken.
+    pub fn retry_after_full(&self, service: &ServiceName, now: Instant) -> Duration {
+        let slots = self
+            .candidates(service, &[], now)
+            .iter()
+            .map(|one| one.slots)
+            .sum();
+        let fronts = self.peers.live(Role::Front, now).len() + 1;
+        self.paces.retry_after(service, slots, fronts, now)
+    }
+
     /// The address of the server `id`.
     pub fn server_addr(&self, id: &str) -> Option<std::net::SocketAddr> {
         let directory = self.directory.lock().expect("directory lock");
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -87,7 +87,9 @@
             Ok(body) => {
                 let head = answer.head.clone();
                 answer.finish();
-                let age_ms = request.received_at.elapsed().as_millis() as u64;
+                let age = request.received_at.elapsed();
+                node.paces.note_hold(&request.service, age);
+                let age_ms = age.as_millis() as u64;
                 let (in_flight, slots) = request.seen_load();
                 log::info!(request_id = request.caller.id, server, in_flight, slots, age_ms; "request served");
                 return Ok(pass_on(WholeAnswer { head, body }));
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -25,9 +25,8 @@
 /// target, so that a refused caller can still be served in time elsewhere.
 const SLOT_WAIT: Duration = Duration::from_millis(60);
 
-/// When a caller refused for lack of slots should come back: about the time in which a
-/// generation ends and frees one.
-const FULL_RETRY_AFTER: Duration = Duration::from_millis(150);
+/// When a caller whose time is up should come back, if it still waits.
+const TIME_UP_RETRY_AFTER: Duration = Duration::from_millis(150);
 
 /// When a caller refused for lack of any server should come back.
 const NO_SERVER_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -127,12 +126,13 @@
         loop {
             let now = Instant::now();
             if now + LEAST_TIME_LEFT >= self.answer_by {
-                return Err(self.refusal(RefusalReason::TimeIsUp, FULL_RETRY_AFTER));
+                return Err(self.refusal(RefusalReason::TimeIsUp, TIME_UP_RETRY_AFTER));
             }
             let slot = match self.place(node).await {
                 Placed::At(slot) => slot,
                 Placed::Full => {
-                    return Err(self.refusal(RefusalReason::ServersFull, FULL_RETRY_AFTER))
+                    let retry_after = node.retry_after_full(&self.service, now);
+                    return Err(self.refusal(RefusalReason::ServersFull, retry_after));
                 }
                 Placed::NoServer => {
                     return Err(self.refusal(RefusalReason::NoServer, NO_SERVER_RETRY_AFTER))
@@ -158,7 +158,8 @@
                     })
                 }
                 NextStep::RefuseNotRun => {
-                    return Err(self.refusal(RefusalReason::Rejected, FULL_RETRY_AFTER))
+                    let retry_after = node.retry_after_full(&self.service, now);
+                    return Err(self.refusal(RefusalReason::Rejected, retry_after));
                 }
             }
         }
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -55,6 +55,7 @@
                 Piece::End if !splitter.has_rest() => {
                     let (first_age, on_time) = first.unwrap_or_default();
                     request.count(&node, online::served_outcome(on_time));
+                    node.paces.note_hold(&request.service, started.elapsed());
                     let (in_flight, slots) = request.seen_load();
                     log::info!(request_id = request.caller.id, server = answer.server, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
                     answer.finish();
--- a/crates/foxwheel-policy/src/batch/schedule.rs
+++ b/crates/foxwheel-policy/src/batch/schedule.rs
@@ -6,9 +6,7 @@
 
 use std::time::Duration;
 
-/// Weight of the newest run in the averages of a [`RunEstimate`]: the last dozen runs count,
-/// a few seconds of work, as engines slow down and speed up with each step of traffic.
-const NEWEST_WEIGHT: f64 = 0.1;
+use crate::moving_average::MovingAverage;
 
 /// Events from which a run tells how long an event takes; the first of a run waits for its
 /// prompt to be read.
@@ -17,40 +15,37 @@
 /// How long items run, learnt from the runs that ended.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct RunEstimate {
-    /// Time from one event to the next; zero before the first run.
-    event_time_s: f64,
-    /// Events of a whole output; zero before the first.
-    whole_events: f64,
+    /// Time from one event to the next.
+    event_time: MovingAverage,
+    /// Events of a whole output.
+    whole_events: MovingAverage,
 }
 
 impl RunEstimate {
     /// Takes note of a run that brought `events` in `took`.
     pub fn note_run(&mut self, events: u64, took: Duration) {
         if events >= LEAST_EVENTS {
-            average(&mut self.event_time_s, took.as_secs_f64() / events as f64);
+            self.event_time.push_duration(took.div_f64(events as f64));
         }
     }
 
     /// Takes note of an output that is whole with `events`.
     pub fn note_whole(&mut self, events: u64) {
-        average(&mut self.whole_events, events as f64);
+        self.whole_events.push(events as f64);
     }
 
     /// How much longer an item runs that has `events` of its output. Zero while nothing is
     /// known.
     pub fn remaining(&self, events: u64) -> Duration {
-        let events_left = (self.whole_events - events as f64).max(0.0);
-        Duration::from_secs_f64(events_left * self.event_time_s)
+        let whole_events = self.whole_events.get().unwrap_or_default();
+        let events_left = (whole_events - events as f64).max(0.0);
+        self.event_time
+            .duration()
+            .unwrap_or_default()
+            .mul_f64(events_left)
     }
 }
 
-fn average(average: &mut f64, newest: f64) {
-    *average = match *average == 0.0 {
-        true => newest,
-        false => *average + NEWEST_WEIGHT * (newest - *average),
-    };
-}
-
 /// An item that waits for a slot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WaitingItem {
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -3,9 +3,11 @@
 //! Every function takes the time and its inputs as arguments and touches no socket, so a
 //! test can replay any order of events. The runtime (`foxwheel-node`) feeds them.
 
+pub mod admission;
 pub mod batch;
 pub mod config_in_force;
 pub mod membership;
+pub mod moving_average;
 pub mod placement;
 pub mod retry;
 pub mod routes;
@@ -13,5 +15,7 @@
 
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
-    pub use crate::{batch, config_in_force, membership, placement, retry, routes, stopping};
+    pub use crate::{
+        admission, batch, config_in_force, membership, placement, retry, routes, stopping,
+    };
 }
