Servers are judged by the share of requests they fail; a wait behind a full one is no silence

A server that answered 500 to two in five requests was not avoided at all.

Now outcomes count with a memory of 3 s and ranked by the share that fails; only a server that cannot be connected to, or is silent beyond the wait that its queue explains, is avoided. A connection that closed while idle says nothing.

Sharing outcomes between fronts is open.

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -12,7 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::http::response;
-use hyper::Request;
+use hyper::{Request, StatusCode};
 use tokio::time::Instant as TokioInstant;
 
 use crate::load_table::InFlight;
@@ -29,6 +29,8 @@
     pub slot: InFlight,
     /// The request's id, which the answer must carry.
     pub request_id: RequestId,
+    /// How long it is expected to wait for a slot there.
+    pub expected_wait: Duration,
     /// When to stop waiting.
     pub give_up_at: Instant,
     /// When to stop waiting for the head of the answer and try elsewhere; none waits on.
@@ -92,9 +94,11 @@
     let Some(addr) = node.server_addr(server) else {
         return Err(Failure::new(AttemptOutcome::NotSent, "server is gone"));
     };
+    let mut is_new = true;
     let exchange = async {
         let mut lease = node.pool.take(addr).await?;
-        if lease.is_new {
+        is_new = lease.is_new;
+        if is_new {
             node.metrics.incr(Counter::ServerConnection);
         }
         let response = lease.connection.send(request).await?;
@@ -103,11 +107,12 @@
     let wait_until = target
         .head_by
         .map_or(target.give_up_at, |at| at.min(target.give_up_at));
-    let exchanged = bounded(node, server, wait_until, exchange).await;
+    let patience = SUSPECT_SILENCE + target.expected_wait;
+    let exchanged = bounded(node, server, patience, wait_until, exchange).await;
     let (connection, response) = match exchanged {
         Some(Ok(exchanged)) => exchanged,
         Some(Err(e)) => {
-            note_suspect(node, server, "broken exchange");
+            note_broken(node, server, &e, is_new);
             let outcome = match e.is_not_sent() {
                 true => AttemptOutcome::NotSent,
                 false => AttemptOutcome::Unknown,
@@ -115,20 +120,27 @@
             return Err(Failure::new(outcome, e.to_string()));
         }
         None => {
-            note_suspect(node, server, "no answer");
+            if node.loads.is_silent(server, patience, Instant::now()) {
+                note_suspect(node, server, "no answer");
+            }
             return Err(Failure::new(AttemptOutcome::Unknown, "no answer in time"));
         }
     };
     let (head, body) = response.into_parts();
     let says = online::decode_answer(&head, &target.request_id);
     if says.foreign || says.encoded {
-        note_suspect(node, server, "foreign answer");
+        node.loads.note_outcome(server, true, Instant::now());
         return Err(Failure::new(
             AttemptOutcome::Unknown,
             "answer is not the request's",
         ));
     }
-    node.loads.progress(server, Instant::now());
+    let now = Instant::now();
+    node.loads.progress(server, now);
+    if says.status.is_success() || says.status == StatusCode::INTERNAL_SERVER_ERROR {
+        let failed = !says.status.is_success();
+        node.loads.note_outcome(server, failed, now);
+    }
     Ok(OpenAnswer {
         head,
         says,
@@ -144,7 +156,8 @@
     /// The next piece of the body, waited for until `give_up_at`.
     pub async fn next_piece(&mut self, give_up_at: Instant) -> Piece {
         loop {
-            let next = bounded(&self.node, &self.server, give_up_at, self.body.frame()).await;
+            let frame = self.body.frame();
+            let next = bounded(&self.node, &self.server, SUSPECT_SILENCE, give_up_at, frame).await;
             return match next {
                 Some(None) => Piece::End,
                 Some(Some(Ok(frame))) => match frame.into_data() {
@@ -200,26 +213,24 @@
     }
 }
 
-/// Waits for `work` until `give_up_at`; meanwhile a server that stays silent is sent
-/// nothing new.
+/// Waits for `work` until `give_up_at`; meanwhile a server that stays silent for `patience`
+/// is sent nothing new.
 async fn bounded<T>(
     node: &Node,
     server: &ServerId,
+    patience: Duration,
     give_up_at: Instant,
     work: impl std::future::Future<Output = T>,
 ) -> Option<T> {
     tokio::pin!(work);
-    let suspect_at = Instant::now() + SUSPECT_SILENCE;
+    let suspect_at = Instant::now() + patience;
     if suspect_at < give_up_at {
         tokio::select! {
             biased;
             done = &mut work => return Some(done),
             () = tokio::time::sleep_until(TokioInstant::from_std(suspect_at)) => {}
         }
-        if node
-            .loads
-            .is_silent(server, SUSPECT_SILENCE, Instant::now())
-        {
+        if node.loads.is_silent(server, patience, Instant::now()) {
             note_suspect(node, server, "silent");
         }
     }
@@ -230,6 +241,19 @@
     }
 }
 
+/// What a broken exchange says of its server: one that cannot be connected to is sent nothing
+/// for a while; an answer that was lost is a failure; a connection that the server closed
+/// while it was idle says nothing.
+fn note_broken(node: &Node, server: &ServerId, error: &ExchangeError, is_new: bool) {
+    match error {
+        ExchangeError::Connect { .. } => note_suspect(node, server, "no connection"),
+        ExchangeError::NotSent { .. } if !is_new => {}
+        ExchangeError::NotSent { .. } | ExchangeError::Broken { .. } => {
+            node.loads.note_outcome(server, true, Instant::now());
+        }
+    }
+}
+
 fn note_suspect(node: &Node, server: &ServerId, reason: &str) {
     if node.loads.suspect(server, Instant::now()) {
         log::info!(server, reason; "backend server suspected");
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -19,6 +19,10 @@
 /// Longest wait for the first event: an engine that does not begin within it is full.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(4_000);
 
+/// How long an item may wait behind online requests that came in the same step before its
+/// server counts as silent.
+const EXPECTED_WAIT: Duration = Duration::from_millis(1_000);
+
 /// Longest pause between events before the run goes on elsewhere.
 const EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
 
@@ -87,6 +91,7 @@
     let target = Target {
         slot,
         request_id: item.id.clone(),
+        expected_wait: EXPECTED_WAIT,
         give_up_at: Instant::now() + FIRST_EVENT_PATIENCE,
         head_by: None,
     };
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -4,9 +4,10 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::ServerId;
+use foxwheel_policy::health::Outcomes;
 use tokio::sync::Notify;
 
-/// How long a server that broke or was silent is avoided.
+/// How long a server that was silent or could not be connected to is avoided.
 const SUSPECT_FOR: Duration = Duration::from_millis(1_500);
 
 /// Which kind of work a request is.
@@ -24,6 +25,7 @@
     online: u32,
     batch: u32,
     suspect_until: Option<Instant>,
+    outcomes: Outcomes,
     progress_at: Option<Instant>,
 }
 
@@ -52,14 +54,16 @@
 }
 
 /// One server's load from this process.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OwnLoad {
     /// Online requests in flight.
     pub online: u32,
     /// Batch items in flight.
     pub batch: u32,
-    /// It has been silent or broke connections lately.
+    /// It has been silent or could not be connected to lately.
     pub suspect: bool,
+    /// The share of this process's requests that it is expected to fail.
+    pub failure_rate: f64,
 }
 
 impl LoadTable {
@@ -81,6 +85,7 @@
                 online: entries[at].online,
                 batch: entries[at].batch,
                 suspect: entries[at].suspect_until.is_some_and(|until| now < until),
+                failure_rate: entries[at].outcomes.failure_rate(now),
             },
             Err(_) => OwnLoad::default(),
         }
@@ -105,6 +110,11 @@
         })
     }
 
+    /// Takes note of a request that `server` served, or failed.
+    pub fn note_outcome(&self, server: &ServerId, failed: bool, now: Instant) {
+        self.with(server, |entry| entry.outcomes.note(failed, now));
+    }
+
     /// `server` sent something: it is not avoided any more.
     pub fn progress(&self, server: &ServerId, now: Instant) {
         self.with(server, |entry| {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -130,6 +130,7 @@
                     own_batch: own.batch,
                     lapsed: member.lapsed_until.is_some(),
                     suspect: own.suspect,
+                    failure_rate: own.failure_rate,
                     slot_keeper: false,
                 }
             })
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -68,6 +68,8 @@
     pub in_flight: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// How long a request was expected to wait for a slot there.
+    pub expected_wait: Duration,
 }
 
 enum Placed {
@@ -188,6 +190,10 @@
                 self.choice = Some(Choice {
                     in_flight: pick.in_flight,
                     slots: pick.slots,
+                    expected_wait: placement::expected_wait(
+                        pick,
+                        node.paces.hold_time(&self.service),
+                    ),
                 });
                 return Placed::At(node.loads.begin(&pick.id, WorkClass::Online));
             }
@@ -216,6 +222,7 @@
         let target = Target {
             slot,
             request_id: self.caller.id.clone(),
+            expected_wait: self.choice.map_or(Duration::ZERO, |one| one.expected_wait),
             give_up_at: self.answer_by,
             head_by: again.then(|| now + HEAD_PATIENCE),
         };
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -121,7 +121,7 @@
     let server = broken.server.clone();
     // Closes the connection first, so that two servers never work on one request.
     drop(broken);
-    node.loads.suspect(&server, Instant::now());
+    node.loads.note_outcome(&server, true, Instant::now());
     let opened = match request.may_resume() {
         true => request.open_elsewhere(node, &server).await,
         false => None,
--- a/crates/foxwheel-node/src/service_pace.rs
+++ b/crates/foxwheel-node/src/service_pace.rs
@@ -28,6 +28,11 @@
         self.with(service, |pace| pace.hold_time.push_duration(held));
     }
 
+    /// How long a request of `service` holds its slot.
+    pub fn hold_time(&self, service: &ServiceName) -> Duration {
+        self.with(service, |pace| pace.hold_time())
+    }
+
     /// When a caller of `service` should come back who is refused now because all `slots` of
     /// its servers are taken; `fronts` share them.
     pub fn retry_after(
@@ -40,7 +45,7 @@
         self.with(service, |pace| {
             let supply = SlotSupply {
                 slots,
-                hold_time: pace.hold_time.duration().unwrap_or(ASSUMED_HOLD),
+                hold_time: pace.hold_time(),
                 fronts,
             };
             pace.returns.next(supply, rand::random(), now)
@@ -62,3 +67,9 @@
         act(&mut paces[at])
     }
 }
+
+impl Pace {
+    fn hold_time(&self) -> Duration {
+        self.hold_time.duration().unwrap_or(ASSUMED_HOLD)
+    }
+}
--- a/crates/foxwheel-node/tests/online_contract.rs
+++ b/crates/foxwheel-node/tests/online_contract.rs
@@ -330,3 +330,26 @@
     }
     panic!("a draining server still gets requests");
 }
+
+/// One of two servers fails every request although it looks healthy: requests that run once
+/// soon go to the other.
+#[actix_web::test]
+async fn a_server_that_fails_its_requests_is_avoided() {
+    let fleet = Fleet::start(Plan {
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let failing = &fleet.servers[0].script;
+    failing.extend(std::iter::repeat_n(Fault::Fail, 200));
+    let mut failed = 0;
+    for at in 0..60 {
+        let id = format!("once-{at}");
+        let answer = call(fleet.fronts[0], Method::POST, "/once/a", &id, &[], "x").await;
+        let status = answer.expect("an answer").status;
+        failed += usize::from(status == StatusCode::INTERNAL_SERVER_ERROR);
+    }
+    assert!(failed >= 1, "the fault was never met");
+    assert!(failed <= 15, "{failed} of 60 requests failed");
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config_in_force;
+pub mod health;
 pub mod membership;
 pub mod moving_average;
 pub mod placement;
@@ -16,6 +17,6 @@
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        admission, batch, config_in_force, membership, placement, retry, routes, stopping,
+        admission, batch, config_in_force, health, membership, placement, retry, routes, stopping,
     };
 }
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -26,8 +26,10 @@
     pub own_batch: u32,
     /// Its list entry vanished a moment ago.
     pub lapsed: bool,
-    /// It has been silent or broke connections lately.
+    /// It has been silent or could not be connected to lately.
     pub suspect: bool,
+    /// The share of requests that it is expected to fail, from 0 to 1.
+    pub failure_rate: f64,
     /// This process gives out its batch slots.
     pub slot_keeper: bool,
 }
@@ -39,6 +41,11 @@
 /// Ranks lapsed servers behind all others that are not suspect.
 const LAPSED_PENALTY: f64 = 4.0;
 
+/// Load, as a share of a server's slots, that a server which fails every request counts as
+/// more than it has. One that fails two in five ranks behind sound ones that are full, and
+/// before none at all: a failed request is lost or runs again.
+const FAILURE_PENALTY: f64 = 4.0;
+
 /// Ranks suspect servers last.
 const SUSPECT_PENALTY: f64 = 16.0;
 
@@ -58,6 +65,18 @@
     (f64::from(best.in_flight) < limit).then_some(best)
 }
 
+/// Longest wait behind a full server that is expected: beyond it silence is a fault.
+const LONGEST_EXPECTED_WAIT: Duration = Duration::from_secs(2);
+
+/// How long a request sent to `candidate` waits for a slot there, if each request holds one
+/// for `hold_time`.
+pub fn expected_wait(candidate: &Candidate, hold_time: Duration) -> Duration {
+    let slots = candidate.slots.max(1);
+    let ahead = (candidate.in_flight + 1).saturating_sub(slots);
+    let wait = hold_time * ahead / slots;
+    wait.min(LONGEST_EXPECTED_WAIT)
+}
+
 /// Share of a server's slots that batch items leave free for online requests that come before
 /// the next look at its load; one slot at least.
 const KEEPER_RESERVE: f64 = 1.0 / 8.0;
@@ -124,6 +143,7 @@
     if candidate.zone != own_zone {
         cost += CROSS_ZONE_PENALTY;
     }
+    cost += candidate.failure_rate * FAILURE_PENALTY;
     if candidate.lapsed {
         cost += LAPSED_PENALTY;
     }
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -12,6 +12,7 @@
         own_batch: 0,
         lapsed: false,
         suspect: false,
+        failure_rate: 0.0,
         slot_keeper: false,
     }
 }
