An older list of servers never replaces a newer one

When the store returns the worker's first call succeeds 0.5 s before it has a list of servers. Processes that still fail ask it for what it knows and take its empty list.

Lists now carry the store's revision; one older than what is known, or of a peer without a list, is not taken.

Test: policy membership::an_older_list_never_replaces_a_newer_one. (The old call had no revision, so the test does not compile without the change; the empty list was taken.)

Also tried and left: gathering changes of servers for 0.4 s instead of 0.15 s between watches.

--- a/crates/foxwheel-ctl/src/explain/story.rs
+++ b/crates/foxwheel-ctl/src/explain/story.rs
@@ -19,7 +19,7 @@
     "platform store regained",
     "configuration in force",
     "configuration refused, the one before stays",
-    "state taken from peer",
+    "state asked of a peer",
     "asked to retire",
     "job released",
     "log lines dropped",
--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -52,10 +52,13 @@
     fn regained(&self, _node: &Node) {}
 
     /// Takes every object of the kind.
-    fn take_all(&self, node: &Node, objects: Vec<Object>);
+    fn take_all(&self, node: &Node, objects: Vec<Object>, revision: u64);
 
     /// Takes one change.
     fn take_change(&self, node: &Node, change: Change);
+
+    /// Every change up to `revision` was taken.
+    fn advance(&self, _node: &Node, _revision: u64) {}
 }
 
 /// Follows the store until cancelled.
@@ -114,7 +117,7 @@
     let Some(revision) = revision else {
         let listing = node.store.list(F::KIND).await?;
         follower.regained(node);
-        follower.take_all(node, listing.objects);
+        follower.take_all(node, listing.objects, listing.revision);
         return Ok(Some(listing.revision));
     };
     match node.store.watch(F::KIND, revision, WATCH_WAIT).await? {
@@ -123,6 +126,7 @@
             for change in changes {
                 follower.take_change(node, change);
             }
+            follower.advance(node, revision);
             if changed && !F::PAUSE.is_zero() {
                 tokio::time::sleep(F::PAUSE).await;
             }
@@ -140,7 +144,7 @@
 impl Follower for ConfigFollower {
     const KIND: &'static str = config::KIND;
 
-    fn take_all(&self, node: &Node, objects: Vec<Object>) {
+    fn take_all(&self, node: &Node, objects: Vec<Object>, _revision: u64) {
         for object in objects {
             take_config(node, &object);
         }
@@ -196,11 +200,17 @@
         directory.source_back(Instant::now());
     }
 
-    fn take_all(&self, node: &Node, objects: Vec<Object>) {
+    fn take_all(&self, node: &Node, objects: Vec<Object>, revision: u64) {
         let listed: Vec<_> = objects.iter().filter_map(decode_server).collect();
-        log::info!(servers = listed.len(); "backend servers listed");
+        let servers = listed.len();
+        let mut directory = node.directory.lock().expect("directory lock");
+        let taken = directory.take_list(listed, revision, Instant::now());
+        log::info!(servers, revision, taken; "backend servers listed");
+    }
+
+    fn advance(&self, node: &Node, revision: u64) {
         let mut directory = node.directory.lock().expect("directory lock");
-        directory.replace_all(listed, Instant::now());
+        directory.advance(revision);
     }
 
     fn take_change(&self, node: &Node, change: Change) {
@@ -257,12 +267,16 @@
             if !knowledge.store_reached {
                 continue;
             }
-            log::info!(peer = host, servers = knowledge.servers.len(); "state taken from peer");
             if let Some(config) = knowledge.config {
                 put_in_force(node, config, "peer");
             }
+            let Some(revision) = knowledge.servers_revision else {
+                continue;
+            };
+            let servers = knowledge.servers.len();
             let mut directory = node.directory.lock().expect("directory lock");
-            directory.replace_all(knowledge.servers, now);
+            let taken = directory.take_list(knowledge.servers, revision, Instant::now());
+            log::info!(peer = host, servers, revision, taken; "state asked of a peer");
             break;
         }
     }
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -31,6 +31,8 @@
 pub struct Knowledge {
     /// Whether its own last call to the store succeeded.
     pub store_reached: bool,
+    /// The store's revision that `servers` show; none if it took no list of them yet.
+    pub servers_revision: Option<u64>,
     /// The configuration in force there.
     pub config: Option<Config>,
     /// The backend servers listed there.
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -32,6 +32,7 @@
         let members = directory.members().iter();
         Knowledge {
             store_reached: self.node.store.failing_for(Instant::now()).is_none(),
+            servers_revision: directory.revision(),
             config: config.map(|config| config.as_ref().clone()),
             servers: members
                 .filter(|member| member.lapsed_until.is_none())
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -58,6 +58,8 @@
 pub struct Directory {
     /// Sorted by server id.
     members: Vec<Member>,
+    /// The store's revision that the members show, or none before the first list; only grows.
+    revision: Option<u64>,
     /// Set while the list's source is out of reach.
     source_lost: bool,
     /// When the list's source was last found again.
@@ -90,7 +92,7 @@
     }
 
     /// Takes a whole list: what is missing from it counts as removed.
-    pub fn replace_all(&mut self, listed: Vec<BackendServer>, now: Instant) {
+    fn replace_all(&mut self, listed: Vec<BackendServer>, now: Instant) {
         let missing: Vec<ServerId> = self
             .members
             .iter()
@@ -106,6 +108,28 @@
         }
     }
 
+    /// Takes a whole list as it was at `revision` of the store, unless what is known is newer:
+    /// lists come from the store and from peers, and a peer's may be late. Answers whether it
+    /// was taken.
+    pub fn take_list(&mut self, listed: Vec<BackendServer>, revision: u64, now: Instant) -> bool {
+        if self.revision.is_some_and(|known| known > revision) {
+            return false;
+        }
+        self.replace_all(listed, now);
+        self.revision = Some(revision);
+        true
+    }
+
+    /// Takes note that every change up to `revision` was taken.
+    pub fn advance(&mut self, revision: u64) {
+        self.revision = self.revision.max(Some(revision));
+    }
+
+    /// The store's revision that the members show, or none before the first list.
+    pub fn revision(&self) -> Option<u64> {
+        self.revision
+    }
+
     /// The list's source cannot be reached.
     pub fn source_lost(&mut self) {
         self.source_lost = true;
--- a/crates/foxwheel-policy/tests/membership.rs
+++ b/crates/foxwheel-policy/tests/membership.rs
@@ -68,7 +68,7 @@
     directory.source_lost();
     let back = now + Duration::from_secs(5);
     directory.source_back(back);
-    directory.replace_all(Vec::new(), back);
+    assert!(directory.take_list(Vec::new(), 7, back));
     let soon = back + Duration::from_millis(2_000);
     assert!(directory.expire(soon).is_empty());
     assert_eq!(usable(&directory), ["a", "b"]);
@@ -90,3 +90,28 @@
         .usable("model")
         .all(|member| member.lapsed_until.is_none()));
 }
+
+/// Lists come from the store and from peers. What a peer knew before the last change, or
+/// before it had any list, must not take servers away: only a change of its own would bring
+/// an entry back.
+#[test]
+fn an_older_list_never_replaces_a_newer_one() {
+    let now = Instant::now();
+    let later = now + Duration::from_secs(60);
+    let mut directory = Directory::default();
+    assert_eq!(directory.revision(), None);
+    let both = ["a", "b"].map(|id| server(id, ServerState::Ready));
+    assert!(directory.take_list(both.to_vec(), 20, now));
+    assert!(!directory.take_list(Vec::new(), 19, now), "a late answer");
+    directory.expire(later);
+    assert_eq!(usable(&directory), ["a", "b"]);
+    // A watch went on to 30: a list of 25 lacks what came since.
+    directory.upsert(server("c", ServerState::Ready));
+    directory.advance(30);
+    assert!(!directory.take_list(both.to_vec(), 25, now));
+    directory.expire(later);
+    assert_eq!(usable(&directory), ["a", "b", "c"]);
+    assert!(directory.take_list(both[..1].to_vec(), 31, now));
+    directory.expire(later);
+    assert_eq!(usable(&directory), ["a"]);
+}
