Entries that lapse behind a waiting watch are awaited like any others

Cause: the servers' watch may wait through an outage of the store while other calls show it.

The list's source now counts as lost whenever the store does not answer this process, and an entry that vanishes before it is found again is awaited for 2.4 s.

Tests: policy membership::an_entry_that_vanishes_before_its_source_is_found_again_is_awaited and node membership_contract::servers_whose_entries_lapsed_behind_a_waiting_watch_stay_in_use, both failing before (the second at 0.8 s).

--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -239,9 +239,16 @@
     let mut ticks = tokio::time::interval(EXPIRE_EVERY);
     loop {
         ticks.tick().await;
+        let now = Instant::now();
+        let failing = node.store.failing_for(now).is_some();
         let gone = {
             let mut directory = node.directory.lock().expect("directory lock");
-            directory.expire(Instant::now())
+            // The watch of the servers may wait through an outage that other calls show.
+            match failing {
+                true => directory.source_lost(),
+                false => directory.source_back(now),
+            }
+            directory.expire(now)
         };
         if !gone.is_empty() {
             log::info!(servers:? = gone; "backend servers gone");
--- a/crates/foxwheel-node/tests/membership_contract.rs
+++ b/crates/foxwheel-node/tests/membership_contract.rs
@@ -167,6 +167,32 @@
     fleet.cancel.cancel();
 }
 
+/// The same when the watch of the servers waits through the outage, and only other calls show
+/// that the store is away.
+#[actix_web::test]
+async fn servers_whose_entries_lapsed_behind_a_waiting_watch_stay_in_use() {
+    let fleet = Fleet::start(Plan::default()).await;
+    let front = fleet.fronts[0];
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    fleet.store_faults(outage).await;
+    let refused = common::submit(front, "job-in-an-outage", 1).await;
+    assert_ne!(refused.expect("an answer").status, StatusCode::ACCEPTED);
+    fleet.store_faults(Faults::default()).await;
+    for id in ["server-0", "server-1"] {
+        let removed = fleet.store.delete(&format!("servers/{id}"), None).await;
+        removed.expect("removed");
+    }
+    for at in 0..18 {
+        let served = status(front, "/plain/a").await;
+        assert_eq!(served, Some(StatusCode::OK), "at {at}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    fleet.cancel.cancel();
+}
+
 /// The address of a server that went is reused by another: the request is not run there.
 #[actix_web::test]
 async fn a_reused_address_never_runs_a_request() {
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -170,6 +170,9 @@
     }
 
     fn lapse_end(&self, now: Instant) -> Instant {
+        if self.source_lost {
+            return now + REREGISTRATION_GRACE;
+        }
         let calm = now + LAPSE_GRACE;
         match self.source_back_at {
             Some(back_at) => calm.max(back_at + REREGISTRATION_GRACE),
--- a/crates/foxwheel-policy/tests/membership.rs
+++ b/crates/foxwheel-policy/tests/membership.rs
@@ -91,6 +91,23 @@
         .all(|member| member.lapsed_until.is_none()));
 }
 
+/// A watch that waited through an outage tells of the entries that lapsed before anything
+/// else shows that the store is back.
+#[test]
+fn an_entry_that_vanishes_before_its_source_is_found_again_is_awaited() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.upsert(server("a", ServerState::Ready));
+    directory.source_lost();
+    directory.remove("a", now);
+    directory.source_back(now);
+    assert!(directory
+        .expire(now + Duration::from_millis(2_300))
+        .is_empty());
+    assert_eq!(usable(&directory), ["a"]);
+    assert_eq!(directory.expire(now + Duration::from_millis(2_500)), ["a"]);
+}
+
 /// Lists come from the store and from peers. What a peer knew before the last change, or
 /// before it had any list, must not take servers away: only a change of its own would bring
 /// an entry back.
