A batch item takes the server with room for it

Cause: the least loaded server was picked and then held against its reserve. Where that one was another worker's to give out, and full for this worker, the item waited although a server of its own had room.

The servers without room are now left out before the choice. The limits stand in FillLimits, so that a model can weigh others.

Test: placement::a_batch_item_takes_the_server_with_room_for_it failed before.

--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use foxwheel_core::ids::{ServerId, Zone};
+use serde::{Deserialize, Serialize};
 
 /// What is known of one server at the time of a choice.
 #[derive(Debug, Clone, Default)]
@@ -53,16 +54,94 @@
 /// online work. One queued round of the slots clears in about one generation.
 const ONLINE_QUEUE_SHARE: f64 = 0.5;
 
-/// Picks the server for an online request. `draw` breaks ties. None when every server is
-/// at its slots and queue allowance: the request would miss its target anywhere.
+/// A server with a free slot is found for most requests of a trough, so that few stop a run.
+const KEEPER_RESERVE_SHARE: f64 = 1.0 / 8.0;
+
+/// Workers that see one free slot at a server whose slots none of them gives out would all
+/// fill it before they hear of each other.
+const GUEST_RESERVE_SHARE: f64 = 1.0 / 2.0;
+
+/// How far servers are filled. The processes use the default; the load model weighs others.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct FillLimits {
+    /// Requests beyond its slots, as a share of them, with which a server is still given
+    /// online work.
+    pub online_queue_share: f64,
+    /// Share of a server's slots that batch items leave free for online requests that come
+    /// before the next look at its load; one slot at least.
+    pub keeper_reserve_share: f64,
+    /// The same at a server whose batch slots another worker gives out.
+    pub guest_reserve_share: f64,
+}
+
+impl Default for FillLimits {
+    fn default() -> Self {
+        Self {
+            online_queue_share: ONLINE_QUEUE_SHARE,
+            keeper_reserve_share: KEEPER_RESERVE_SHARE,
+            guest_reserve_share: GUEST_RESERVE_SHARE,
+        }
+    }
+}
+
+impl FillLimits {
+    /// Picks the server for an online request. `draw` breaks ties. None when every server is
+    /// at its slots and queue allowance: the request would miss its target anywhere.
+    pub fn pick_online<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        own_zone: &str,
+        draw: usize,
+    ) -> Option<&'a Candidate> {
+        let best = least_loaded(candidates, own_zone, draw)?;
+        let limit = f64::from(best.slots) * (1.0 + self.online_queue_share);
+        (f64::from(best.in_flight) < limit).then_some(best)
+    }
+
+    /// Picks the server for a batch item: one with a slot that online work leaves free and
+    /// the reserve besides. None when there is none; the item waits.
+    pub fn pick_batch<'a>(
+        &self,
+        candidates: &'a [Candidate],
+        own_zone: &str,
+        draw: usize,
+    ) -> Option<&'a Candidate> {
+        let count = candidates.len();
+        (0..count)
+            .map(|step| &candidates[(draw + step) % count])
+            .filter(|one| !one.suspect && one.in_flight + self.reserve(one) < one.slots)
+            .min_by(|a, b| cost(a, own_zone).total_cmp(&cost(b, own_zone)))
+    }
+
+    /// Slots that batch items leave free at a server. A server with a single slot has none to
+    /// spare: batch items run there while it is idle.
+    fn reserve(&self, candidate: &Candidate) -> u32 {
+        let share = match candidate.slot_keeper {
+            true => self.keeper_reserve_share,
+            false => self.guest_reserve_share,
+        };
+        let reserve = (f64::from(candidate.slots) * share).ceil() as u32;
+        reserve.min(candidate.slots.saturating_sub(1))
+    }
+}
+
+/// Picks the server for an online request with the usual limits.
 pub fn pick_online<'a>(
     candidates: &'a [Candidate],
     own_zone: &str,
     draw: usize,
 ) -> Option<&'a Candidate> {
-    let best = least_loaded(candidates, own_zone, draw)?;
-    let limit = f64::from(best.slots) * (1.0 + ONLINE_QUEUE_SHARE);
-    (f64::from(best.in_flight) < limit).then_some(best)
+    FillLimits::default().pick_online(candidates, own_zone, draw)
+}
+
+/// Picks the server for a batch item with the usual limits.
+pub fn pick_batch<'a>(
+    candidates: &'a [Candidate],
+    own_zone: &str,
+    draw: usize,
+) -> Option<&'a Candidate> {
+    FillLimits::default().pick_batch(candidates, own_zone, draw)
 }
 
 /// Longest wait behind a full server that is expected: beyond it silence is a fault.
@@ -77,37 +156,6 @@
     wait.min(LONGEST_EXPECTED_WAIT)
 }
 
-/// Share of a server's slots that batch items leave free for online requests that come before
-/// the next look at its load; one slot at least.
-const KEEPER_RESERVE: f64 = 1.0 / 8.0;
-
-/// The same at a server whose batch slots another worker gives out: workers that see one
-/// free slot there would all fill it before they hear of each other.
-const GUEST_RESERVE: f64 = 1.0 / 2.0;
-
-/// Slots that batch items leave free at a server. A server with a single slot has none to
-/// spare: batch items run there while it is idle.
-fn reserve(candidate: &Candidate) -> u32 {
-    let share = match candidate.slot_keeper {
-        true => KEEPER_RESERVE,
-        false => GUEST_RESERVE,
-    };
-    let reserve = (f64::from(candidate.slots) * share).ceil() as u32;
-    reserve.min(candidate.slots.saturating_sub(1))
-}
-
-/// Picks the server for a batch item: one with a slot that online work leaves free and the
-/// reserve besides. None when there is none; the item waits.
-pub fn pick_batch<'a>(
-    candidates: &'a [Candidate],
-    own_zone: &str,
-    draw: usize,
-) -> Option<&'a Candidate> {
-    let best = least_loaded(candidates, own_zone, draw)?;
-    let usable = !best.suspect && best.in_flight + reserve(best) < best.slots;
-    usable.then_some(best)
-}
-
 /// Age below which a batch run is not stopped. A run started a moment ago costs its slot
 /// for a few milliseconds more, but stopping it wastes its prompt and its connection, and
 /// an item that fails at once would fail again and again without ever being heard.
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -75,6 +75,22 @@
     assert!(!pick(false, 4));
 }
 
+/// The least loaded server is another worker's to give out and full for this one; its own has
+/// room.
+#[test]
+fn a_batch_item_takes_the_server_with_room_for_it() {
+    let guest = candidate("a", "there", 4);
+    let own = Candidate {
+        slot_keeper: true,
+        ..candidate("b", "here", 6)
+    };
+    for draw in 0..2 {
+        let servers = [guest.clone(), own.clone()];
+        let pick = placement::pick_batch(&servers, "here", draw);
+        assert_eq!(pick.map(|one| one.id.as_str()), Some("b"));
+    }
+}
+
 /// Servers of every size take batch items while they are idle, and keep a slot free for
 /// online requests if they have one to spare.
 #[test]
