Calls that wait for the store go on when it answers again

Every waiting call of a process now goes on as soon as any of its calls is answered.

Ruled out: shorter pauses for submissions (a call every 0.1 s for each, all through an outage).

--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -101,7 +101,7 @@
                     failing = true;
                     revision = None;
                 }
-                tokio::time::sleep(backoff.pause()).await;
+                node.store.pause(backoff.pause()).await;
             }
         }
     }
@@ -311,7 +311,7 @@
                 backoff = Backoff::default();
                 tokio::time::sleep(FIND_PROCESSES_EVERY).await;
             }
-            Err(_) => tokio::time::sleep(backoff.pause()).await,
+            Err(_) => node.store.pause(backoff.pause()).await,
         }
     }
 }
@@ -358,7 +358,7 @@
         };
         match written {
             Ok(Written::Done(_)) => return log::info!(addr:% = own; "process announced"),
-            Ok(_) | Err(_) => tokio::time::sleep(backoff.pause()).await,
+            Ok(_) | Err(_) => node.store.pause(backoff.pause()).await,
         }
     }
 }
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -239,7 +239,7 @@
                 Ok(Written::Conflict(_) | Written::Missing) => {}
                 Err(e) if Instant::now() >= deadline => return Err(e.into()),
                 // Done or not, the next look at the ledger tells.
-                Err(_) => tokio::time::sleep(backoff.pause()).await,
+                Err(_) => self.node.store.pause(backoff.pause()).await,
             }
             if Instant::now() >= deadline {
                 return Err(JobStoreError::Contended);
@@ -314,7 +314,7 @@
                     if !e.is_not_done() {
                         perhaps_done = Some(e);
                     }
-                    tokio::time::sleep(backoff.pause()).await;
+                    self.node.store.pause(backoff.pause()).await;
                 }
             }
         }
--- a/crates/foxwheel-node/src/retirement_follower.rs
+++ b/crates/foxwheel-node/src/retirement_follower.rs
@@ -20,7 +20,7 @@
     loop {
         if let Err(e) = retire_when_asked(node).await {
             log::debug!(error:% = e; "retirements not followed");
-            tokio::time::sleep(backoff.pause()).await;
+            node.store.pause(backoff.pause()).await;
         }
     }
 }
@@ -76,7 +76,7 @@
     loop {
         match node.store.write(&write).await {
             Ok(Written::Done(_) | Written::Missing) => return,
-            Ok(Written::Conflict(_)) | Err(_) => tokio::time::sleep(backoff.pause()).await,
+            Ok(Written::Conflict(_)) | Err(_) => node.store.pause(backoff.pause()).await,
         }
     }
 }
--- a/crates/foxwheel-node/src/store_access.rs
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -7,6 +7,7 @@
 use foxwheel_core::metric_names::{Counter, StoreCall};
 use foxwheel_platform::store::{Listing, Object, Store, StoreError, Watched, Write, Written};
 use rand::RngExt;
+use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
 
@@ -22,6 +23,8 @@
     store: Store,
     metrics: Metrics,
     health: Mutex<Health>,
+    /// Woken when a call is answered after others failed.
+    regained: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -59,6 +62,7 @@
             store: Store::new(addr),
             metrics,
             health: Mutex::default(),
+            regained: Notify::new(),
         }
     }
 
@@ -68,6 +72,13 @@
         health.failing_since.map(|since| now.duration_since(since))
     }
 
+    /// Waits for `pause`, or until the store answers this process again: callers wait for a
+    /// submission's acceptance, and a pause of half a second would make it late.
+    pub async fn pause(&self, pause: Duration) {
+        // Whichever comes first; both mean that the call is to be tried again.
+        let _ = tokio::time::timeout(pause, self.regained.notified()).await;
+    }
+
     /// Every object of `kind`.
     pub async fn list(&self, kind: &str) -> Result<Listing, StoreError> {
         let listed = self.store.list(kind).await;
@@ -107,6 +118,7 @@
             Ok(_) => {
                 self.metrics.incr(Counter::StoreAnswered(call));
                 if let Some(since) = health.failing_since.take() {
+                    self.regained.notify_waiters();
                     let lost_ms = since.elapsed().as_millis() as u64;
                     log::info!(call = call.name(), lost_ms; "platform store regained");
                 }
--- a/crates/foxwheel-node/src/store_relay.rs
+++ b/crates/foxwheel-node/src/store_relay.rs
@@ -72,7 +72,7 @@
         if got.is_ok() || Instant::now() + pause >= deadline {
             return got;
         }
-        tokio::time::sleep(pause).await;
+        node.store.pause(pause).await;
     }
 }
 
