--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -302,7 +302,8 @@
         let age_ms = self.received_at.elapsed().as_millis() as u64;
         let attempts = self.attempts.count();
         let may_have_run = self.attempts.may_have_run();
-        log::warn!(request_id = self.caller.id, route = self.route.name, reason = refusal.reason(), age_ms, attempts, may_have_run; "request failed");
+        let retry_after_ms = refusal.retry_after().map(|after| after.as_millis() as u64);
+        log::warn!(request_id = self.caller.id, route = self.route.name, reason = refusal.reason(), age_ms, attempts, may_have_run, retry_after_ms; "request failed");
     }
 }
 
@@ -326,6 +327,14 @@
 }
 
 impl Refusal {
+    /// When the caller is told to come back, if the request was not run.
+    pub fn retry_after(&self) -> Option<Duration> {
+        match self {
+            Self::NotRun { retry_after, .. } => Some(*retry_after),
+            Self::Failed { .. } => None,
+        }
+    }
+
     /// Why, for the log.
     pub fn reason(&self) -> &str {
         match self {
--- a/crates/foxwheel-node/src/settings.rs
+++ b/crates/foxwheel-node/src/settings.rs
@@ -7,7 +7,7 @@
 use foxwheel_core::settings::{Check, Problems};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use serde_with::{serde_as, DurationMilliSeconds};
+use serde_with::{serde_as, DurationSecondsWithFrac};
 
 /// What a process does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
@@ -53,15 +53,25 @@
     /// Most bytes of one value in the store.
     pub store_value_bytes: usize,
     /// Time from the signal to stop until the process is killed.
-    #[serde(rename = "stop_grace_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "stop_grace_s", default = "default_stop_grace")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub stop_grace: Duration,
     /// How long after its submission a job's results stay readable.
-    #[serde(rename = "results_readable_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde(rename = "results_readable_s", default = "default_results_readable")]
+    #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub results_readable: Duration,
 }
 
+/// The users' present bound; a platform that states none has no reason to be hastier.
+fn default_stop_grace() -> Duration {
+    Duration::from_secs(8)
+}
+
+/// The users' present bound.
+fn default_results_readable() -> Duration {
+    Duration::from_secs(120)
+}
+
 impl NodeSettings {
     /// Address for calls and heartbeats between processes.
     pub fn peer_address(&self) -> SocketAddr {
@@ -84,7 +94,7 @@
             problems.add("caller_address", "must be set for a front");
         }
         if self.stop_grace.is_zero() {
-            problems.add("stop_grace_ms", "must be greater than zero");
+            problems.add("stop_grace_s", "must be greater than zero");
         }
     }
 }
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -137,9 +137,7 @@
         self.jobs.with(job, of_route).flatten().unwrap_or(u32::MAX)
     }
 
-    fn start(&mut self, run: Option<(usize, ItemRun)>) {
-        // A job that was dropped since it was looked at gives its slot back.
-        let Some((item, run)) = run else { return };
+    fn start(&mut self, item: usize, run: ItemRun) {
         self.runs.push(Run {
             job: run.job.clone(),
             item,
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -39,9 +39,10 @@
                 continue;
             };
             let service = route.pick_service(rand::random());
-            if let Some(slot) = places.take(self, service, now) {
-                let run = self.run_of(job, item.item, slot);
-                self.start(run);
+            let slot = places.take(self, service, now);
+            // A job that was dropped since it was looked at gives its slot back.
+            if let Some(run) = slot.and_then(|slot| self.run_of(job, item.item, slot)) {
+                self.start(item.item, run);
             }
         }
     }
@@ -75,18 +76,18 @@
         (jobs, items)
     }
 
-    fn run_of(&self, job: &WaitingJob, item: usize, slot: InFlight) -> Option<(usize, ItemRun)> {
+    /// Marks an item as running; none if its job is not in memory any more.
+    fn run_of(&self, job: &WaitingJob, item: usize, slot: InFlight) -> Option<ItemRun> {
         self.jobs.with(&job.job, |entry| {
             entry.progress.start(item);
-            let run = ItemRun {
+            ItemRun {
                 job: job.job.clone(),
                 host: job.host.clone(),
                 item: entry.progress.spec.items[item].clone(),
                 partial: entry.progress.items[item].partial.clone(),
                 slot,
                 cancel: entry.cancel.child_token(),
-            };
-            (item, run)
+            }
         })
     }
 
--- a/crates/foxwheel-node/tests/online_contract.rs
+++ b/crates/foxwheel-node/tests/online_contract.rs
@@ -353,3 +353,20 @@
     assert!(failed <= 15, "{failed} of 60 requests failed");
     fleet.cancel.cancel();
 }
+
+/// A caller may say that it waits for ever.
+#[actix_web::test]
+async fn a_time_limit_of_any_size_is_taken() {
+    let fleet = Fleet::start(Plan {
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let forever = u64::MAX.to_string();
+    let name = DEADLINE_MS;
+    let headers = [(name.as_str(), forever.as_str())];
+    let front = fleet.fronts[0];
+    let answer = call(front, Method::POST, "/once/a", "patient", &headers, "x").await;
+    assert_eq!(answer.expect("an answer").status, StatusCode::OK);
+    fleet.cancel.cancel();
+}
