--- a/crates/foxwheel-policy/tests/routing.rs
+++ b/crates/foxwheel-policy/tests/routing.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use foxwheel_policy::config_in_force::ConfigInForce;
+use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{CallerLimits, Config, Route, RouteKind, WeightedService};
 
 fn route(name: &str, host: &str, prefix: &str) -> Route {
@@ -115,3 +116,95 @@
         Ok(())
     });
 }
+
+/// A request on its way: what it was given when it came, and what became of its attempts.
+struct Waiting {
+    version: u64,
+    service: String,
+    attempts: Attempts,
+    /// Attempts that ran.
+    runs: u32,
+}
+
+/// The service of the route in a version of the configuration; none where it is dropped.
+fn service_in(version: u64) -> Option<String> {
+    (version % 5 != 0).then(|| format!("service-{}", version % 3))
+}
+
+fn config_of(version: u64, kind: RouteKind) -> Config {
+    let routes = service_in(version).map(|service| {
+        let mut route = route("moving", "a.example", "/x/");
+        route.kind = kind;
+        route.max_attempts = 3;
+        route.targets[0].service = service;
+        route
+    });
+    config(version, routes.into_iter().collect())
+}
+
+/// Configurations come from the store and from peers in any order while requests come, wait,
+/// run, fail and are tried again: each request goes where the newest version known when it
+/// came sends it, none comes in under an older one than one before it, and one that may not
+/// repeat runs once at most, and never after it was refused as not run.
+#[test]
+fn a_route_that_moves_under_waiting_requests_keeps_their_promises() {
+    const OUTCOMES: [AttemptOutcome; 4] = [
+        AttemptOutcome::NotSent,
+        AttemptOutcome::Rejected,
+        AttemptOutcome::Failed,
+        AttemptOutcome::Unknown,
+    ];
+    for kind in [RouteKind::Idempotent, RouteKind::NonIdempotent] {
+        common::seeded(8, 40_000, |u| {
+            let mut in_force = ConfigInForce::default();
+            let mut waiting: Vec<Waiting> = Vec::new();
+            let (mut newest, mut last_version) = (0, 0);
+            for _ in 0..10_000 {
+                match u.int_in_range(0..=9)? {
+                    0 => newest += u.int_in_range(1..=3)?,
+                    1 => {
+                        let version = u.int_in_range(0..=newest)?;
+                        in_force.offer(config_of(version, kind));
+                    }
+                    2..=4 => {
+                        let Some(config) = in_force.get() else {
+                            continue;
+                        };
+                        assert!(config.version >= last_version, "an older version again");
+                        last_version = config.version;
+                        let Some(route) = config.match_route("a.example", "/x/1") else {
+                            assert_eq!(service_in(config.version), None);
+                            continue;
+                        };
+                        waiting.push(Waiting {
+                            version: config.version,
+                            service: route.pick_service(u.arbitrary()?).clone(),
+                            attempts: Attempts::new(route.is_repeatable(), route.max_attempts),
+                            runs: 0,
+                        });
+                    }
+                    _ if waiting.is_empty() => {}
+                    _ => {
+                        let at = u.choose_index(waiting.len())?;
+                        let outcome = OUTCOMES[u.choose_index(OUTCOMES.len())?];
+                        let request = &mut waiting[at];
+                        assert_eq!(Some(&request.service), service_in(request.version).as_ref());
+                        let ran =
+                            matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Unknown);
+                        request.runs += u32::from(ran);
+                        let next = request.attempts.record(outcome);
+                        let most = if kind == RouteKind::Idempotent { 3 } else { 1 };
+                        assert!(request.runs <= most, "ran {} times", request.runs);
+                        if next == NextStep::RefuseNotRun {
+                            assert_eq!(request.runs, 0, "refused as not run");
+                        }
+                        if next != NextStep::TryAnother {
+                            waiting.swap_remove(at);
+                        }
+                    }
+                }
+            }
+            Ok(())
+        });
+    }
+}
