online.rs and relay.rs import each other no more

Cause: counting a served request had been put into online.rs, which calls relay.rs, which needs it too. It stands with the request now. No behaviour changes; node's metrics and online tests pass as before. A look at the imports shows no circle any more (one before).

--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -29,7 +29,7 @@
     };
     match answered {
         Ok(reply) => {
-            request.count(&node, served_outcome(request.is_on_time()));
+            request.count_served(&node, request.is_on_time());
             node.metrics
                 .time(Timer::FirstAnswer, request.received_at.elapsed());
             reply
@@ -48,14 +48,6 @@
     }
 }
 
-/// The outcome of a request that was answered whole.
-pub fn served_outcome(on_time: bool) -> RequestOutcome {
-    match on_time {
-        true => RequestOutcome::OnTime,
-        false => RequestOutcome::Late,
-    }
-}
-
 fn refusal_outcome(refusal: &Refusal) -> RequestOutcome {
     match refusal {
         Refusal::NotRun { .. } => RequestOutcome::Refused,
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -291,6 +291,15 @@
         node.metrics.incr(Counter::Request(kind, outcome));
     }
 
+    /// Counts a request that was answered whole.
+    pub fn count_served(&self, node: &Node, on_time: bool) {
+        let outcome = match on_time {
+            true => RequestOutcome::OnTime,
+            false => RequestOutcome::Late,
+        };
+        self.count(node, outcome);
+    }
+
     /// Load and slots of the server that was chosen last, as they were known then.
     pub fn seen_load(&self) -> (Option<u32>, Option<u32>) {
         let choice = self.choice;
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -11,7 +11,6 @@
 use crate::attempt::{OpenAnswer, Piece};
 use crate::event_stream::EventSplitter;
 use crate::node::Node;
-use crate::online;
 use crate::online_request::OnlineRequest;
 use crate::replies::RelayError;
 
@@ -54,7 +53,7 @@
                 }
                 Piece::End if !splitter.has_rest() => {
                     let (first_age, on_time) = first.unwrap_or_default();
-                    request.count(&node, online::served_outcome(on_time));
+                    request.count_served(&node, on_time);
                     node.paces.note_hold(&request.service, started.elapsed());
                     let (in_flight, slots) = request.seen_load();
                     log::info!(request_id = request.caller.id, server = answer.server, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
