--- a/crates/foxwheel-core/src/ids.rs
+++ b/crates/foxwheel-core/src/ids.rs
@@ -21,8 +21,11 @@
 pub type Version = u64;
 /// A fencing number handed out with a lease; a holder with an older number is stale.
 pub type FencingToken = u64;
-/// One start of a backend server; a restarted server has a new one.
+/// The id under which a backend server lists itself; a restarted server may have the same.
 pub type ServerId = String;
+/// One start of a process or backend server under its id: when it started, in milliseconds
+/// since the Unix epoch. 0 where that is not told.
+pub type Incarnation = u64;
 /// A service that routes send requests to, e.g. a model's deployment.
 pub type ServiceName = String;
 /// A process of the system, named after the host it runs on.
--- a/crates/foxwheel-gateway/src/forwarding.rs
+++ b/crates/foxwheel-gateway/src/forwarding.rs
@@ -154,7 +154,7 @@
             if may_try {
                 counters.incr(match outcome {
                     AttemptOutcome::NotSent => "retried.never_reached",
-                    AttemptOutcome::Rejected => "retried.not_run",
+                    AttemptOutcome::Gone | AttemptOutcome::Rejected => "retried.not_run",
                     AttemptOutcome::Failed | AttemptOutcome::Unknown => "retried.broke_off",
                 });
             }
--- a/crates/foxwheel-http1/src/pool.rs
+++ b/crates/foxwheel-http1/src/pool.rs
@@ -1,4 +1,7 @@
 //! Idle connections kept for the next exchange with the same peer.
+//!
+//! The key says who the peer is: an address may pass to another one, whose connections must
+//! not be mixed up with those of the one before.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -22,10 +25,10 @@
 
 /// Idle connections by peer; the newest is reused first.
 #[derive(Debug)]
-pub struct Pool {
+pub struct Pool<K> {
     options: ConnectOptions,
-    /// Sorted by peer address; connections of one peer in the order of their return.
-    idle: Mutex<Vec<(SocketAddr, Vec<Idle>)>>,
+    /// Sorted by peer; connections of one peer in the order of their return.
+    idle: Mutex<Vec<(K, Vec<Idle>)>>,
 }
 
 /// A connection taken from the pool or newly opened.
@@ -37,7 +40,7 @@
     pub is_new: bool,
 }
 
-impl Pool {
+impl<K: Ord + Clone> Pool<K> {
     /// An empty pool that opens connections with `options`.
     pub fn new(options: ConnectOptions) -> Self {
         Self {
@@ -46,36 +49,35 @@
         }
     }
 
-    /// An idle connection to `peer`, or a new one.
-    pub async fn take(&self, peer: SocketAddr) -> Result<Lease, ExchangeError> {
-        if let Some(connection) = self.take_idle(peer) {
+    /// An idle connection to `peer` at `addr`, or a new one.
+    pub async fn take(&self, peer: &K, addr: SocketAddr) -> Result<Lease, ExchangeError> {
+        if let Some(connection) = self.take_idle(peer, addr) {
             return Ok(Lease {
                 connection,
                 is_new: false,
             });
         }
-        let connection = Connection::open(peer, self.options).await?;
+        let connection = Connection::open(addr, self.options).await?;
         Ok(Lease {
             connection,
             is_new: true,
         })
     }
 
-    /// Gives back a connection whose exchange ended whole. `idle_timeout` is what the peer
+    /// Gives back a connection to `peer` whose exchange ended whole. `idle_timeout` is what the peer
     /// announced.
-    pub fn put(&self, connection: Connection, idle_timeout: Option<Duration>) {
+    pub fn put(&self, peer: &K, connection: Connection, idle_timeout: Option<Duration>) {
         let usable = idle_timeout.map_or(UNANNOUNCED_IDLE, |timeout| {
             timeout.saturating_sub(IDLE_MARGIN)
         });
-        let peer = connection.peer();
         let idle = Idle {
             connection,
             usable_until: Instant::now() + usable,
         };
         let mut peers = self.idle.lock().expect("pool lock");
-        match peers.binary_search_by_key(&peer, |(addr, _)| *addr) {
+        match peers.binary_search_by(|(known, _)| known.cmp(peer)) {
             Ok(at) => peers[at].1.push(idle),
-            Err(at) => peers.insert(at, (peer, vec![idle])),
+            Err(at) => peers.insert(at, (peer.clone(), vec![idle])),
         }
     }
 
@@ -89,12 +91,14 @@
         peers.retain(|(_, idle)| !idle.is_empty());
     }
 
-    fn take_idle(&self, peer: SocketAddr) -> Option<Connection> {
+    fn take_idle(&self, peer: &K, addr: SocketAddr) -> Option<Connection> {
         let now = Instant::now();
         let mut peers = self.idle.lock().expect("pool lock");
-        let at = peers.binary_search_by_key(&peer, |(addr, _)| *addr).ok()?;
+        let found = peers.binary_search_by(|(known, _)| known.cmp(peer));
+        let at = found.ok()?;
         while let Some(idle) = peers[at].1.pop() {
-            if idle.usable_until > now && idle.connection.is_ready() {
+            let is_there = idle.connection.peer() == addr;
+            if is_there && idle.usable_until > now && idle.connection.is_ready() {
                 return Some(idle.connection);
             }
         }
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::{RequestId, ServerId};
+use foxwheel_core::ids::RequestId;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::connection::{Connection, ExchangeError, RequestBody};
 use foxwheel_platform::online::{self, AnswerHead};
+use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::retry::AttemptOutcome;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -66,7 +67,7 @@
     /// The decoded head.
     pub says: AnswerHead,
     /// The server.
-    pub server: ServerId,
+    pub server: ServerKey,
     node: Arc<Node>,
     body: Incoming,
     connection: Connection,
@@ -96,7 +97,7 @@
     };
     let mut is_new = true;
     let exchange = async {
-        let mut lease = node.pool.take(addr).await?;
+        let mut lease = node.pool.take(server, addr).await?;
         is_new = lease.is_new;
         if is_new {
             node.metrics.incr(Counter::ServerConnection);
@@ -137,6 +138,9 @@
     }
     let now = Instant::now();
     node.loads.progress(server, now);
+    if says.another_instance {
+        node.note_gone(server);
+    }
     if says.status.is_success() || says.status == StatusCode::INTERNAL_SERVER_ERROR {
         let failed = !says.status.is_success();
         node.loads.note_outcome(server, failed, now);
@@ -190,6 +194,7 @@
     pub fn finish(self) {
         let Self {
             says,
+            server,
             node,
             connection,
             slot,
@@ -197,7 +202,7 @@
         } = self;
         drop(slot);
         if !says.closes {
-            node.pool.put(connection, says.idle_timeout);
+            node.pool.put(&server, connection, says.idle_timeout);
         }
     }
 }
@@ -217,7 +222,7 @@
 /// is sent nothing new.
 async fn bounded<T>(
     node: &Node,
-    server: &ServerId,
+    server: &ServerKey,
     patience: Duration,
     give_up_at: Instant,
     work: impl std::future::Future<Output = T>,
@@ -244,7 +249,7 @@
 /// What a broken exchange says of its server: one that cannot be connected to is sent nothing
 /// for a while; an answer that was lost is a failure; a connection that the server closed
 /// while it was idle says nothing.
-fn note_broken(node: &Node, server: &ServerId, error: &ExchangeError, is_new: bool) {
+fn note_broken(node: &Node, server: &ServerKey, error: &ExchangeError, is_new: bool) {
     match error {
         ExchangeError::Connect { .. } => note_suspect(node, server, "no connection"),
         ExchangeError::NotSent { .. } if !is_new => {}
@@ -254,8 +259,8 @@
     }
 }
 
-fn note_suspect(node: &Node, server: &ServerId, reason: &str) {
+fn note_suspect(node: &Node, server: &ServerKey, reason: &str) {
     if node.loads.suspect(server, Instant::now()) {
-        log::info!(server, reason; "backend server suspected");
+        log::info!(server = server.id, reason; "backend server suspected");
     }
 }
--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -2,11 +2,13 @@
 //! processes.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use foxwheel_core::ids::{ServerId, Version};
 use foxwheel_platform::store::{Change, EncodedJson, Object, StoreError, Watched, Write, Written};
 use foxwheel_platform::{config, servers};
+use foxwheel_policy::membership::BackendServer;
 use foxwheel_policy::routes::Config;
 use tokio_util::sync::CancellationToken;
 
@@ -66,7 +68,7 @@
     let following = async {
         tokio::join!(
             follow(&node, ConfigFollower),
-            follow(&node, ServerFollower),
+            follow(&node, ServerFollower::default()),
             find_processes(&node),
             expire(&node),
             ask_peers(&node),
@@ -185,7 +187,11 @@
     }
 }
 
-struct ServerFollower;
+#[derive(Default)]
+struct ServerFollower {
+    /// Spoiled entries and the revisions at which they were logged; sorted by name.
+    spoiled: Mutex<Vec<(ServerId, Version)>>,
+}
 
 impl Follower for ServerFollower {
     const KIND: &'static str = servers::KIND;
@@ -201,11 +207,21 @@
     }
 
     fn take_all(&self, node: &Node, objects: Vec<Object>, revision: u64) {
-        let listed: Vec<_> = objects.iter().filter_map(decode_server).collect();
-        let servers = listed.len();
+        let (mut listed, mut spoiled) = (Vec::new(), Vec::new());
+        for object in &objects {
+            match self.decode(object) {
+                Some(server) => listed.push(server),
+                None => spoiled.push(&object.name),
+            }
+        }
+        self.forget_logged(&spoiled);
+        let (servers, spoiled_entries) = (listed.len(), spoiled.len());
         let mut directory = node.directory.lock().expect("directory lock");
         let taken = directory.take_list(listed, revision, Instant::now());
-        log::info!(servers, revision, taken; "backend servers listed");
+        for id in spoiled.into_iter().filter(|_| taken) {
+            directory.refuse(id);
+        }
+        log::info!(servers, spoiled_entries, revision, taken; "backend servers listed");
     }
 
     fn advance(&self, node: &Node, revision: u64) {
@@ -219,19 +235,39 @@
         if change.removed {
             log::info!(server = id, revision = change.object.revision; "backend server delisted");
             directory.remove(&id, Instant::now());
-        } else if let Some(server) = decode_server(&change.object) {
-            log::info!(server = id, revision = change.object.revision, state:? = server.state, service = server.service; "backend server changed");
+        } else if let Some(server) = self.decode(&change.object) {
+            log::info!(server = id, incarnation = server.incarnation, revision = change.object.revision, state:? = server.state, service = server.service; "backend server changed");
             directory.upsert(server);
+        } else {
+            directory.refuse(&id);
         }
     }
 }
 
-fn decode_server(object: &Object) -> Option<foxwheel_policy::membership::BackendServer> {
-    servers::decode(&object.name, &object.spec)
-        .inspect_err(
-            |e| log::warn!(server = object.name, error:% = e; "backend server's entry unreadable"),
-        )
-        .ok()
+impl ServerFollower {
+    /// The server that an entry names, if it names one. Each version of a spoiled entry is
+    /// logged once, however often it is read.
+    fn decode(&self, object: &Object) -> Option<BackendServer> {
+        let error = match servers::decode(&object.name, &object.spec) {
+            Ok(server) => return Some(server),
+            Err(error) => error,
+        };
+        let mut logged = self.spoiled.lock().expect("spoiled entries lock");
+        let found = logged.binary_search_by(|(name, _)| name.cmp(&object.name));
+        match found {
+            Ok(at) if logged[at].1 == object.revision => return None,
+            Ok(at) => logged[at].1 = object.revision,
+            Err(at) => logged.insert(at, (object.name.clone(), object.revision)),
+        }
+        log::warn!(server = object.name, revision = object.revision, error:% = error; "backend server's entry names no server");
+        None
+    }
+
+    /// Forgets what was logged of entries that a whole list does not show as spoiled.
+    fn forget_logged(&self, spoiled: &[&ServerId]) {
+        let mut logged = self.spoiled.lock().expect("spoiled entries lock");
+        logged.retain(|(name, _)| spoiled.contains(&name));
+    }
 }
 
 /// Drops servers whose time as a last resort is over, and idle connections past theirs.
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -119,7 +119,6 @@
     sequence: u64,
     addresses: &[(std::net::SocketAddr, Option<String>)],
 ) -> Heartbeat {
-    let loads = node.loads.snapshot();
     Heartbeat {
         host: node.settings.host.clone(),
         incarnation: node.incarnation,
@@ -129,10 +128,8 @@
         addr: node.settings.peer_address(),
         leaving: node.is_leaving(),
         store_reached: node.store.failing_for(std::time::Instant::now()).is_none(),
-        loads: loads
-            .into_iter()
-            .map(|(id, online, batch)| (id, online as u16, batch as u16))
-            .collect(),
+        loads: node.loads.snapshot(),
+        gone: node.gone_servers(std::time::Instant::now()),
         claims: node.claims(),
         known: addresses
             .iter()
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -63,7 +63,7 @@
         () = cancel.cancelled() => (RunEnd::Preempted, "slot needed or job ended".to_owned()),
     };
     let took_ms = started.elapsed().as_millis() as u64;
-    log::info!(request_id = item.id, job, server, end:? = end, reason, resumed_after, last_event = partial.last_event_id, took_ms; "item run ended");
+    log::info!(request_id = item.id, job, server = server.id, end:? = end, reason, resumed_after, last_event = partial.last_event_id, took_ms; "item run ended");
     node.metrics.incr(match end {
         RunEnd::Whole => Counter::RunWhole,
         RunEnd::Preempted => Counter::RunPreempted,
@@ -80,7 +80,7 @@
     partial: &mut PartialOutput,
 ) -> (RunEnd, String) {
     let attempt = Attempt {
-        server: slot.server(),
+        server: &slot.server().id,
         time_left: None,
         last_event_id: partial.last_event_id,
     };
@@ -98,7 +98,9 @@
     match attempt::send(node, target, request).await {
         Ok(answer) => read_answer(answer, partial).await,
         Err(failure) => match failure.outcome {
-            AttemptOutcome::NotSent | AttemptOutcome::Rejected => (RunEnd::NotRun, failure.reason),
+            AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Rejected => {
+                (RunEnd::NotRun, failure.reason)
+            }
             AttemptOutcome::Failed | AttemptOutcome::Unknown => (RunEnd::Broken, failure.reason),
         },
     }
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -1,10 +1,13 @@
-//! What this process knows of each backend server's load and health.
+//! What this process knows of each backend server's load and health. All of it belongs to one
+//! start of a server: a later start under the same id begins with nothing.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::ServerId;
 use foxwheel_policy::health::Outcomes;
+use foxwheel_policy::membership::ServerKey;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 /// How long a server that was silent or could not be connected to is avoided.
@@ -21,7 +24,7 @@
 
 #[derive(Debug, Clone, Default)]
 struct Entry {
-    server: ServerId,
+    server: ServerKey,
     online: u32,
     batch: u32,
     suspect_until: Option<Instant>,
@@ -32,7 +35,7 @@
 /// In-flight requests of this process by server, and servers it has reason to avoid.
 #[derive(Debug, Default)]
 pub struct LoadTable {
-    /// Sorted by server id.
+    /// Sorted by server and start.
     entries: Mutex<Vec<Entry>>,
     /// Woken when a request ends and its slot is free.
     pub freed: Notify,
@@ -42,17 +45,28 @@
 #[derive(Debug)]
 pub struct InFlight {
     table: Arc<LoadTable>,
-    server: ServerId,
+    server: ServerKey,
     class: WorkClass,
 }
 
 impl InFlight {
     /// The server.
-    pub fn server(&self) -> &ServerId {
+    pub fn server(&self) -> &ServerKey {
         &self.server
     }
 }
 
+/// Requests in flight at one start of a server from one process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerLoad {
+    /// The server.
+    pub server: ServerKey,
+    /// Online requests.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+}
+
 /// One server's load from this process.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OwnLoad {
@@ -68,7 +82,7 @@
 
 impl LoadTable {
     /// Counts a request as in flight at `server` until the answer is dropped.
-    pub fn begin(self: &Arc<Self>, server: &ServerId, class: WorkClass) -> InFlight {
+    pub fn begin(self: &Arc<Self>, server: &ServerKey, class: WorkClass) -> InFlight {
         self.with(server, |entry| *entry.count(class) += 1);
         InFlight {
             table: Arc::clone(self),
@@ -78,9 +92,9 @@
     }
 
     /// The load this process puts on `server`.
-    pub fn own(&self, server: &str, now: Instant) -> OwnLoad {
+    pub fn own(&self, server: &ServerKey, now: Instant) -> OwnLoad {
         let entries = self.entries.lock().expect("load lock");
-        match entries.binary_search_by(|entry| entry.server.as_str().cmp(server)) {
+        match entries.binary_search_by(|entry| entry.server.cmp(server)) {
             Ok(at) => OwnLoad {
                 online: entries[at].online,
                 batch: entries[at].batch,
@@ -91,18 +105,22 @@
         }
     }
 
-    /// Every server with requests in flight: its id, online and batch requests.
-    pub fn snapshot(&self) -> Vec<(ServerId, u32, u32)> {
+    /// The load on every server with requests in flight; sorted by server and start.
+    pub fn snapshot(&self) -> Vec<ServerLoad> {
         let entries = self.entries.lock().expect("load lock");
         entries
             .iter()
             .filter(|entry| entry.online + entry.batch > 0)
-            .map(|entry| (entry.server.clone(), entry.online, entry.batch))
+            .map(|entry| ServerLoad {
+                server: entry.server.clone(),
+                online: entry.online,
+                batch: entry.batch,
+            })
             .collect()
     }
 
     /// Avoids `server` for a while; answers whether that is new.
-    pub fn suspect(&self, server: &ServerId, now: Instant) -> bool {
+    pub fn suspect(&self, server: &ServerKey, now: Instant) -> bool {
         self.with(server, |entry| {
             let known = entry.suspect_until.is_some_and(|until| now < until);
             entry.suspect_until = Some(now + SUSPECT_FOR);
@@ -111,12 +129,12 @@
     }
 
     /// Takes note of a request that `server` served, or failed.
-    pub fn note_outcome(&self, server: &ServerId, failed: bool, now: Instant) {
+    pub fn note_outcome(&self, server: &ServerKey, failed: bool, now: Instant) {
         self.with(server, |entry| entry.outcomes.note(failed, now));
     }
 
     /// `server` sent something: it is not avoided any more.
-    pub fn progress(&self, server: &ServerId, now: Instant) {
+    pub fn progress(&self, server: &ServerKey, now: Instant) {
         self.with(server, |entry| {
             entry.suspect_until = None;
             entry.progress_at = Some(now);
@@ -125,7 +143,7 @@
 
     /// Whether `server` sent nothing for any request of this process for `silence`. One
     /// request may wait long at a full server that is at work on others.
-    pub fn is_silent(&self, server: &str, silence: Duration, now: Instant) -> bool {
+    pub fn is_silent(&self, server: &ServerKey, silence: Duration, now: Instant) -> bool {
         self.with(server, |entry| {
             entry
                 .progress_at
@@ -136,16 +154,16 @@
     /// Forgets servers that are gone.
     pub fn forget(&self, gone: &[ServerId]) {
         let mut entries = self.entries.lock().expect("load lock");
-        entries.retain(|entry| entry.online + entry.batch > 0 || !gone.contains(&entry.server));
+        entries.retain(|entry| entry.online + entry.batch > 0 || !gone.contains(&entry.server.id));
     }
 
-    fn with<T>(&self, server: &str, act: impl FnOnce(&mut Entry) -> T) -> T {
+    fn with<T>(&self, server: &ServerKey, act: impl FnOnce(&mut Entry) -> T) -> T {
         let mut entries = self.entries.lock().expect("load lock");
         let at = entries
-            .binary_search_by(|entry| entry.server.as_str().cmp(server))
+            .binary_search_by(|entry| entry.server.cmp(server))
             .unwrap_or_else(|at| {
                 let entry = Entry {
-                    server: server.to_owned(),
+                    server: server.clone(),
                     ..Entry::default()
                 };
                 entries.insert(at, entry);
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -3,13 +3,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::ServiceName;
+use foxwheel_core::ids::{Incarnation, ServiceName};
 use foxwheel_core::time;
 use foxwheel_http1::connection::ConnectOptions;
 use foxwheel_http1::pool::Pool;
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
-use foxwheel_policy::membership::Directory;
+use foxwheel_policy::membership::{Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
 use tokio::sync::Notify;
@@ -37,7 +37,7 @@
     /// Settings at start.
     pub settings: NodeSettings,
     /// When the process started, in milliseconds since the Unix epoch.
-    pub incarnation: u64,
+    pub incarnation: Incarnation,
     /// The operator's configuration in force here.
     pub config: Mutex<ConfigInForce>,
     /// The backend servers known here.
@@ -57,7 +57,7 @@
     /// The platform's store.
     pub store: StoreAccess,
     /// Connections to backend servers.
-    pub pool: Pool,
+    pub pool: Pool<ServerKey>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Jobs that this process runs or closed a short while ago; sorted by job.
@@ -112,17 +112,19 @@
     }
 
     /// The servers of `service` that may take work, without those named in `tried`.
-    pub fn candidates(&self, service: &str, tried: &[String], now: Instant) -> Vec<Candidate> {
+    pub fn candidates(&self, service: &str, tried: &[ServerKey], now: Instant) -> Vec<Candidate> {
         let directory = self.directory.lock().expect("directory lock");
         directory
-            .usable(service)
-            .filter(|member| !tried.contains(&member.server.id))
-            .map(|member| {
+            .usable(service, now)
+            .map(|member| (member, member.server.key()))
+            .filter(|(_, key)| !tried.contains(key) && !self.peers.found_gone(key, now))
+            .map(|(member, key)| {
                 let server = &member.server;
-                let own = self.loads.own(&server.id, now);
-                let (online, batch) = self.peers.load(&server.id, now);
+                let own = self.loads.own(&key, now);
+                let (online, batch) = self.peers.load(&key, now);
                 Candidate {
-                    id: server.id.clone(),
+                    id: key.id,
+                    incarnation: key.incarnation,
                     zone: server.zone.clone(),
                     slots: server.slots,
                     in_flight: own.online + own.batch + online + batch,
@@ -148,12 +150,35 @@
         self.paces.retry_after(service, slots, fronts, now)
     }
 
-    /// The address of the server `id`.
-    pub fn server_addr(&self, id: &str) -> Option<std::net::SocketAddr> {
+    /// The address of that start of a server, if it is the one that is listed.
+    pub fn server_addr(&self, key: &ServerKey) -> Option<std::net::SocketAddr> {
         let directory = self.directory.lock().expect("directory lock");
         let members = directory.members();
-        let found = members.binary_search_by(|member| member.server.id.as_str().cmp(id));
-        found.ok().map(|at| members[at].server.addr)
+        let found = members.binary_search_by(|member| member.server.id.cmp(&key.id));
+        let server = found.ok().map(|at| &members[at].server);
+        server
+            .filter(|server| server.incarnation == key.incarnation)
+            .map(|server| server.addr)
+    }
+
+    /// Takes note that another start answered at a server's address: that start is gone for
+    /// certain, here and at every peer.
+    pub fn note_gone(&self, server: &ServerKey) {
+        let now = Instant::now();
+        let is_news = {
+            let mut directory = self.directory.lock().expect("directory lock");
+            directory.note_gone(server.clone(), now)
+        };
+        if is_news {
+            log::info!(server = server.id, incarnation = server.incarnation; "another start has the server's address");
+            self.load_alarm.notify_one();
+        }
+    }
+
+    /// Starts of servers that this process found to be gone a short while ago; sorted.
+    pub fn gone_servers(&self, now: Instant) -> Vec<ServerKey> {
+        let directory = self.directory.lock().expect("directory lock");
+        directory.gone(now)
     }
 
     /// Jobs that this process runs or closed a short while ago; sorted by job.
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -83,13 +83,13 @@
                 node.paces.note_hold(&request.service, age);
                 let age_ms = age.as_millis() as u64;
                 let (in_flight, slots) = request.seen_load();
-                log::info!(request_id = request.caller.id, server, in_flight, slots, age_ms; "request served");
+                log::info!(request_id = request.caller.id, server = server.id, in_flight, slots, age_ms; "request served");
                 return Ok(pass_on(WholeAnswer { head, body }));
             }
             Err(reason) => {
                 drop(answer);
                 let next = request.attempts.record(AttemptOutcome::Unknown);
-                log::info!(request_id = request.caller.id, server, reason, next:? = next; "answer broken");
+                log::info!(request_id = request.caller.id, server = server.id, reason, next:? = next; "answer broken");
                 request.tried.push(server);
                 if next != NextStep::TryAnother {
                     return Err(Refusal::Failed {
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -5,9 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::{ServerId, ServiceName};
+use foxwheel_core::ids::ServiceName;
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
+use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::placement;
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{Route, RouteKind};
@@ -58,7 +59,7 @@
     head: request::Parts,
     body: Bytes,
     /// Servers that were tried.
-    pub tried: Vec<ServerId>,
+    pub tried: Vec<ServerKey>,
 }
 
 /// What was known of a server when it was chosen.
@@ -114,7 +115,7 @@
     pub async fn open_elsewhere(
         &mut self,
         node: &Arc<Node>,
-        broken: &ServerId,
+        broken: &ServerKey,
     ) -> Option<OpenAnswer> {
         self.tried.push(broken.clone());
         // The operator's time limit ends with the first event; the caller's does not.
@@ -148,7 +149,7 @@
             let next = self.attempts.record(failure.outcome);
             let age_ms = self.received_at.elapsed().as_millis() as u64;
             let (in_flight, slots) = self.seen_load();
-            log::info!(request_id = self.caller.id, server, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
+            log::info!(request_id = self.caller.id, server = server.id, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
             node.metrics.incr(Counter::AttemptFailed);
             self.tried.push(server);
             match next {
@@ -195,7 +196,7 @@
                         node.paces.hold_time(&self.service),
                     ),
                 });
-                return Placed::At(node.loads.begin(&pick.id, WorkClass::Online));
+                return Placed::At(node.loads.begin(&pick.key(), WorkClass::Online));
             }
             let freed = node.loads.freed.notified();
             let until = tokio::time::Instant::from_std(wait_until);
@@ -212,7 +213,7 @@
             _ => self.answer_by,
         };
         let attempt = Attempt {
-            server: slot.server(),
+            server: &slot.server().id,
             time_left: Some(limit.saturating_duration_since(now)),
             last_event_id: self.last_event_id,
         };
@@ -238,10 +239,14 @@
         }
         if answer.says.not_run {
             let reason = format!("rejected with {}", answer.says.status.as_u16());
+            let outcome = match answer.says.another_instance {
+                true => AttemptOutcome::Gone,
+                false => AttemptOutcome::Rejected,
+            };
             if answer.collect(self.answer_by).await.is_ok() {
                 answer.finish();
             }
-            return Err(Failure::new(AttemptOutcome::Rejected, reason));
+            return Err(Failure::new(outcome, reason));
         }
         Err(self.server_failure(answer).await)
     }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -4,10 +4,12 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{NodeId, ServerId, Zone};
+use foxwheel_core::ids::{Incarnation, NodeId, Zone};
 use foxwheel_policy::batch::ownership::{JobClaim, Worker};
+use foxwheel_policy::membership::ServerKey;
 use serde::{Deserialize, Serialize};
 
+use crate::load_table::ServerLoad;
 use crate::settings::Role;
 
 /// Silence after which a process counts as dead: five heartbeats between zones, so that a
@@ -23,7 +25,7 @@
     /// The process's host.
     pub host: NodeId,
     /// When it started, in milliseconds since the Unix epoch; tells restarts apart.
-    pub incarnation: u64,
+    pub incarnation: Incarnation,
     /// Grows with each heartbeat of an incarnation.
     pub sequence: u64,
     /// What it does.
@@ -36,8 +38,10 @@
     pub leaving: bool,
     /// Its own last call to the platform's store succeeded.
     pub store_reached: bool,
-    /// Requests in flight from it: server, online, batch.
-    pub loads: Vec<(ServerId, u16, u16)>,
+    /// Its load on backend servers; sorted by server and start.
+    pub loads: Vec<ServerLoad>,
+    /// Starts of servers that it found to be gone a short while ago; sorted.
+    pub gone: Vec<ServerKey>,
     /// Jobs it runs or closed a short while ago; sorted by job.
     pub claims: Vec<JobClaim>,
     /// Addresses of the processes it hears.
@@ -154,20 +158,27 @@
     }
 
     /// Requests in flight at `server` from all live peers: online and batch.
-    pub fn load(&self, server: &str, now: Instant) -> (u32, u32) {
+    pub fn load(&self, server: &ServerKey, now: Instant) -> (u32, u32) {
         let tables = self.0.lock().expect("peers lock");
         let mut sum = (0, 0);
         for beat in tables.live(now) {
-            let found = beat
-                .loads
-                .binary_search_by(|(id, _, _)| id.as_str().cmp(server));
+            let found = beat.loads.binary_search_by(|load| load.server.cmp(server));
             if let Ok(at) = found {
-                sum.0 += u32::from(beat.loads[at].1);
-                sum.1 += u32::from(beat.loads[at].2);
+                sum.0 += beat.loads[at].online;
+                sum.1 += beat.loads[at].batch;
             }
         }
         sum
     }
+
+    /// Whether a live peer found that start of a server to be gone.
+    pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
+        let tables = self.0.lock().expect("peers lock");
+        let found = tables
+            .live(now)
+            .any(|beat| beat.gone.binary_search(server).is_ok());
+        found
+    }
 }
 
 impl Peer {
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -56,7 +56,7 @@
                     request.count_served(&node, on_time);
                     node.paces.note_hold(&request.service, started.elapsed());
                     let (in_flight, slots) = request.seen_load();
-                    log::info!(request_id = request.caller.id, server = answer.server, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
+                    log::info!(request_id = request.caller.id, server = answer.server.id, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
                     answer.finish();
                     break;
                 }
@@ -128,12 +128,12 @@
     let after = request.last_event_id;
     match opened {
         Some(answer) => {
-            log::warn!(request_id = request.caller.id, server, reason, after, resumed_at = answer.server; "stream resumed");
+            log::warn!(request_id = request.caller.id, server = server.id, reason, after, resumed_at = answer.server.id; "stream resumed");
             node.metrics.incr(Counter::StreamResumed);
             Ok(answer)
         }
         None => {
-            log::warn!(request_id = request.caller.id, server, reason, after; "stream broken");
+            log::warn!(request_id = request.caller.id, server = server.id, reason, after; "stream broken");
             request.count(node, RequestOutcome::Failed);
             node.metrics.incr(Counter::StreamBroken);
             Err(RelayError {
--- a/crates/foxwheel-node/src/retirement_follower.rs
+++ b/crates/foxwheel-node/src/retirement_follower.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
+use foxwheel_core::ids::NodeId;
+
 use foxwheel_platform::retirement::{self, Progress};
-use foxwheel_platform::store::{StoreError, Watched, Write, Written};
+
+use foxwheel_platform::store::{Object, StoreError, Watched, Write, Written};
 
 use crate::node::Node;
 use crate::store_access::Backoff;
@@ -29,10 +32,7 @@
 async fn retire_when_asked(node: &Node) -> Result<(), StoreError> {
     let own = &node.settings.host;
     let listing = node.store.list(retirement::KIND).await?;
-    let mut asked = listing
-        .objects
-        .iter()
-        .any(|object| object.name == *own && !retirement::is_completed(&object.status));
+    let mut asked = listing.objects.iter().any(|object| is_asked(own, object));
     let mut revision = listing.revision;
     while !asked {
         let watched = node
@@ -46,11 +46,9 @@
                 revision: next,
             } => {
                 revision = next;
-                asked = changes.iter().any(|change| {
-                    change.object.name == *own
-                        && !change.removed
-                        && !retirement::is_completed(&change.object.status)
-                });
+                asked = changes
+                    .iter()
+                    .any(|change| !change.removed && is_asked(own, &change.object));
             }
         }
     }
@@ -66,6 +64,10 @@
     Ok(())
 }
 
+fn is_asked(own: &NodeId, object: &Object) -> bool {
+    object.name == *own && retirement::is_asked(&object.spec, &object.status)
+}
+
 async fn write_retirement(node: &Node, progress: Progress) {
     let write = Write::SetStatus {
         kind: retirement::KIND.to_owned(),
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -9,10 +9,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{JobId, ServerId};
+use foxwheel_core::ids::JobId;
 use foxwheel_policy::batch::item::{Ending, ItemState, PartialOutput, RunEnd};
 use foxwheel_policy::batch::job;
 use foxwheel_policy::batch::schedule::RunEstimate;
+use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::routes::{Config, Route, RouteKind};
 use tokio_util::sync::CancellationToken;
 
@@ -31,7 +32,7 @@
 struct Run {
     job: JobId,
     item: usize,
-    server: ServerId,
+    server: ServerKey,
     started_at: Instant,
     cancel: CancellationToken,
 }
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -112,8 +112,9 @@
         for service in &config.services {
             for candidate in self.node.candidates(&service.name, &[], now) {
                 let mut excess = placement::batch_excess(&candidate);
+                let server = candidate.key();
                 let runs = self.runs.iter().rev();
-                for run in runs.filter(|run| run.server == candidate.id) {
+                for run in runs.filter(|run| run.server == server) {
                     if excess == 0 {
                         break;
                     }
@@ -145,16 +146,15 @@
         let node = &worker.node;
         let zone = &node.settings.availability_zone;
         let draw = rand::random::<u32>() as usize;
-        let Some(id) = placement::pick_batch(candidates, zone, draw).map(|pick| pick.id.clone())
-        else {
+        let Some(server) = placement::pick_batch(candidates, zone, draw).map(Candidate::key) else {
             // Nothing is looked for again in this round.
             candidates.clear();
             return None;
         };
-        let taken = candidates.iter_mut().find(|one| one.id == id)?;
+        let taken = candidates.iter_mut().find(|one| one.id == server.id)?;
         taken.in_flight += 1;
         taken.batch_in_flight += 1;
         taken.own_batch += 1;
-        Some(node.loads.begin(&id, WorkClass::Batch))
+        Some(node.loads.begin(&server, WorkClass::Batch))
     }
 }
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -199,10 +199,14 @@
 
     /// Writes a backend server's entry.
     pub async fn list_server_of(&self, service: &str, id: &str, addr: SocketAddr, state: &str) {
-        let entry = json!({
-            "service": service, "addr": addr, "zone": "hall", "slots": 8, "state": state,
-        });
-        let written = self.store.put(&format!("servers/{id}"), &entry, None).await;
+        let mut entry = entry(addr, state);
+        entry["service"] = json!(service);
+        self.write_entry(id, &entry).await;
+    }
+
+    /// Writes whatever stands for the entry of a backend server.
+    pub async fn write_entry(&self, id: &str, entry: &Value) {
+        let written = self.store.put(&format!("servers/{id}"), entry, None).await;
         written.expect("entry written");
     }
 
@@ -327,6 +331,14 @@
     }
 }
 
+/// The entry of a backend server of the service `model`.
+pub fn entry(addr: SocketAddr, state: &str) -> Value {
+    json!({
+        "service": "model", "addr": addr, "zone": "hall", "version": "v1", "slots": 8,
+        "state": state, "cold_left_ms": 0, "seq": 1,
+    })
+}
+
 /// An answer as its caller saw it.
 #[derive(Debug, Clone)]
 pub struct Answer {
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -4,13 +4,22 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_node::heartbeat;
+use foxwheel_node::load_table::ServerLoad;
 use foxwheel_node::peers::{Heartbeat, Peers, DEAD_AFTER};
 use foxwheel_node::settings::Role;
+use foxwheel_policy::membership::ServerKey;
 
 fn addr(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7_660))
 }
 
+fn server(incarnation: u64) -> ServerKey {
+    ServerKey {
+        id: "server-1".to_owned(),
+        incarnation,
+    }
+}
+
 fn beat(host: u8, sequence: u64, known: &[u8]) -> Heartbeat {
     Heartbeat {
         host: format!("host-{host}"),
@@ -21,7 +30,12 @@
         addr: addr(host),
         leaving: false,
         store_reached: true,
-        loads: vec![("server-1".to_owned(), u16::from(host), 1)],
+        loads: vec![ServerLoad {
+            server: server(1),
+            online: u32::from(host),
+            batch: 1,
+        }],
+        gone: Vec::new(),
         claims: Vec::new(),
         known: known.iter().map(|host| addr(*host)).collect(),
     }
@@ -31,11 +45,11 @@
 fn a_silent_process_counts_as_dead_and_its_load_is_forgotten() {
     let (peers, now) = (Peers::default(), Instant::now());
     assert!(peers.hear(beat(2, 1, &[]), addr(1), now));
-    assert_eq!(peers.load("server-1", now), (2, 1));
+    assert_eq!(peers.load(&server(1), now), (2, 1));
     assert_eq!(peers.workers(now).len(), 1);
     let later = now + DEAD_AFTER;
     assert!(peers.workers(later).is_empty());
-    assert_eq!(peers.load("server-1", later), (0, 0));
+    assert_eq!(peers.load(&server(1), later), (0, 0));
     assert!(
         peers.hear(beat(2, 2, &[]), addr(1), later),
         "it is news that it lives"
@@ -49,13 +63,13 @@
     let mut old = beat(2, 4, &[]);
     old.loads.clear();
     peers.hear(old, addr(1), now);
-    assert_eq!(peers.load("server-1", now), (2, 1));
+    assert_eq!(peers.load(&server(1), now), (2, 1));
     let mut restarted = beat(2, 1, &[]);
     restarted.incarnation = 2;
     restarted.loads.clear();
     peers.hear(restarted, addr(1), now);
     assert_eq!(
-        peers.load("server-1", now),
+        peers.load(&server(1), now),
         (0, 0),
         "a restarted process counts anew"
     );
@@ -71,7 +85,7 @@
     let heard: Vec<(&str, bool)> = workers.iter().map(|w| (w.node.as_str(), w.heard)).collect();
     assert_eq!(heard, [("host-2", false), ("host-3", true)]);
     assert_eq!(
-        peers.load("server-1", later),
+        peers.load(&server(1), later),
         (3, 1),
         "its load is not known any more"
     );
@@ -92,7 +106,15 @@
 #[test]
 fn a_large_fleets_heartbeat_is_received_and_sent_more_rarely() {
     let mut large = beat(2, 1, &[]);
-    large.loads = (0..740).map(|at| (format!("i-{at:010x}"), 8, 2)).collect();
+    let load = |at| ServerLoad {
+        server: ServerKey {
+            id: format!("i-{at:010x}"),
+            incarnation: 1_785_312_852_222,
+        },
+        online: 8,
+        batch: 2,
+    };
+    large.loads = (0..740).map(load).collect();
     let bytes = postcard::to_stdvec(&large).expect("it encodes");
     assert!(
         bytes.len() > 10_000 && bytes.len() < 65_000,
@@ -108,3 +130,30 @@
     let bytes_per_s = bytes.len() as f64 / pause.as_secs_f64();
     assert!(bytes_per_s < 80_000.0, "{bytes_per_s}");
 }
+
+/// A server that starts again under its id runs nothing of what its earlier start ran.
+#[test]
+fn load_belongs_to_one_start_of_a_server() {
+    let (peers, now) = (Peers::default(), Instant::now());
+    peers.hear(beat(2, 1, &[]), addr(1), now);
+    assert_eq!(peers.load(&server(1), now), (2, 1));
+    assert_eq!(peers.load(&server(2), now), (0, 0));
+}
+
+/// What one process finds out for certain every process knows, for as long as it lives and
+/// says so.
+#[test]
+fn a_start_that_a_live_peer_found_gone_is_gone() {
+    let (peers, now) = (Peers::default(), Instant::now());
+    let mut finder = beat(2, 1, &[]);
+    finder.gone = vec![server(1)];
+    peers.hear(finder, addr(1), now);
+    assert!(peers.found_gone(&server(1), now));
+    assert!(
+        !peers.found_gone(&server(2), now),
+        "a later start is another one"
+    );
+    assert!(!peers.found_gone(&server(1), now + DEAD_AFTER));
+    peers.hear(beat(2, 2, &[]), addr(1), now);
+    assert!(!peers.found_gone(&server(1), now));
+}
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -2,12 +2,13 @@
 //!
 //! The platform's list is followed as events and as whole lists. An entry that vanishes
 //! while the list's source was out of reach may only have expired, so its server stays a
-//! last resort until it had time to register again.
+//! last resort until it had time to register again. A server may start again under its id:
+//! what is known of one start never speaks for another.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{ServerId, ServiceName, Zone};
+use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, Zone};
 use serde::{Deserialize, Serialize};
 
 /// How long after an entry vanished in calm times its server is still a last resort.
@@ -18,6 +19,26 @@
 /// Live servers register again within about 2 s of its return.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2_400);
 
+/// How long a start that another start's answer showed to be gone stays out of use. Longer
+/// than a listed entry outlives its server (three heartbeats of 1.2 s, and an outage of the
+/// store); bounded, as the answer may have been spoiled on its way.
+const GONE_FOR: Duration = Duration::from_secs(12);
+
+/// One start of a backend server. Loads, failures and connections belong to it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ServerKey {
+    /// The server's id.
+    pub id: ServerId,
+    /// Tells its starts apart.
+    pub incarnation: Incarnation,
+}
+
+impl std::fmt::Display for ServerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(&self.id)
+    }
+}
+
 /// What a backend server says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
@@ -30,8 +51,10 @@
 /// One backend server as the platform lists it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BackendServer {
-    /// Unique for each start of the server.
+    /// Its id, which a later start may have too.
     pub id: ServerId,
+    /// Tells starts under one id apart.
+    pub incarnation: Incarnation,
     /// The service it belongs to.
     pub service: ServiceName,
     /// Where it listens; may be reused by another service's server later.
@@ -44,6 +67,16 @@
     pub state: ServerState,
 }
 
+impl BackendServer {
+    /// The start that the entry tells of.
+    pub fn key(&self) -> ServerKey {
+        ServerKey {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// A listed server and what this process thinks of its entry.
 #[derive(Debug, Clone)]
 pub struct Member {
@@ -53,6 +86,13 @@
     pub lapsed_until: Option<Instant>,
 }
 
+impl Member {
+    /// Whether it is a listed start later than `other`.
+    fn outlives(&self, other: &BackendServer) -> bool {
+        self.lapsed_until.is_none() && self.server.incarnation > other.incarnation
+    }
+}
+
 /// The backend servers known to one process.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -64,21 +104,64 @@
     source_lost: bool,
     /// When the list's source was last found again.
     source_back_at: Option<Instant>,
+    /// Starts that this process found to be gone, and until when; sorted by start.
+    gone: Vec<(ServerKey, Instant)>,
 }
 
 impl Directory {
-    /// Takes one changed entry.
+    /// Takes one changed entry. An earlier start than the one that is listed changes nothing:
+    /// its last write may be done after the first of the later start. Once the entry was
+    /// removed, any start counts, as the clock that it goes by may have been set back.
     pub fn upsert(&mut self, server: BackendServer) {
         let member = Member {
             server,
             lapsed_until: None,
         };
         match self.position(&member.server.id) {
+            Ok(at) if self.members[at].outlives(&member.server) => {}
             Ok(at) => self.members[at] = member,
             Err(at) => self.members.insert(at, member),
         }
     }
 
+    /// Takes note that the entry of `id` names no server any more: another writer spoiled
+    /// it. The server is used again once its entry is whole.
+    pub fn refuse(&mut self, id: &str) {
+        if let Ok(at) = self.position(id) {
+            self.members.remove(at);
+        }
+    }
+
+    /// Takes note that a start is gone for certain: its address answered as another start.
+    /// Answers whether that is new.
+    pub fn note_gone(&mut self, start: ServerKey, now: Instant) -> bool {
+        self.gone.retain(|(_, until)| now < *until);
+        let until = now + GONE_FOR;
+        match self.gone.binary_search_by(|(known, _)| known.cmp(&start)) {
+            Ok(at) => {
+                self.gone[at].1 = until;
+                false
+            }
+            Err(at) => {
+                self.gone.insert(at, (start, until));
+                true
+            }
+        }
+    }
+
+    /// Starts that this process found to be gone a short while ago; sorted.
+    pub fn gone(&self, now: Instant) -> Vec<ServerKey> {
+        let lasting = self.gone.iter().filter(|(_, until)| now < *until);
+        lasting.map(|(start, _)| start.clone()).collect()
+    }
+
+    fn is_gone(&self, server: &BackendServer, now: Instant) -> bool {
+        let found = self.gone.binary_search_by(|(start, _)| {
+            (start.id.as_str(), start.incarnation).cmp(&(server.id.as_str(), server.incarnation))
+        });
+        found.is_ok_and(|at| now < self.gone[at].1)
+    }
+
     /// Takes note that the entry of `id` was removed.
     pub fn remove(&mut self, id: &str, now: Instant) {
         let Ok(at) = self.position(id) else { return };
@@ -157,11 +240,16 @@
     }
 
     /// Servers of `service` that may be sent new work, last resorts included.
-    pub fn usable<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Member> {
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+        now: Instant,
+    ) -> impl Iterator<Item = &'a Member> {
         self.members
             .iter()
             .filter(move |member| member.server.service == service)
             .filter(|member| member.server.state == ServerState::Ready)
+            .filter(move |member| !self.is_gone(&member.server, now))
     }
 
     /// Every member, sorted by id.
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -7,14 +7,18 @@
 
 use std::time::Duration;
 
-use foxwheel_core::ids::{ServerId, Zone};
+use foxwheel_core::ids::{Incarnation, ServerId, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::membership::ServerKey;
+
 /// What is known of one server at the time of a choice.
 #[derive(Debug, Clone, Default)]
 pub struct Candidate {
     /// The server.
     pub id: ServerId,
+    /// Tells its starts apart.
+    pub incarnation: Incarnation,
     /// Its availability zone.
     pub zone: Zone,
     /// Requests it runs at once; at least 1.
@@ -35,6 +39,16 @@
     pub slot_keeper: bool,
 }
 
+impl Candidate {
+    /// The start of the server that is meant.
+    pub fn key(&self) -> ServerKey {
+        ServerKey {
+            id: self.id.clone(),
+            incarnation: self.incarnation,
+        }
+    }
+}
+
 /// Load, as a share of a server's slots, that a server in another zone must be below a
 /// local one to be preferred. What is known of other zones is 0.3 s old, so fronts that go
 /// there readily fill the same servers together: with 0.25 instead 3.1% of the requests of a
--- a/crates/foxwheel-policy/src/retry.rs
+++ b/crates/foxwheel-policy/src/retry.rs
@@ -9,6 +9,8 @@
 pub enum AttemptOutcome {
     /// Nothing was sent: no connection, or it closed before the first byte.
     NotSent,
+    /// The server that was asked is gone for certain, and nothing ran.
+    Gone,
     /// The server says that it did not run the request.
     Rejected,
     /// The server ran the request and answered with a failure of its own.
@@ -34,6 +36,11 @@
 /// count of runs: bounds the work spent on one request when all servers are full.
 const MAX_UNRUN_ATTEMPTS: u32 = 4;
 
+/// Attempts that met another server at the address of the one that was asked. Each takes a
+/// listed server out of use, so they end soon by themselves; a fleet of which half started
+/// again behind a cut has some tens.
+const MAX_GONE_ATTEMPTS: u32 = 64;
+
 /// The attempts made so far for one request.
 #[derive(Debug, Clone, Copy)]
 pub struct Attempts {
@@ -43,8 +50,10 @@
     max_runs: u32,
     /// Attempts that ran or may have run; never above `max_runs`.
     possible_runs: u32,
-    /// Attempts known not to have run.
+    /// Attempts known not to have run, without those that met another server.
     unrun: u32,
+    /// Attempts that met another server at the address.
+    gone: u32,
 }
 
 impl Attempts {
@@ -55,6 +64,7 @@
             max_runs: max_runs.max(1),
             possible_runs: 0,
             unrun: 0,
+            gone: 0,
         }
     }
 
@@ -65,7 +75,7 @@
 
     /// Attempts so far.
     pub fn count(&self) -> u32 {
-        self.possible_runs + self.unrun
+        self.possible_runs + self.unrun + self.gone
     }
 
     /// Whether one more run is allowed after a possible run.
@@ -76,6 +86,14 @@
     /// Records an attempt and decides what follows.
     pub fn record(&mut self, outcome: AttemptOutcome) -> NextStep {
         match outcome {
+            AttemptOutcome::Gone => {
+                self.gone += 1;
+                if self.gone < MAX_GONE_ATTEMPTS {
+                    NextStep::TryAnother
+                } else {
+                    self.give_up()
+                }
+            }
             AttemptOutcome::NotSent | AttemptOutcome::Rejected => {
                 self.unrun += 1;
                 if self.unrun < MAX_UNRUN_ATTEMPTS {
--- a/crates/foxwheel-policy/tests/health.rs
+++ b/crates/foxwheel-policy/tests/health.rs
@@ -8,6 +8,7 @@
 fn candidate(id: &str, in_flight: u32, failure_rate: f64) -> Candidate {
     Candidate {
         id: id.to_owned(),
+        incarnation: 0,
         zone: "here".to_owned(),
         slots: 8,
         in_flight,
--- a/crates/foxwheel-policy/tests/membership.rs
+++ b/crates/foxwheel-policy/tests/membership.rs
@@ -1,5 +1,6 @@
 //! Which backend servers may be sent work, as their list lags, lapses and comes back.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::membership::{BackendServer, Directory, ServerState};
@@ -7,6 +8,7 @@
 fn server(id: &str, state: ServerState) -> BackendServer {
     BackendServer {
         id: id.to_owned(),
+        incarnation: 0,
         service: "model".to_owned(),
         addr: "10.0.0.1:80".parse().expect("an address"),
         zone: "hall".to_owned(),
@@ -16,8 +18,12 @@
 }
 
 fn usable(directory: &Directory) -> Vec<&str> {
+    usable_at(directory, Instant::now())
+}
+
+fn usable_at(directory: &Directory, now: Instant) -> Vec<&str> {
     directory
-        .usable("model")
+        .usable("model", now)
         .map(|member| member.server.id.as_str())
         .collect()
 }
@@ -41,7 +47,7 @@
     directory.upsert(server("a", ServerState::Ready));
     directory.remove("a", now);
     assert!(directory
-        .usable("model")
+        .usable("model", Instant::now())
         .all(|member| member.lapsed_until.is_some()));
     // Work must not reach it 2 s after its entry went.
     let gone = directory.expire(now + Duration::from_millis(1_900));
@@ -87,7 +93,7 @@
     directory.upsert(server("a", ServerState::Ready));
     assert!(directory.expire(now + Duration::from_secs(60)).is_empty());
     assert!(directory
-        .usable("model")
+        .usable("model", Instant::now())
         .all(|member| member.lapsed_until.is_none()));
 }
 
@@ -132,3 +138,90 @@
     directory.expire(later);
     assert_eq!(usable(&directory), ["a"]);
 }
+
+fn start(id: &str, incarnation: u64, port: u16) -> BackendServer {
+    BackendServer {
+        incarnation,
+        addr: SocketAddr::from(([10, 0, 0, 1], port)),
+        ..server(id, ServerState::Ready)
+    }
+}
+
+/// A write of the earlier start may be done late, and a stale read may show it.
+#[test]
+fn an_earlier_start_never_replaces_a_later_one() {
+    let mut directory = Directory::default();
+    directory.upsert(start("a", 2_000, 80));
+    directory.upsert(start("a", 1_000, 81));
+    let known = &directory.members()[0].server;
+    assert_eq!((known.incarnation, known.addr.port()), (2_000, 80));
+    let mut leaving = start("a", 1_000, 81);
+    leaving.state = ServerState::Draining;
+    directory.upsert(leaving);
+    assert_eq!(usable(&directory), ["a"]);
+    directory.upsert(start("a", 3_000, 82));
+    assert_eq!(directory.members()[0].server.addr.port(), 82);
+}
+
+/// Its entry goes and another start comes, at any time of day that its host believes in.
+#[test]
+fn a_start_after_a_removal_counts_whatever_its_time() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.upsert(start("a", 2_000, 80));
+    directory.remove("a", now);
+    directory.upsert(start("a", 1_000, 81));
+    assert_eq!(directory.members()[0].server.addr.port(), 81);
+}
+
+/// An entry that another writer spoiled names no server; its id is no last resort either.
+#[test]
+fn a_spoiled_entry_takes_its_server_out_and_no_other() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.upsert(server("a", ServerState::Ready));
+    directory.upsert(server("b", ServerState::Ready));
+    directory.refuse("a");
+    assert_eq!(usable(&directory), ["b"]);
+    // In a whole list too.
+    let listed = vec![server("c", ServerState::Ready)];
+    directory.source_lost();
+    assert!(directory.take_list(listed, 9, now));
+    assert_eq!(usable(&directory), ["b", "c"], "b is awaited");
+    directory.refuse("b");
+    assert_eq!(usable(&directory), ["c"]);
+}
+
+/// Servers crash and start anew while the list cannot show it: their address answers that
+/// another start has it. The listed start is gone for certain, whoever heard it, until the
+/// list shows a later one.
+#[test]
+fn a_start_that_is_gone_for_certain_takes_no_work() {
+    let now = Instant::now();
+    let soon = now + Duration::from_secs(1);
+    let mut directory = Directory::default();
+    directory.upsert(start("a", 1_000, 80));
+    directory.upsert(start("b", 1_000, 81));
+    let gone = start("a", 1_000, 80).key();
+    assert!(directory.note_gone(gone.clone(), now));
+    assert!(!directory.note_gone(gone.clone(), now), "known already");
+    assert_eq!(usable_at(&directory, soon), ["b"]);
+    assert_eq!(directory.gone(soon), [gone]);
+    // The list is read again and still shows it.
+    directory.upsert(start("a", 1_000, 80));
+    assert_eq!(usable_at(&directory, soon), ["b"]);
+    directory.upsert(start("a", 5_000, 80));
+    assert_eq!(usable_at(&directory, soon), ["a", "b"]);
+}
+
+/// Nothing is believed for ever: an answer may have been spoiled on its way.
+#[test]
+fn a_start_that_was_called_gone_is_tried_again_later() {
+    let now = Instant::now();
+    let mut directory = Directory::default();
+    directory.upsert(start("a", 1_000, 80));
+    directory.note_gone(start("a", 1_000, 80).key(), now);
+    let later = now + Duration::from_secs(60);
+    assert_eq!(usable_at(&directory, later), ["a"]);
+    assert!(directory.gone(later).is_empty());
+}
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -5,6 +5,7 @@
 fn candidate(id: &str, zone: &str, in_flight: u32) -> Candidate {
     Candidate {
         id: id.to_owned(),
+        incarnation: 0,
         zone: zone.to_owned(),
         slots: 8,
         in_flight,
--- a/crates/foxwheel-policy/tests/retry.rs
+++ b/crates/foxwheel-policy/tests/retry.rs
@@ -4,7 +4,8 @@
 
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 
-const ALL: [AttemptOutcome; 4] = [
+const ALL: [AttemptOutcome; 5] = [
+    AttemptOutcome::Gone,
     AttemptOutcome::NotSent,
     AttemptOutcome::Rejected,
     AttemptOutcome::Failed,
@@ -76,3 +77,25 @@
         }
     });
 }
+
+/// Half of a fleet started again while its list cannot show it: each listed start is met
+/// once and is gone for certain. A request goes on to the servers that are left.
+#[test]
+fn servers_that_are_gone_do_not_use_up_a_request() {
+    for repeatable in [true, false] {
+        let mut attempts = Attempts::new(repeatable, 1);
+        for _ in 0..40 {
+            assert_eq!(attempts.record(AttemptOutcome::Gone), NextStep::TryAnother);
+        }
+        assert!(!attempts.may_have_run());
+        assert_eq!(attempts.give_up(), NextStep::RefuseNotRun);
+    }
+}
+
+/// It ends all the same, and truly as not run.
+#[test]
+fn attempts_end_also_where_every_server_is_gone() {
+    let mut attempts = Attempts::new(true, 2);
+    let steps = (0..1_000).map(|_| attempts.record(AttemptOutcome::Gone));
+    assert!(steps.take(100).any(|step| step == NextStep::RefuseNotRun));
+}
