Workers save how far their items got; whoever adopts a job goes on there

Change: a worker writes the partial output, failures and unstored results of its jobs to the platform's store every 2 s (more rarely when they are large), under a name of the process, so that its successor on the host does not overwrite them; an adopting worker takes what is further.

--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -1,6 +1,6 @@
 //! One run of a batch item at a backend server.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
@@ -26,6 +26,9 @@
 /// Longest pause between events before the run goes on elsewhere.
 const EVENT_PATIENCE: Duration = Duration::from_millis(1_500);
 
+/// An item's output, shared between its run and the checkpoints of its worker.
+pub type SharedOutput = Arc<Mutex<PartialOutput>>;
+
 /// What to run and where.
 #[derive(Debug)]
 pub struct ItemRun {
@@ -35,41 +38,45 @@
     pub host: String,
     /// The item.
     pub item: ItemSpec,
-    /// Output of earlier runs.
-    pub partial: PartialOutput,
+    /// Output of earlier runs; the run appends to it.
+    pub output: SharedOutput,
     /// The slot taken at the server.
     pub slot: InFlight,
     /// Cancelled to free the slot or when the job ends.
     pub cancel: CancellationToken,
 }
 
-/// Runs the item; answers how the run ended and the output so far.
-pub async fn run(node: Arc<Node>, run: ItemRun) -> (RunEnd, PartialOutput) {
+/// Runs the item; answers how the run ended.
+pub async fn run(node: Arc<Node>, run: ItemRun) -> RunEnd {
     let server = run.slot.server().clone();
     let ItemRun {
         job,
         host,
         item,
-        mut partial,
+        output,
         slot,
         cancel,
     } = run;
     let started = Instant::now();
-    let resumed_after = partial.last_event_id;
-    let running = run_to_end(&node, &host, &item, slot, &mut partial);
+    let resumed_after = last_event_id(&output);
+    let running = run_to_end(&node, &host, &item, slot, &output);
     let (end, reason) = tokio::select! {
         biased;
         ended = running => ended,
         () = cancel.cancelled() => (RunEnd::Preempted, "slot needed or job ended".to_owned()),
     };
     let took_ms = started.elapsed().as_millis() as u64;
-    log::info!(request_id = item.id, job, server = server.id, end:? = end, reason, resumed_after, last_event = partial.last_event_id, took_ms; "item run ended");
+    log::info!(request_id = item.id, job, server = server.id, end:? = end, reason, resumed_after, last_event = last_event_id(&output), took_ms; "item run ended");
     node.metrics.incr(match end {
         RunEnd::Whole => Counter::RunWhole,
         RunEnd::Preempted => Counter::RunPreempted,
         _ => Counter::RunFailed,
     });
-    (end, partial)
+    end
+}
+
+fn last_event_id(output: &SharedOutput) -> Option<u64> {
+    output.lock().expect("output lock").last_event_id
 }
 
 async fn run_to_end(
@@ -77,12 +84,12 @@
     host: &str,
     item: &ItemSpec,
     slot: InFlight,
-    partial: &mut PartialOutput,
+    output: &SharedOutput,
 ) -> (RunEnd, String) {
     let attempt = Attempt {
         server: &slot.server().id,
         time_left: None,
-        last_event_id: partial.last_event_id,
+        last_event_id: last_event_id(output),
     };
     let request = match online::item_request(item, host, attempt) {
         Ok(request) => request,
@@ -96,7 +103,7 @@
         head_by: None,
     };
     match attempt::send(node, target, request).await {
-        Ok(answer) => read_answer(answer, partial).await,
+        Ok(answer) => read_answer(answer, output).await,
         Err(failure) => match failure.outcome {
             AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Rejected => {
                 (RunEnd::NotRun, failure.reason)
@@ -106,10 +113,10 @@
     }
 }
 
-async fn read_answer(mut answer: OpenAnswer, partial: &mut PartialOutput) -> (RunEnd, String) {
+async fn read_answer(mut answer: OpenAnswer, output: &SharedOutput) -> (RunEnd, String) {
     let status = answer.says.status;
     if status.is_success() && !answer.says.not_run {
-        return read_events(answer, partial).await;
+        return read_events(answer, output).await;
     }
     let end = match status {
         _ if answer.says.not_run => RunEnd::NotRun,
@@ -124,7 +131,7 @@
     (end, format!("server answered {}", status.as_u16()))
 }
 
-async fn read_events(mut answer: OpenAnswer, partial: &mut PartialOutput) -> (RunEnd, String) {
+async fn read_events(mut answer: OpenAnswer, output: &SharedOutput) -> (RunEnd, String) {
     let mut splitter = EventSplitter::default();
     let mut patience = FIRST_EVENT_PATIENCE;
     loop {
@@ -133,7 +140,7 @@
             Piece::End if splitter.has_rest() => {
                 return (RunEnd::Broken, "ended within an event".to_owned())
             }
-            Piece::End if partial.last_event_id.is_none() => {
+            Piece::End if last_event_id(output).is_none() => {
                 return (RunEnd::Broken, "ended without an event".to_owned())
             }
             Piece::End => {
@@ -145,8 +152,9 @@
         patience = EVENT_PATIENCE;
         while let Some(event) = splitter.next_event() {
             let Some(id) = event.id else { continue };
-            if !partial.push(id, &event.data()) {
-                let last = partial.last_event_id;
+            let mut output = output.lock().expect("output lock");
+            if !output.push(id, &event.data()) {
+                let last = output.last_event_id;
                 return (RunEnd::Broken, format!("event {id} follows event {last:?}"));
             }
         }
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -3,13 +3,17 @@
 //!
 //! - a job as submitted: created once, before it stands in the ledger;
 //! - the ledger of accepted jobs: replaced only at the revision it was read at;
-//! - parts of results, numbered from 0: each created once.
+//! - parts of results, numbered from 0: each created once;
+//! - how far each worker's items got: replaced by the process that wrote it, read by whoever
+//!   adopts a job, and removed long after.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
+use foxwheel_core::time;
 use foxwheel_platform::store::{EncodedJson, Object, StoreError, Write, Written};
+use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::{ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::Ledger;
@@ -21,6 +25,7 @@
 
 const JOBS_KIND: &str = "foxwheel-jobs";
 const JOB_PARTS_KIND: &str = "foxwheel-job-parts";
+const CHECKPOINTS_KIND: &str = "foxwheel-checkpoints";
 const RESULTS_KIND: &str = "foxwheel-results";
 const LEDGER_KIND: &str = "foxwheel-ledger";
 const LEDGER_NAME: &str = "jobs";
@@ -39,6 +44,16 @@
     more_parts: u32,
 }
 
+/// How far the jobs of one worker got.
+#[derive(Serialize, Deserialize)]
+struct CheckpointRecord {
+    /// When it was saved, since the Unix epoch.
+    #[serde(rename = "saved_unix_ms")]
+    #[serde(with = "serde_with::As::<serde_with::DurationMilliSeconds<u64>>")]
+    saved_unix: Duration,
+    jobs: Vec<JobCheckpoint>,
+}
+
 /// What became of creating a part of results.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PartCreated {
@@ -190,6 +205,77 @@
         }
     }
 
+    /// Saves how far the jobs of this worker got, in place of what this process saved before;
+    /// answers the bytes. What the host's process before it saved stays, as its jobs may not
+    /// be adopted yet. Jobs that do not fit into one object go into further ones.
+    pub async fn save_checkpoints(&self, jobs: &[JobCheckpoint]) -> Result<usize, StoreError> {
+        let encoded: Vec<EncodedJson> = jobs.iter().map(encode).collect();
+        let process = format!("{}.{}", self.node.settings.host, self.node.incarnation);
+        let saved_unix_ms = time::unix_ms();
+        let mut bytes = 0;
+        for (number, group) in groups(&encoded, self.part_bytes()).into_iter().enumerate() {
+            let name = numbered(&process, number as u32);
+            let jobs = group.join(",");
+            let spec = format!("{{\"saved_unix_ms\":{saved_unix_ms},\"jobs\":[{jobs}]}}");
+            bytes += spec.len();
+            self.put(CHECKPOINTS_KIND, name, spec).await?;
+        }
+        Ok(bytes)
+    }
+
+    /// How far jobs got, as their workers last saved it. An object of another writer is
+    /// passed over.
+    pub async fn load_checkpoints(&self) -> Result<Vec<JobCheckpoint>, StoreError> {
+        let listing = self.node.store.list(CHECKPOINTS_KIND).await?;
+        let mut saved = Vec::new();
+        for object in listing.objects {
+            match decode::<CheckpointRecord>("checkpoint", object.spec) {
+                Ok(record) => saved.extend(record.jobs),
+                Err(e) => log::warn!(name = object.name, error:% = e; "checkpoint passed over"),
+            }
+        }
+        Ok(saved)
+    }
+
+    /// Removes checkpoints that were saved before `before_unix`: their jobs ended or were
+    /// adopted since. Answers how many.
+    pub async fn prune_checkpoints(&self, before_unix: Duration) -> Result<usize, StoreError> {
+        let listing = self.node.store.list(CHECKPOINTS_KIND).await?;
+        let is_old = |object: &Object| {
+            let record = decode::<CheckpointRecord>("checkpoint", object.spec.clone());
+            record.map_or(true, |record| record.saved_unix < before_unix)
+        };
+        let old: Vec<Object> = listing.objects.into_iter().filter(is_old).collect();
+        for object in &old {
+            let delete = Write::Delete {
+                kind: CHECKPOINTS_KIND.to_owned(),
+                name: object.name.clone(),
+                revision: Some(object.revision),
+            };
+            self.node.store.write(&delete).await?;
+        }
+        Ok(old.len())
+    }
+
+    /// Writes an object in place of whatever stands there.
+    async fn put(&self, kind: &str, name: String, spec: EncodedJson) -> Result<(), StoreError> {
+        let replace = Write::Replace {
+            kind: kind.to_owned(),
+            name: name.clone(),
+            spec: spec.clone(),
+            revision: None,
+        };
+        if let Written::Missing = store_relay::write(&self.node, &replace).await? {
+            let create = Write::Create {
+                kind: kind.to_owned(),
+                name,
+                spec,
+            };
+            store_relay::write(&self.node, &create).await?;
+        }
+        Ok(())
+    }
+
     /// Most bytes of results in one part.
     pub fn part_bytes(&self) -> usize {
         (self.node.settings.store_value_bytes as f64 * VALUE_SHARE) as usize
@@ -357,6 +443,22 @@
     }
 }
 
+/// Groups of values that fit into `max_bytes` each; a value that does not fit alone is left
+/// out.
+fn groups(values: &[EncodedJson], max_bytes: usize) -> Vec<Vec<&str>> {
+    let mut groups: Vec<Vec<&str>> = Vec::new();
+    let mut bytes = max_bytes;
+    for value in values.iter().filter(|value| value.len() <= max_bytes) {
+        if bytes + value.len() > max_bytes {
+            groups.push(Vec::new());
+            bytes = 0;
+        }
+        bytes += value.len();
+        groups.last_mut().expect("pushed above").push(value);
+    }
+    groups
+}
+
 /// Stands for the revision of a ledger that does not exist yet; the store counts from 1.
 const NO_LEDGER: u64 = 0;
 
--- a/crates/foxwheel-node/src/ledger_follower.rs
+++ b/crates/foxwheel-node/src/ledger_follower.rs
@@ -79,7 +79,12 @@
     }
 }
 
-/// Forgets closed jobs, so that the ledger stays small; one worker does it for all.
+/// Age from which the saved progress of a worker is of no use: its jobs are adopted within
+/// seconds of its end, or when the store is back.
+const KEEP_CHECKPOINTS: Duration = Duration::from_secs(600);
+
+/// Forgets closed jobs and old checkpoints, so that the store stays small; one worker does it
+/// for all.
 pub async fn prune(node: &Node, jobs: &WorkerJobs) {
     let keep = node.settings.results_readable + REMEMBER_CLOSED;
     loop {
@@ -100,6 +105,11 @@
         if let Err(e) = pruned.await {
             log::warn!(error:% = e; "ledger not pruned");
         }
+        let before_unix = now_unix.saturating_sub(KEEP_CHECKPOINTS);
+        match jobs.store.prune_checkpoints(before_unix).await {
+            Ok(removed) => log::info!(removed; "old checkpoints removed"),
+            Err(e) => log::warn!(error:% = e; "old checkpoints not removed"),
+        }
     }
 }
 
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -1,8 +1,10 @@
 //! Running batch jobs: which item runs next and where, when results are stored, taking over
 //! jobs of workers that died, and leaving.
 //!
-//! [`scheduling`] starts and stops runs, [`ownership`] takes and leaves jobs.
+//! [`scheduling`] starts and stops runs, [`ownership`] takes and leaves jobs,
+//! [`checkpointing`] saves how far they got.
 
+mod checkpointing;
 mod ownership;
 mod scheduling;
 
@@ -10,15 +12,16 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
-use foxwheel_policy::batch::item::{Ending, ItemState, PartialOutput, RunEnd};
+use foxwheel_policy::batch::item::{Ending, ItemState, RunEnd};
 use foxwheel_policy::batch::job;
 use foxwheel_policy::batch::schedule::RunEstimate;
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::routes::{Config, Route, RouteKind};
 use tokio_util::sync::CancellationToken;
 
-use crate::item_run::{self, ItemRun};
+use crate::item_run::{self, ItemRun, SharedOutput};
 use crate::node::Node;
+use crate::worker::checkpointing::Checkpoints;
 use crate::worker_jobs::{JobEntry, WorkerJobs};
 use crate::{ledger_follower, result_store, retirement_follower};
 
@@ -34,6 +37,7 @@
     item: usize,
     server: ServerKey,
     started_at: Instant,
+    output: SharedOutput,
     cancel: CancellationToken,
 }
 
@@ -45,6 +49,7 @@
     ended: tokio::sync::mpsc::UnboundedSender<EndedRun>,
     /// How long items run.
     estimate: RunEstimate,
+    checkpoints: Checkpoints,
     /// Jobs of the ledger that nobody runs and since when; sorted by job.
     unheld: Vec<(JobId, Instant)>,
     /// Jobs that other workers told of at the last look; sorted.
@@ -58,7 +63,7 @@
     job: JobId,
     item: usize,
     end: RunEnd,
-    partial: PartialOutput,
+    output: SharedOutput,
     /// Events that the run brought.
     new_events: u64,
     /// How long it took.
@@ -75,6 +80,7 @@
         runs: Vec::new(),
         ended,
         estimate: RunEstimate::default(),
+        checkpoints: Checkpoints::default(),
         unheld: Vec::new(),
         told_elsewhere: Vec::new(),
         leaving_since: None,
@@ -97,6 +103,7 @@
         worker.notice_orphans();
         worker.yield_slots();
         worker.store_results();
+        worker.save_progress();
         if worker.is_done() {
             break;
         }
@@ -110,15 +117,16 @@
     fn take_end(&mut self, ended: EndedRun) {
         self.runs
             .retain(|run| run.job != ended.job || run.item != ended.item);
+        let output = ended.output.lock().expect("output lock").clone();
         self.estimate.note_run(ended.new_events, ended.took);
         if ended.end == RunEnd::Whole {
-            self.estimate.note_whole(ended.partial.events());
+            self.estimate.note_whole(output.events());
         }
         let max_failures = self.max_failures(&ended.job);
         self.jobs.with(&ended.job, |entry| {
             let now = Instant::now();
             let progress = &mut entry.progress;
-            progress.run_ended(ended.item, ended.end, ended.partial, max_failures, now);
+            progress.run_ended(ended.item, ended.end, output, max_failures, now);
             let item = &progress.items[ended.item];
             if matches!(&item.state, ItemState::Done(result) if result.ending == Ending::GivenUp) {
                 let id = &progress.spec.items[ended.item].id;
@@ -144,23 +152,26 @@
             item,
             server: run.slot.server().clone(),
             started_at: Instant::now(),
+            output: Arc::clone(&run.output),
             cancel: run.cancel.clone(),
         });
         let node = Arc::clone(&self.node);
         let ended = self.ended.clone();
         tokio::spawn(async move {
             let job = run.job.clone();
-            let events_before = run.partial.events();
+            let output = Arc::clone(&run.output);
+            let events = |output: &SharedOutput| output.lock().expect("output lock").events();
+            let events_before = events(&output);
             let started_at = Instant::now();
-            let (end, partial) = item_run::run(node, run).await;
+            let end = item_run::run(node, run).await;
             // The scheduler is gone only when the process stops.
             let _ = ended.send(EndedRun {
                 job,
                 item,
                 end,
-                new_events: partial.events() - events_before,
+                new_events: events(&output) - events_before,
                 took: started_at.elapsed(),
-                partial,
+                output,
             });
         });
     }
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -1,5 +1,6 @@
 //! Which items run next and at which servers, and which runs give way to online requests.
 
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use foxwheel_core::ids::{JobId, ServiceName};
@@ -84,7 +85,7 @@
                 job: job.job.clone(),
                 host: job.host.clone(),
                 item: entry.progress.spec.items[item].clone(),
-                partial: entry.progress.items[item].partial.clone(),
+                output: Arc::new(Mutex::new(entry.progress.items[item].partial.clone())),
                 slot,
                 cancel: entry.cancel.child_token(),
             }
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
@@ -30,6 +31,10 @@
 /// it not stored: each look of each worker is a call.
 const LOOK_AGAIN_AFTER: Duration = Duration::from_secs(20);
 
+/// How long saved progress serves the jobs that are adopted together: they are within some
+/// hundred milliseconds after a worker died.
+const READ_CHECKPOINTS_AGAIN_AFTER: Duration = Duration::from_millis(1_000);
+
 /// How long a job that nobody reads stays in memory after it ended.
 const KEEP_UNREAD: Duration = Duration::from_secs(20);
 
@@ -66,6 +71,8 @@
     entries: Mutex<Vec<JobEntry>>,
     /// Jobs of the ledger that were not in the store, and when; sorted by job.
     not_stored: Mutex<Vec<(JobId, Instant)>>,
+    /// Progress that workers saved, and when it was read.
+    checkpoints: tokio::sync::Mutex<Option<(Instant, Arc<Vec<JobCheckpoint>>)>>,
     /// Woken when there may be something to run.
     pub wake: Notify,
     /// Woken when the ledger should be read at once.
@@ -81,6 +88,7 @@
             node,
             entries: Mutex::default(),
             not_stored: Mutex::default(),
+            checkpoints: tokio::sync::Mutex::default(),
             wake: Notify::new(),
             look_at_ledger: Notify::new(),
         })
@@ -110,9 +118,10 @@
     pub async fn adopt(&self, id: &JobId) -> Result<(), JobStoreError> {
         let deadline = Instant::now() + 4 * LOAD_TIME;
         match self.store.load_progress(id, deadline).await? {
-            Some(progress) => {
+            Some(mut progress) => {
+                let restored = self.restore(&mut progress).await;
                 let listed = progress.listed.len();
-                log::info!(job = id, listed, parts = progress.parts; "job adopted");
+                log::info!(job = id, listed, parts = progress.parts, restored; "job adopted");
                 self.insert(progress, true);
             }
             // Its front answered no acceptance; its client may come again.
@@ -121,6 +130,39 @@
         Ok(())
     }
 
+    /// Takes over what the workers before saved of a job; answers for how many items.
+    async fn restore(&self, progress: &mut JobProgress) -> usize {
+        let saved = match self.saved_checkpoints().await {
+            Ok(saved) => saved,
+            Err(e) => {
+                log::info!(job = progress.spec.id, error:% = e; "no saved progress");
+                return 0;
+            }
+        };
+        let mut items = 0;
+        for checkpoint in saved.iter() {
+            if checkpoint.job != progress.spec.id {
+                continue;
+            }
+            items += checkpoint.items.len();
+            checkpoint.restore(progress, Instant::now());
+        }
+        items
+    }
+
+    /// What workers saved; read once for all jobs that are adopted at one time.
+    async fn saved_checkpoints(&self) -> Result<Arc<Vec<JobCheckpoint>>, JobStoreError> {
+        let mut known = self.checkpoints.lock().await;
+        if let Some((read_at, saved)) = known.as_ref() {
+            if read_at.elapsed() < READ_CHECKPOINTS_AGAIN_AFTER {
+                return Ok(Arc::clone(saved));
+            }
+        }
+        let saved = Arc::new(self.store.load_checkpoints().await?);
+        *known = Some((Instant::now(), Arc::clone(&saved)));
+        Ok(saved)
+    }
+
     fn note_not_stored(&self, id: &JobId, now: Instant) {
         log::info!(job = id; "job of the ledger is not in the store");
         let mut missing = self.not_stored.lock().expect("missing jobs lock");
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -40,7 +40,7 @@
 pub struct Fleet {
     /// The store, as the operator and the backend servers reach it.
     pub store: StoreClient,
-    /// The backend servers of the service `model`.
+    /// The backend servers.
     pub servers: Vec<Server>,
     /// Where callers reach each front.
     pub fronts: Vec<SocketAddr>,
@@ -182,13 +182,19 @@
         fleet
     }
 
-    /// Starts a backend server and lists it.
+    /// Starts a backend server of the service `model` and lists it.
     pub async fn add_server(&mut self, shape: Shape) {
+        self.add_server_of("model", shape).await;
+    }
+
+    /// Starts a backend server of a service and lists it.
+    pub async fn add_server_of(&mut self, service: &str, shape: Shape) {
         let id = shape.id.clone();
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let started = server::start(ip, shape, self.cancel.clone()).await;
         let server = started.expect("server starts");
-        self.list_server(&id, server.addr, "ready").await;
+        self.list_server_of(service, &id, server.addr, "ready")
+            .await;
         self.servers.push(server);
     }
 
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -43,7 +43,7 @@
 
 /// The events of an item's run received so far; kept over a break so that the run can go
 /// on behind the last one.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartialOutput {
     /// Id of the last whole event, or none before the first.
     pub last_event_id: Option<u64>,
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -158,6 +158,13 @@
         self.items[at].state = ItemState::Running;
     }
 
+    /// Takes note of how far a running item's output came.
+    pub fn note_output(&mut self, at: usize, output: &PartialOutput) {
+        if matches!(self.items[at].state, ItemState::Running) {
+            self.items[at].partial.clone_from(output);
+        }
+    }
+
     /// Takes the end of an item's run. Ignores items that were finished meanwhile.
     pub fn run_ended(
         &mut self,
@@ -271,7 +278,9 @@
             .sum()
     }
 
-    fn finish(&mut self, at: usize, ending: Ending, now: Instant) {
+    /// Takes the item at `at` as ended, with its partial output as its result if it is
+    /// completed.
+    pub(crate) fn finish(&mut self, at: usize, ending: Ending, now: Instant) {
         let partial = std::mem::take(&mut self.items[at].partial);
         let output = match ending {
             Ending::Completed => partial.text,
--- a/crates/foxwheel-policy/src/batch/mod.rs
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -1,5 +1,6 @@
 //! Batch jobs: acceptance, ownership, items and results.
 
+pub mod checkpoint;
 pub mod item;
 pub mod job;
 pub mod ledger;
--- /dev/null
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -0,0 +1,176 @@
+//! Workers that die with items under way, and those that take their jobs over.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use foxwheel_policy::batch::checkpoint::{CheckpointClock, JobCheckpoint};
+use foxwheel_policy::batch::item::{Ending, ItemSpec, ItemState, PartialOutput, RunEnd};
+use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+
+fn job_of(items: usize) -> JobSpec {
+    let item = |at: usize| ItemSpec {
+        id: format!("item-{at}"),
+        path: "/p".to_owned(),
+        headers: Vec::new(),
+        body: Vec::new(),
+        tokens: 100,
+    };
+    JobSpec {
+        id: "job".to_owned(),
+        host: "host.example".to_owned(),
+        path: "/batch/job".to_owned(),
+        route: "route".to_owned(),
+        submitted_unix: Duration::from_secs(1),
+        items: (0..items).map(item).collect(),
+    }
+}
+
+/// The output of an item up to event `last`.
+fn output(last: u64) -> PartialOutput {
+    let mut output = PartialOutput::default();
+    for event in 1..=last {
+        assert!(output.push(event, &format!("event {event}")));
+    }
+    output
+}
+
+fn run(progress: &mut JobProgress, at: usize, end: RunEnd, events: u64) {
+    progress.start(at);
+    progress.run_ended(at, end, output(events), 3, Instant::now());
+}
+
+/// Killed with one item running, one finished and not stored, one failed twice, one given up
+/// and one untouched: the next worker goes on with exactly that.
+#[test]
+fn a_job_goes_on_where_its_dead_worker_stopped() {
+    let now = Instant::now();
+    let mut progress = JobProgress::new(job_of(5));
+    assert_eq!(JobCheckpoint::of(&progress), None, "nothing to save");
+    progress.start(0);
+    progress.note_output(0, &output(40));
+    run(&mut progress, 1, RunEnd::Whole, 9);
+    run(&mut progress, 2, RunEnd::Failed, 0);
+    run(&mut progress, 2, RunEnd::Failed, 0);
+    run(&mut progress, 3, RunEnd::Impossible, 0);
+    let saved = JobCheckpoint::of(&progress).expect("progress");
+
+    let mut adopted = JobProgress::new(job_of(5));
+    saved.restore(&mut adopted, now);
+    assert_eq!(adopted.items[0].partial, output(40));
+    assert_eq!(adopted.items[2].failures, 2);
+    let endings: Vec<(&str, Ending, &str)> = adopted
+        .unstored()
+        .map(|result| (result.id.as_str(), result.ending, result.output.as_str()))
+        .collect();
+    let whole = output(9).text;
+    assert_eq!(
+        endings,
+        [
+            ("item-1", Ending::Completed, whole.as_str()),
+            ("item-3", Ending::GivenUp, ""),
+        ]
+    );
+    let waiting: Vec<usize> = adopted.waiting_items(now).collect();
+    assert_eq!(waiting, [0, 2, 4]);
+    run(&mut adopted, 2, RunEnd::Failed, 0);
+    assert!(
+        matches!(&adopted.items[2].state, ItemState::Done(_)),
+        "given up"
+    );
+}
+
+/// The checkpoint is older than the results that were stored since, or another worker's.
+#[test]
+fn what_is_stored_or_further_stays() {
+    let now = Instant::now();
+    let mut progress = JobProgress::new(job_of(3));
+    run(&mut progress, 0, RunEnd::Whole, 5);
+    progress.start(1);
+    progress.note_output(1, &output(7));
+    let older = JobCheckpoint::of(&progress).expect("progress");
+    progress.note_output(1, &output(30));
+    let newer = JobCheckpoint::of(&progress).expect("progress");
+    let stored = progress.next_part(10_000);
+
+    let mut adopted = JobProgress::new(job_of(3));
+    adopted.take_part(0, stored);
+    for saved in [&newer, &older] {
+        saved.restore(&mut adopted, now);
+    }
+    assert!(matches!(adopted.items[0].state, ItemState::Listed));
+    assert_eq!(adopted.unstored().count(), 0, "no result stands twice");
+    assert_eq!(adopted.items[1].partial, output(30));
+}
+
+/// Workers die in any order at any moment, each after a checkpoint of any age: every item is
+/// listed once, with its whole output, and no event is generated again that was saved.
+#[test]
+fn jobs_that_change_hands_list_every_item_once() {
+    let mut finished = 0;
+    common::seeded(60, 4_096, |u| {
+        let count = u.int_in_range(1..=6)?;
+        let (mut stored, mut saved): (Vec<_>, Vec<JobCheckpoint>) = (Vec::new(), Vec::new());
+        loop {
+            let now = Instant::now();
+            let mut progress = JobProgress::new(job_of(count));
+            for (number, part) in stored.iter().enumerate() {
+                assert!(progress.take_part(number as u32, Vec::clone(part)));
+            }
+            for checkpoint in &saved {
+                checkpoint.restore(&mut progress, now);
+            }
+            for _ in 0..u.int_in_range(1..=12)? {
+                let at = u.choose_index(count)?;
+                if matches!(progress.items[at].state, ItemState::Waiting { .. }) {
+                    let events = progress.items[at].partial.events() + u.int_in_range(1..=6)?;
+                    let end = match events >= 10 {
+                        true => RunEnd::Whole,
+                        false => RunEnd::Preempted,
+                    };
+                    run(&mut progress, at, end, events.min(10));
+                }
+                match u.int_in_range(0..=3)? {
+                    0 => saved.extend(JobCheckpoint::of(&progress)),
+                    1 => {
+                        let part = progress.next_part(10_000);
+                        if !part.is_empty() {
+                            assert!(progress.take_part(progress.parts, part.clone()));
+                            stored.push(part);
+                        }
+                    }
+                    _ => {}
+                }
+            }
+            if progress.is_listed() {
+                break;
+            }
+            if u.is_empty() {
+                // Nothing is drawn any more: the run ends with items left.
+                return Ok(());
+            }
+        }
+        let listed: Vec<_> = stored.iter().flatten().collect();
+        let mut ids: Vec<&String> = listed.iter().map(|result| &result.id).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!((ids.len(), listed.len()), (count, count));
+        assert!(listed.iter().all(|result| result.output == output(10).text));
+        finished += 1;
+        Ok(())
+    });
+    assert!(finished > 50, "only {finished} jobs came to their end");
+}
+
+#[test]
+fn large_checkpoints_come_more_rarely() {
+    let now = Instant::now();
+    let mut clock = CheckpointClock::default();
+    assert!(clock.is_due(now));
+    clock.note(100_000, now);
+    assert!(!clock.is_due(now + Duration::from_millis(1_900)));
+    assert!(clock.is_due(now + Duration::from_millis(2_000)));
+    clock.note(7_500_000, now);
+    assert!(!clock.is_due(now + Duration::from_millis(9_900)));
+    assert!(clock.is_due(now + Duration::from_secs(10)));
+}
