--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -72,6 +72,12 @@
 /// of none were refused twice (`foxwheel-load model`).
 const ONLINE_QUEUE_SHARE: f64 = 0.25;
 
+/// What a batch item counts of an online request where an online request is placed: it is
+/// taken off within tens of milliseconds once online requests exceed the slots, while an
+/// online request holds its slot for half a second. Counted whole, requests of a full zone
+/// queued behind each other beside zones that batch filled.
+const BATCH_WEIGHT: f64 = 0.2;
+
 /// A server with a free slot is found for most requests of a trough, so that few stop a run.
 const KEEPER_RESERVE_SHARE: f64 = 1.0 / 8.0;
 
@@ -86,6 +92,8 @@
     /// Requests beyond its slots, as a share of them, with which a server is still given
     /// online work.
     pub online_queue_share: f64,
+    /// What a batch item counts of an online request where an online request is placed.
+    pub batch_weight: f64,
     /// Share of a server's slots that batch items leave free for online requests that come
     /// before the next look at its load; one slot at least.
     pub keeper_reserve_share: f64,
@@ -97,6 +105,7 @@
     fn default() -> Self {
         Self {
             online_queue_share: ONLINE_QUEUE_SHARE,
+            batch_weight: BATCH_WEIGHT,
             keeper_reserve_share: KEEPER_RESERVE_SHARE,
             guest_reserve_share: GUEST_RESERVE_SHARE,
         }
@@ -112,9 +121,10 @@
         own_zone: &str,
         draw: usize,
     ) -> Option<&'a Candidate> {
-        let best = least_loaded(candidates, own_zone, draw)?;
+        let cost = |one: &Candidate| share(self.online_load(one), one) + surcharge(one, own_zone);
+        let best = cheapest(candidates, draw, cost)?;
         let limit = f64::from(best.slots) * (1.0 + self.online_queue_share);
-        (f64::from(best.in_flight) < limit).then_some(best)
+        (self.online_load(best) < limit).then_some(best)
     }
 
     /// Picks the server for a batch item: one with a slot that online work leaves free and
@@ -125,11 +135,19 @@
         own_zone: &str,
         draw: usize,
     ) -> Option<&'a Candidate> {
-        let count = candidates.len();
-        (0..count)
-            .map(|step| &candidates[(draw + step) % count])
-            .filter(|one| !one.suspect && one.in_flight + self.reserve(one) < one.slots)
-            .min_by(|a, b| cost(a, own_zone).total_cmp(&cost(b, own_zone)))
+        let has_room =
+            |one: &Candidate| !one.suspect && one.in_flight + self.reserve(one) < one.slots;
+        let cost = |one: &Candidate| match has_room(one) {
+            true => cost(one, own_zone),
+            false => f64::INFINITY,
+        };
+        cheapest(candidates, draw, cost).filter(|best| has_room(best))
+    }
+
+    /// The load at a server that an online request meets, in online requests.
+    fn online_load(&self, candidate: &Candidate) -> f64 {
+        let batch = f64::from(candidate.batch_in_flight);
+        f64::from(candidate.in_flight) - batch * (1.0 - self.batch_weight)
     }
 
     /// Slots that batch items leave free at a server. A server with a single slot has none to
@@ -198,23 +216,41 @@
     own_zone: &str,
     draw: usize,
 ) -> Option<&'a Candidate> {
+    cheapest(candidates, draw, |one| cost(one, own_zone))
+}
+
+/// The candidate that costs least; of equals the first from the one that `draw` means on.
+fn cheapest(
+    candidates: &[Candidate],
+    draw: usize,
+    cost: impl Fn(&Candidate) -> f64,
+) -> Option<&Candidate> {
     let count = candidates.len();
     (0..count)
         .map(|step| &candidates[(draw + step) % count])
-        .min_by(|a, b| cost(a, own_zone).total_cmp(&cost(b, own_zone)))
+        .min_by(|a, b| cost(a).total_cmp(&cost(b)))
 }
 
 fn cost(candidate: &Candidate, own_zone: &str) -> f64 {
-    let mut cost = f64::from(candidate.in_flight) / f64::from(candidate.slots.max(1));
+    share(f64::from(candidate.in_flight), candidate) + surcharge(candidate, own_zone)
+}
+
+/// A load as a share of a server's slots.
+fn share(load: f64, candidate: &Candidate) -> f64 {
+    load / f64::from(candidate.slots.max(1))
+}
+
+/// What speaks against a server beside its load, as a share of its slots.
+fn surcharge(candidate: &Candidate, own_zone: &str) -> f64 {
+    let mut surcharge = candidate.failure_rate * FAILURE_PENALTY;
     if candidate.zone != own_zone {
-        cost += CROSS_ZONE_PENALTY;
+        surcharge += CROSS_ZONE_PENALTY;
     }
-    cost += candidate.failure_rate * FAILURE_PENALTY;
     if candidate.lapsed {
-        cost += LAPSED_PENALTY;
+        surcharge += LAPSED_PENALTY;
     }
     if candidate.suspect {
-        cost += SUSPECT_PENALTY;
+        surcharge += SUSPECT_PENALTY;
     }
-    cost
+    surcharge
 }
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -52,6 +52,23 @@
     assert_eq!(picked(&servers[..1]), Some("a"));
 }
 
+/// The end of a trough: batch items fill the other zone and some of the own one's servers.
+/// They give way within milliseconds, online requests do not: a request goes where batch
+/// items are, and out of a zone that online requests fill.
+#[test]
+fn batch_items_hold_up_less_than_online_requests() {
+    let with_batch = |id, zone, in_flight, batch_in_flight| Candidate {
+        batch_in_flight,
+        ..candidate(id, zone, in_flight)
+    };
+    let own = [candidate("a", "here", 7), with_batch("b", "here", 8, 6)];
+    assert_eq!(picked(&own), Some("b"));
+    let other_zone = [candidate("a", "here", 8), with_batch("c", "there", 8, 6)];
+    assert_eq!(picked(&other_zone), Some("c"));
+    // Full of batch items alone, a server still takes a request.
+    assert_eq!(picked(&[with_batch("b", "here", 10, 8)]), Some("b"));
+}
+
 #[test]
 fn nothing_is_sent_where_it_could_only_wait() {
     assert_eq!(
