A worker takes jobs 1 s after its start

Hypothesis: after a stop of all processes jobs stand still for 2.2 to 2.6 s, because a worker waits for the second read of the ledger (2 s) before it trusts that nobody runs a job. Two heartbeats between zones and a lost one take 0.9 s. Test: policy/ownership replays the start of the whole fleet (fails with the ledger's 2 s).

--- a/crates/foxwheel-node/src/ledger_follower.rs
+++ b/crates/foxwheel-node/src/ledger_follower.rs
@@ -6,6 +6,7 @@
 use foxwheel_core::ids::JobId;
 use foxwheel_core::time;
 use foxwheel_policy::batch::ledger::{LedgerChange, OpenJob};
+use foxwheel_policy::batch::ownership;
 use tokio::sync::mpsc;
 
 use crate::node::Node;
@@ -34,7 +35,9 @@
 
 /// Hands the open jobs of the ledger to the scheduler, and ends held ones that are closed.
 pub async fn read(jobs: Arc<WorkerJobs>, news: mpsc::Sender<Vec<JobId>>) {
-    let mut ticks = tokio::time::interval(LEDGER_EVERY);
+    // Nothing can be taken before the other workers were heard.
+    let first_at = tokio::time::Instant::now() + ownership::HEARD_AFTER;
+    let mut ticks = tokio::time::interval_at(first_at, LEDGER_EVERY);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         tokio::select! {
--- a/crates/foxwheel-node/src/worker/ownership.rs
+++ b/crates/foxwheel-node/src/worker/ownership.rs
@@ -6,7 +6,6 @@
 use foxwheel_core::ids::JobId;
 use foxwheel_policy::batch::ownership;
 
-use crate::ledger_follower;
 use crate::worker::Worker;
 
 impl Worker {
@@ -62,7 +61,7 @@
     pub(super) fn take_ledger(&mut self, open: &[JobId]) {
         let now = Instant::now();
         // Right after the start nobody was heard yet.
-        let heard = now.duration_since(self.started_at) >= ledger_follower::LEDGER_EVERY;
+        let heard = ownership::has_heard_all(self.started_at, now);
         let workers = self.all_workers(now);
         let own = self.node.settings.host.clone();
         let before = std::mem::take(&mut self.unheld);
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -19,6 +19,11 @@
 /// cannot say so. Paths between hosts were cut for about 5 s; jobs are due in 18 s.
 const UNHEARD_PATIENCE: Duration = Duration::from_millis(9_000);
 
+/// How long a worker runs until it has heard of every live one: two heartbeats between zones
+/// (0.3 s each), the second to those of whom the first told, and one that is lost. After a
+/// start of the whole fleet jobs stand still until then.
+pub const HEARD_AFTER: Duration = Duration::from_millis(1_000);
+
 /// Whether a worker still runs a job that it tells of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimStanding {
@@ -101,6 +106,12 @@
     claims.map(|claim| claim.parts).max().unwrap_or(0)
 }
 
+/// Whether a worker that started at `started_at` has heard of every live one, so that it can
+/// tell which jobs nobody runs.
+pub fn has_heard_all(started_at: Instant, now: Instant) -> bool {
+    now.duration_since(started_at) >= HEARD_AFTER
+}
+
 /// Whether the worker `own` should take a job that it does not hold, which it has known
 /// as unheld since `unheld_since`. `workers` are the live workers, `own` among them.
 pub fn should_take(
--- a/crates/foxwheel-policy/tests/ownership.rs
+++ b/crates/foxwheel-policy/tests/ownership.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::batch::ownership::{self, ClaimStanding, JobClaim, Worker};
+use foxwheel_policy::load_reports;
 
 const JOB: &str = "7c41e09b52d6a3f8";
 
@@ -38,6 +39,19 @@
     assert_eq!(taking, 1);
 }
 
+/// All processes were stopped and start again: each worker first hears of those of its own
+/// zone, of others within two heartbeats between zones, one of which may be lost. Until then
+/// it must not take jobs that others run, and from then on jobs must not stand still.
+#[test]
+fn jobs_are_taken_after_a_start_of_the_whole_fleet_once_the_others_were_heard() {
+    let started_at = Instant::now();
+    let between_zones = load_reports::HEARTBEAT_EVERY * load_reports::LOCAL_PER_REMOTE as u32;
+    let told_and_one_lost = started_at + between_zones * 3;
+    assert!(!ownership::has_heard_all(started_at, told_and_one_lost));
+    let after = started_at + between_zones * 4;
+    assert!(ownership::has_heard_all(started_at, after));
+}
+
 /// A worker gives a job back; the first choice and another see it unheld in ledger reads
 /// that are 2 s apart, and claims take up to 0.4 s to be heard. The other must not take it
 /// before the first choice's claim can have reached it.
