foxwheel-ctl losses: what was late, refused, failed or run again, by reason

Sums losses from the logs of several processes by reason, server, host and second, and draws them over time. Fronts and workers log whether an answer or stored results were in time; reading logs and drawing lines are one function each now (log_lines, crate foxwheel-plot). Tests: ctl/losses_contract (table of lines, report, plot, bad calls).

--- a/crates/foxwheel-ctl/src/args.rs
+++ b/crates/foxwheel-ctl/src/args.rs
@@ -17,6 +17,9 @@
   batch results ID        print a job's results as JSON lines
   explain ID LOG...       tell what became of a request, item or job, and why,
                           from the logs of several processes
+  losses [--plot FILE.svg] LOG...
+                          what was late, refused, failed or run again, by reason, server,
+                          host and second, from the logs of several processes
   burn [--target SHARE] METRICS...
                           how fast online requests spend their error budget, from
                           files of what GET /metrics of each front answered
@@ -60,6 +63,13 @@
         /// Log files.
         logs: Vec<PathBuf>,
     },
+    /// `losses LOG...`.
+    Losses {
+        /// Where to draw the losses over time; nowhere if none.
+        plot: Option<PathBuf>,
+        /// Log files.
+        logs: Vec<PathBuf>,
+    },
     /// `burn METRICS...`.
     Burn {
         /// Share of requests that must be on time.
@@ -95,6 +105,7 @@
     let mut store_url = "http://127.0.0.1:7100".to_owned();
     let mut gateway_url = "http://127.0.0.1:7000".to_owned();
     let mut file: Option<PathBuf> = None;
+    let mut plot: Option<PathBuf> = None;
     let mut words: Vec<String> = Vec::new();
     let mut target = burn::DEFAULT_TARGET;
     let bad = |e: lexopt::Error| usage(e.to_string());
@@ -103,6 +114,7 @@
             Long("store") => store_url = parser.value().map_err(bad)?.string().map_err(bad)?,
             Long("gateway") => gateway_url = parser.value().map_err(bad)?.string().map_err(bad)?,
             Short('f') | Long("file") => file = Some(PathBuf::from(parser.value().map_err(bad)?)),
+            Long("plot") => plot = Some(PathBuf::from(parser.value().map_err(bad)?)),
             Long("target") => {
                 target = parser.value().map_err(bad)?.parse().map_err(bad)?;
                 if !(0.0..1.0).contains(&target) {
@@ -147,6 +159,11 @@
             id: (*id).to_owned(),
             logs: logs.iter().map(PathBuf::from).collect(),
         },
+        ["losses", logs @ ..] if !logs.is_empty() => Command::Losses {
+            plot,
+            logs: logs.iter().map(PathBuf::from).collect(),
+        },
+        ["losses"] => return Err(usage("losses needs log files")),
         ["burn", files @ ..] if !files.is_empty() => Command::Burn {
             target,
             files: files.iter().map(PathBuf::from).collect(),
--- a/crates/foxwheel-ctl/src/explain/clocks.rs
+++ b/crates/foxwheel-ctl/src/explain/clocks.rs
@@ -1,6 +1,6 @@
 //! Making up for hosts whose clocks differ.
 
-use crate::explain::line::Line;
+use crate::log_lines::Line;
 
 /// Messages of which the first comes before the second wherever both name the same job.
 const ORDERED: [(&str, &str, &str); 3] = [
--- a/crates/foxwheel-ctl/src/explain/mod.rs
+++ b/crates/foxwheel-ctl/src/explain/mod.rs
@@ -6,24 +6,15 @@
 //! first (a front accepts a job before a worker takes it) shift the later host's clock.
 
 pub mod clocks;
-pub mod line;
 pub mod story;
 
 use std::path::PathBuf;
 
-use crate::CtlError;
-use line::Line;
+use crate::{log_lines, CtlError};
 
 /// Reads the log files and tells the story of `id`.
 pub fn explain(id: &str, files: &[PathBuf]) -> Result<String, CtlError> {
-    let mut lines: Vec<Line> = Vec::new();
-    for file in files {
-        let text = std::fs::read(file).map_err(|source| CtlError::File {
-            path: file.display().to_string(),
-            source,
-        })?;
-        lines.extend(line::parse_all(&String::from_utf8_lossy(&text)));
-    }
+    let mut lines = log_lines::read_all(files)?;
     clocks::align(&mut lines);
     story::tell(id, &lines).ok_or_else(|| CtlError::UnknownId(id.to_owned()))
 }
--- a/crates/foxwheel-ctl/src/explain/story.rs
+++ b/crates/foxwheel-ctl/src/explain/story.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write;
 
-use crate::explain::line::Line;
+use crate::log_lines::Line;
 
 /// How long before and after a request's own lines its surroundings are told.
 const AROUND_MS: i64 = 2_500;
--- a/crates/foxwheel-ctl/src/lib.rs
+++ b/crates/foxwheel-ctl/src/lib.rs
@@ -2,14 +2,17 @@
 //!
 //! [`args`] parses the command line, [`apply`] applies, diffs and reads declarations in the
 //! platform store with conditional updates, [`batch`] calls a gateway's batch API, and
-//! [`explain`] tells what became of a request from the processes' logs, and [`burn`] how fast
-//! the error budget is spent from their metrics.
+//! [`explain`] tells what became of a request from the processes' logs, [`losses`] what was late,
+//! refused, failed or run again in them, and [`burn`] how fast the error budget is spent from
+//! their metrics.
 
 pub mod apply;
 pub mod args;
 pub mod batch;
 pub mod burn;
 pub mod explain;
+pub mod log_lines;
+pub mod losses;
 
 /// Why a command failed; the message is printed and the exit code is non-zero.
 #[derive(Debug, thiserror::Error)]
@@ -39,6 +42,14 @@
         /// The underlying I/O error.
         source: std::io::Error,
     },
+    /// A plot could not be drawn.
+    #[error("cannot draw {path}: {detail}")]
+    Plot {
+        /// The file's path as given.
+        path: String,
+        /// What the drawing library said.
+        detail: String,
+    },
     /// No line of the logs names the id.
     #[error("no line names `{0}`: its lines may be in other logs, or were dropped")]
     UnknownId(String),
--- a/crates/foxwheel-ctl/src/explain/line.rs
+++ b/crates/foxwheel-ctl/src/log_lines.rs
@@ -1,8 +1,12 @@
-//! Structured log lines.
+//! Structured log lines of several processes.
+
+use std::path::PathBuf;
 
 use serde::Deserialize;
 use serde_json::{Map, Value};
 
+use crate::CtlError;
+
 /// One line of a process's log.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Line {
@@ -25,6 +29,16 @@
         self.fields.get(name).and_then(Value::as_str)
     }
 
+    /// A field as a whole number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
+    /// A field as a truth value.
+    pub fn flag(&self, name: &str) -> Option<bool> {
+        self.fields.get(name).and_then(Value::as_bool)
+    }
+
     /// Whether a field holds exactly this text.
     pub fn has(&self, name: &str, text: &str) -> bool {
         self.field(name) == Some(text)
@@ -54,3 +68,17 @@
         })
         .collect()
 }
+
+/// The lines of several log files, in the order of the files. Bytes that are no text are
+/// passed over with their line; fails on a file that cannot be read.
+pub fn read_all(files: &[PathBuf]) -> Result<Vec<Line>, CtlError> {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = std::fs::read(file).map_err(|source| CtlError::File {
+            path: file.display().to_string(),
+            source,
+        })?;
+        lines.extend(parse_all(&String::from_utf8_lossy(&text)));
+    }
+    Ok(lines)
+}
--- a/crates/foxwheel-ctl/src/main.rs
+++ b/crates/foxwheel-ctl/src/main.rs
@@ -2,7 +2,7 @@
 
 use foxwheel_core::keys;
 use foxwheel_ctl::args::{self, Command, Kind};
-use foxwheel_ctl::{apply, batch::GatewayClient, burn, explain, CtlError};
+use foxwheel_ctl::{apply, batch::GatewayClient, burn, explain, losses, CtlError};
 use foxwheel_store::client::StoreClient;
 
 async fn run(args: args::Args) -> Result<(), CtlError> {
@@ -52,6 +52,7 @@
         Command::BatchStatus(id) => println!("{}", gateway.status(&id).await?),
         Command::BatchCancel(id) => println!("{}", gateway.cancel(&id).await?),
         Command::Explain { id, logs } => print!("{}", explain::explain(&id, &logs)?),
+        Command::Losses { plot, logs } => print!("{}", losses::report(&logs, plot.as_deref())?),
         Command::BatchResults(id) => print!("{}", gateway.results(&id).await?),
     }
     Ok(())
--- a/crates/foxwheel-load/src/model_report.rs
+++ b/crates/foxwheel-load/src/model_report.rs
@@ -6,8 +6,7 @@
 use foxwheel_model::outcome::Outcome;
 use foxwheel_model::scenario::Scenario;
 use foxwheel_model::world;
-
-use crate::plot::{self, Line, PlotError};
+use foxwheel_plot::{Line, PlotError};
 
 /// Quantiles of the plotted distribution: each hundredth.
 const PLOT_STEPS: usize = 100;
@@ -62,7 +61,7 @@
             })
             .collect(),
     });
-    plot::draw(
+    foxwheel_plot::draw(
         &folder.join("first-token.svg"),
         "time to first token (ms)",
         "percent of requests served",
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -83,7 +83,8 @@
                 node.paces.note_hold(&request.service, age);
                 let age_ms = age.as_millis() as u64;
                 let (in_flight, slots) = request.seen_load();
-                log::info!(request_id = request.caller.id, server = server.id, in_flight, slots, age_ms; "request served");
+                let on_time = request.is_on_time();
+                log::info!(request_id = request.caller.id, server = server.id, in_flight, slots, age_ms, on_time; "request served");
                 return Ok(pass_on(WholeAnswer { head, body }));
             }
             Err(reason) => {
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -56,7 +56,7 @@
                     request.count_served(&node, on_time);
                     node.paces.note_hold(&request.service, started.elapsed());
                     let (in_flight, slots) = request.seen_load();
-                    log::info!(request_id = request.caller.id, server = answer.server.id, in_flight, slots, events, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
+                    log::info!(request_id = request.caller.id, server = answer.server.id, in_flight, slots, events, on_time, first_ms = first_age.as_millis() as u64, took_ms = started.elapsed().as_millis() as u64; "stream complete");
                     answer.finish();
                     break;
                 }
--- a/crates/foxwheel-node/src/result_store.rs
+++ b/crates/foxwheel-node/src/result_store.rs
@@ -1,7 +1,7 @@
 //! Storing the results of jobs part by part, and closing jobs that are whole.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
 use foxwheel_policy::batch::ledger::LedgerChange;
@@ -11,9 +11,10 @@
 use crate::store_access::Backoff;
 use crate::worker_jobs::WorkerJobs;
 
-/// Stores the finished results of `job` part by part; closes the job when it is whole.
-pub async fn store(jobs: Arc<WorkerJobs>, job: JobId) {
-    if let Err(e) = store_parts(&jobs, &job).await {
+/// Stores the finished results of `job`, which are due at `due_unix`, part by part; closes
+/// the job when it is whole.
+pub async fn store(jobs: Arc<WorkerJobs>, job: JobId, due_unix: Duration) {
+    if let Err(e) = store_parts(&jobs, &job, due_unix).await {
         log::warn!(job, error:% = e; "results not stored, trying again");
         tokio::time::sleep(Backoff::default().pause()).await;
     }
@@ -25,7 +26,11 @@
     jobs.wake.notify_one();
 }
 
-async fn store_parts(jobs: &WorkerJobs, job: &JobId) -> Result<(), JobStoreError> {
+async fn store_parts(
+    jobs: &WorkerJobs,
+    job: &JobId,
+    due_unix: Duration,
+) -> Result<(), JobStoreError> {
     let max_bytes = jobs.store.part_bytes();
     loop {
         let next = jobs.with(job, |entry| {
@@ -36,7 +41,8 @@
         };
         match jobs.store.create_part(job, number, &results).await? {
             PartCreated::Done => {
-                log::info!(job, part = number, results = results.len(); "results stored");
+                let on_time = ledger_follower::unix_now() <= due_unix;
+                log::info!(job, part = number, results = results.len(), on_time; "results stored");
                 jobs.take_part(job, number, results);
             }
             PartCreated::Taken(others) => {
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -187,16 +187,20 @@
             if let Some(config) = &config {
                 let known_for = now.duration_since(self.started_at);
                 give_up_overdue(entry, config, known_for, now);
-                nearly_due = entry.progress.is_nearly_due(due_in(entry, config));
+                let due_in = due_unix(entry, config).saturating_sub(ledger_follower::unix_now());
+                nearly_due = entry.progress.is_nearly_due(due_in);
             }
             let store = nearly_due || entry.progress.should_store(now, leaving);
             if store && !entry.storing {
                 entry.storing = true;
-                due.push(entry.progress.spec.id.clone());
+                let due_unix = config.as_ref().map(|config| due_unix(entry, config));
+                // Nothing is late that no configuration gives a time for.
+                let due_unix = due_unix.unwrap_or(Duration::MAX);
+                due.push((entry.progress.spec.id.clone(), due_unix));
             }
         });
-        for job in due {
-            tokio::spawn(result_store::store(Arc::clone(&self.jobs), job));
+        for (job, due_unix) in due {
+            tokio::spawn(result_store::store(Arc::clone(&self.jobs), job, due_unix));
         }
         self.jobs.evict(now);
     }
@@ -236,12 +240,11 @@
         .filter(|route| route.kind == RouteKind::Batch)
 }
 
-/// How long until a job's results are due; zero when they are.
-fn due_in(entry: &JobEntry, config: &Config) -> Duration {
+/// When a job's results are due, since the Unix epoch; at once without a route.
+fn due_unix(entry: &JobEntry, config: &Config) -> Duration {
     let spec = &entry.progress.spec;
     let target = batch_route(config, &spec.host, &spec.path).map(|route| route.completion_target);
-    let due_unix = spec.submitted_unix + target.unwrap_or_default();
-    due_unix.saturating_sub(ledger_follower::unix_now())
+    spec.submitted_unix + target.unwrap_or_default()
 }
 
 /// Gives up what may be given up.
