Slots are given out by workers whose items wait

Hypothesis: the keeper of a server's slots is looked for among workers whose items wait. Test: policy/ownership replays one worker with more than its share (failed before: no such field).

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -213,6 +213,7 @@
         loads: node.loads.snapshot(),
         gone: node.gone_servers(now),
         claims: node.claims(),
+        waiting_items: node.waiting_items(),
         known: addresses
             .iter()
             .filter(|(_, zone)| zone.is_some())
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -1,5 +1,6 @@
 //! What the parts of one process share.
 
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -62,6 +63,8 @@
     pub metrics: Metrics,
     /// Jobs that this process runs or closed a short while ago; sorted by job.
     claims: Mutex<Vec<JobClaim>>,
+    /// Items of its jobs that could run now and found no slot.
+    waiting_items: AtomicU32,
     /// Cancelled when the process is told to stop: it takes no new work from then on.
     pub leaving: CancellationToken,
     /// Cancelled when the operator asks that this host be emptied.
@@ -86,6 +89,7 @@
             pool: Pool::new(SERVER_CONNECT_OPTIONS),
             metrics,
             claims: Mutex::default(),
+            waiting_items: AtomicU32::new(0),
             leaving,
             retiring: CancellationToken::new(),
             settings,
@@ -193,6 +197,16 @@
         *self.claims.lock().expect("claims lock") = claims;
     }
 
+    /// Items of this process's jobs that could run now and found no slot.
+    pub fn waiting_items(&self) -> u32 {
+        self.waiting_items.load(Ordering::Relaxed)
+    }
+
+    /// Replaces what this process tells of its waiting items.
+    pub fn set_waiting_items(&self, count: u32) {
+        self.waiting_items.store(count, Ordering::Relaxed);
+    }
+
     /// Whether this process runs any job.
     pub fn holds_jobs(&self) -> bool {
         let claims = self.claims.lock().expect("claims lock");
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -44,6 +44,8 @@
     pub gone: Vec<ServerKey>,
     /// Jobs it runs or closed a short while ago; sorted by job.
     pub claims: Vec<JobClaim>,
+    /// Items of its jobs that could run now and found no slot.
+    pub waiting_items: u32,
     /// Addresses of the processes it hears.
     pub known: Vec<SocketAddr>,
 }
@@ -196,6 +198,7 @@
                 leaving: peer.beat.leaving,
                 heard: peer.is_live(now),
                 claims: peer.beat.claims.clone(),
+                waiting_items: peer.beat.waiting_items,
             })
             .collect()
     }
--- a/crates/foxwheel-node/src/worker/ownership.rs
+++ b/crates/foxwheel-node/src/worker/ownership.rs
@@ -20,6 +20,7 @@
             leaving: self.node.is_leaving(),
             heard: true,
             claims: self.node.claims(),
+            waiting_items: self.node.waiting_items(),
         });
         workers
     }
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -34,6 +34,7 @@
         let (jobs, mut items) = self.waiting_items(&config, now);
         schedule::sort(&mut items, ledger_follower::unix_now());
         let mut places = Places::default();
+        let mut without_slot = 0;
         for item in items {
             let job = &jobs[item.job];
             let Some(route) = batch_route(&config, &job.host, &job.path) else {
@@ -41,11 +42,16 @@
             };
             let service = route.pick_service(rand::random());
             let slot = places.take(self, service, now);
+            let Some(slot) = slot else {
+                without_slot += 1;
+                continue;
+            };
             // A job that was dropped since it was looked at gives its slot back.
-            if let Some(run) = slot.and_then(|slot| self.run_of(job, item.item, slot)) {
+            if let Some(run) = self.run_of(job, item.item, slot) {
                 self.start(item.item, run);
             }
         }
+        self.node.set_waiting_items(without_slot);
     }
 
     /// Items that could run now, with the jobs that their numbers mean.
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -37,6 +37,7 @@
         }],
         gone: Vec::new(),
         claims: Vec::new(),
+        waiting_items: 0,
         known: known.iter().map(|host| addr(*host)).collect(),
     }
 }
--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -58,6 +58,8 @@
     pub heard: bool,
     /// Jobs it tells of; sorted by job.
     pub claims: Vec<JobClaim>,
+    /// Items of its jobs that could run now and found no slot.
+    pub waiting_items: u32,
 }
 
 impl Worker {
@@ -69,6 +71,11 @@
         found.ok().map(|at| &self.claims[at])
     }
 
+    /// Whether it stays and, as far as is known, has items that wait for a slot.
+    fn may_need_slots(&self) -> bool {
+        !self.leaving && (self.waiting_items > 0 || !self.heard)
+    }
+
     /// Whether it runs `job`.
     pub fn holds(&self, job: &str) -> bool {
         self.claim(job)
@@ -89,10 +96,14 @@
     (rank(job, one), one) > (rank(job, other), other)
 }
 
-/// The worker that gives out the batch slots of a server in `zone`: one of that zone if any
-/// lives there. Workers that look at the same free slots at once would overfill them.
+/// The worker that gives out the batch slots of a server in `zone`. Workers that look at the
+/// same free slots at once would overfill them. Of those whose items wait it is one of that
+/// zone if there is any; jobs are not spread evenly, and slots that a worker without waiting
+/// items gives out would be left half empty by the others.
 pub fn slot_keeper<'a>(server: &str, zone: &str, workers: &'a [Worker]) -> Option<&'a Worker> {
-    let staying = || workers.iter().filter(|worker| !worker.leaving);
+    let any_waits = workers.iter().any(Worker::may_need_slots);
+    let eligible = |worker: &&Worker| !worker.leaving && (!any_waits || worker.may_need_slots());
+    let staying = || workers.iter().filter(eligible);
     let any_local = staying().any(|worker| worker.zone == zone);
     staying()
         .filter(|worker| !any_local || worker.zone == zone)
--- a/crates/foxwheel-policy/tests/ownership.rs
+++ b/crates/foxwheel-policy/tests/ownership.rs
@@ -21,6 +21,7 @@
         leaving: false,
         heard: true,
         claims: claim.into_iter().collect(),
+        waiting_items: 0,
     }
 }
 
@@ -202,6 +203,35 @@
     );
 }
 
+/// One worker was given more than its share of the jobs; the others have none left. The slots
+/// that those give out would stay half empty.
+#[test]
+fn slots_are_given_out_by_workers_whose_items_wait() {
+    let mut workers = idle_workers();
+    for (worker, zone) in workers.iter_mut().zip(["hall", "far", "areal"]) {
+        worker.zone = zone.to_owned();
+    }
+    workers[0].waiting_items = 12;
+    let keeper = |zone, workers: &[Worker]| {
+        ownership::slot_keeper("server-0", zone, workers).map(|worker| worker.node.clone())
+    };
+    for zone in ["hall", "far", "areal"] {
+        assert_eq!(keeper(zone, &workers).as_deref(), Some("a"), "{zone}");
+    }
+    // The zone's own worker keeps its slots again as soon as items of its own wait.
+    workers[1].waiting_items = 1;
+    assert_eq!(keeper("far", &workers).as_deref(), Some("b"));
+    assert_eq!(keeper("hall", &workers).as_deref(), Some("a"));
+    // Of a worker that is not heard it is not known what waits.
+    workers[1].waiting_items = 0;
+    workers[1].heard = false;
+    assert_eq!(keeper("far", &workers).as_deref(), Some("b"));
+    // A worker that leaves keeps nothing.
+    workers[0].leaving = true;
+    workers[1].heard = true;
+    assert_ne!(keeper("hall", &workers).as_deref(), Some("a"));
+}
+
 /// The path between two workers is cut one way for 5 s: the one that hears nothing must not
 /// take what the other, alive for everybody else, probably runs.
 #[test]
