--- a/crates/foxwheel-ctl/src/losses/account.rs
+++ b/crates/foxwheel-ctl/src/losses/account.rs
@@ -13,6 +13,9 @@
 /// Reason of results that were stored after they were due.
 const RESULTS_LATE: &str = "results stored after they were due";
 
+/// What stands before a peer's address in the text of an error.
+const PEER: &str = " with peer ";
+
 /// What a caller lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LossKind {
@@ -164,7 +167,7 @@
 
 fn late_reason(line: &Line, attempts: &FailedAttempts) -> String {
     if let Some(reason) = attempts.of(line) {
-        return format!("after an attempt that failed: {reason}");
+        return format!("after an attempt that failed: {}", without_peer(reason));
     }
     let was_full = line
         .number("in_flight")
@@ -178,7 +181,18 @@
 
 /// The reason that the line gives, else what it says happened.
 fn reason(line: &Line) -> String {
-    line.field("reason").unwrap_or(&line.message).to_owned()
+    without_peer(line.field("reason").unwrap_or(&line.message))
+}
+
+/// A reason without the peer's address, so that equal reasons of several peers are summed.
+fn without_peer(reason: &str) -> String {
+    let Some((before, peer_and_cause)) = reason.split_once(PEER) else {
+        return reason.to_owned();
+    };
+    match peer_and_cause.split_once(": ") {
+        Some((_, cause)) => format!("{before}: {cause}"),
+        None => before.to_owned(),
+    }
 }
 
 fn loss(line: &Line, kind: LossKind, reason: String, count: u64) -> Loss {
--- a/crates/foxwheel-ctl/tests/losses_contract.rs
+++ b/crates/foxwheel-ctl/tests/losses_contract.rs
@@ -21,7 +21,16 @@
     Option<(LossKind, &'static str, u64)>,
 );
 
-const CASES: [Case; 13] = [
+const CASES: [Case; 14] = [
+    (
+        "stream broken",
+        r#"{"request_id":"m","server":"s2","reason":"cannot connect at step 'open connection' with peer 10.0.0.1:80: refused"}"#,
+        Some((
+            LossKind::Failed,
+            "cannot connect at step 'open connection': refused",
+            1,
+        )),
+    ),
     (
         "stream complete",
         r#"{"request_id":"a","server":"s1","in_flight":3,"slots":8,"on_time":true}"#,
