Late answers are delivered whole, and a sliver of time is no offer: pinned by tests

Read in the code for the stricter accounting: a stream that misses its target goes on to its end; no attempt starts with under 10 ms left, and that refusal says truly that nothing ran. Weighed and left: refusing from a tenth of the route's target on (30 ms). A caller with a short limit of its own would be refused although quick services answer within it.

--- a/crates/foxwheel-node/tests/online_contract.rs
+++ b/crates/foxwheel-node/tests/online_contract.rs
@@ -159,6 +159,46 @@
     fleet.cancel.cancel();
 }
 
+/// A sliver of time cannot bring an answer back: the request is not sent at all, and its
+/// caller learns that it has not run.
+#[actix_web::test]
+async fn no_attempt_is_made_with_a_sliver_of_time() {
+    let fleet = Fleet::start(plain(1)).await;
+    for (at, path) in ["/plain/a", "/once/a", "/stream/a"].iter().enumerate() {
+        let id = format!("sliver-{at}");
+        let headers = [("x-deadline-ms", "8")];
+        let answer = call(fleet.fronts[0], Method::POST, path, &id, &headers, "").await;
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(answer.headers.contains_key(RETRY_AFTER), "{path}");
+        assert!(fleet.runs_of(&id).is_empty(), "{path}");
+    }
+    fleet.cancel.cancel();
+}
+
+/// An answer that misses its target but not its caller's time is delivered whole.
+#[actix_web::test]
+async fn late_answers_are_delivered_whole() {
+    let slow = Shape {
+        step: Duration::from_millis(450),
+        ..Shape::default()
+    };
+    let plan = Plan {
+        servers: vec![slow],
+        workers: 0,
+        ..Plan::default()
+    };
+    let fleet = Fleet::start(plan).await;
+    let headers = [("x-deadline-ms", "10000")];
+    let front = fleet.fronts[0];
+    let answer = call(front, Method::POST, "/stream/a", "late", &headers, "").await;
+    let answer = answer.expect("answered");
+    assert!(answer.whole, "cut");
+    assert_eq!(answer.text(), whole_stream("late"));
+    assert_eq!(fleet.runs_of("late").len(), 1, "one run is enough");
+    fleet.cancel.cancel();
+}
+
 #[actix_web::test]
 async fn what_no_route_takes_is_answered_at_once() {
     let fleet = Fleet::start(plain(1)).await;
