--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -4,30 +4,12 @@
 
 use std::time::{Duration, Instant};
 
-use foxwheel_policy::batch::item::{Ending, ItemResult, ItemSpec, PartialOutput, RunEnd};
-use foxwheel_policy::batch::job::{self, JobProgress, JobSpec};
+use foxwheel_policy::batch::item::{Ending, ItemResult, PartialOutput, RunEnd};
+use foxwheel_policy::batch::job::{self, JobProgress};
 use foxwheel_policy::routes::{Route, RouteKind};
 
 const MAX_FAILURES: u32 = 3;
 
-fn job_of(items: usize) -> JobSpec {
-    let item = |at: usize| ItemSpec {
-        id: format!("item-{at}"),
-        path: "/batch/item".to_owned(),
-        headers: Vec::new(),
-        body: vec![1, 2, 3],
-        tokens: 100,
-    };
-    JobSpec {
-        id: "job".to_owned(),
-        host: "host.example".to_owned(),
-        path: "/batch/job".to_owned(),
-        route: "route".to_owned(),
-        submitted_unix: Duration::from_secs(1),
-        items: (0..items).map(item).collect(),
-    }
-}
-
 fn output(events: &[(u64, &str)]) -> PartialOutput {
     let mut partial = PartialOutput::default();
     for (id, data) in events {
@@ -61,7 +43,7 @@
     ];
     for (end, expected) in cases {
         let now = Instant::now();
-        let mut progress = JobProgress::new(job_of(1));
+        let mut progress = JobProgress::new(common::job_of(1));
         progress.start(0);
         progress.run_ended(0, end, output(&[(1, "a")]), MAX_FAILURES, now);
         let ending = results(&progress).first().map(|result| result.ending);
@@ -81,7 +63,7 @@
 #[test]
 fn an_item_is_given_up_after_its_failures_and_not_for_broken_runs() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job_of(1));
+    let mut progress = JobProgress::new(common::job_of(1));
     for _ in 0..20 {
         progress.start(0);
         progress.run_ended(
@@ -111,7 +93,7 @@
 #[test]
 fn a_part_holds_at_least_one_result_and_no_more_than_fit() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job_of(4));
+    let mut progress = JobProgress::new(common::job_of(4));
     for item in 0..4 {
         progress.start(item);
         progress.run_ended(
@@ -129,7 +111,7 @@
 
 #[test]
 fn an_ended_job_runs_nothing_and_keeps_what_is_listed() {
-    let mut progress = JobProgress::new(job_of(2));
+    let mut progress = JobProgress::new(common::job_of(2));
     let listed = ItemResult {
         id: "item-1".to_owned(),
         ending: Ending::Completed,
@@ -176,7 +158,7 @@
     common::seeded(8, 120000, |u| {
         let items = 6;
         let mut parts = Parts::default();
-        let mut workers = vec![JobProgress::new(job_of(items)); 3];
+        let mut workers = vec![JobProgress::new(common::job_of(items)); 3];
         let mut seen: Vec<String> = Vec::new();
         let now = Instant::now() + Duration::from_secs(3_600);
         for _ in 0..STEPS {
@@ -237,7 +219,7 @@
             }
         }
         8 => {
-            *worker = JobProgress::new(job_of(items));
+            *worker = JobProgress::new(common::job_of(items));
             for (number, results) in parts.0.iter().enumerate() {
                 assert!(worker.take_part(number as u32, results.clone()));
             }
@@ -259,7 +241,7 @@
 fn results_are_stored_together_and_give_ups_soon() {
     let start = Instant::now();
     let at = |ms| start + Duration::from_millis(ms);
-    let mut progress = JobProgress::new(job_of(3));
+    let mut progress = JobProgress::new(common::job_of(3));
     assert!(!progress.should_store(at(60_000), true), "nothing to store");
     progress.start(0);
     progress.run_ended(0, RunEnd::Whole, output(&[(1, "a")]), 1, start);
@@ -286,7 +268,7 @@
 fn results_are_stored_before_their_job_is_due() {
     let now = Instant::now();
     let seconds = Duration::from_secs_f64;
-    let mut progress = JobProgress::new(job_of(2));
+    let mut progress = JobProgress::new(common::job_of(2));
     assert!(!progress.is_nearly_due(seconds(0.1)), "nothing to store");
     progress.start(0);
     progress.run_ended(0, RunEnd::Whole, output(&[(1, "a")]), 1, now);
@@ -336,7 +318,7 @@
     common::seeded(200, 2_000, |u| {
         let items = 5;
         let mut parts = Parts::default();
-        let mut workers = vec![JobProgress::new(job_of(items)); 2];
+        let mut workers = vec![JobProgress::new(common::job_of(items)); 2];
         let now = Instant::now() + Duration::from_secs(3_600);
         for _ in 0..60 {
             let at = u.choose_index(workers.len())?;
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -5,26 +5,8 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::batch::checkpoint::{CheckpointClock, JobCheckpoint};
-use foxwheel_policy::batch::item::{Ending, ItemSpec, ItemState, PartialOutput, RunEnd};
-use foxwheel_policy::batch::job::{JobProgress, JobSpec};
-
-fn job_of(items: usize) -> JobSpec {
-    let item = |at: usize| ItemSpec {
-        id: format!("item-{at}"),
-        path: "/p".to_owned(),
-        headers: Vec::new(),
-        body: Vec::new(),
-        tokens: 100,
-    };
-    JobSpec {
-        id: "job".to_owned(),
-        host: "host.example".to_owned(),
-        path: "/batch/job".to_owned(),
-        route: "route".to_owned(),
-        submitted_unix: Duration::from_secs(1),
-        items: (0..items).map(item).collect(),
-    }
-}
+use foxwheel_policy::batch::item::{Ending, ItemState, PartialOutput, RunEnd};
+use foxwheel_policy::batch::job::JobProgress;
 
 /// The output of an item up to event `last`.
 fn output(last: u64) -> PartialOutput {
@@ -45,7 +27,7 @@
 #[test]
 fn a_job_goes_on_where_its_dead_worker_stopped() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job_of(5));
+    let mut progress = JobProgress::new(common::job_of(5));
     assert_eq!(JobCheckpoint::of(&progress), None, "nothing to save");
     progress.start(0);
     progress.note_output(0, &output(40));
@@ -55,7 +37,7 @@
     run(&mut progress, 3, RunEnd::Impossible, 0);
     let saved = JobCheckpoint::of(&progress).expect("progress");
 
-    let mut adopted = JobProgress::new(job_of(5));
+    let mut adopted = JobProgress::new(common::job_of(5));
     saved.restore(&mut adopted, now);
     assert_eq!(adopted.items[0].partial, output(40));
     assert_eq!(adopted.items[2].failures, 2);
@@ -84,7 +66,7 @@
 #[test]
 fn what_is_stored_or_further_stays() {
     let now = Instant::now();
-    let mut progress = JobProgress::new(job_of(3));
+    let mut progress = JobProgress::new(common::job_of(3));
     run(&mut progress, 0, RunEnd::Whole, 5);
     progress.start(1);
     progress.note_output(1, &output(7));
@@ -93,7 +75,7 @@
     let newer = JobCheckpoint::of(&progress).expect("progress");
     let stored = progress.next_part(10_000);
 
-    let mut adopted = JobProgress::new(job_of(3));
+    let mut adopted = JobProgress::new(common::job_of(3));
     adopted.take_part(0, stored);
     for saved in [&newer, &older] {
         saved.restore(&mut adopted, now);
@@ -113,7 +95,7 @@
         let (mut stored, mut saved): (Vec<_>, Vec<JobCheckpoint>) = (Vec::new(), Vec::new());
         loop {
             let now = Instant::now();
-            let mut progress = JobProgress::new(job_of(count));
+            let mut progress = JobProgress::new(common::job_of(count));
             for (number, part) in stored.iter().enumerate() {
                 assert!(progress.take_part(number as u32, Vec::clone(part)));
             }
--- a/crates/foxwheel-policy/tests/common/mod.rs
+++ b/crates/foxwheel-policy/tests/common/mod.rs
@@ -1,6 +1,13 @@
-//! Randomised tests that give the same verdict in every run.
+//! Randomised tests that give the same verdict in every run, and jobs to play with.
+
+// Each test file uses a part of this module.
+#![allow(dead_code)]
+
+use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
+use foxwheel_policy::batch::item::ItemSpec;
+use foxwheel_policy::batch::job::JobSpec;
 
 /// Runs `property` on `cases` fixed seeds of `bytes` random bytes each.
 pub fn seeded(
@@ -14,3 +21,22 @@
         arbtest::arbtest(&mut property).seed(seed);
     }
 }
+
+/// A job of `items` items of 100 tokens each.
+pub fn job_of(items: usize) -> JobSpec {
+    let item = |at: usize| ItemSpec {
+        id: format!("item-{at}"),
+        path: "/batch/item".to_owned(),
+        headers: Vec::new(),
+        body: vec![1, 2, 3],
+        tokens: 100,
+    };
+    JobSpec {
+        id: "job".to_owned(),
+        host: "host.example".to_owned(),
+        path: "/batch/job".to_owned(),
+        route: "route".to_owned(),
+        submitted_unix: Duration::from_secs(1),
+        items: (0..items).map(item).collect(),
+    }
+}
