--- a/crates/foxwheel-policy/src/batch/checkpoint.rs
+++ b/crates/foxwheel-policy/src/batch/checkpoint.rs
@@ -70,7 +70,7 @@
                 continue;
             }
             item.failures = item.failures.max(saved.failures);
-            if saved.output.last_event_id > item.output_end() {
+            if saved.output.last_event_id > item.partial.last_event_id {
                 item.partial = saved.output.clone();
             }
             if let Some(ending) = saved.ending {
@@ -81,12 +81,6 @@
     }
 }
 
-impl ItemProgress {
-    fn output_end(&self) -> Option<u64> {
-        self.partial.last_event_id
-    }
-}
-
 fn item_checkpoint(id: &ItemId, item: &ItemProgress) -> Option<ItemCheckpoint> {
     let (output, ending) = match &item.state {
         ItemState::Listed => return None,
