--- a/crates/foxwheel-ctl/src/losses/mod.rs
+++ b/crates/foxwheel-ctl/src/losses/mod.rs
@@ -1,11 +1,11 @@
 //! What callers lost: requests and results that came late, were refused, failed or ran
 //! again, summed from the logs of several processes.
 //!
-//! [`account`] finds the losses and their reasons, [`report`] sums them by reason, server,
+//! [`account`] finds the losses and their reasons, [`summary`] sums them by reason, server,
 //! process and second, as text and as a plot. `foxwheel-ctl explain` tells a single case.
 
 pub mod account;
-pub mod report;
+pub mod summary;
 
 use std::path::{Path, PathBuf};
 
@@ -19,10 +19,10 @@
     clocks::align(&mut lines);
     let account = account::Account::of(&lines);
     if let Some(path) = plot {
-        report::draw(&account, path).map_err(|source| CtlError::Plot {
+        summary::draw(&account, path).map_err(|source| CtlError::Plot {
             path: path.display().to_string(),
             detail: source.to_string(),
         })?;
     }
-    Ok(report::text(&account))
+    Ok(summary::text(&account))
 }
