Figures beside the kept changes

Comments only: late results with and without keepers that have waiting items (worth of the same runs in docs/LOAD.md), time that jobs stand still after a start of the fleet, late requests of the model's small fleet with batch items counted whole and by a fifth.

--- a/crates/foxwheel-policy/src/batch/ownership.rs
+++ b/crates/foxwheel-policy/src/batch/ownership.rs
@@ -21,7 +21,8 @@
 
 /// How long a worker runs until it has heard of every live one: two heartbeats between zones
 /// (0.3 s each), the second to those of whom the first told, and one that is lost. After a
-/// start of the whole fleet jobs stand still until then.
+/// start of the whole fleet jobs stand still until then: 1.1 s, and 2.2 to 2.6 s when a second
+/// read of the ledger was waited for.
 pub const HEARD_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Whether a worker still runs a job that it tells of.
@@ -99,7 +100,8 @@
 /// The worker that gives out the batch slots of a server in `zone`. Workers that look at the
 /// same free slots at once would overfill them. Of those whose items wait it is one of that
 /// zone if there is any; jobs are not spread evenly, and slots that a worker without waiting
-/// items gives out would be left half empty by the others.
+/// items gives out would be left half empty by the others (3 workers, 39 servers, six runs of
+/// some 1,350 items each: 536 results late, 373 with this).
 pub fn slot_keeper<'a>(server: &str, zone: &str, workers: &'a [Worker]) -> Option<&'a Worker> {
     let any_waits = workers.iter().any(Worker::may_need_slots);
     let eligible = |worker: &&Worker| !worker.leaving && (!any_waits || worker.may_need_slots());
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -75,7 +75,8 @@
 /// What a batch item counts of an online request where an online request is placed: it is
 /// taken off within tens of milliseconds once online requests exceed the slots, while an
 /// online request holds its slot for half a second. Counted whole, requests of a full zone
-/// queued behind each other beside zones that batch filled.
+/// queued behind each other beside zones that batch filled: 0.6% of a small fleet's requests
+/// were late, 0.1% with this (`foxwheel-load model`).
 const BATCH_WEIGHT: f64 = 0.2;
 
 /// A server with a free slot is found for most requests of a trough, so that few stop a run.
