A look at the load costs the same however many processes there are

Cause: every placement summed each server's load over all peers, and a worker looked over all servers and jobs at each datagram of its peers. Now: peers keep sums by server that follow what is heard and lost; a worker looks at most every 10 ms for news of peers alone, and looks only at servers where it has runs to stop. Ruled out: the datagrams themselves (their number is as before, the processor time is not). Test: sums_follow_what_each_live_peer_told_last, against a plain recount over random histories.

--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod job_store;
 pub mod ledger_follower;
 pub mod ledger_keeper;
+pub mod load_sums;
 pub mod load_table;
 pub mod metrics;
 pub mod node;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -10,7 +10,7 @@
 use foxwheel_http1::pool::Pool;
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
-use foxwheel_policy::membership::{Directory, ServerKey};
+use foxwheel_policy::membership::{Directory, Member, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
 use tokio::sync::Notify;
@@ -122,27 +122,37 @@
             .usable(service, now)
             .map(|member| (member, member.server.key()))
             .filter(|(_, key)| !tried.contains(key) && !self.peers.found_gone(key, now))
-            .map(|(member, key)| {
-                let server = &member.server;
-                let own = self.loads.own(&key, now);
-                let (online, batch) = self.peers.load(&key, now);
-                Candidate {
-                    id: key.id,
-                    incarnation: key.incarnation,
-                    zone: server.zone.clone(),
-                    slots: server.slots,
-                    in_flight: own.online + own.batch + online + batch,
-                    batch_in_flight: own.batch + batch,
-                    own_batch: own.batch,
-                    lapsed: member.lapsed_until.is_some(),
-                    suspect: own.suspect,
-                    failure_rate: own.failure_rate,
-                    slot_keeper: false,
-                }
-            })
+            .map(|(member, key)| self.candidate_of(member, key, now))
             .collect()
     }
 
+    /// That start of a server, if it may take work.
+    pub fn candidate(&self, key: &ServerKey, now: Instant) -> Option<Candidate> {
+        let directory = self.directory.lock().expect("directory lock");
+        let member = directory.usable_member(key, now)?;
+        let gone = self.peers.found_gone(key, now);
+        (!gone).then(|| self.candidate_of(member, key.clone(), now))
+    }
+
+    fn candidate_of(&self, member: &Member, key: ServerKey, now: Instant) -> Candidate {
+        let server = &member.server;
+        let own = self.loads.own(&key, now);
+        let (online, batch) = self.peers.load(&key, now);
+        Candidate {
+            id: key.id,
+            incarnation: key.incarnation,
+            zone: server.zone.clone(),
+            slots: server.slots,
+            in_flight: own.online + own.batch + online + batch,
+            batch_in_flight: own.batch + batch,
+            own_batch: own.batch,
+            lapsed: member.lapsed_until.is_some(),
+            suspect: own.suspect,
+            failure_rate: own.failure_rate,
+            slot_keeper: false,
+        }
+    }
+
     /// When a caller should come back who found every slot of `service` taken.
     pub fn retry_after_full(&self, service: &ServiceName, now: Instant) -> Duration {
         let slots = self
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -9,6 +9,7 @@
 use foxwheel_policy::membership::ServerKey;
 use serde::{Deserialize, Serialize};
 
+use crate::load_sums::LoadSums;
 use crate::load_table::ServerLoad;
 use crate::settings::Role;
 
@@ -72,10 +73,12 @@
     LoadChanges(LoadChanges),
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct Peer {
     beat: Heartbeat,
     heard_at: Instant,
+    /// Its loads are in the sums; true from the first message until its death is noticed.
+    counted: bool,
 }
 
 /// The other processes.
@@ -88,6 +91,12 @@
     peers: Vec<Peer>,
     /// Addresses to tell, whether or not they were ever heard; sorted by address.
     addresses: Vec<(SocketAddr, Instant)>,
+    /// The loads of the peers that are counted.
+    sums: LoadSums,
+    /// Starts of servers that counted peers found gone; sorted.
+    gone: Vec<ServerKey>,
+    /// No counted peer dies before; none without peers.
+    next_death: Option<Instant>,
 }
 
 impl Peers {
@@ -106,18 +115,17 @@
                     return false;
                 }
                 let was_dead = now.duration_since(known.heard_at) >= DEAD_AFTER;
-                *known = Peer {
-                    beat,
-                    heard_at: now,
-                };
+                tables.replace(at, beat, now);
                 was_dead
             }
             Err(at) => {
                 let peer = Peer {
                     beat,
                     heard_at: now,
+                    counted: false,
                 };
                 tables.peers.insert(at, peer);
+                tables.count(at);
                 true
             }
         }
@@ -140,7 +148,7 @@
         known.beat.sequence = changes.sequence;
         known.heard_at = now;
         for load in changes.loads {
-            known.beat.set_load(load);
+            tables.set_load(at, load);
         }
     }
 
@@ -205,41 +213,16 @@
 
     /// Requests in flight at `server` from all live peers: online and batch.
     pub fn load(&self, server: &ServerKey, now: Instant) -> (u32, u32) {
-        let tables = self.0.lock().expect("peers lock");
-        let mut sum = (0, 0);
-        for beat in tables.live(now) {
-            let found = beat.loads.binary_search_by(|load| load.server.cmp(server));
-            if let Ok(at) = found {
-                sum.0 += beat.loads[at].online;
-                sum.1 += beat.loads[at].batch;
-            }
-        }
-        sum
+        let mut tables = self.0.lock().expect("peers lock");
+        tables.notice_deaths(now);
+        tables.sums.get(server)
     }
 
     /// Whether a live peer found that start of a server to be gone.
     pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
-        let tables = self.0.lock().expect("peers lock");
-        let found = tables
-            .live(now)
-            .any(|beat| beat.gone.binary_search(server).is_ok());
-        found
-    }
-}
-
-impl Heartbeat {
-    fn set_load(&mut self, load: ServerLoad) {
-        let found = self
-            .loads
-            .binary_search_by(|known| known.server.cmp(&load.server));
-        match (found, load.online + load.batch) {
-            (Ok(at), 0) => {
-                self.loads.remove(at);
-            }
-            (Ok(at), _) => self.loads[at] = load,
-            (Err(_), 0) => {}
-            (Err(at), _) => self.loads.insert(at, load),
-        }
+        let mut tables = self.0.lock().expect("peers lock");
+        tables.notice_deaths(now);
+        tables.gone.binary_search(server).is_ok()
     }
 }
 
@@ -250,6 +233,71 @@
 }
 
 impl Tables {
+    /// Takes the peer's newer heartbeat in place of the one before.
+    fn replace(&mut self, at: usize, beat: Heartbeat, now: Instant) {
+        self.uncount(at);
+        self.peers[at].beat = beat;
+        self.peers[at].heard_at = now;
+        self.count(at);
+    }
+
+    fn count(&mut self, at: usize) {
+        let peer = &mut self.peers[at];
+        peer.counted = true;
+        self.sums.add(&peer.beat.loads);
+        let death = peer.heard_at + DEAD_AFTER;
+        self.next_death = Some(self.next_death.map_or(death, |next| next.min(death)));
+        for start in &peer.beat.gone {
+            if let Err(place) = self.gone.binary_search(start) {
+                self.gone.insert(place, start.clone());
+            }
+        }
+    }
+
+    fn uncount(&mut self, at: usize) {
+        let peer = &mut self.peers[at];
+        if !std::mem::take(&mut peer.counted) {
+            return;
+        }
+        self.sums.subtract(&peer.beat.loads);
+        if !peer.beat.gone.is_empty() {
+            let counted = self.peers.iter().filter(|peer| peer.counted);
+            self.gone = counted.flat_map(|peer| peer.beat.gone.clone()).collect();
+            self.gone.sort_unstable();
+            self.gone.dedup();
+        }
+    }
+
+    /// Forgets the loads of peers that fell silent.
+    fn notice_deaths(&mut self, now: Instant) {
+        if self.next_death.is_none_or(|next| now < next) {
+            return;
+        }
+        for at in 0..self.peers.len() {
+            if !self.peers[at].is_live(now) {
+                self.uncount(at);
+            }
+        }
+        let counted = self.peers.iter().filter(|peer| peer.counted);
+        self.next_death = counted.map(|peer| peer.heard_at + DEAD_AFTER).min();
+    }
+
+    fn set_load(&mut self, at: usize, load: ServerLoad) {
+        let beat = &mut self.peers[at].beat;
+        let found = beat
+            .loads
+            .binary_search_by(|known| known.server.cmp(&load.server));
+        if let Ok(place) = found {
+            let before = beat.loads.remove(place);
+            self.sums.subtract(std::slice::from_ref(&before));
+        }
+        if load.online + load.batch > 0 {
+            let (Ok(place) | Err(place)) = found;
+            self.sums.add(std::slice::from_ref(&load));
+            beat.loads.insert(place, load);
+        }
+    }
+
     fn position(&self, host: &str) -> Result<usize, usize> {
         self.peers
             .binary_search_by(|peer| peer.beat.host.as_str().cmp(host))
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -28,6 +28,11 @@
 /// Longest pause between looks at what could run.
 const SCHEDULE_EVERY: Duration = Duration::from_millis(50);
 
+/// Least time between two looks for news of peers alone: each look goes over all jobs and the
+/// servers they run at, and with a dozen fronts in the zone changes of load come every few
+/// milliseconds. An item then starts this much later, of some hundred that it runs.
+const PEER_NEWS_PAUSE: Duration = Duration::from_millis(10);
+
 /// How long a leaving worker lets items run on before it stops them.
 const LEAVE_RUNS_FOR: Duration = Duration::from_millis(4_500);
 
@@ -89,16 +94,22 @@
     let background = tokio::spawn(run_background(Arc::clone(&node), Arc::clone(&jobs)));
     let (ledger_sender, mut ledger_news) = tokio::sync::mpsc::channel(1);
     let reading = tokio::spawn(ledger_follower::read(Arc::clone(&jobs), ledger_sender));
+    let mut looked_at = Instant::now();
     loop {
+        let peer_news = async {
+            node.peer_news.notified().await;
+            tokio::time::sleep_until((looked_at + PEER_NEWS_PAUSE).into()).await;
+        };
         tokio::select! {
             () = cancel.cancelled() => break,
             Some(ended) = ended_runs.recv() => worker.take_end(ended),
             Some(open) = ledger_news.recv() => worker.take_ledger(&open),
             () = node.loads.freed.notified() => {}
-            () = node.peer_news.notified() => {}
+            () = peer_news => {}
             () = jobs.wake.notified() => {}
             () = tokio::time::sleep(SCHEDULE_EVERY) => {}
         }
+        looked_at = Instant::now();
         worker.yield_jobs();
         worker.notice_orphans();
         worker.yield_slots();
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -6,6 +6,7 @@
 use foxwheel_core::ids::{JobId, ServiceName};
 use foxwheel_policy::batch::ownership;
 use foxwheel_policy::batch::schedule::{self, WaitingItem};
+use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::routes::Config;
 
@@ -113,22 +114,18 @@
     /// Stops runs on servers whose slots online requests need, the newest first.
     pub(super) fn yield_slots(&mut self) {
         let now = Instant::now();
-        let Some(config) = self.node.config() else {
-            return;
-        };
-        for service in &config.services {
-            for candidate in self.node.candidates(&service.name, &[], now) {
-                let mut excess = placement::batch_excess(&candidate);
-                let server = candidate.key();
-                let runs = self.runs.iter().rev();
-                for run in runs.filter(|run| run.server == server) {
-                    if excess == 0 {
-                        break;
-                    }
-                    if now.duration_since(run.started_at) >= placement::LEAST_RUN {
-                        run.cancel.cancel();
-                    }
-                    excess -= 1;
+        let mut servers: Vec<&ServerKey> = self.runs.iter().map(|run| &run.server).collect();
+        servers.sort_unstable();
+        servers.dedup();
+        for server in servers {
+            let Some(candidate) = self.node.candidate(server, now) else {
+                continue;
+            };
+            let excess = placement::batch_excess(&candidate) as usize;
+            let runs = self.runs.iter().rev().filter(|run| run.server == *server);
+            for run in runs.take(excess) {
+                if now.duration_since(run.started_at) >= placement::LEAST_RUN {
+                    run.cancel.cancel();
                 }
             }
         }
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -202,3 +202,43 @@
     peers.take_changes(of_earlier_start, now);
     assert_eq!(peers.load(&server(1), now), (1, 0));
 }
+
+/// Whatever is heard, lost and forgotten, the load on a server is the sum over live peers of
+/// what each told last.
+#[test]
+fn sums_follow_what_each_live_peer_told_last() {
+    arbtest::arbtest(|u| {
+        let (peers, mut now) = (Peers::default(), Instant::now());
+        // By host: when it was heard last, and its load at the server then.
+        let mut told: [Option<(Instant, (u32, u32))>; 4] = [None; 4];
+        for sequence in 1..=u.int_in_range(1..=30)? {
+            now += Duration::from_millis(u.int_in_range(0..=900)?);
+            let host: u8 = u.int_in_range(0..=3)?;
+            let (online, batch) = (u.int_in_range(0..=3)?, u.int_in_range(0..=2)?);
+            let mut beat = beat(host, sequence, &[]);
+            beat.loads[0].online = online;
+            beat.loads[0].batch = batch;
+            if u.ratio(1, 2)? {
+                let changes = LoadChanges {
+                    host: beat.host,
+                    incarnation: 1,
+                    sequence,
+                    loads: beat.loads,
+                };
+                peers.take_changes(changes, now);
+                let known = &mut told[usize::from(host)];
+                if known.is_some_and(|(at, _)| now.duration_since(at) < DEAD_AFTER) {
+                    *known = Some((now, (online, batch)));
+                }
+            } else {
+                peers.hear(beat, addr(9), now);
+                told[usize::from(host)] = Some((now, (online, batch)));
+            }
+            let live = told.iter().flatten();
+            let live = live.filter(|(at, _)| now.duration_since(*at) < DEAD_AFTER);
+            let sum = live.fold((0, 0), |sum, (_, load)| (sum.0 + load.0, sum.1 + load.1));
+            assert_eq!(peers.load(&server(1), now), sum);
+        }
+        Ok(())
+    });
+}
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -248,8 +248,18 @@
         self.members
             .iter()
             .filter(move |member| member.server.service == service)
-            .filter(|member| member.server.state == ServerState::Ready)
-            .filter(move |member| !self.is_gone(&member.server, now))
+            .filter(move |member| self.is_usable(member, now))
+    }
+
+    /// That start of a server, if it may be sent new work, as a last resort at least.
+    pub fn usable_member(&self, key: &ServerKey, now: Instant) -> Option<&Member> {
+        let member = &self.members[self.position(&key.id).ok()?];
+        let is_start = member.server.incarnation == key.incarnation;
+        (is_start && self.is_usable(member, now)).then_some(member)
+    }
+
+    fn is_usable(&self, member: &Member, now: Instant) -> bool {
+        member.server.state == ServerState::Ready && !self.is_gone(&member.server, now)
     }
 
     /// That start of a server, if it is the one that is known.
