--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -90,6 +90,14 @@
     StoreAnswered(StoreCall),
     /// Calls to the platform's store that failed.
     StoreFailed(StoreCall),
+    /// Datagrams sent to peers, one for each recipient.
+    PeerMessageSent,
+    /// Bytes of those datagrams.
+    PeerBytesSent,
+    /// Datagrams received from peers.
+    PeerMessageHeard,
+    /// Bytes of those datagrams.
+    PeerBytesHeard,
     /// Heartbeats that could not be read.
     HeartbeatUnreadable,
     /// Heartbeats that could not be written.
@@ -191,6 +199,10 @@
             Self::RunWhole => "batch.runs_whole",
             Self::RunPreempted => "batch.runs_preempted",
             Self::RunFailed => "batch.runs_failed",
+            Self::PeerMessageSent => "peers.messages_sent",
+            Self::PeerBytesSent => "peers.bytes_sent",
+            Self::PeerMessageHeard => "peers.messages_heard",
+            Self::PeerBytesHeard => "peers.bytes_heard",
             Self::HeartbeatUnreadable => "heartbeat.unreadable",
             Self::HeartbeatUnencodable => "heartbeat.unencodable",
         };
--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -13,6 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
+use crate::peer_messages::Contact;
 use crate::settings::Role;
 use crate::store_access::Backoff;
 
@@ -353,15 +354,11 @@
 }
 
 fn note_process(node: &Node, object: &Object) {
-    let addr = object.spec["addr"]
-        .as_str()
-        .and_then(|addr| addr.parse().ok());
-    match addr {
-        Some(addr) => {
-            let own = node.settings.peer_address();
-            node.peers.note_address(addr, own, Instant::now());
-        }
-        None => log::warn!(host = object.name; "process entry without a readable address"),
+    let own = node.settings.peer_address();
+    match serde_json::from_value::<Contact>(object.spec.clone()) {
+        Ok(contact) if contact.addr != own => node.peers.note_contact(&contact, Instant::now()),
+        Ok(_) => {}
+        Err(e) => log::warn!(host = object.name, error:% = e; "process entry not readable"),
     }
 }
 
@@ -372,7 +369,7 @@
         let addr = SocketAddr::new(seed.ip(), own.port());
         node.peers.note_address(addr, own, Instant::now());
     }
-    let spec: EncodedJson = serde_json::json!({ "addr": own }).to_string();
+    let spec: EncodedJson = serde_json::json!(node.contact()).to_string();
     let kind = NODES_KIND.to_owned();
     let name = node.settings.host.clone();
     let create = Write::Create {
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -1,12 +1,12 @@
-//! Heartbeats between processes, as UDP datagrams.
+//! Datagrams between processes: heartbeats and changes of load within a zone, summaries and
+//! the load of guests between zones.
 //!
 //! They carry liveness, load and held jobs without a call to the platform: a check through
-//! the store would cost a write and a wake-up of every watcher for each beat. Between them
-//! changes of load are told to those who choose among the same servers.
+//! the store would cost a write and a wake-up of every watcher for each beat.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::Zone;
 use foxwheel_core::metric_names::Counter;
@@ -14,9 +14,13 @@
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
+use crate::contacts::Reach;
 use crate::load_table::ServerLoad;
 use crate::node::Node;
-use crate::peers::{Heartbeat, LoadChanges, PeerMessage};
+use crate::peer_messages::{
+    AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, PeerMessage,
+};
+use crate::zone_speaker;
 
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -24,17 +28,22 @@
 /// Most addresses of others told in one heartbeat.
 const MAX_KNOWN: usize = 40;
 
-/// Sends and receives heartbeats until cancelled.
+/// Sends and receives until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
-    let socket = Arc::new(socket);
-    let receiving = receive(Arc::clone(&node), Arc::clone(&socket));
+    let outbox = Outbox {
+        node: Arc::clone(&node),
+        socket: Arc::new(socket),
+    };
+    let receiving = receive(outbox.clone());
     let sender = Sender {
+        outbox,
         node,
-        socket,
         sequence: 0,
         heartbeats: 0,
         next_heartbeat_at: Instant::now(),
-        changes: ChangeClock::default(),
+        changes: ChangeClock::new(load_reports::CHANGES_GAP),
+        guest_loads: ChangeClock::new(load_reports::GUEST_LOADS_GAP),
+        visited: Vec::new(),
     };
     tokio::select! {
         () = cancel.cancelled() => {}
@@ -43,11 +52,39 @@
     }
 }
 
-async fn receive(node: Arc<Node>, socket: Arc<UdpSocket>) {
-    let own = node.settings.peer_address();
+/// Where messages go out.
+#[derive(Clone)]
+pub struct Outbox {
+    node: Arc<Node>,
+    socket: Arc<UdpSocket>,
+}
+
+impl Outbox {
+    /// Sends `message` to each address; answers its size.
+    pub async fn send(&self, message: &PeerMessage, to: &[SocketAddr]) -> usize {
+        if to.is_empty() {
+            return 0;
+        }
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            self.node.metrics.incr(Counter::HeartbeatUnencodable);
+            return 0;
+        };
+        for addr in to {
+            // A lost datagram is made good by the next one.
+            let _ = self.socket.send_to(&bytes, addr).await;
+        }
+        let metrics = &self.node.metrics;
+        metrics.add(Counter::PeerMessageSent, to.len());
+        metrics.add(Counter::PeerBytesSent, to.len() * bytes.len());
+        bytes.len()
+    }
+}
+
+async fn receive(outbox: Outbox) {
+    let node = &outbox.node;
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let received = match socket.recv_from(&mut buffer).await {
+        let received = match outbox.socket.recv_from(&mut buffer).await {
             Ok((length, _)) => &buffer[..length],
             Err(e) => {
                 log::warn!(error:% = e; "heartbeat not received");
@@ -55,38 +92,81 @@
                 continue;
             }
         };
+        node.metrics.incr(Counter::PeerMessageHeard);
+        node.metrics.add(Counter::PeerBytesHeard, received.len());
         match postcard::from_bytes::<PeerMessage>(received) {
-            Ok(PeerMessage::Heartbeat(beat)) => hear(&node, beat, own),
-            Ok(PeerMessage::LoadChanges(changes)) => {
-                node.peers.take_changes(changes, Instant::now());
-            }
-            Err(_) => {
-                node.metrics.incr(Counter::HeartbeatUnreadable);
-                continue;
+            Ok(message) => take(&outbox, message).await,
+            Err(_) => node.metrics.incr(Counter::HeartbeatUnreadable),
+        }
+    }
+}
+
+async fn take(outbox: &Outbox, message: PeerMessage) {
+    let node = &outbox.node;
+    let now = Instant::now();
+    let own = node.settings.peer_address();
+    match message {
+        PeerMessage::Heartbeat(beat) if node.peers.is_stranger(&beat) => {
+            return introduce(outbox, &beat).await;
+        }
+        PeerMessage::Heartbeat(beat) => hear(node, beat, own, now),
+        PeerMessage::LoadChanges(changes) => node.peers.take_changes(changes, now),
+        PeerMessage::GuestLoads(told) => zone_speaker::take_guest(outbox, node, told, now).await,
+        PeerMessage::Summary(summary) => {
+            let age = Duration::ZERO;
+            let told = AgedSummary { age, summary };
+            let own_loads = node.loads.snapshot();
+            node.peers.take_summary(told, &own_loads, now);
+        }
+        PeerMessage::Summaries(summaries) => {
+            let own_loads = node.loads.snapshot();
+            for told in summaries {
+                node.peers.take_summary(told, &own_loads, now);
             }
         }
-        node.peer_news.notify_waiters();
+        PeerMessage::Introduction(told) => node.peers.take_introduction(&told, own, now),
     }
+    node.peer_news.notify_waiters();
 }
 
-fn hear(node: &Node, beat: Heartbeat, own: SocketAddr) {
+fn hear(node: &Node, beat: Heartbeat, own: SocketAddr, now: Instant) {
     let host = beat.host.clone();
     let (incarnation, leaving) = (beat.incarnation, beat.leaving);
-    if node.peers.hear(beat, own, Instant::now()) {
+    if node.peers.hear(beat, own, now) {
         log::info!(peer = host, incarnation, leaving; "peer is alive");
     }
 }
 
+/// Answers a process of another zone that does not know who is here.
+async fn introduce(outbox: &Outbox, beat: &Heartbeat) {
+    let node = &outbox.node;
+    let stranger = Contact {
+        addr: beat.addr,
+        zone: beat.zone.clone(),
+        role: beat.role,
+    };
+    node.peers.note_contact(&stranger, Instant::now());
+    let introduction = Introduction {
+        from: node.contact(),
+        others: node.peers.to_introduce(&beat.zone),
+    };
+    let message = PeerMessage::Introduction(introduction);
+    outbox.send(&message, &[beat.addr]).await;
+}
+
 /// What a process tells the others.
 struct Sender {
+    outbox: Outbox,
     node: Arc<Node>,
-    socket: Arc<UdpSocket>,
     /// Messages so far.
     sequence: u64,
     /// Heartbeats so far.
     heartbeats: u64,
     next_heartbeat_at: Instant,
     changes: ChangeClock,
+    guest_loads: ChangeClock,
+    /// Other zones to be told of the load on their servers; sorted.
+    visited: Vec<Zone>,
 }
 
 impl Sender {
@@ -100,6 +180,7 @@
                 () = node.load_alarm.notified() => true,
                 () = node.loads.news.notified() => false,
                 () = wait_until(self.changes.next_at()), if node.loads.has_changes() => false,
+                () = wait_until(self.guest_loads.next_at()), if !self.visited.is_empty() => false,
             };
             let now = Instant::now();
             if heartbeat && now >= self.next_heartbeat_at {
@@ -110,86 +191,92 @@
                 self.changes.note(now);
                 self.send_changes(now).await;
             }
+            if self.guest_loads.is_due(now) && !self.visited.is_empty() {
+                self.guest_loads.note(now);
+                self.send_guest_loads(now).await;
+            }
         }
     }
 
-    /// Sends one heartbeat; answers its size.
-    async fn send_heartbeat(&mut self, now: Instant) -> usize {
+    fn next_sequence(&mut self) -> u64 {
         self.sequence += 1;
+        self.sequence
+    }
+
+    /// Sends one heartbeat, and what goes out with every few of them; answers its size.
+    async fn send_heartbeat(&mut self, now: Instant) -> usize {
         self.heartbeats += 1;
-        let to_all = self.heartbeats % load_reports::LOCAL_PER_REMOTE == 1;
-        let addresses = self.node.peers.addresses(now);
-        let beat = heartbeat(&self.node, self.sequence, &addresses);
-        let Some(bytes) = self.encode(&PeerMessage::Heartbeat(beat)) else {
-            return 0;
-        };
-        for (addr, zone) in addresses {
-            if to_all || self.is_local(zone.as_ref()) {
-                self.send(&bytes, addr).await;
-            }
+        self.node.pick_speakers(now);
+        let sequence = self.next_sequence();
+        let mut beat = heartbeat(&self.node, sequence, now);
+        let local = self.node.peers.recipients(Reach::OwnZone, now);
+        let message = PeerMessage::Heartbeat(beat.clone());
+        let bytes = self.outbox.send(&message, &local).await;
+        if self.heartbeats % load_reports::LOCAL_PER_REMOTE == 1 {
+            beat.loads.clear();
+            let beyond = self.node.peers.recipients(Reach::Beyond, now);
+            let message = PeerMessage::Heartbeat(beat);
+            self.outbox.send(&message, &beyond).await;
+            let loads = self.node.loads.snapshot();
+            self.note_visited(&loads);
         }
-        bytes.len()
+        if self.heartbeats % load_reports::LOCAL_PER_SUMMARY == 1 {
+            let sequence = self.next_sequence();
+            zone_speaker::send_summary(&self.outbox, &self.node, sequence, now).await;
+        }
+        zone_speaker::pass_on_summaries(&self.outbox, &self.node, now).await;
+        bytes
     }
 
-    /// Tells changes of load to the own zone, and those at another zone's servers to that
-    /// zone: who chooses among them, or runs batch items there, must know of them.
+    /// Tells changes of load to the own zone, and notes which other zones must know of them.
     async fn send_changes(&mut self, now: Instant) {
         let loads = self.node.loads.take_changes();
-        let addresses = self.node.peers.addresses(now);
-        let mut zones: Vec<&Zone> = addresses
+        self.note_visited(&loads);
+        let changes = LoadChanges {
+            host: self.node.settings.host.clone(),
+            incarnation: self.node.incarnation,
+            sequence: self.next_sequence(),
+            loads,
+        };
+        let local = self.node.peers.recipients(Reach::OwnZone, now);
+        let message = PeerMessage::LoadChanges(changes);
+        self.outbox.send(&message, &local).await;
+    }
+
+    fn note_visited(&mut self, loads: &[ServerLoad]) {
+        let zones = loads
             .iter()
-            .filter_map(|(_, zone)| zone.as_ref())
-            .collect();
-        zones.sort_unstable();
-        zones.dedup();
-        for zone in zones {
-            let loads: Vec<ServerLoad> = match self.is_local(Some(zone)) {
-                true => loads.clone(),
-                false => self.loads_in(zone, &loads),
-            };
-            if loads.is_empty() {
-                continue;
-            }
-            self.sequence += 1;
-            let changes = LoadChanges {
-                host: self.node.settings.host.clone(),
-                incarnation: self.node.incarnation,
-                sequence: self.sequence,
-                loads,
-            };
-            let Some(bytes) = self.encode(&PeerMessage::LoadChanges(changes)) else {
-                continue;
-            };
-            let of_zone = addresses
-                .iter()
-                .filter(|(_, known)| known.as_ref() == Some(zone));
-            for (addr, _) in of_zone {
-                self.send(&bytes, *addr).await;
+            .filter_map(|load| self.node.server_zone(&load.server));
+        for zone in zones.filter(|zone| *zone != self.node.settings.availability_zone) {
+            if let Err(at) = self.visited.binary_search(&zone) {
+                self.visited.insert(at, zone);
             }
         }
     }
 
-    fn loads_in(&self, zone: &Zone, loads: &[ServerLoad]) -> Vec<ServerLoad> {
-        let in_zone =
-            |load: &&ServerLoad| self.node.server_zone(&load.server).as_ref() == Some(zone);
-        loads.iter().filter(in_zone).cloned().collect()
-    }
-
-    fn is_local(&self, zone: Option<&Zone>) -> bool {
-        zone == Some(&self.node.settings.availability_zone)
-    }
-
-    fn encode(&self, message: &PeerMessage) -> Option<Vec<u8>> {
-        let encoded = postcard::to_stdvec(message);
-        if encoded.is_err() {
-            self.node.metrics.incr(Counter::HeartbeatUnencodable);
+    /// Tells other zones of this process's load on their servers: who chooses among them must
+    /// know of it.
+    async fn send_guest_loads(&mut self, now: Instant) {
+        let loads = self.node.loads.snapshot();
+        let zones = self.node.peers.other_zones(now);
+        for visited in std::mem::take(&mut self.visited) {
+            let Some((_, speakers)) = zones.iter().find(|(zone, _)| *zone == visited) else {
+                continue;
+            };
+            let sequence = self.next_sequence();
+            let at_zone =
+                |load: &&ServerLoad| self.node.server_zone(&load.server).as_ref() == Some(&visited);
+            let told = GuestLoads {
+                host: self.node.settings.host.clone(),
+                incarnation: self.node.incarnation,
+                sequence,
+                passed_on: false,
+                loads: loads.iter().filter(at_zone).cloned().collect(),
+            };
+            self.outbox
+                .send(&PeerMessage::GuestLoads(told), speakers)
+                .await;
         }
-        encoded.ok()
-    }
-
-    async fn send(&self, bytes: &[u8], addr: SocketAddr) {
-        // A lost datagram is made good by the next heartbeat.
-        let _ = self.socket.send_to(bytes, addr).await;
     }
 }
 
@@ -199,8 +286,9 @@
     }
 }
 
-fn heartbeat(node: &Node, sequence: u64, addresses: &[(SocketAddr, Option<Zone>)]) -> Heartbeat {
-    let now = Instant::now();
+fn heartbeat(node: &Node, sequence: u64, now: Instant) -> Heartbeat {
+    let mut known = node.peers.heard(now);
+    known.truncate(MAX_KNOWN);
     Heartbeat {
         host: node.settings.host.clone(),
         incarnation: node.incarnation,
@@ -210,15 +298,11 @@
         addr: node.settings.peer_address(),
         leaving: node.is_leaving(),
         store_reached: node.store.failing_for(now).is_none(),
+        speakers: node.speakers(),
         loads: node.loads.snapshot(),
         gone: node.gone_servers(now),
         claims: node.claims(),
         waiting_items: node.waiting_items(),
-        known: addresses
-            .iter()
-            .filter(|(_, zone)| zone.is_some())
-            .map(|(addr, _)| *addr)
-            .take(MAX_KNOWN)
-            .collect(),
+        known,
     }
 }
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod batch_front;
+pub mod contacts;
 pub mod event_stream;
 pub mod followers;
 pub mod front;
@@ -20,7 +21,9 @@
 pub mod node;
 pub mod online;
 pub mod online_request;
+pub mod other_zones;
 pub mod peer_calls;
+pub mod peer_messages;
 pub mod peer_server;
 pub mod peers;
 pub mod process;
@@ -34,6 +37,7 @@
 pub mod store_relay;
 pub mod worker;
 pub mod worker_jobs;
+pub mod zone_speaker;
 
 /// The crate's modules, for `use foxwheel_node::prelude::*`.
 pub mod prelude {
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -7,6 +7,7 @@
 use foxwheel_core::ids::ServerId;
 use foxwheel_policy::health::Outcomes;
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::zone_loads::Requests;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -71,6 +72,16 @@
     pub batch: u32,
 }
 
+impl ServerLoad {
+    /// The load alone.
+    pub fn requests(&self) -> Requests {
+        Requests {
+            online: self.online,
+            batch: self.batch,
+        }
+    }
+}
+
 /// One server's load from this process.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct OwnLoad {
--- a/crates/foxwheel-node/src/metrics.rs
+++ b/crates/foxwheel-node/src/metrics.rs
@@ -97,6 +97,12 @@
         let _ = self.client.incr(&counter.name());
     }
 
+    /// Counts `count` events at once.
+    pub fn add(&self, counter: Counter, count: usize) {
+        // The sink is in memory and cannot fail.
+        let _ = self.client.count(&counter.name(), count as i64);
+    }
+
     /// Records how long something took.
     pub fn time(&self, timer: Timer, took: Duration) {
         let _ = self.client.time(timer.name(), took);
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -1,24 +1,28 @@
 //! What the parts of one process share.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{Incarnation, ServiceName, Zone};
+use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, Zone};
 use foxwheel_core::time;
 use foxwheel_http1::connection::ConnectOptions;
 use foxwheel_http1::pool::Pool;
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
-use foxwheel_policy::membership::{Directory, Member, ServerKey};
+use foxwheel_policy::membership::{self, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
+use foxwheel_policy::speakers::{self, Member};
+use foxwheel_policy::zone_loads::Requests;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
 use crate::load_table::LoadTable;
 use crate::metrics::Metrics;
 use crate::peer_calls::PeerCalls;
+use crate::peer_messages::Contact;
 use crate::peers::Peers;
 use crate::service_pace::ServicePaces;
 use crate::settings::{NodeSettings, Role};
@@ -51,6 +55,8 @@
     pub load_alarm: Notify,
     /// The other processes.
     pub peers: Peers,
+    /// The processes of the zone that this one takes as speakers, first choice first.
+    speakers: Mutex<Vec<NodeId>>,
     /// Woken at every heartbeat heard.
     pub peer_news: Notify,
     /// Calls to the other processes.
@@ -82,7 +88,8 @@
             loads: Arc::default(),
             paces: ServicePaces::default(),
             load_alarm: Notify::new(),
-            peers: Peers::default(),
+            peers: Peers::new(settings.availability_zone.clone(), settings.role),
+            speakers: Mutex::default(),
             peer_news: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
@@ -134,17 +141,30 @@
         (!gone).then(|| self.candidate_of(member, key.clone(), now))
     }
 
-    fn candidate_of(&self, member: &Member, key: ServerKey, now: Instant) -> Candidate {
+    fn candidate_of(&self, member: &membership::Member, key: ServerKey, now: Instant) -> Candidate {
         let server = &member.server;
         let own = self.loads.own(&key, now);
-        let (online, batch) = self.peers.load(&key, now);
+        let own_requests = Requests {
+            online: own.online,
+            batch: own.batch,
+        };
+        let elsewhere =
+            self.peers
+                .load_elsewhere(&server.zone, &key, server.slots, own_requests, now);
+        let load = elsewhere.unwrap_or_else(|| {
+            let (online, batch) = self.peers.load(&key, now);
+            Requests {
+                online: own.online + online,
+                batch: own.batch + batch,
+            }
+        });
         Candidate {
             id: key.id,
             incarnation: key.incarnation,
             zone: server.zone.clone(),
             slots: server.slots,
-            in_flight: own.online + own.batch + online + batch,
-            batch_in_flight: own.batch + batch,
+            in_flight: load.total(),
+            batch_in_flight: load.batch,
             own_batch: own.batch,
             lapsed: member.lapsed_until.is_some(),
             suspect: own.suspect,
@@ -160,12 +180,12 @@
             .iter()
             .map(|one| one.slots)
             .sum();
-        let fronts = self.peers.live(Role::Front, now).len() + 1;
+        let fronts = self.peers.front_count(now) + 1;
         self.paces.retry_after(service, slots, fronts, now)
     }
 
     /// The address of that start of a server, if it is the one that is listed.
-    pub fn server_addr(&self, key: &ServerKey) -> Option<std::net::SocketAddr> {
+    pub fn server_addr(&self, key: &ServerKey) -> Option<SocketAddr> {
         let directory = self.directory.lock().expect("directory lock");
         directory.server(key).map(|server| server.addr)
     }
@@ -197,6 +217,58 @@
         directory.gone(now)
     }
 
+    /// This process, as others reach it.
+    pub fn contact(&self) -> Contact {
+        Contact {
+            addr: self.settings.peer_address(),
+            zone: self.settings.availability_zone.clone(),
+            role: self.settings.role,
+        }
+    }
+
+    /// Names the processes of the zone that it takes as speakers from now on.
+    pub fn pick_speakers(&self, now: Instant) {
+        let mut members: Vec<Member> = self
+            .peers
+            .of_own_zone(now)
+            .into_iter()
+            .map(|peer| peer.member)
+            .collect();
+        members.push(Member {
+            host: self.settings.host.clone(),
+            is_worker: self.settings.role == Role::Worker,
+            leaving: self.is_leaving(),
+            store_reached: self.store.failing_for(now).is_none(),
+            silent_for: Duration::ZERO,
+        });
+        let picked = speakers::pick(&members);
+        let mut known = self.speakers.lock().expect("speakers lock");
+        if *known != picked {
+            log::info!(speakers:? = picked; "speakers of the zone");
+            *known = picked;
+        }
+    }
+
+    /// The processes of the zone that this one takes as speakers, first choice first.
+    pub fn speakers(&self) -> Vec<NodeId> {
+        self.speakers.lock().expect("speakers lock").clone()
+    }
+
+    /// Addresses of the zone's processes that named this one as their first speaker.
+    pub fn audience(&self, now: Instant) -> Vec<SocketAddr> {
+        let local = self.peers.of_own_zone(now);
+        let named = local
+            .into_iter()
+            .filter(|peer| peer.speakers.first() == Some(&self.settings.host));
+        named.map(|peer| peer.addr).collect()
+    }
+
+    /// Whether some process of the zone, or this one, takes this one as its first speaker.
+    pub fn speaks_for_zone(&self, now: Instant) -> bool {
+        let own = self.speakers().first() == Some(&self.settings.host);
+        own || !self.audience(now).is_empty()
+    }
+
     /// Jobs that this process runs or closed a short while ago; sorted by job.
     pub fn claims(&self) -> Vec<JobClaim> {
         self.claims.lock().expect("claims lock").clone()
--- /dev/null
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -0,0 +1,143 @@
+//! What this process knows of other zones, from their speakers' summaries.
+
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use foxwheel_core::ids::Zone;
+use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
+
+use crate::load_table::ServerLoad;
+use crate::peer_messages::{AgedSummary, WorkerNote, ZoneSummary};
+use crate::peers::DEAD_AFTER;
+
+/// A zone's newest summary.
+#[derive(Debug)]
+struct OtherZone {
+    summary: ZoneSummary,
+    /// When its speaker sent it, as far as is known.
+    told_at: Instant,
+    /// What this zone had in flight at all servers when the summary came; sorted by server.
+    sent_then: Vec<(ServerFingerprint, Requests)>,
+    /// It was not passed on to this zone yet.
+    is_news: bool,
+}
+
+/// The other zones.
+#[derive(Debug, Default)]
+pub struct OtherZones {
+    /// Sorted by zone.
+    zones: Vec<OtherZone>,
+}
+
+impl OtherZones {
+    /// Takes a summary that is `age` old, unless a newer one of its zone is known. `sent` is
+    /// what this zone has in flight at servers now.
+    pub fn take(&mut self, told: AgedSummary, sent: &[ServerLoad], now: Instant) {
+        let AgedSummary { age, summary } = told;
+        let Some(told_at) = now.checked_sub(age) else {
+            return;
+        };
+        let found = self
+            .zones
+            .binary_search_by(|known| known.summary.zone.cmp(&summary.zone));
+        if let Ok(at) = found {
+            let known = &self.zones[at];
+            let is_newer = if known.summary.host == summary.host {
+                let order = |of: &ZoneSummary| (of.incarnation, of.sequence);
+                order(&summary) > order(&known.summary)
+            } else {
+                told_at > known.told_at
+            };
+            if !is_newer {
+                return;
+            }
+        }
+        let mut sent_then: Vec<_> = sent
+            .iter()
+            .map(|load| (zone_loads::fingerprint(&load.server), load.requests()))
+            .collect();
+        sent_then.sort_unstable_by_key(|(server, _)| *server);
+        let zone = OtherZone {
+            summary,
+            told_at,
+            sent_then,
+            is_news: true,
+        };
+        match found {
+            Ok(at) => self.zones[at] = zone,
+            Err(at) => self.zones.insert(at, zone),
+        }
+    }
+
+    /// The load on a server of `zone`, if a speaker of that zone lives; `sent_now` is what this
+    /// zone has in flight there.
+    pub fn load(
+        &self,
+        zone: &Zone,
+        server: &ServerKey,
+        slots: u32,
+        sent_now: Requests,
+        now: Instant,
+    ) -> Option<Requests> {
+        let other = self.live(now).find(|other| other.summary.zone == *zone)?;
+        let fingerprint = zone_loads::fingerprint(server);
+        let Some(told) = find(&other.summary.servers, fingerprint) else {
+            return Some(zone_loads::untold(slots, sent_now));
+        };
+        let sent_then = find(&other.sent_then, fingerprint).unwrap_or_default();
+        Some(zone_loads::estimate(told, sent_then, sent_now))
+    }
+
+    /// Whether a zone found that start of a server to be gone.
+    pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
+        self.live(now)
+            .any(|other| other.summary.gone.binary_search(server).is_ok())
+    }
+
+    /// Fronts that live in the other zones.
+    pub fn fronts(&self, now: Instant) -> usize {
+        self.live(now)
+            .map(|other| other.summary.fronts as usize)
+            .sum()
+    }
+
+    /// Live workers of the other zones, and their zones.
+    pub fn workers(&self, now: Instant) -> impl Iterator<Item = (&Zone, &WorkerNote)> {
+        self.live(now).flat_map(move |other| {
+            let age = now.duration_since(other.told_at);
+            let lives = move |note: &&WorkerNote| age + note.silent_for < DEAD_AFTER;
+            let workers = other.summary.workers.iter().filter(lives);
+            workers.map(|note| (&other.summary.zone, note))
+        })
+    }
+
+    /// Where the speakers of `zone` take messages; nothing if none lives.
+    pub fn speakers(&self, zone: &Zone, now: Instant) -> &[SocketAddr] {
+        let other = self.live(now).find(|other| other.summary.zone == *zone);
+        other.map_or(&[], |other| &other.summary.speakers)
+    }
+
+    /// Live summaries, if any of them came since the last call.
+    pub fn news(&mut self, now: Instant) -> Option<Vec<AgedSummary>> {
+        let mut any = false;
+        for zone in &mut self.zones {
+            any |= std::mem::take(&mut zone.is_news);
+        }
+        let aged = |other: &OtherZone| AgedSummary {
+            age: now.duration_since(other.told_at),
+            summary: other.summary.clone(),
+        };
+        any.then(|| self.live(now).map(aged).collect())
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &OtherZone> {
+        let lives = move |other: &&OtherZone| now.duration_since(other.told_at) < DEAD_AFTER;
+        self.zones.iter().filter(lives)
+    }
+}
+
+fn find(servers: &[(ServerFingerprint, Requests)], server: ServerFingerprint) -> Option<Requests> {
+    let found = servers.binary_search_by_key(&server, |(server, _)| *server);
+    found.ok().map(|at| servers[at].1)
+}
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -1,140 +1,170 @@
-//! What this process knows of the others, from their heartbeats.
+//! What this process knows of the others: of its own zone from each of them, of other zones
+//! from their speakers.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{Incarnation, NodeId, Zone};
-use foxwheel_policy::batch::ownership::{JobClaim, Worker};
+use foxwheel_policy::batch::ownership::Worker;
 use foxwheel_policy::membership::ServerKey;
-use serde::{Deserialize, Serialize};
+use foxwheel_policy::speakers::Member;
+use foxwheel_policy::zone_loads::Requests;
 
+use crate::contacts::{Contacts, Reach};
 use crate::load_sums::LoadSums;
 use crate::load_table::ServerLoad;
+use crate::other_zones::OtherZones;
+use crate::peer_messages::{
+    AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote,
+};
 use crate::settings::Role;
 
 /// Silence after which a process counts as dead: five heartbeats between zones, so that a
 /// lost datagram or two changes nothing.
 pub const DEAD_AFTER: Duration = Duration::from_millis(1_600);
 
-/// Silence after which a process's address is forgotten.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
-
-/// What a process tells the others several times a second.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The process's host.
-    pub host: NodeId,
-    /// When it started, in milliseconds since the Unix epoch; tells restarts apart.
-    pub incarnation: Incarnation,
-    /// Grows with each message of an incarnation.
-    pub sequence: u64,
-    /// What it does.
-    pub role: Role,
-    /// Its availability zone.
-    pub zone: Zone,
-    /// Where it takes calls and heartbeats.
-    pub addr: SocketAddr,
-    /// It is stopping and takes no new work.
-    pub leaving: bool,
-    /// Its own last call to the platform's store succeeded.
-    pub store_reached: bool,
-    /// Its load on backend servers; sorted by server and start.
-    pub loads: Vec<ServerLoad>,
-    /// Starts of servers that it found to be gone a short while ago; sorted.
-    pub gone: Vec<ServerKey>,
-    /// Jobs it runs or closed a short while ago; sorted by job.
-    pub claims: Vec<JobClaim>,
-    /// Items of its jobs that could run now and found no slot.
-    pub waiting_items: u32,
-    /// Addresses of the processes it hears.
-    pub known: Vec<SocketAddr>,
-}
+/// Most processes told of in one introduction.
+const MAX_INTRODUCED: usize = 40;
 
-/// Changes of a process's load, told as they happen; a heartbeat makes good a lost one.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadChanges {
-    /// The process's host.
-    pub host: NodeId,
-    /// When it started, in milliseconds since the Unix epoch.
-    pub incarnation: Incarnation,
-    /// Grows with each message of an incarnation, heartbeats included.
-    pub sequence: u64,
-    /// Its load now on the servers where it changed; sorted by server and start.
-    pub loads: Vec<ServerLoad>,
-}
-
-/// What processes tell each other by datagrams.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum PeerMessage {
-    /// Everything.
-    Heartbeat(Heartbeat),
-    /// What changed.
-    LoadChanges(LoadChanges),
+/// What one process has in flight at servers, as it told last.
+#[derive(Debug, Default)]
+struct ToldLoads {
+    /// Sorted by server and start.
+    loads: Vec<ServerLoad>,
+    /// They are in the sums; until the death of their process is noticed.
+    counted: bool,
 }
 
 #[derive(Debug)]
 struct Peer {
+    /// Its last heartbeat; the loads are in `told`.
     beat: Heartbeat,
+    told: ToldLoads,
+    heard_at: Instant,
+}
+
+/// A process of another zone that has requests in flight at this zone's servers.
+#[derive(Debug)]
+struct Guest {
+    host: NodeId,
+    incarnation: Incarnation,
+    sequence: u64,
+    told: ToldLoads,
     heard_at: Instant,
-    /// Its loads are in the sums; true from the first message until its death is noticed.
-    counted: bool,
 }
 
 /// The other processes.
-#[derive(Debug, Default)]
-pub struct Peers(Mutex<Tables>);
+#[derive(Debug)]
+pub struct Peers {
+    own_zone: Zone,
+    own_role: Role,
+    tables: Mutex<Tables>,
+}
 
 #[derive(Debug, Default)]
 struct Tables {
-    /// Sorted by host.
+    /// Those heard themselves: of the own zone, and between workers; sorted by host.
     peers: Vec<Peer>,
-    /// Addresses to tell, whether or not they were ever heard; sorted by address.
-    addresses: Vec<(SocketAddr, Instant)>,
-    /// The loads of the peers that are counted.
+    /// Sorted by host.
+    guests: Vec<Guest>,
+    contacts: Contacts,
+    other_zones: OtherZones,
+    /// The loads of peers and guests that are counted.
     sums: LoadSums,
     /// Starts of servers that counted peers found gone; sorted.
     gone: Vec<ServerKey>,
-    /// No counted peer dies before; none without peers.
+    /// No counted peer or guest dies before; none without any.
     next_death: Option<Instant>,
 }
 
+/// A process of the own zone and whom it takes as speakers.
+#[derive(Debug, Clone)]
+pub struct ZonePeer {
+    /// The process.
+    pub member: Member,
+    /// Where it takes messages.
+    pub addr: SocketAddr,
+    /// The speakers that it names, first choice first.
+    pub speakers: Vec<NodeId>,
+}
+
 impl Peers {
+    /// Nothing known yet, for a process that does `own_role` in `own_zone`.
+    pub fn new(own_zone: Zone, own_role: Role) -> Self {
+        Self {
+            own_zone,
+            own_role,
+            tables: Mutex::default(),
+        }
+    }
+
     /// Takes a heartbeat; answers whether its sender is new or was taken for dead.
     pub fn hear(&self, beat: Heartbeat, own: SocketAddr, now: Instant) -> bool {
-        let mut tables = self.0.lock().expect("peers lock");
-        for addr in beat.known.iter().chain([&beat.addr]) {
-            tables.note_address(*addr, own, now);
+        let mut tables = self.lock();
+        let known = beat.known.iter().filter(|addr| **addr != own);
+        for addr in known {
+            tables.contacts.note_address(*addr, now);
         }
-        tables.refresh_address(beat.addr, now);
+        let contact = Contact {
+            addr: beat.addr,
+            zone: beat.zone.clone(),
+            role: beat.role,
+        };
+        tables.contacts.note(&contact, &self.own_zone, now);
+        tables.contacts.refresh(beat.addr, now);
         match tables.position(&beat.host) {
             Ok(at) => {
-                let known = &mut tables.peers[at];
+                let known = &tables.peers[at];
                 let order = (beat.incarnation, beat.sequence);
                 if order <= (known.beat.incarnation, known.beat.sequence) {
                     return false;
                 }
-                let was_dead = now.duration_since(known.heard_at) >= DEAD_AFTER;
+                let was_dead = !known.is_live(now);
                 tables.replace(at, beat, now);
                 was_dead
             }
             Err(at) => {
                 let peer = Peer {
-                    beat,
+                    told: ToldLoads::default(),
                     heard_at: now,
-                    counted: false,
+                    beat: Heartbeat {
+                        loads: Vec::new(),
+                        gone: Vec::new(),
+                        ..beat.clone()
+                    },
                 };
                 tables.peers.insert(at, peer);
-                tables.count(at);
+                tables.replace(at, beat, now);
                 true
             }
         }
     }
 
+    /// Whether the sender of a heartbeat sent it only because it does not know who is here:
+    /// processes of different zones tell each other nothing unless both are workers.
+    pub fn is_stranger(&self, beat: &Heartbeat) -> bool {
+        let both_workers = beat.role == Role::Worker && self.own_role == Role::Worker;
+        beat.zone != self.own_zone && !both_workers
+    }
+
+    /// Whom a process of `zone` should know.
+    pub fn to_introduce(&self, zone: &Zone) -> Vec<Contact> {
+        self.lock().contacts.to_introduce(zone, MAX_INTRODUCED)
+    }
+
+    /// Takes an introduction.
+    pub fn take_introduction(&self, told: &Introduction, own: SocketAddr, now: Instant) {
+        let others = told.others.iter().chain([&told.from]);
+        for contact in others.filter(|contact| contact.addr != own) {
+            self.note_contact(contact, now);
+        }
+    }
+
     /// Takes changes of a live peer's load, unless something newer was heard of it; a peer that
     /// was silent for long tells everything first.
     pub fn take_changes(&self, changes: LoadChanges, now: Instant) {
-        let mut tables = self.0.lock().expect("peers lock");
+        let mut tables = self.lock();
         let Ok(at) = tables.position(&changes.host) else {
             return;
         };
@@ -152,54 +182,207 @@
         }
     }
 
-    /// Adds an address to tell.
+    /// Takes what a process of another zone has in flight at this zone's servers; answers
+    /// whether it is news.
+    pub fn take_guest(&self, told: &GuestLoads, now: Instant) -> bool {
+        let mut tables = self.lock();
+        let found = tables
+            .guests
+            .binary_search_by(|guest| guest.host.cmp(&told.host));
+        let at = match found {
+            Ok(at) => {
+                let known = &tables.guests[at];
+                if (told.incarnation, told.sequence) <= (known.incarnation, known.sequence) {
+                    return false;
+                }
+                at
+            }
+            Err(at) => {
+                let guest = Guest {
+                    host: told.host.clone(),
+                    incarnation: told.incarnation,
+                    sequence: told.sequence,
+                    told: ToldLoads::default(),
+                    heard_at: now,
+                };
+                tables.guests.insert(at, guest);
+                at
+            }
+        };
+        let tables = &mut *tables;
+        let guest = &mut tables.guests[at];
+        guest.incarnation = told.incarnation;
+        guest.sequence = told.sequence;
+        guest.heard_at = now;
+        guest.told.replace(told.loads.clone(), &mut tables.sums);
+        tables.expect_death(now + DEAD_AFTER);
+        true
+    }
+
+    /// Takes a summary of another zone. `own_loads` is this process's load at servers.
+    pub fn take_summary(&self, told: AgedSummary, own_loads: &[ServerLoad], now: Instant) {
+        if told.summary.zone == self.own_zone {
+            return;
+        }
+        let mut tables = self.lock();
+        tables.notice_deaths(now);
+        let mut sent = LoadSums::default();
+        sent.add(own_loads);
+        sent.add(tables.sums.all());
+        let zone = &told.summary.zone;
+        for addr in &told.summary.speakers {
+            // Kept for the time after its zone has no worker that is heard.
+            let contact = Contact {
+                addr: *addr,
+                zone: zone.clone(),
+                role: Role::Front,
+            };
+            if !tables.contacts.addresses().contains(addr) {
+                tables.contacts.note(&contact, &self.own_zone, now);
+            }
+            tables.contacts.refresh(*addr, now);
+        }
+        tables.other_zones.take(told, sent.all(), now);
+    }
+
+    /// Adds an address of which nothing else is known.
     pub fn note_address(&self, addr: SocketAddr, own: SocketAddr, now: Instant) {
-        let mut tables = self.0.lock().expect("peers lock");
-        tables.note_address(addr, own, now);
+        if addr != own {
+            self.lock().contacts.note_address(addr, now);
+        }
+    }
+
+    /// Adds a process other than this one.
+    pub fn note_contact(&self, contact: &Contact, now: Instant) {
+        self.lock().contacts.note(contact, &self.own_zone, now);
+    }
+
+    /// Every address that is known, sorted.
+    pub fn addresses(&self, now: Instant) -> Vec<SocketAddr> {
+        let mut tables = self.lock();
+        tables.contacts.forget_silent(now);
+        tables.contacts.addresses()
     }
 
-    /// Every address to tell, with the zone of the process there if it was heard.
-    pub fn addresses(&self, now: Instant) -> Vec<(SocketAddr, Option<Zone>)> {
-        let mut tables = self.0.lock().expect("peers lock");
+    /// Where a heartbeat goes.
+    pub fn recipients(&self, reach: Reach, now: Instant) -> Vec<SocketAddr> {
+        let mut tables = self.lock();
+        tables.contacts.forget_silent(now);
         tables
-            .addresses
-            .retain(|(_, noted)| now.duration_since(*noted) < FORGET_AFTER);
-        let zone_of = |addr: SocketAddr| {
-            let live = tables.peers.iter().filter(|peer| peer.is_live(now));
-            live.map(|peer| &peer.beat)
-                .find(|beat| beat.addr == addr)
-                .map(|beat| beat.zone.clone())
-        };
-        let addresses = tables.addresses.iter();
-        addresses.map(|(addr, _)| (*addr, zone_of(*addr))).collect()
+            .contacts
+            .recipients(&self.own_zone, self.own_role, reach)
+    }
+
+    /// Addresses of the processes that are heard.
+    pub fn heard(&self, now: Instant) -> Vec<SocketAddr> {
+        let tables = self.lock();
+        tables.live(now).map(|beat| beat.addr).collect()
+    }
+
+    /// The live processes of the own zone that are heard.
+    pub fn of_own_zone(&self, now: Instant) -> Vec<ZonePeer> {
+        let tables = self.lock();
+        let live = tables.peers.iter().filter(|peer| peer.is_live(now));
+        let local = live.filter(|peer| peer.beat.zone == self.own_zone);
+        let peers = local.map(|peer| ZonePeer {
+            member: Member {
+                host: peer.beat.host.clone(),
+                is_worker: peer.beat.role == Role::Worker,
+                leaving: peer.beat.leaving,
+                store_reached: peer.beat.store_reached,
+                silent_for: now.duration_since(peer.heard_at),
+            },
+            addr: peer.beat.addr,
+            speakers: peer.beat.speakers.clone(),
+        });
+        peers.collect()
+    }
+
+    /// What other zones are told of the own zone's workers that are heard.
+    pub fn worker_notes(&self, now: Instant) -> Vec<WorkerNote> {
+        let tables = self.lock();
+        let live = tables.peers.iter().filter(|peer| peer.is_live(now));
+        let local = live.filter(|peer| peer.beat.zone == self.own_zone);
+        let workers = local.filter(|peer| peer.beat.role == Role::Worker);
+        let notes = workers.map(|peer| WorkerNote {
+            host: peer.beat.host.clone(),
+            addr: peer.beat.addr,
+            leaving: peer.beat.leaving,
+            store_reached: peer.beat.store_reached,
+            waiting_items: peer.beat.waiting_items,
+            silent_for: now.duration_since(peer.heard_at),
+        });
+        notes.collect()
+    }
+
+    /// Other zones of which a process is known, and where messages for each go: to its
+    /// speakers, or to whoever is known there while no speaker is heard.
+    pub fn other_zones(&self, now: Instant) -> Vec<(Zone, Vec<SocketAddr>)> {
+        let tables = self.lock();
+        let zones = tables.contacts.other_zones(&self.own_zone);
+        let addressed = zones.into_iter().map(|zone| {
+            let mut addresses = tables.other_zones.speakers(&zone, now).to_vec();
+            if addresses.is_empty() {
+                addresses = tables.contacts.of_zone(&zone).collect();
+            }
+            (zone, addresses)
+        });
+        addressed.collect()
     }
 
-    /// Addresses of live processes that do `role`, in the order of their hosts.
+    /// Summaries of other zones, if any came since the last call.
+    pub fn summaries(&self, now: Instant) -> Option<Vec<AgedSummary>> {
+        self.lock().other_zones.news(now)
+    }
+
+    /// Addresses of live processes that do `role` and are heard, in the order of their hosts;
+    /// with the workers that other zones' speakers tell of.
     pub fn live(&self, role: Role, now: Instant) -> Vec<(NodeId, SocketAddr)> {
-        let tables = self.0.lock().expect("peers lock");
-        tables
-            .live(now)
-            .filter(|beat| beat.role == role)
-            .map(|beat| (beat.host.clone(), beat.addr))
-            .collect()
+        let tables = self.lock();
+        let heard = tables.live(now).filter(|beat| beat.role == role);
+        let mut live: Vec<_> = heard.map(|beat| (beat.host.clone(), beat.addr)).collect();
+        if role == Role::Worker {
+            for (_, note) in tables.other_zones.workers(now) {
+                if let Err(at) = live.binary_search_by(|(host, _)| host.cmp(&note.host)) {
+                    live.insert(at, (note.host.clone(), note.addr));
+                }
+            }
+        }
+        live
+    }
+
+    /// How many live fronts there are beside this process.
+    pub fn front_count(&self, now: Instant) -> usize {
+        let tables = self.lock();
+        let heard = tables.live(now).filter(|beat| {
+            let is_local = beat.zone == self.own_zone;
+            is_local && beat.role == Role::Front
+        });
+        heard.count() + tables.other_zones.fronts(now)
     }
 
     /// Addresses of live processes that reach the platform's store.
     pub fn reaching_store(&self, now: Instant) -> Vec<SocketAddr> {
-        let tables = self.0.lock().expect("peers lock");
-        let reaching = tables.live(now).filter(|beat| beat.store_reached);
-        reaching.map(|beat| beat.addr).collect()
+        let tables = self.lock();
+        let heard = tables.live(now).filter(|beat| beat.store_reached);
+        let mut reaching: Vec<SocketAddr> = heard.map(|beat| beat.addr).collect();
+        let told = tables.other_zones.workers(now);
+        let told = told.filter(|(_, note)| note.store_reached);
+        reaching.extend(told.map(|(_, note)| note.addr));
+        reaching.sort_unstable();
+        reaching.dedup();
+        reaching
     }
 
-    /// Live workers: those heard, and those that live processes hear though this one does
-    /// not, because the path between them is cut.
+    /// Live workers: those heard, and those that others tell of though they are not heard
+    /// here, because they are in another zone or the path to them is cut.
     pub fn workers(&self, now: Instant) -> Vec<Worker> {
-        let tables = self.0.lock().expect("peers lock");
-        let workers = tables.peers.iter().filter(|peer| {
+        let tables = self.lock();
+        let heard = tables.peers.iter().filter(|peer| {
             let is_worker = peer.beat.role == Role::Worker;
-            is_worker && (peer.is_live(now) || tables.is_heard_by_others(peer.beat.addr, now))
+            is_worker && (peer.is_live(now) || tables.is_told_of(peer, now))
         });
-        workers
+        let mut workers: Vec<Worker> = heard
             .map(|peer| Worker {
                 node: peer.beat.host.clone(),
                 zone: peer.beat.zone.clone(),
@@ -208,21 +391,101 @@
                 claims: peer.beat.claims.clone(),
                 waiting_items: peer.beat.waiting_items,
             })
-            .collect()
+            .collect();
+        for (zone, note) in tables.other_zones.workers(now) {
+            let found = workers.binary_search_by(|worker| worker.node.cmp(&note.host));
+            if let Err(at) = found {
+                let worker = Worker {
+                    node: note.host.clone(),
+                    zone: zone.clone(),
+                    leaving: note.leaving,
+                    heard: false,
+                    claims: Vec::new(),
+                    waiting_items: note.waiting_items,
+                };
+                workers.insert(at, worker);
+            }
+        }
+        workers
     }
 
-    /// Requests in flight at `server` from all live peers: online and batch.
+    /// Requests in flight at `server` from all live processes that told of them: online and
+    /// batch.
     pub fn load(&self, server: &ServerKey, now: Instant) -> (u32, u32) {
-        let mut tables = self.0.lock().expect("peers lock");
+        let mut tables = self.lock();
         tables.notice_deaths(now);
         tables.sums.get(server)
     }
 
-    /// Whether a live peer found that start of a server to be gone.
+    /// Requests in flight at a server of `zone` from all processes; `own` are those of this
+    /// one. None if nobody speaks for that zone.
+    pub fn load_elsewhere(
+        &self,
+        zone: &Zone,
+        server: &ServerKey,
+        slots: u32,
+        own: Requests,
+        now: Instant,
+    ) -> Option<Requests> {
+        if *zone == self.own_zone {
+            return None;
+        }
+        let mut tables = self.lock();
+        tables.notice_deaths(now);
+        let (online, batch) = tables.sums.get(server);
+        let sent_now = Requests {
+            online: own.online + online,
+            batch: own.batch + batch,
+        };
+        tables.other_zones.load(zone, server, slots, sent_now, now)
+    }
+
+    /// Whether a live process found that start of a server to be gone.
     pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
-        let mut tables = self.0.lock().expect("peers lock");
+        let mut tables = self.lock();
+        tables.notice_deaths(now);
+        tables.gone.binary_search(server).is_ok() || tables.other_zones.found_gone(server, now)
+    }
+
+    /// Starts of servers that processes of the own zone found gone; sorted.
+    pub fn gone(&self, now: Instant) -> Vec<ServerKey> {
+        let mut tables = self.lock();
         tables.notice_deaths(now);
-        tables.gone.binary_search(server).is_ok()
+        tables.gone.clone()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Tables> {
+        self.tables.lock().expect("peers lock")
+    }
+}
+
+impl ToldLoads {
+    fn replace(&mut self, loads: Vec<ServerLoad>, sums: &mut LoadSums) {
+        self.uncount(sums);
+        self.loads = loads;
+        sums.add(&self.loads);
+        self.counted = true;
+    }
+
+    fn uncount(&mut self, sums: &mut LoadSums) {
+        if std::mem::take(&mut self.counted) {
+            sums.subtract(&self.loads);
+        }
+    }
+
+    fn set(&mut self, load: ServerLoad, sums: &mut LoadSums) {
+        let found = self
+            .loads
+            .binary_search_by(|known| known.server.cmp(&load.server));
+        if let Ok(at) = found {
+            let before = self.loads.remove(at);
+            sums.subtract(std::slice::from_ref(&before));
+        }
+        if load.requests().total() > 0 {
+            let (Ok(at) | Err(at)) = found;
+            sums.add(std::slice::from_ref(&load));
+            self.loads.insert(at, load);
+        }
     }
 }
 
@@ -234,68 +497,55 @@
 
 impl Tables {
     /// Takes the peer's newer heartbeat in place of the one before.
-    fn replace(&mut self, at: usize, beat: Heartbeat, now: Instant) {
-        self.uncount(at);
-        self.peers[at].beat = beat;
-        self.peers[at].heard_at = now;
-        self.count(at);
-    }
-
-    fn count(&mut self, at: usize) {
+    fn replace(&mut self, at: usize, mut beat: Heartbeat, now: Instant) {
         let peer = &mut self.peers[at];
-        peer.counted = true;
-        self.sums.add(&peer.beat.loads);
-        let death = peer.heard_at + DEAD_AFTER;
-        self.next_death = Some(self.next_death.map_or(death, |next| next.min(death)));
-        for start in &peer.beat.gone {
-            if let Err(place) = self.gone.binary_search(start) {
-                self.gone.insert(place, start.clone());
-            }
+        let loads = std::mem::take(&mut beat.loads);
+        peer.told.replace(loads, &mut self.sums);
+        let gone_before = std::mem::replace(&mut peer.beat, beat).gone;
+        peer.heard_at = now;
+        if gone_before != self.peers[at].beat.gone {
+            self.collect_gone();
         }
+        self.expect_death(now + DEAD_AFTER);
     }
 
-    fn uncount(&mut self, at: usize) {
-        let peer = &mut self.peers[at];
-        if !std::mem::take(&mut peer.counted) {
-            return;
-        }
-        self.sums.subtract(&peer.beat.loads);
-        if !peer.beat.gone.is_empty() {
-            let counted = self.peers.iter().filter(|peer| peer.counted);
-            self.gone = counted.flat_map(|peer| peer.beat.gone.clone()).collect();
-            self.gone.sort_unstable();
-            self.gone.dedup();
-        }
+    fn set_load(&mut self, at: usize, load: ServerLoad) {
+        self.peers[at].told.set(load, &mut self.sums);
+    }
+
+    fn expect_death(&mut self, at: Instant) {
+        self.next_death = Some(self.next_death.map_or(at, |next| next.min(at)));
+    }
+
+    fn collect_gone(&mut self) {
+        let counted = self.peers.iter().filter(|peer| peer.told.counted);
+        self.gone = counted.flat_map(|peer| peer.beat.gone.clone()).collect();
+        self.gone.sort_unstable();
+        self.gone.dedup();
     }
 
-    /// Forgets the loads of peers that fell silent.
+    /// Forgets the loads of processes that fell silent.
     fn notice_deaths(&mut self, now: Instant) {
         if self.next_death.is_none_or(|next| now < next) {
             return;
         }
-        for at in 0..self.peers.len() {
-            if !self.peers[at].is_live(now) {
-                self.uncount(at);
+        let mut deaths = Vec::new();
+        for peer in &mut self.peers {
+            match peer.is_live(now) {
+                true => deaths.push(peer.heard_at + DEAD_AFTER),
+                false => peer.told.uncount(&mut self.sums),
             }
         }
-        let counted = self.peers.iter().filter(|peer| peer.counted);
-        self.next_death = counted.map(|peer| peer.heard_at + DEAD_AFTER).min();
-    }
-
-    fn set_load(&mut self, at: usize, load: ServerLoad) {
-        let beat = &mut self.peers[at].beat;
-        let found = beat
-            .loads
-            .binary_search_by(|known| known.server.cmp(&load.server));
-        if let Ok(place) = found {
-            let before = beat.loads.remove(place);
-            self.sums.subtract(std::slice::from_ref(&before));
-        }
-        if load.online + load.batch > 0 {
-            let (Ok(place) | Err(place)) = found;
-            self.sums.add(std::slice::from_ref(&load));
-            beat.loads.insert(place, load);
+        let lives = |guest: &Guest| now.duration_since(guest.heard_at) < DEAD_AFTER;
+        for guest in &mut self.guests {
+            match lives(guest) {
+                true => deaths.push(guest.heard_at + DEAD_AFTER),
+                false => guest.told.uncount(&mut self.sums),
+            }
         }
+        self.guests.retain(lives);
+        self.next_death = deaths.into_iter().min();
+        self.collect_gone();
     }
 
     fn position(&self, host: &str) -> Result<usize, usize> {
@@ -310,29 +560,11 @@
             .map(|peer| &peer.beat)
     }
 
-    fn is_heard_by_others(&self, addr: SocketAddr, now: Instant) -> bool {
-        self.live(now).any(|beat| beat.known.contains(&addr))
-    }
-
-    fn note_address(&mut self, addr: SocketAddr, own: SocketAddr, now: Instant) {
-        if addr == own {
-            return;
-        }
-        let found = self
-            .addresses
-            .binary_search_by_key(&addr, |(addr, _)| *addr);
-        if let Err(at) = found {
-            self.addresses.insert(at, (addr, now));
-        }
-    }
-
-    /// Only the process itself keeps its address from being forgotten; hearsay does not.
-    fn refresh_address(&mut self, addr: SocketAddr, now: Instant) {
-        let found = self
-            .addresses
-            .binary_search_by_key(&addr, |(addr, _)| *addr);
-        if let Ok(at) = found {
-            self.addresses[at].1 = now;
-        }
+    /// Whether others hear a process that is not heard here.
+    fn is_told_of(&self, peer: &Peer, now: Instant) -> bool {
+        let addr = &peer.beat.addr;
+        let by_peers = self.live(now).any(|beat| beat.known.contains(addr));
+        let mut noted = self.other_zones.workers(now);
+        by_peers || noted.any(|(_, note)| note.host == peer.beat.host)
     }
 }
--- /dev/null
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -0,0 +1,114 @@
+//! What a process does that others of its zone named as their first speaker: it tells other
+//! zones how full its zone's servers are, and passes on what it hears from them.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foxwheel_policy::membership::{Directory, ServerState};
+use foxwheel_policy::zone_loads;
+
+use crate::heartbeat::Outbox;
+use crate::node::Node;
+use crate::peer_messages::{GuestLoads, PeerMessage, WorkerNote, ZoneSummary};
+use crate::settings::Role;
+
+/// Tells the other zones' speakers, if this process speaks for its zone.
+pub async fn send_summary(outbox: &Outbox, node: &Node, sequence: u64, now: Instant) {
+    if !node.speaks_for_zone(now) {
+        return;
+    }
+    let others = node.peers.other_zones(now);
+    if others.is_empty() {
+        return;
+    }
+    let summary = PeerMessage::Summary(summary(node, sequence, now));
+    for (_, addresses) in others {
+        outbox.send(&summary, &addresses).await;
+    }
+}
+
+/// Passes new summaries of other zones on to those who named this process.
+pub async fn pass_on_summaries(outbox: &Outbox, node: &Node, now: Instant) {
+    let audience = node.audience(now);
+    if audience.is_empty() {
+        return;
+    }
+    if let Some(summaries) = node.peers.summaries(now) {
+        let message = PeerMessage::Summaries(summaries);
+        outbox.send(&message, &audience).await;
+    }
+}
+
+/// Takes the load of a process of another zone, and passes it on to those who named this
+/// process.
+pub async fn take_guest(outbox: &Outbox, node: &Node, mut told: GuestLoads, now: Instant) {
+    if node.peers.take_guest(&told, now) && !told.passed_on {
+        told.passed_on = true;
+        let audience = node.audience(now);
+        let message = PeerMessage::GuestLoads(told);
+        outbox.send(&message, &audience).await;
+    }
+}
+
+fn summary(node: &Node, sequence: u64, now: Instant) -> ZoneSummary {
+    let settings = &node.settings;
+    let local = node.peers.of_own_zone(now);
+    let own_front = usize::from(settings.role == Role::Front);
+    let fronts = local.iter().filter(|peer| !peer.member.is_worker).count() + own_front;
+    let mut speakers: Vec<SocketAddr> = vec![settings.peer_address()];
+    let named = node.speakers();
+    let others = local
+        .iter()
+        .filter(|peer| named.contains(&peer.member.host));
+    speakers.extend(others.map(|peer| peer.addr));
+    let mut workers = node.peers.worker_notes(now);
+    if settings.role == Role::Worker {
+        workers.push(WorkerNote {
+            host: settings.host.clone(),
+            addr: settings.peer_address(),
+            leaving: node.is_leaving(),
+            store_reached: node.store.failing_for(now).is_none(),
+            waiting_items: node.waiting_items(),
+            silent_for: Duration::ZERO,
+        });
+        workers.sort_unstable_by(|a, b| a.host.cmp(&b.host));
+    }
+    let mut gone = node.peers.gone(now);
+    gone.extend(node.gone_servers(now));
+    gone.sort_unstable();
+    gone.dedup();
+    let directory = node.directory.lock().expect("directory lock");
+    ZoneSummary {
+        zone: settings.availability_zone.clone(),
+        host: settings.host.clone(),
+        incarnation: node.incarnation,
+        sequence,
+        speakers,
+        fronts: fronts as u32,
+        servers: server_loads(node, &directory, now),
+        gone,
+        workers,
+    }
+}
+
+fn server_loads(
+    node: &Node,
+    directory: &Directory,
+    now: Instant,
+) -> Vec<(zone_loads::ServerFingerprint, zone_loads::Requests)> {
+    let local = directory.members().iter().filter(|member| {
+        let server = &member.server;
+        server.zone == node.settings.availability_zone && server.state == ServerState::Ready
+    });
+    let servers = local.map(|member| {
+        let key = member.server.key();
+        let own = node.loads.own(&key, now);
+        let (online, batch) = node.peers.load(&key, now);
+        let load = zone_loads::Requests {
+            online: own.online + online,
+            batch: own.batch + batch,
+        };
+        (zone_loads::fingerprint(&key), load, member.server.slots)
+    });
+    zone_loads::told_servers(servers.collect())
+}
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_node::load_table::ServerLoad;
-use foxwheel_node::peers::{Heartbeat, LoadChanges, Peers, DEAD_AFTER};
+use foxwheel_node::peer_messages::{Heartbeat, LoadChanges};
+use foxwheel_node::peers::{Peers, DEAD_AFTER};
 use foxwheel_node::settings::Role;
 use foxwheel_policy::load_reports;
 use foxwheel_policy::membership::ServerKey;
@@ -20,6 +21,11 @@
     }
 }
 
+/// What a worker of the hall knows.
+fn peers() -> Peers {
+    Peers::new("hall".to_owned(), Role::Worker)
+}
+
 fn beat(host: u8, sequence: u64, known: &[u8]) -> Heartbeat {
     Heartbeat {
         host: format!("host-{host}"),
@@ -30,6 +36,7 @@
         addr: addr(host),
         leaving: false,
         store_reached: true,
+        speakers: Vec::new(),
         loads: vec![ServerLoad {
             server: server(1),
             online: u32::from(host),
@@ -44,7 +51,7 @@
 
 #[test]
 fn a_silent_process_counts_as_dead_and_its_load_is_forgotten() {
-    let (peers, now) = (Peers::default(), Instant::now());
+    let (peers, now) = (peers(), Instant::now());
     assert!(peers.hear(beat(2, 1, &[]), addr(1), now));
     assert_eq!(peers.load(&server(1), now), (2, 1));
     assert_eq!(peers.workers(now).len(), 1);
@@ -59,7 +66,7 @@
 
 #[test]
 fn heartbeats_out_of_order_change_nothing() {
-    let (peers, now) = (Peers::default(), Instant::now());
+    let (peers, now) = (peers(), Instant::now());
     peers.hear(beat(2, 5, &[]), addr(1), now);
     let mut old = beat(2, 4, &[]);
     old.loads.clear();
@@ -78,7 +85,7 @@
 
 #[test]
 fn a_worker_that_others_hear_lives() {
-    let (peers, start) = (Peers::default(), Instant::now());
+    let (peers, start) = (peers(), Instant::now());
     peers.hear(beat(2, 1, &[]), addr(1), start);
     let later = start + DEAD_AFTER + Duration::from_millis(1);
     peers.hear(beat(3, 1, &[2]), addr(1), later);
@@ -94,9 +101,9 @@
 
 #[test]
 fn addresses_spread_and_are_forgotten_without_their_process() {
-    let (peers, start) = (Peers::default(), Instant::now());
+    let (peers, start) = (peers(), Instant::now());
     peers.hear(beat(2, 1, &[1, 3]), addr(1), start);
-    let known: Vec<SocketAddr> = peers.addresses(start).into_iter().map(|(a, _)| a).collect();
+    let known = peers.addresses(start);
     assert_eq!(known, [addr(2), addr(3)], "its own address is not told to");
     let later = start + Duration::from_secs(61);
     assert!(peers.addresses(later).is_empty());
@@ -135,7 +142,7 @@
 /// A server that starts again under its id runs nothing of what its earlier start ran.
 #[test]
 fn load_belongs_to_one_start_of_a_server() {
-    let (peers, now) = (Peers::default(), Instant::now());
+    let (peers, now) = (peers(), Instant::now());
     peers.hear(beat(2, 1, &[]), addr(1), now);
     assert_eq!(peers.load(&server(1), now), (2, 1));
     assert_eq!(peers.load(&server(2), now), (0, 0));
@@ -145,7 +152,7 @@
 /// says so.
 #[test]
 fn a_start_that_a_live_peer_found_gone_is_gone() {
-    let (peers, now) = (Peers::default(), Instant::now());
+    let (peers, now) = (peers(), Instant::now());
     let mut finder = beat(2, 1, &[]);
     finder.gone = vec![server(1)];
     peers.hear(finder, addr(1), now);
@@ -175,7 +182,7 @@
 /// Changes come between heartbeats, late, twice and out of order; the newest counts.
 #[test]
 fn changes_of_load_count_in_their_order() {
-    let (peers, now) = (Peers::default(), Instant::now());
+    let (peers, now) = (peers(), Instant::now());
     peers.take_changes(changes(9, 5, 0), now);
     assert_eq!(
         peers.load(&server(1), now),
@@ -208,7 +215,7 @@
 #[test]
 fn sums_follow_what_each_live_peer_told_last() {
     arbtest::arbtest(|u| {
-        let (peers, mut now) = (Peers::default(), Instant::now());
+        let (peers, mut now) = (peers(), Instant::now());
         // By host: when it was heard last, and its load at the server then.
         let mut told: [Option<(Instant, (u32, u32))>; 4] = [None; 4];
         for sequence in 1..=u.int_in_range(1..=30)? {
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -13,12 +13,14 @@
 pub mod placement;
 pub mod retry;
 pub mod routes;
+pub mod speakers;
 pub mod stopping;
+pub mod zone_loads;
 
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
         admission, batch, config_in_force, health, load_reports, membership, placement, retry,
-        routes, stopping,
+        routes, speakers, stopping, zone_loads,
     };
 }
--- a/crates/foxwheel-policy/src/load_reports.rs
+++ b/crates/foxwheel-policy/src/load_reports.rs
@@ -11,13 +11,23 @@
 /// Time between whole reports within a zone.
 pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(100);
 
-/// Reports within the zone for each one to other zones, whose bytes are priced: every 300 ms.
+/// Reports within the zone for each one between workers of different zones, whose bytes are
+/// priced: every 300 ms.
 pub const LOCAL_PER_REMOTE: u64 = 3;
 
+/// Reports within the zone for each summary that a zone's speaker sends to other zones: every
+/// 200 ms. It is then passed on with the next report, so views of other zones are as old as if
+/// each process told each every 300 ms.
+pub const LOCAL_PER_SUMMARY: u64 = 2;
+
+/// Least time between two reports of a process's load to another zone at whose servers it has
+/// requests. They are few, and each is passed on to every process of that zone.
+pub const GUEST_LOADS_GAP: Duration = Duration::from_millis(10);
+
 /// Least time between two reports of changes; what changes meanwhile is told together. Below
 /// it fronts hardly gain: views of 5 ms and of 1 ms differ by 1 in 100 requests in time
 /// (`foxwheel-load model`), and at 1,600 requests a second it halves the datagrams.
-const CHANGES_GAP: Duration = Duration::from_millis(2);
+pub const CHANGES_GAP: Duration = Duration::from_millis(2);
 
 /// Bytes of a report up to which the times above hold: one packet on the usual path. A larger
 /// one is sent as many times more rarely, so that the bytes a second stay bounded.
@@ -30,13 +40,19 @@
 }
 
 /// When changes of load are told.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct ChangeClock {
+    gap: Duration,
     /// Earliest time of the next report of changes; none before the first.
     next_at: Option<Instant>,
 }
 
 impl ChangeClock {
+    /// A clock for reports that are at least `gap` apart; the first one is due.
+    pub fn new(gap: Duration) -> Self {
+        Self { gap, next_at: None }
+    }
+
     /// When changes may be told; none if at once.
     pub fn next_at(&self) -> Option<Instant> {
         self.next_at
@@ -49,6 +65,6 @@
 
     /// Takes note that changes were told.
     pub fn note(&mut self, now: Instant) {
-        self.next_at = Some(now + CHANGES_GAP);
+        self.next_at = Some(now + self.gap);
     }
 }
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -25,7 +25,7 @@
 const GONE_FOR: Duration = Duration::from_secs(12);
 
 /// One start of a backend server. Loads, failures and connections belong to it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ServerKey {
     /// The server's id.
     pub id: ServerId,
--- /dev/null
+++ b/crates/foxwheel-policy/src/zone_loads.rs
@@ -0,0 +1,74 @@
+//! How full a server of another zone is, from what its zone told some tenths of a second ago.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use serde::{Deserialize, Serialize};
+
+use crate::membership::ServerKey;
+
+/// Stands for a start of a server in messages between zones: a third of the key's bytes. Two
+/// servers with one fingerprint, once in 10^13 fleets of 1,000, would count as equally full.
+pub type ServerFingerprint = u64;
+
+/// Most servers of a zone that other zones are told of: the freest ones. More than a zone of
+/// 150 hosts has; a larger zone's summary stays within one packet.
+pub const MAX_TOLD_SERVERS: usize = 24;
+
+/// The fingerprint of a start of a server.
+pub fn fingerprint(server: &ServerKey) -> ServerFingerprint {
+    let mut hasher = DefaultHasher::new();
+    server.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Requests in flight at a server.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Requests {
+    /// Online requests.
+    pub online: u32,
+    /// Batch items.
+    pub batch: u32,
+}
+
+impl Requests {
+    /// All of them.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+/// The load on a server of another zone: what its zone told, and what this zone sent or took
+/// off since. `sent_then` is what this zone had in flight there when the zone told, `sent_now`
+/// what it has now.
+pub fn estimate(told: Requests, sent_then: Requests, sent_now: Requests) -> Requests {
+    let since = |told: u32, then: u32, now: u32| now.max((told + now).saturating_sub(then));
+    Requests {
+        online: since(told.online, sent_then.online, sent_now.online),
+        batch: since(told.batch, sent_then.batch, sent_now.batch),
+    }
+}
+
+/// The load on a server that its zone did not tell of: it is new there, or among the fullest.
+/// It counts as full.
+pub fn untold(slots: u32, sent_now: Requests) -> Requests {
+    Requests {
+        online: sent_now.online + slots,
+        batch: sent_now.batch,
+    }
+}
+
+/// Keeps the servers that other zones are told of: the freest by their load as a share of
+/// their slots. Each is a fingerprint, its load and its slots.
+pub fn told_servers(
+    mut servers: Vec<(ServerFingerprint, Requests, u32)>,
+) -> Vec<(ServerFingerprint, Requests)> {
+    let share = |load: Requests, slots: u32| f64::from(load.total()) / f64::from(slots.max(1));
+    servers.sort_unstable_by(|a, b| share(a.1, a.2).total_cmp(&share(b.1, b.2)));
+    servers.truncate(MAX_TOLD_SERVERS);
+    let mut told: Vec<_> = servers
+        .into_iter()
+        .map(|(server, load, _)| (server, load))
+        .collect();
+    told.sort_unstable_by_key(|(server, _)| *server);
+    told
+}
--- a/crates/foxwheel-policy/tests/load_reports.rs
+++ b/crates/foxwheel-policy/tests/load_reports.rs
@@ -2,13 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use foxwheel_policy::load_reports::ChangeClock;
+use foxwheel_policy::load_reports::{self, ChangeClock};
 
 /// A step of 1,600 requests a second at one front: two changes each, told together.
 #[test]
 fn changes_are_told_at_once_and_together_when_they_are_many() {
     let start = Instant::now();
-    let mut clock = ChangeClock::default();
+    let mut clock = ChangeClock::new(load_reports::CHANGES_GAP);
     let mut told = 0;
     for change in 0..3_200 {
         let now = start + Duration::from_secs(1) * change / 3_200;
