--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -59,6 +59,8 @@
     Get,
     /// A creation or replacement.
     Write,
+    /// Whether it answers, of data that may be old.
+    Probe,
 }
 
 /// A counter.
@@ -176,6 +178,7 @@
             Self::Watch => "watch",
             Self::Get => "get",
             Self::Write => "write",
+            Self::Probe => "probe",
         }
     }
 }
--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -1,5 +1,6 @@
 //! A front's side of batch jobs: submissions, reads, ends.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,10 @@
 /// When a submission over the quota should come again: items finish within seconds.
 const QUOTA_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Workers asked for one read: the one that should run the job, the one that does, and one
+/// more if the job is moving.
+const MAX_WORKERS_ASKED: u32 = 3;
+
 /// Longest id of a job; it becomes part of object names.
 const MAX_ID_BYTES: usize = 128;
 
@@ -212,9 +217,16 @@
             wait: wait.min(MAX_READ_WAIT),
         };
         let mut answer = ReadAnswer::Unsure;
-        for addr in self.workers_for(&job) {
+        let mut workers = VecDeque::from(self.workers_for(&job));
+        let mut asked = 0;
+        while let Some(addr) = workers.pop_front() {
+            if asked == MAX_WORKERS_ASKED {
+                break;
+            }
+            asked += 1;
             match self.node.peer_calls.read(addr, job.clone(), read).await {
                 Ok(ReadAnswer::Unsure) => {}
+                Ok(ReadAnswer::Elsewhere(holder)) => workers.push_front(holder),
                 Ok(told) => {
                     answer = told;
                     break;
@@ -234,7 +246,7 @@
                 log::warn!(request_id = job; "read of an unknown job");
                 replies::status(StatusCode::NOT_FOUND)
             }
-            ReadAnswer::Unsure => {
+            ReadAnswer::Unsure | ReadAnswer::Elsewhere(_) => {
                 log::warn!(request_id = job; "job not readable now");
                 replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER)
             }
--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -1,21 +1,20 @@
-//! Following the platform's store: the configuration, the backend servers, the other
-//! processes.
+//! Following the platform's store: the configuration and the backend servers.
 
-use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{ServerId, Version};
-use foxwheel_platform::store::{Change, EncodedJson, Object, StoreError, Watched, Write, Written};
+use foxwheel_platform::store::{Change, Object, StoreError, Watched};
 use foxwheel_platform::{config, servers};
+use foxwheel_policy::following;
 use foxwheel_policy::membership::BackendServer;
-use foxwheel_policy::routes::Config;
+use foxwheel_policy::server_changes::ServerChange;
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
-use crate::peer_messages::Contact;
-use crate::settings::Role;
 use crate::store_access::Backoff;
+use crate::{catch_up, discovery};
 
 /// How long one watch waits. Longer costs fewer calls; a connection that fell silent is
 /// found by its keep-alive probes and not by this.
@@ -24,27 +23,21 @@
 /// How often servers whose entries vanished are looked over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(200);
 
-/// How long the store may fail before a peer is asked for what it knows.
-const ASK_PEERS_AFTER: Duration = Duration::from_millis(600);
-
-/// Time between questions to peers while the store is out of reach.
-const ASK_PEERS_EVERY: Duration = Duration::from_millis(1_000);
-
-/// How often the other processes' entries are read again.
-const FIND_PROCESSES_EVERY: Duration = Duration::from_secs(45);
-
 /// Pause after a watch that brought changes of servers. Servers register and drain together;
 /// far below the time within which a draining server must get no more work (2 s).
 const SERVER_CHANGES_PAUSE: Duration = Duration::from_millis(150);
 
-/// Kind of the entries with which processes announce themselves.
-const NODES_KIND: &str = "foxwheel-nodes";
-
 /// What follows one kind of object.
 trait Follower: Send + Sync + 'static {
     /// The kind.
     const KIND: &'static str;
 
+    /// Whether `node` knows every change of the kind as the store tells it.
+    fn is_current(node: &Node) -> &AtomicBool;
+
+    /// Whether `node` took the kind's objects from the store or a peer before.
+    fn was_listed(node: &Node) -> bool;
+
     /// Pause after a watch that brought changes, so that several cost one call.
     const PAUSE: Duration = Duration::ZERO;
 
@@ -70,10 +63,12 @@
         tokio::join!(
             follow(&node, ConfigFollower),
             follow(&node, ServerFollower::default()),
-            find_processes(&node),
+            discovery::find_processes(&node),
+            discovery::announce(&node),
             expire(&node),
-            ask_peers(&node),
-            announce(&node),
+            catch_up::run(&node),
+            catch_up::ask_peers(&node),
+            probe(&node),
         )
     };
     tokio::select! {
@@ -82,12 +77,34 @@
     }
 }
 
+/// How often a process that does not follow looks whether it should.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+
+/// How long a process that just started and has its first list waits before it watches: by
+/// then it has heard who follows for its zone, and its watch is not needed: two heartbeats.
+/// A tenth of the shortest bound for a change (2 s); the watch goes on from the list.
+const SETTLE_AFTER_START: Duration = Duration::from_millis(200);
+
 async fn follow<F: Follower>(node: &Node, follower: F) {
     let mut backoff = Backoff::default();
     let mut revision = None;
     let mut failing = false;
+    let settled_at = Instant::now() + SETTLE_AFTER_START;
     loop {
+        if revision.is_some() {
+            tokio::time::sleep_until(settled_at.into()).await;
+        }
+        // A process that never listed asks at once; one whose calls fail goes on until the
+        // store answers, so that it knows whether it is turned away.
+        let must_go_on = failing || !F::was_listed(node);
+        node.pick_speakers(Instant::now());
+        while !must_go_on && !node.should_follow(Instant::now()) {
+            F::is_current(node).store(false, Ordering::Relaxed);
+            revision = None;
+            tokio::time::sleep(LOOK_EVERY).await;
+        }
         let step = follow_once(node, &follower, revision).await;
+        F::is_current(node).store(step.is_ok(), Ordering::Relaxed);
         match step {
             Ok(next) => {
                 if failing {
@@ -110,6 +127,22 @@
     }
 }
 
+/// Makes sure that the store answers, while others rely on this process.
+async fn probe(node: &Node) {
+    loop {
+        tokio::time::sleep(following::PROBE_EVERY).await;
+        let now = Instant::now();
+        if node.is_relied_on(now) && node.should_follow(now) {
+            let reached = node.store.failing_for(now).is_none();
+            let answered = node.store.probe(config::KIND, config::NAME).await;
+            if answered.is_err() && reached {
+                // The others must take another process for the zone's follower now.
+                node.load_alarm.notify_one();
+            }
+        }
+    }
+}
+
 /// Lists the kind if `revision` is none, else watches from it. Answers where to go on, or
 /// none to list again.
 async fn follow_once<F: Follower>(
@@ -147,6 +180,14 @@
 impl Follower for ConfigFollower {
     const KIND: &'static str = config::KIND;
 
+    fn is_current(node: &Node) -> &AtomicBool {
+        &node.config_is_current
+    }
+
+    fn was_listed(node: &Node) -> bool {
+        node.config().is_some()
+    }
+
     fn take_all(&self, node: &Node, objects: Vec<Object>, _revision: u64) {
         for object in objects {
             take_config(node, &object);
@@ -169,7 +210,7 @@
             for fault in faults {
                 log::warn!(revision = object.revision, fault; "configuration entry left out");
             }
-            put_in_force(node, config, "store");
+            node.put_in_force(config, "store");
         }
         Err(e) => {
             log::warn!(revision = object.revision, error:% = e; "configuration refused, the one before stays");
@@ -177,17 +218,6 @@
     }
 }
 
-/// Puts `config` in force if it is newer.
-pub fn put_in_force(node: &Node, config: Config, source: &str) {
-    let version = config.version;
-    let routes = config.routes.len();
-    let mut in_force = node.config.lock().expect("config lock");
-    let before = in_force.version();
-    if in_force.offer(config) {
-        log::info!(version, before, routes, source; "configuration in force");
-    }
-}
-
 #[derive(Default)]
 struct ServerFollower {
     /// Spoiled entries and the revisions at which they were logged; sorted by name.
@@ -198,6 +228,15 @@
     const KIND: &'static str = servers::KIND;
     const PAUSE: Duration = SERVER_CHANGES_PAUSE;
 
+    fn is_current(node: &Node) -> &AtomicBool {
+        &node.servers_are_current
+    }
+
+    fn was_listed(node: &Node) -> bool {
+        let directory = node.directory.lock().expect("directory lock");
+        directory.revision().is_some()
+    }
+
     fn lost(&self, node: &Node) {
         node.directory.lock().expect("directory lock").source_lost();
     }
@@ -228,20 +267,24 @@
     fn advance(&self, node: &Node, revision: u64) {
         let mut directory = node.directory.lock().expect("directory lock");
         directory.advance(revision);
+        // Others of the zone may wait to hear of it.
+        node.load_alarm.notify_one();
     }
 
     fn take_change(&self, node: &Node, change: Change) {
         let id = change.object.name.clone();
-        let mut directory = node.directory.lock().expect("directory lock");
-        if change.removed {
-            log::info!(server = id, revision = change.object.revision; "backend server delisted");
-            directory.remove(&id, Instant::now());
+        let revision = change.object.revision;
+        let change = if change.removed {
+            log::info!(server = id, revision; "backend server delisted");
+            ServerChange::Removed(id)
         } else if let Some(server) = self.decode(&change.object) {
-            log::info!(server = id, incarnation = server.incarnation, revision = change.object.revision, state:? = server.state, service = server.service; "backend server changed");
-            directory.upsert(server);
+            log::info!(server = id, incarnation = server.incarnation, revision, state:? = server.state, service = server.service; "backend server changed");
+            ServerChange::Listed(server)
         } else {
-            directory.refuse(&id);
-        }
+            ServerChange::Refused(id)
+        };
+        let mut directory = node.directory.lock().expect("directory lock");
+        directory.take_change(change, revision, Instant::now());
     }
 }
 
@@ -277,7 +320,7 @@
     loop {
         ticks.tick().await;
         let now = Instant::now();
-        let failing = node.store.failing_for(now).is_some();
+        let failing = node.should_follow(now) && node.store.failing_for(now).is_some();
         let gone = {
             let mut directory = node.directory.lock().expect("directory lock");
             // The watch of the servers may wait through an outage that other calls show.
@@ -294,104 +337,3 @@
         node.pool.close_expired();
     }
 }
-
-/// While the store is out of reach, takes what a peer knows.
-async fn ask_peers(node: &Node) {
-    loop {
-        tokio::time::sleep(ASK_PEERS_EVERY).await;
-        let now = Instant::now();
-        let failing = node.store.failing_for(now);
-        if failing.is_none_or(|failing| failing < ASK_PEERS_AFTER) {
-            continue;
-        }
-        for (host, addr) in peers_in_turn(node, now) {
-            let Ok(knowledge) = node.peer_calls.knowledge(addr).await else {
-                continue;
-            };
-            if !knowledge.store_reached {
-                continue;
-            }
-            if let Some(config) = knowledge.config {
-                put_in_force(node, config, "peer");
-            }
-            let Some(revision) = knowledge.servers_revision else {
-                continue;
-            };
-            let servers = knowledge.servers.len();
-            let mut directory = node.directory.lock().expect("directory lock");
-            let taken = directory.take_list(knowledge.servers, revision, Instant::now());
-            log::info!(peer = host, servers, revision, taken; "state asked of a peer");
-            break;
-        }
-    }
-}
-
-fn peers_in_turn(node: &Node, now: Instant) -> Vec<(String, SocketAddr)> {
-    let mut peers = node.peers.live(Role::Worker, now);
-    peers.extend(node.peers.live(Role::Front, now));
-    let first = rand::random_range(0..peers.len().max(1));
-    peers.rotate_left(first);
-    peers
-}
-
-/// Reads where the other processes are. A process that starts later is heard by its
-/// heartbeats, so this is a start and a remedy, not a watch: a watch would wake every
-/// process for each one that starts.
-async fn find_processes(node: &Node) {
-    let mut backoff = Backoff::default();
-    loop {
-        match node.store.list(NODES_KIND).await {
-            Ok(listing) => {
-                for object in &listing.objects {
-                    note_process(node, object);
-                }
-                backoff = Backoff::default();
-                tokio::time::sleep(FIND_PROCESSES_EVERY).await;
-            }
-            Err(_) => node.store.pause(backoff.pause()).await,
-        }
-    }
-}
-
-fn note_process(node: &Node, object: &Object) {
-    let own = node.settings.peer_address();
-    match serde_json::from_value::<Contact>(object.spec.clone()) {
-        Ok(contact) if contact.addr != own => node.peers.note_contact(&contact, Instant::now()),
-        Ok(_) => {}
-        Err(e) => log::warn!(host = object.name, error:% = e; "process entry not readable"),
-    }
-}
-
-/// Announces this process once, so that the others send it heartbeats.
-async fn announce(node: &Node) {
-    let own = node.settings.peer_address();
-    for seed in &node.settings.seeds {
-        let addr = SocketAddr::new(seed.ip(), own.port());
-        node.peers.note_address(addr, own, Instant::now());
-    }
-    let spec: EncodedJson = serde_json::json!(node.contact()).to_string();
-    let kind = NODES_KIND.to_owned();
-    let name = node.settings.host.clone();
-    let create = Write::Create {
-        kind: kind.clone(),
-        name: name.clone(),
-        spec: spec.clone(),
-    };
-    let replace = Write::Replace {
-        kind,
-        name,
-        spec,
-        revision: None,
-    };
-    let mut backoff = Backoff::default();
-    loop {
-        let written = match node.store.write(&create).await {
-            Ok(Written::Conflict(_)) => node.store.write(&replace).await,
-            other => other,
-        };
-        match written {
-            Ok(Written::Done(_)) => return log::info!(addr:% = own; "process announced"),
-            Ok(_) | Err(_) => node.store.pause(backoff.pause()).await,
-        }
-    }
-}
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -17,6 +17,7 @@
 use crate::contacts::Reach;
 use crate::load_table::ServerLoad;
 use crate::node::Node;
+use crate::outbox::Outbox;
 use crate::peer_messages::{
     AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, PeerMessage,
 };
@@ -30,11 +31,9 @@
 
 /// Sends and receives until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
-    let outbox = Outbox {
-        node: Arc::clone(&node),
-        socket: Arc::new(socket),
-    };
-    let receiving = receive(outbox.clone());
+    let socket = Arc::new(socket);
+    let outbox = Outbox::new(Arc::clone(&node), Arc::clone(&socket));
+    let receiving = receive(outbox.clone(), socket);
     let sender = Sender {
         outbox,
         node,
@@ -52,39 +51,11 @@
     }
 }
 
-/// Where messages go out.
-#[derive(Clone)]
-pub struct Outbox {
-    node: Arc<Node>,
-    socket: Arc<UdpSocket>,
-}
-
-impl Outbox {
-    /// Sends `message` to each address; answers its size.
-    pub async fn send(&self, message: &PeerMessage, to: &[SocketAddr]) -> usize {
-        if to.is_empty() {
-            return 0;
-        }
-        let Ok(bytes) = postcard::to_stdvec(message) else {
-            self.node.metrics.incr(Counter::HeartbeatUnencodable);
-            return 0;
-        };
-        for addr in to {
-            // A lost datagram is made good by the next one.
-            let _ = self.socket.send_to(&bytes, addr).await;
-        }
-        let metrics = &self.node.metrics;
-        metrics.add(Counter::PeerMessageSent, to.len());
-        metrics.add(Counter::PeerBytesSent, to.len() * bytes.len());
-        bytes.len()
-    }
-}
-
-async fn receive(outbox: Outbox) {
-    let node = &outbox.node;
+async fn receive(outbox: Outbox, socket: Arc<UdpSocket>) {
+    let node = outbox.node();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let received = match outbox.socket.recv_from(&mut buffer).await {
+        let received = match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => &buffer[..length],
             Err(e) => {
                 log::warn!(error:% = e; "heartbeat not received");
@@ -102,7 +73,7 @@
 }
 
 async fn take(outbox: &Outbox, message: PeerMessage) {
-    let node = &outbox.node;
+    let node = outbox.node();
     let now = Instant::now();
     let own = node.settings.peer_address();
     match message {
@@ -132,6 +103,9 @@
 fn hear(node: &Node, beat: Heartbeat, own: SocketAddr, now: Instant) {
     let host = beat.host.clone();
     let (incarnation, leaving) = (beat.incarnation, beat.leaving);
+    if beat.follows && beat.knows.is_more_than(node.known_state()) {
+        node.follower_news.notify_one();
+    }
     if node.peers.hear(beat, own, now) {
         log::info!(peer = host, incarnation, leaving; "peer is alive");
     }
@@ -139,7 +113,7 @@
 
 /// Answers a process of another zone that does not know who is here.
 async fn introduce(outbox: &Outbox, beat: &Heartbeat) {
-    let node = &outbox.node;
+    let node = outbox.node();
     let stranger = Contact {
         addr: beat.addr,
         zone: beat.zone.clone(),
@@ -298,6 +272,8 @@
         addr: node.settings.peer_address(),
         leaving: node.is_leaving(),
         store_reached: node.store.failing_for(now).is_none(),
+        follows: node.follows(now),
+        knows: node.known_state(),
         speakers: node.speakers(),
         loads: node.loads.snapshot(),
         gone: node.gone_servers(now),
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -6,7 +6,9 @@
 
 pub mod attempt;
 pub mod batch_front;
+pub mod catch_up;
 pub mod contacts;
+pub mod discovery;
 pub mod event_stream;
 pub mod followers;
 pub mod front;
@@ -22,6 +24,7 @@
 pub mod online;
 pub mod online_request;
 pub mod other_zones;
+pub mod outbox;
 pub mod peer_calls;
 pub mod peer_messages;
 pub mod peer_server;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -1,7 +1,7 @@
 //! What the parts of one process share.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -11,6 +11,7 @@
 use foxwheel_http1::pool::Pool;
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
+use foxwheel_policy::following::{self, Standing};
 use foxwheel_policy::membership::{self, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
@@ -21,7 +22,7 @@
 
 use crate::load_table::LoadTable;
 use crate::metrics::Metrics;
-use crate::peer_calls::PeerCalls;
+use crate::peer_calls::{KnownState, PeerCalls};
 use crate::peer_messages::Contact;
 use crate::peers::Peers;
 use crate::service_pace::ServicePaces;
@@ -57,6 +58,14 @@
     pub peers: Peers,
     /// The processes of the zone that this one takes as speakers, first choice first.
     speakers: Mutex<Vec<NodeId>>,
+    /// When another process last named this one as one of the zone's speakers.
+    relied_on_at: Mutex<Option<Instant>>,
+    /// It follows the store's configuration, which answers.
+    pub config_is_current: AtomicBool,
+    /// It follows the store's list of servers, which answers.
+    pub servers_are_current: AtomicBool,
+    /// Woken when a process that follows the store tells that it knows more.
+    pub follower_news: Notify,
     /// Woken at every heartbeat heard.
     pub peer_news: Notify,
     /// Calls to the other processes.
@@ -90,6 +99,10 @@
             load_alarm: Notify::new(),
             peers: Peers::new(settings.availability_zone.clone(), settings.role),
             speakers: Mutex::default(),
+            relied_on_at: Mutex::default(),
+            config_is_current: AtomicBool::new(false),
+            servers_are_current: AtomicBool::new(false),
+            follower_news: Notify::new(),
             peer_news: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
@@ -108,6 +121,19 @@
         self.config.lock().expect("config lock").get()
     }
 
+    /// Puts `config` in force if it is newer; `source` is for the log.
+    pub fn put_in_force(&self, config: Config, source: &str) {
+        let version = config.version;
+        let routes = config.routes.len();
+        let mut in_force = self.config.lock().expect("config lock");
+        let before = in_force.version();
+        if in_force.offer(config) {
+            log::info!(version, before, routes, source; "configuration in force");
+            // Others of the zone may wait to hear of it.
+            self.load_alarm.notify_one();
+        }
+    }
+
     /// Whether the process takes no new work: it was told to stop or its host is emptied.
     pub fn is_leaving(&self) -> bool {
         self.leaving.is_cancelled() || self.retiring.is_cancelled()
@@ -242,6 +268,9 @@
             silent_for: Duration::ZERO,
         });
         let picked = speakers::pick(&members);
+        if self.is_relied_on(now) {
+            *self.relied_on_at.lock().expect("naming lock") = Some(now);
+        }
         let mut known = self.speakers.lock().expect("speakers lock");
         if *known != picked {
             log::info!(speakers:? = picked; "speakers of the zone");
@@ -254,6 +283,48 @@
         self.speakers.lock().expect("speakers lock").clone()
     }
 
+    /// Whether another process of the zone named this one as one of its speakers.
+    pub fn is_relied_on(&self, now: Instant) -> bool {
+        let local = self.peers.of_own_zone(now);
+        local
+            .iter()
+            .any(|peer| peer.speakers.contains(&self.settings.host))
+    }
+
+    /// Whether this process should follow the platform's store itself.
+    pub fn should_follow(&self, now: Instant) -> bool {
+        let relied_on_at = *self.relied_on_at.lock().expect("naming lock");
+        let speakers = self.speakers.lock().expect("speakers lock");
+        following::should_follow(Standing {
+            names_itself: speakers.contains(&self.settings.host),
+            relied_on_ago: relied_on_at.map(|at| now.duration_since(at)),
+            told_ago: self.peers.told_by_follower_ago(now),
+        })
+    }
+
+    /// Whether this process follows the platform's store, which answers.
+    pub fn follows(&self, now: Instant) -> bool {
+        let both = [&self.config_is_current, &self.servers_are_current];
+        let is_current = both.iter().all(|kind| kind.load(Ordering::Relaxed));
+        is_current && self.store.failing_for(now).is_none()
+    }
+
+    /// Whether this process follows the platform's store, or is told by one that does.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let told = self.peers.told_by_follower_ago(now);
+        self.follows(now) || told.is_some_and(|ago| ago < following::TOLD_NOTHING)
+    }
+
+    /// How new the configuration and the list of servers are that are known here.
+    pub fn known_state(&self) -> KnownState {
+        let config_version = self.config.lock().expect("config lock").version();
+        let directory = self.directory.lock().expect("directory lock");
+        KnownState {
+            config_version,
+            servers_revision: directory.revision(),
+        }
+    }
+
     /// Addresses of the zone's processes that named this one as their first speaker.
     pub fn audience(&self, now: Instant) -> Vec<SocketAddr> {
         let local = self.peers.of_own_zone(now);
--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -4,12 +4,12 @@
 use std::time::Instant;
 
 use foxwheel_core::ids::Zone;
+use foxwheel_policy::load_reports::DEAD_AFTER;
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
 use crate::load_table::ServerLoad;
 use crate::peer_messages::{AgedSummary, WorkerNote, ZoneSummary};
-use crate::peers::DEAD_AFTER;
 
 /// A zone's newest summary.
 #[derive(Debug)]
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -5,13 +5,13 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::error::Origin;
-use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_core::ids::{ItemId, JobId, Version};
 use foxwheel_platform::store::{Object, Write, Written};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
-use foxwheel_policy::membership::BackendServer;
 use foxwheel_policy::routes::Config;
+use foxwheel_policy::server_changes::ServerNews;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 use tarpc::tokio_serde::formats::Json;
@@ -26,17 +26,31 @@
 /// Longest wait for a call that the peer makes to the store: its own bound and a hop.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_700);
 
-/// What a process knows of the platform.
+/// How new a process's knowledge of the platform is.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// The version of the configuration in force there, or none before the first.
+    pub config_version: Option<Version>,
+    /// The store's revision that its list of servers shows, or none before the first.
+    pub servers_revision: Option<u64>,
+}
+
+impl KnownState {
+    /// Whether one of both is newer than in `other`.
+    pub fn is_more_than(self, other: Self) -> bool {
+        self.config_version > other.config_version || self.servers_revision > other.servers_revision
+    }
+}
+
+/// What a process knows of the platform, beyond what the one that asks knows.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Knowledge {
-    /// Whether its own last call to the store succeeded.
-    pub store_reached: bool,
-    /// The store's revision that `servers` show; none if it took no list of them yet.
-    pub servers_revision: Option<u64>,
-    /// The configuration in force there.
+    /// It follows the store, which answers, or is told by a process that does.
+    pub is_current: bool,
+    /// The configuration in force there, if it is newer.
     pub config: Option<Config>,
     /// The backend servers listed there.
-    pub servers: Vec<BackendServer>,
+    pub servers: ServerNews,
 }
 
 /// Which results to read.
@@ -65,6 +79,8 @@
         /// The results.
         results: Vec<ItemResult>,
     },
+    /// The worker at this address runs the job.
+    Elsewhere(SocketAddr),
     /// No such job was ever accepted.
     NoSuchJob,
     /// It cannot be told now.
@@ -97,8 +113,8 @@
 /// conditional as its write.
 #[tarpc::service]
 pub trait PeerService {
-    /// What the peer knows of the platform.
-    async fn knowledge() -> Knowledge;
+    /// What the peer knows of the platform that a process which knows `known` does not.
+    async fn knowledge(known: KnownState) -> Knowledge;
     /// Tells a worker of a job that was just accepted.
     async fn accepted(job: JobSpec);
     /// Tells a worker that a job was ended.
@@ -142,10 +158,14 @@
 }
 
 impl PeerCalls {
-    /// What the peer at `addr` knows of the platform.
-    pub async fn knowledge(&self, addr: SocketAddr) -> Result<Knowledge, PeerError> {
+    /// What the peer at `addr` knows of the platform beyond `known`.
+    pub async fn knowledge(
+        &self,
+        addr: SocketAddr,
+        known: KnownState,
+    ) -> Result<Knowledge, PeerError> {
         let client = self.client(addr).await?;
-        let answer = client.knowledge(context_for(CALL_TIMEOUT)).await;
+        let answer = client.knowledge(context_for(CALL_TIMEOUT), known).await;
         self.checked("ask for knowledge", addr, answer)
     }
 
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -10,6 +10,7 @@
 use serde_with::{serde_as, DurationMilliSeconds};
 
 use crate::load_table::ServerLoad;
+use crate::peer_calls::KnownState;
 use crate::settings::Role;
 
 /// What a process tells the others of its zone several times a second, and, without loads,
@@ -32,6 +33,10 @@
     pub leaving: bool,
     /// Its own last call to the platform's store succeeded.
     pub store_reached: bool,
+    /// It follows the store itself, which answers.
+    pub follows: bool,
+    /// How new the configuration and the list of servers are that it knows.
+    pub knows: KnownState,
     /// The processes of its zone that it takes as speakers, first choice first.
     pub speakers: Vec<NodeId>,
     /// Its load on backend servers; sorted by server and start.
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -8,6 +8,7 @@
 use foxwheel_platform::store::{Object, StoreError, Write, Written};
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
+use foxwheel_policy::routes::Config;
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Json;
@@ -15,7 +16,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
-use crate::peer_calls::{BodyAnswer, Knowledge, PeerService, ReadAnswer, ReadSpec, Relayed};
+use crate::peer_calls::{
+    BodyAnswer, Knowledge, KnownState, PeerService, ReadAnswer, ReadSpec, Relayed,
+};
 use crate::worker_jobs::WorkerJobs;
 
 #[derive(Clone)]
@@ -26,18 +29,14 @@
 }
 
 impl PeerService for Handler {
-    async fn knowledge(self, _: context::Context) -> Knowledge {
-        let config = self.node.config();
+    async fn knowledge(self, _: context::Context, known: KnownState) -> Knowledge {
+        let is_newer = |config: &Arc<Config>| Some(config.version) > known.config_version;
+        let config = self.node.config().filter(is_newer);
         let directory = self.node.directory.lock().expect("directory lock");
-        let members = directory.members().iter();
         Knowledge {
-            store_reached: self.node.store.failing_for(Instant::now()).is_none(),
-            servers_revision: directory.revision(),
+            is_current: self.node.is_current(Instant::now()),
             config: config.map(|config| config.as_ref().clone()),
-            servers: members
-                .filter(|member| member.lapsed_until.is_none())
-                .map(|member| member.server.clone())
-                .collect(),
+            servers: directory.news_since(known.servers_revision),
         }
     }
 
@@ -55,7 +54,10 @@
 
     async fn read(self, _: context::Context, job: JobId, read: ReadSpec) -> ReadAnswer {
         match &self.jobs {
-            Some(jobs) => jobs.read(&job, read).await,
+            Some(jobs) => match jobs.holder_elsewhere(&job) {
+                Some(holder) => ReadAnswer::Elsewhere(holder),
+                None => jobs.read(&job, read).await,
+            },
             None => ReadAnswer::Unsure,
         }
     }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -7,6 +7,7 @@
 
 use foxwheel_core::ids::{Incarnation, NodeId, Zone};
 use foxwheel_policy::batch::ownership::Worker;
+use foxwheel_policy::load_reports::DEAD_AFTER;
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::speakers::Member;
 use foxwheel_policy::zone_loads::Requests;
@@ -15,15 +16,12 @@
 use crate::load_sums::LoadSums;
 use crate::load_table::ServerLoad;
 use crate::other_zones::OtherZones;
+use crate::peer_calls::KnownState;
 use crate::peer_messages::{
     AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote,
 };
 use crate::settings::Role;
 
-/// Silence after which a process counts as dead: five heartbeats between zones, so that a
-/// lost datagram or two changes nothing.
-pub const DEAD_AFTER: Duration = Duration::from_millis(1_600);
-
 /// Most processes told of in one introduction.
 const MAX_INTRODUCED: usize = 40;
 
@@ -89,6 +87,24 @@
     pub speakers: Vec<NodeId>,
 }
 
+/// A process of the own zone that follows the platform's store.
+#[derive(Debug, Clone)]
+pub struct StoreFollower {
+    /// Its host.
+    pub host: NodeId,
+    /// Where it takes calls.
+    pub addr: SocketAddr,
+    /// How new what it knows is.
+    knows: KnownState,
+}
+
+impl StoreFollower {
+    /// Whether it knows more than `known`.
+    pub fn knows_more(&self, known: KnownState) -> bool {
+        self.knows.is_more_than(known)
+    }
+}
+
 impl Peers {
     /// Nothing known yet, for a process that does `own_role` in `own_zone`.
     pub fn new(own_zone: Zone, own_role: Role) -> Self {
@@ -298,6 +314,32 @@
         peers.collect()
     }
 
+    /// Processes of the own zone that follow the platform's store, as they told last.
+    pub fn followers(&self, now: Instant) -> Vec<StoreFollower> {
+        let tables = self.lock();
+        let following = tables.live(now).filter(|beat| {
+            let is_local = beat.zone == self.own_zone;
+            is_local && beat.follows
+        });
+        let followers = following.map(|beat| StoreFollower {
+            host: beat.host.clone(),
+            addr: beat.addr,
+            knows: beat.knows,
+        });
+        followers.collect()
+    }
+
+    /// How long ago a process of the own zone last told that it follows the platform's store.
+    pub fn told_by_follower_ago(&self, now: Instant) -> Option<Duration> {
+        let tables = self.lock();
+        let following = tables.peers.iter().filter(|peer| {
+            let is_local = peer.beat.zone == self.own_zone;
+            is_local && peer.beat.follows
+        });
+        let ago = following.map(|peer| now.duration_since(peer.heard_at));
+        ago.min()
+    }
+
     /// What other zones are told of the own zone's workers that are heard.
     pub fn worker_notes(&self, now: Instant) -> Vec<WorkerNote> {
         let tables = self.lock();
--- a/crates/foxwheel-node/src/store_access.rs
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -6,6 +6,7 @@
 
 use foxwheel_core::metric_names::{Counter, StoreCall};
 use foxwheel_platform::store::{Listing, Object, Store, StoreError, Watched, Write, Written};
+use foxwheel_policy::following;
 use rand::RngExt;
 use tokio::sync::Notify;
 
@@ -105,6 +106,13 @@
         got
     }
 
+    /// Whether the store answers now, by a call that costs a tenth of another.
+    pub async fn probe(&self, kind: &str, name: &str) -> Result<(), StoreError> {
+        let answered = self.store.probe(kind, name, following::PROBE_TIMEOUT).await;
+        self.note(StoreCall::Probe, &answered);
+        answered
+    }
+
     /// Performs `write` once.
     pub async fn write(&self, write: &Write) -> Result<Written, StoreError> {
         let written = self.store.write(write).await;
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -1,5 +1,6 @@
 //! The jobs in a worker's memory: those it runs, and those it only reads for callers.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,7 @@
 use crate::ledger_keeper::{self, LedgerKeeper};
 use crate::node::Node;
 use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
+use crate::settings::Role;
 
 /// How often a job that another worker runs is looked up again for a reader.
 const REFRESH_EVERY: Duration = Duration::from_millis(500);
@@ -239,6 +241,21 @@
         });
     }
 
+    /// Where another worker that is heard runs the job, if this one does not.
+    pub fn holder_elsewhere(&self, id: &JobId) -> Option<SocketAddr> {
+        if self.with(id, |entry| entry.held) == Some(true) {
+            return None;
+        }
+        let now = Instant::now();
+        let workers = self.node.peers.workers(now);
+        let holder = workers
+            .iter()
+            .find(|worker| worker.heard && worker.holds(id))?;
+        let live = self.node.peers.live(Role::Worker, now);
+        let found = live.into_iter().find(|(host, _)| *host == holder.node);
+        found.map(|(_, addr)| addr)
+    }
+
     /// Reads results for a caller.
     pub async fn read(&self, id: &JobId, read: ReadSpec) -> ReadAnswer {
         let until = Instant::now() + read.wait;
--- a/crates/foxwheel-node/src/zone_speaker.rs
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -7,8 +7,8 @@
 use foxwheel_policy::membership::{Directory, ServerState};
 use foxwheel_policy::zone_loads;
 
-use crate::heartbeat::Outbox;
 use crate::node::Node;
+use crate::outbox::Outbox;
 use crate::peer_messages::{GuestLoads, PeerMessage, WorkerNote, ZoneSummary};
 use crate::settings::Role;
 
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -49,6 +49,7 @@
     /// Ends everything.
     pub cancel: CancellationToken,
     hosts: u32,
+    zones: u32,
     network: u8,
     store_addr: SocketAddr,
 }
@@ -118,6 +119,8 @@
     pub fronts: u32,
     /// Workers.
     pub workers: u32,
+    /// Availability zones: hosts are in each in turn, fronts before workers.
+    pub zones: u32,
 }
 
 impl Default for Plan {
@@ -126,6 +129,7 @@
             servers: shapes(2),
             fronts: 1,
             workers: 1,
+            zones: 1,
         }
     }
 }
@@ -163,6 +167,7 @@
             processes: Vec::new(),
             cancel,
             hosts: 0,
+            zones: plan.zones,
             network: next_network(),
             store_addr,
         };
@@ -285,7 +290,7 @@
         NodeSettings {
             host: format!("host-{number}"),
             role,
-            availability_zone: "hall".to_owned(),
+            availability_zone: zone(number % self.zones),
             ip,
             peer_ports: (PEER_PORT, PEER_PORT),
             seeds: vec![SocketAddr::new(ip_of(1), PEER_PORT)],
@@ -312,6 +317,22 @@
         panic!("front {front} never served");
     }
 
+    /// Writes the entry of a backend server of the service `model` in the zone `number`.
+    pub async fn list_server_in(&self, number: u32, id: &str, addr: SocketAddr) {
+        let mut entry = entry(addr, "ready");
+        entry["zone"] = json!(zone(number));
+        self.write_entry(id, &entry).await;
+    }
+
+    /// A counter of a process's metrics; 0 before its first event.
+    pub async fn counter(&self, process: &Process, name: &str) -> u64 {
+        let addr = SocketAddr::new(process.settings.ip, METRICS_PORT);
+        let answer = call(addr, Method::GET, "/metrics", "metrics", &[], "").await;
+        let text = answer.expect("metrics").text();
+        let found = text.lines().find_map(|line| line.strip_prefix(name));
+        found.map_or(0, |value| value.trim().parse().expect("a number"))
+    }
+
     /// Sets the store's faults.
     pub async fn store_faults(&self, faults: Faults) {
         self.store.set_faults(&faults).await.expect("faults set");
@@ -337,6 +358,14 @@
     }
 }
 
+/// Name of the zone `number`, counted from 0.
+pub fn zone(number: u32) -> String {
+    match number {
+        0 => "hall".to_owned(),
+        number => format!("hall-{number}"),
+    }
+}
+
 /// The entry of a backend server of the service `model`.
 pub fn entry(addr: SocketAddr, state: &str) -> Value {
     json!({
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -3,12 +3,17 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use foxwheel_node::contacts::Reach;
 use foxwheel_node::load_table::ServerLoad;
-use foxwheel_node::peer_messages::{Heartbeat, LoadChanges};
-use foxwheel_node::peers::{Peers, DEAD_AFTER};
+use foxwheel_node::peer_calls::KnownState;
+use foxwheel_node::peer_messages::{
+    AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote, ZoneSummary,
+};
+use foxwheel_node::peers::Peers;
 use foxwheel_node::settings::Role;
-use foxwheel_policy::load_reports;
+use foxwheel_policy::load_reports::{self, DEAD_AFTER};
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::zone_loads::{self, Requests};
 
 fn addr(host: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, host], 7_660))
@@ -36,6 +41,8 @@
         addr: addr(host),
         leaving: false,
         store_reached: true,
+        follows: false,
+        knows: KnownState::default(),
         speakers: Vec::new(),
         loads: vec![ServerLoad {
             server: server(1),
@@ -249,3 +256,165 @@
         Ok(())
     });
 }
+
+fn summary(host: u8, incarnation: u64, sequence: u64, online: u32) -> ZoneSummary {
+    let load = Requests { online, batch: 0 };
+    ZoneSummary {
+        zone: "yard".to_owned(),
+        host: format!("host-{host}"),
+        incarnation,
+        sequence,
+        speakers: vec![addr(host)],
+        fronts: 3,
+        servers: vec![(zone_loads::fingerprint(&server(1)), load)],
+        gone: Vec::new(),
+        workers: vec![WorkerNote {
+            host: format!("host-{host}"),
+            addr: addr(host),
+            leaving: false,
+            store_reached: true,
+            waiting_items: 0,
+            silent_for: Duration::ZERO,
+        }],
+    }
+}
+
+fn aged(age_ms: u64, summary: ZoneSummary) -> AgedSummary {
+    let age = Duration::from_millis(age_ms);
+    AgedSummary { age, summary }
+}
+
+fn load_in_yard(peers: &Peers, now: Instant) -> Option<u32> {
+    let zone = "yard".to_owned();
+    let load = peers.load_elsewhere(&zone, &server(1), 8, Requests::default(), now)?;
+    Some(load.online)
+}
+
+/// Summaries come late, twice, out of order, by two speakers, and from an earlier start.
+#[test]
+fn the_newest_summary_of_a_zone_counts() {
+    let (peers, start) = (peers(), Instant::now());
+    let now = start + Duration::from_secs(10);
+    assert_eq!(load_in_yard(&peers, now), None, "nobody speaks for it");
+    peers.take_summary(aged(0, summary(5, 2, 7, 4)), &[], now);
+    assert_eq!(load_in_yard(&peers, now), Some(4));
+    peers.take_summary(aged(0, summary(5, 2, 6, 1)), &[], now);
+    peers.take_summary(aged(0, summary(5, 1, 9, 1)), &[], now);
+    assert_eq!(
+        load_in_yard(&peers, now),
+        Some(4),
+        "older, and an older start"
+    );
+    peers.take_summary(aged(300, summary(6, 1, 99, 2)), &[], now);
+    assert_eq!(
+        load_in_yard(&peers, now),
+        Some(4),
+        "another speaker, but late"
+    );
+    peers.take_summary(
+        aged(0, summary(6, 1, 100, 2)),
+        &[],
+        now + Duration::from_millis(1),
+    );
+    assert_eq!(
+        load_in_yard(&peers, now + Duration::from_millis(1)),
+        Some(2)
+    );
+}
+
+/// A zone whose speakers fell silent is not told of: its servers count as they did before
+/// anybody spoke for it, and its workers as dead.
+#[test]
+fn a_late_summary_dies_with_its_zone() {
+    let (peers, start) = (peers(), Instant::now());
+    let now = start + Duration::from_secs(10);
+    peers.take_summary(aged(1_000, summary(5, 1, 1, 4)), &[], now);
+    assert_eq!(peers.workers(now).len(), 1);
+    assert_eq!(peers.front_count(now), 3);
+    let later = now + DEAD_AFTER - Duration::from_millis(1_000);
+    assert_eq!(load_in_yard(&peers, later), None);
+    assert!(peers.workers(later).is_empty());
+    assert_eq!(peers.front_count(later), 0);
+}
+
+/// What this zone sent since the summary counts; a server that was not told of is full.
+#[test]
+fn load_in_another_zone_follows_what_is_sent_there() {
+    let (peers, now) = (peers(), Instant::now());
+    peers.take_summary(aged(0, summary(5, 1, 1, 4)), &[], now);
+    let mut sends = beat(2, 1, &[]);
+    sends.loads[0].online = 2;
+    peers.hear(sends, addr(1), now);
+    assert_eq!(load_in_yard(&peers, now), Some(6));
+    let zone = "yard".to_owned();
+    let untold = peers.load_elsewhere(&zone, &server(9), 8, Requests::default(), now);
+    assert_eq!(untold.expect("somebody speaks for it").total(), 8);
+}
+
+fn guest(incarnation: u64, sequence: u64, online: u32) -> GuestLoads {
+    let load = ServerLoad {
+        server: server(1),
+        online,
+        batch: 0,
+    };
+    GuestLoads {
+        host: "host-7".to_owned(),
+        incarnation,
+        sequence,
+        passed_on: false,
+        loads: vec![load],
+    }
+}
+
+/// Load from other zones counts once, in order, and until its process falls silent.
+#[test]
+fn guests_count_until_they_fall_silent() {
+    let (peers, now) = (peers(), Instant::now());
+    assert!(peers.take_guest(&guest(1, 2, 3), now));
+    assert!(
+        !peers.take_guest(&guest(1, 2, 3), now),
+        "passed on by the other speaker"
+    );
+    assert!(!peers.take_guest(&guest(1, 1, 9), now));
+    assert_eq!(peers.load(&server(1), now), (3, 0));
+    assert!(peers.take_guest(&guest(2, 1, 1), now), "it started again");
+    assert_eq!(peers.load(&server(1), now), (1, 0));
+    assert_eq!(peers.load(&server(1), now + DEAD_AFTER), (0, 0));
+}
+
+/// Processes of other zones are told only what they must know: a front tells nothing beyond
+/// its zone, a worker tells workers, and who is unknown is asked once.
+#[test]
+fn heartbeats_stay_within_the_zone_but_for_workers() {
+    let contact = |host, zone: &str, role| Contact {
+        addr: addr(host),
+        zone: zone.to_owned(),
+        role,
+    };
+    for (own_role, beyond) in [
+        (Role::Front, vec![addr(9)]),
+        (Role::Worker, vec![addr(5), addr(9)]),
+    ] {
+        let (peers, now) = (Peers::new("hall".to_owned(), own_role), Instant::now());
+        peers.note_contact(&contact(2, "hall", Role::Front), now);
+        for host in 10..200 {
+            peers.note_contact(&contact(host, "yard", Role::Front), now);
+        }
+        peers.note_contact(&contact(5, "yard", Role::Worker), now);
+        peers.note_address(addr(9), addr(1), now);
+        assert_eq!(peers.recipients(Reach::OwnZone, now), [addr(2)]);
+        assert_eq!(peers.recipients(Reach::Beyond, now), beyond);
+        assert_eq!(
+            peers.addresses(now).len(),
+            5,
+            "few of another zone's fronts are kept"
+        );
+        let introduction = Introduction {
+            from: contact(9, "yard", Role::Front),
+            others: vec![contact(3, "hall", Role::Front)],
+        };
+        peers.take_introduction(&introduction, addr(1), now);
+        assert_eq!(peers.recipients(Reach::OwnZone, now), [addr(2), addr(3)]);
+        assert!(!peers.recipients(Reach::Beyond, now).contains(&addr(9)));
+    }
+}
--- /dev/null
+++ b/crates/foxwheel-node/tests/zones.rs
@@ -0,0 +1,174 @@
+//! What the processes of a zone do for each other, and zones for one another: two follow the
+//! store for all, speakers tell how full servers are, and others take over when they die or
+//! are cut off.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::{call, Fleet, Plan};
+use foxwheel_server_emu::server::Shape;
+use hyper::{Method, StatusCode};
+use serde_json::json;
+
+/// Longest wait for something that takes milliseconds when all is well.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// By then every process has heard the others and those who follow are settled.
+const SETTLE: Duration = Duration::from_millis(2_000);
+
+const WATCHES: &str = "foxwheel.store.watch.ok";
+
+async fn status(front: SocketAddr, path: &str) -> Option<StatusCode> {
+    let answer = call(front, Method::GET, path, "r", &[], "").await.ok()?;
+    Some(answer.status)
+}
+
+async fn until(front: SocketAddr, path: &str, wanted: StatusCode) {
+    let waiting = async {
+        while status(front, path).await != Some(wanted) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "{front}{path} never answered {wanted}");
+}
+
+fn move_plain(config: &mut serde_json::Value) {
+    config["routes"][0]["path_prefix"] = json!("/moved/");
+}
+
+/// Five fronts and a worker in one zone, settled: the worker on host 6 and the front on host 1
+/// follow the store.
+async fn one_zone() -> Fleet {
+    let fleet = Fleet::start(Plan {
+        fronts: 5,
+        ..Plan::default()
+    })
+    .await;
+    tokio::time::sleep(SETTLE).await;
+    fleet
+}
+
+async fn watches(fleet: &Fleet) -> Vec<u64> {
+    let mut watches = Vec::new();
+    for process in &fleet.processes {
+        watches.push(fleet.counter(process, WATCHES).await);
+    }
+    watches
+}
+
+#[actix_web::test]
+async fn a_change_wakes_two_processes_of_a_zone_and_reaches_all() {
+    let fleet = one_zone().await;
+    // Whoever began to watch before it knew of the others is woken once.
+    fleet.configure(2, move_plain).await;
+    let one = fleet.servers[0].addr;
+    fleet.list_server("server-0", one, "draining").await;
+    tokio::time::sleep(SETTLE).await;
+    let before = watches(&fleet).await;
+    fleet.configure(3, |_| {}).await;
+    for front in &fleet.fronts {
+        until(*front, "/plain/a", StatusCode::OK).await;
+    }
+    for server in ["server-0", "server-1"] {
+        let addr = fleet.servers[0].addr;
+        fleet.list_server(server, addr, "draining").await;
+    }
+    for front in &fleet.fronts {
+        until(*front, "/plain/a", StatusCode::SERVICE_UNAVAILABLE).await;
+    }
+    let after = watches(&fleet).await;
+    let woken = before.iter().zip(&after).filter(|(b, a)| a > b).count();
+    assert_eq!(woken, 2, "{before:?} {after:?}");
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_zone_whose_followers_die_takes_others() {
+    let fleet = one_zone().await;
+    fleet.processes[5].kill();
+    fleet.processes[0].kill();
+    fleet.configure(2, move_plain).await;
+    for front in &fleet.fronts[1..] {
+        until(*front, "/moved/a", StatusCode::OK).await;
+    }
+    fleet.cancel.cancel();
+}
+
+#[actix_web::test]
+async fn a_zone_whose_followers_lose_the_store_takes_others() {
+    let fleet = one_zone().await;
+    fleet.processes[5].gate.cut();
+    fleet.processes[0].gate.cut();
+    fleet.configure(2, move_plain).await;
+    for front in &fleet.fronts {
+        until(*front, "/moved/a", StatusCode::OK).await;
+    }
+    fleet.cancel.cancel();
+}
+
+/// One front and one server a zone; the worker is in the first one.
+async fn two_zones() -> Fleet {
+    let slow = common::shapes(2).into_iter().map(|shape| Shape {
+        step: Duration::from_millis(400),
+        ..shape
+    });
+    let fleet = Fleet::start(Plan {
+        servers: slow.collect(),
+        fronts: 2,
+        workers: 1,
+        zones: 2,
+    })
+    .await;
+    // Host 1 is in the zone 1, host 2 in the zone 0.
+    for (zone, server) in [(1, 0), (0, 1)] {
+        let addr = fleet.servers[server].addr;
+        let id = format!("server-{server}");
+        fleet.list_server_in(zone, &id, addr).await;
+    }
+    tokio::time::sleep(SETTLE).await;
+    fleet
+}
+
+/// A front whose zone is full knows that the other zone's servers are full of requests that
+/// came through fronts which it does not hear.
+#[actix_web::test]
+async fn a_full_zone_knows_that_another_is_full() {
+    let fleet = two_zones().await;
+    let mut streams = Vec::new();
+    // Each server has 8 slots, and takes two more that wait.
+    for at in 0..10 {
+        for front in fleet.fronts.clone() {
+            let id = format!("fill-{front}-{at}");
+            let filling =
+                async move { call(front, Method::POST, "/stream-once/a", &id, &[], "").await };
+            streams.push(actix_web::rt::spawn(filling));
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    for front in &fleet.fronts {
+        let answer = call(*front, Method::POST, "/stream-once/a", "one-more", &[], "").await;
+        assert_eq!(
+            answer.expect("answered").status,
+            StatusCode::SERVICE_UNAVAILABLE
+        );
+    }
+    assert!(fleet.runs_of("one-more").is_empty());
+    fleet.cancel.cancel();
+}
+
+/// A job that comes to a front of another zone than the only worker's is run, and its results
+/// are read there.
+#[actix_web::test]
+async fn a_job_is_run_by_another_zones_worker() {
+    let fleet = two_zones().await;
+    let far = fleet.fronts[0];
+    let accepted = common::submit(far, "job-from-afar", 3).await;
+    assert_eq!(accepted.expect("answered").status, StatusCode::ACCEPTED);
+    let results = common::until_listed(far, "job-from-afar", 3).await;
+    assert_eq!(common::ids(&results), common::item_ids("job-from-afar", 3));
+    fleet.cancel.cancel();
+}
--- /dev/null
+++ b/crates/foxwheel-policy/src/following.rs
@@ -0,0 +1,45 @@
+//! Which processes follow the platform's store themselves, and which take its changes from a
+//! process of their zone that does.
+//!
+//! Load pattern: each change of a server or of the configuration wakes every watcher, and each
+//! watch is a call. With 63 processes that all watch, a calm day of 60 s cost 3,555 calls. So
+//! the two speakers of a zone follow, and the others ask them as soon as a heartbeat tells of
+//! something newer. Whoever is told nothing follows by itself.
+
+use std::time::Duration;
+
+/// How long a process that was told nothing by a follower waits until it asks the store
+/// itself. Longer than it takes until another speaker is named and has asked (0.6 s), so that
+/// the end of a follower does not make every process of the zone ask; half of the shortest
+/// bound for a change met so far (2 s).
+pub const TOLD_NOTHING: Duration = Duration::from_millis(900);
+
+/// How long a process goes on following after no other names it any more: speakers change
+/// for a moment when a heartbeat is late, and taking up again costs a list of each kind.
+pub const LINGER: Duration = Duration::from_secs(1);
+
+/// How often a follower on whom others rely makes sure that the store answers it. A watch
+/// waits for many seconds, and a silent path shows itself only after 2 s or more.
+pub const PROBE_EVERY: Duration = Duration::from_millis(500);
+
+/// Longest wait for the answer to such a probe: the store takes milliseconds, and some 250
+/// when it is slow.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What a process knows of who follows the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Standing {
+    /// It takes itself as one of the zone's speakers.
+    pub names_itself: bool,
+    /// How long ago another process of the zone last named it as a speaker.
+    pub relied_on_ago: Option<Duration>,
+    /// How long ago a process that follows last told it so.
+    pub told_ago: Option<Duration>,
+}
+
+/// Whether a process follows the store itself.
+pub fn should_follow(standing: Standing) -> bool {
+    let relied_on = standing.relied_on_ago.is_some_and(|ago| ago < LINGER);
+    let told = standing.told_ago.is_some_and(|ago| ago < TOLD_NOTHING);
+    standing.names_itself || relied_on || !told
+}
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod batch;
 pub mod config_in_force;
+pub mod following;
 pub mod health;
 pub mod load_reports;
 pub mod membership;
@@ -13,6 +14,7 @@
 pub mod placement;
 pub mod retry;
 pub mod routes;
+pub mod server_changes;
 pub mod speakers;
 pub mod stopping;
 pub mod zone_loads;
@@ -20,7 +22,7 @@
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        admission, batch, config_in_force, health, load_reports, membership, placement, retry,
-        routes, speakers, stopping, zone_loads,
+        admission, batch, config_in_force, following, health, load_reports, membership, placement,
+        retry, routes, server_changes, speakers, stopping, zone_loads,
     };
 }
--- a/crates/foxwheel-policy/src/load_reports.rs
+++ b/crates/foxwheel-policy/src/load_reports.rs
@@ -11,6 +11,10 @@
 /// Time between whole reports within a zone.
 pub const HEARTBEAT_EVERY: Duration = Duration::from_millis(100);
 
+/// Silence after which a process counts as dead: five heartbeats between workers of different
+/// zones, so that a lost datagram or two changes nothing.
+pub const DEAD_AFTER: Duration = Duration::from_millis(1_600);
+
 /// Reports within the zone for each one between workers of different zones, whose bytes are
 /// priced: every 300 ms.
 pub const LOCAL_PER_REMOTE: u64 = 3;
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -11,6 +11,8 @@
 use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::server_changes::{ServerChange, ServerChanges, ServerNews};
+
 /// How long after an entry vanished in calm times its server is still a last resort.
 /// Half of the shortest drain bound met so far (2 s), so that no request arrives late.
 const LAPSE_GRACE: Duration = Duration::from_millis(800);
@@ -98,8 +100,12 @@
 pub struct Directory {
     /// Sorted by server id.
     members: Vec<Member>,
+    /// Entries that name no server; sorted, disjoint from the members.
+    refused: Vec<ServerId>,
     /// The store's revision that the members show, or none before the first list; only grows.
     revision: Option<u64>,
+    /// Changes since a whole list.
+    changes: ServerChanges,
     /// Set while the list's source is out of reach.
     source_lost: bool,
     /// When the list's source was last found again.
@@ -113,6 +119,7 @@
     /// its last write may be done after the first of the later start. Once the entry was
     /// removed, any start counts, as the clock that it goes by may have been set back.
     pub fn upsert(&mut self, server: BackendServer) {
+        self.refused.retain(|id| *id != server.id);
         let member = Member {
             server,
             lapsed_until: None,
@@ -130,6 +137,12 @@
         if let Ok(at) = self.position(id) {
             self.members.remove(at);
         }
+        if let Err(at) = self
+            .refused
+            .binary_search_by(|known| known.as_str().cmp(id))
+        {
+            self.refused.insert(at, id.to_owned());
+        }
     }
 
     /// Takes note that a start is gone for certain: its address answered as another start.
@@ -164,6 +177,7 @@
 
     /// Takes note that the entry of `id` was removed.
     pub fn remove(&mut self, id: &str, now: Instant) {
+        self.refused.retain(|refused| refused != id);
         let Ok(at) = self.position(id) else { return };
         let until = self.lapse_end(now);
         let member = &mut self.members[at];
@@ -198,11 +212,72 @@
         if self.revision.is_some_and(|known| known > revision) {
             return false;
         }
+        self.refused.clear();
         self.replace_all(listed, now);
         self.revision = Some(revision);
+        self.changes.restart(revision);
         true
     }
 
+    /// Takes one change, made at `revision` of the store, unless the members show it already:
+    /// another process may have told of it and of later ones.
+    pub fn take_change(&mut self, change: ServerChange, revision: u64, now: Instant) {
+        if self.revision.is_some_and(|known| revision <= known) {
+            return;
+        }
+        match change.clone() {
+            ServerChange::Listed(server) => self.upsert(server),
+            ServerChange::Removed(id) => self.remove(&id, now),
+            ServerChange::Refused(id) => self.refuse(&id),
+        }
+        self.changes.push(revision, change);
+    }
+
+    /// What a process is told that knows the list as it was at `known`, if any.
+    pub fn news_since(&self, known: Option<u64>) -> ServerNews {
+        let Some(revision) = self.revision.filter(|_| known < self.revision) else {
+            return ServerNews::Nothing;
+        };
+        if let Some(changes) = known.and_then(|known| self.changes.since(known)) {
+            return ServerNews::Changes { changes, revision };
+        }
+        let listed = self.members.iter();
+        let listed = listed.filter(|member| member.lapsed_until.is_none());
+        ServerNews::List {
+            servers: listed.map(|member| member.server.clone()).collect(),
+            refused: self.refused.clone(),
+            revision,
+        }
+    }
+
+    /// Takes what another process told; `asked_from` is the revision that was known here when
+    /// it was asked. Answers whether the list is newer now.
+    pub fn take_news(&mut self, news: ServerNews, asked_from: Option<u64>, now: Instant) -> bool {
+        match news {
+            ServerNews::Nothing => false,
+            // What was taken meanwhile is newer, or the next news brings it.
+            ServerNews::Changes { .. } if self.revision != asked_from => false,
+            ServerNews::Changes { changes, revision } => {
+                for change in changes {
+                    self.take_change(change, revision, now);
+                }
+                self.advance(revision);
+                true
+            }
+            ServerNews::List {
+                servers,
+                refused,
+                revision,
+            } => {
+                let taken = self.take_list(servers, revision, now);
+                for id in refused.iter().filter(|_| taken) {
+                    self.refuse(id);
+                }
+                taken
+            }
+        }
+    }
+
     /// Takes note that every change up to `revision` was taken.
     pub fn advance(&mut self, revision: u64) {
         self.revision = self.revision.max(Some(revision));
--- /dev/null
+++ b/crates/foxwheel-policy/tests/speakers.rs
@@ -0,0 +1,124 @@
+//! Who speaks for a zone and who follows the store for it, as processes start, die, freeze,
+//! are cut off and leave.
+
+use std::time::Duration;
+
+use foxwheel_policy::following::{self, Standing};
+use foxwheel_policy::speakers::{self, Member, SPEAKERS, SPEAKER_SILENCE};
+
+fn member(host: &str) -> Member {
+    Member {
+        host: host.to_owned(),
+        is_worker: host.starts_with("worker"),
+        leaving: false,
+        store_reached: true,
+        silent_for: Duration::ZERO,
+    }
+}
+
+fn zone() -> Vec<Member> {
+    ["front-1", "front-2", "front-3", "worker-1"]
+        .map(member)
+        .to_vec()
+}
+
+#[test]
+fn workers_speak_first_and_all_who_hear_the_same_name_the_same() {
+    let mut members = zone();
+    assert_eq!(speakers::pick(&members), ["worker-1", "front-1"]);
+    members.reverse();
+    assert_eq!(speakers::pick(&members), ["worker-1", "front-1"]);
+}
+
+#[test]
+fn a_silent_leaving_or_cut_off_process_is_replaced() {
+    let mut members = zone();
+    members[3].silent_for = SPEAKER_SILENCE;
+    assert_eq!(speakers::pick(&members), ["front-1", "front-2"]);
+    members[0].store_reached = false;
+    assert_eq!(speakers::pick(&members), ["front-2", "front-3"]);
+    members[1].leaving = true;
+    assert_eq!(speakers::pick(&members), ["front-3", "front-1"]);
+}
+
+/// While the store answers nobody the zone still has speakers, and one process alone names
+/// itself.
+#[test]
+fn there_is_a_speaker_as_long_as_there_is_a_process() {
+    let mut members = zone();
+    for one in &mut members {
+        one.store_reached = false;
+    }
+    assert_eq!(speakers::pick(&members), ["worker-1", "front-1"]);
+    assert_eq!(speakers::pick(&members[1..2]), ["front-2"]);
+}
+
+/// However the processes of a zone hear each other, each finds somebody who follows: the two
+/// that it names, who hear of it, or itself.
+#[test]
+fn nobody_is_left_without_a_follower() {
+    arbtest::arbtest(|u| {
+        let hosts = ["front-1", "front-2", "front-3", "worker-1"];
+        let mut named: Vec<Vec<String>> = Vec::new();
+        for own in hosts {
+            let mut members = Vec::new();
+            for host in hosts {
+                let mut one = member(host);
+                if host != own {
+                    let silent_ms = u.int_in_range(0..=1_000)?;
+                    one.silent_for = Duration::from_millis(silent_ms);
+                    one.store_reached = u.ratio(3, 4)?;
+                }
+                members.push(one);
+            }
+            let picked = speakers::pick(&members);
+            assert!(!picked.is_empty() && picked.len() <= SPEAKERS);
+            let all_silent = members
+                .iter()
+                .all(|one| one.host == own || one.silent_for >= SPEAKER_SILENCE);
+            if all_silent {
+                assert_eq!(picked, [own], "it is alone");
+            }
+            named.push(picked);
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn who_is_named_or_told_nothing_follows() {
+    let told = Standing {
+        names_itself: false,
+        relied_on_ago: None,
+        told_ago: Some(Duration::from_millis(100)),
+    };
+    assert!(!following::should_follow(told));
+    let follows = [
+        Standing {
+            names_itself: true,
+            ..told
+        },
+        Standing {
+            relied_on_ago: Some(Duration::ZERO),
+            ..told
+        },
+        // The follower died, froze, or lost the store: it tells nothing any more.
+        Standing {
+            told_ago: Some(following::TOLD_NOTHING),
+            ..told
+        },
+        // It just started and heard nobody.
+        Standing {
+            told_ago: None,
+            ..told
+        },
+    ];
+    for standing in follows {
+        assert!(following::should_follow(standing), "{standing:?}");
+    }
+    let no_longer = Standing {
+        relied_on_ago: Some(following::LINGER),
+        ..told
+    };
+    assert!(!following::should_follow(no_longer));
+}
--- /dev/null
+++ b/crates/foxwheel-policy/tests/zone_loads.rs
@@ -0,0 +1,52 @@
+//! Load on servers of other zones, as it is estimated from what their zones told a moment ago.
+
+use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::zone_loads::{self, Requests, MAX_TOLD_SERVERS};
+
+fn online(online: u32) -> Requests {
+    Requests { online, batch: 0 }
+}
+
+#[test]
+fn what_was_sent_or_ended_since_counts() {
+    let estimate =
+        |told, then, now| zone_loads::estimate(online(told), online(then), online(now)).online;
+    assert_eq!(estimate(5, 2, 2), 5);
+    assert_eq!(estimate(5, 2, 4), 7);
+    assert_eq!(estimate(5, 2, 0), 3);
+    // Told before the zone heard of what was sent.
+    assert_eq!(estimate(1, 4, 4), 4);
+    assert_eq!(estimate(1, 4, 0), 0);
+}
+
+/// A step that fills a zone: its fronts send what is too much to another zone, and must count
+/// what they sent there since its last summary, or they all fill the first server.
+#[test]
+fn a_step_spreads_over_the_other_zones_servers() {
+    const SLOTS: u32 = 7;
+    let told = [online(2), online(3), online(2), online(4)];
+    let mut sent = [0; 4];
+    for _ in 0..17 {
+        let load = |at: usize| zone_loads::estimate(told[at], online(0), online(sent[at])).total();
+        let least = (0..4).min_by_key(|at| load(*at)).expect("a server");
+        sent[least] += 1;
+    }
+    let filled: Vec<u32> = (0..4).map(|at| told[at].online + sent[at]).collect();
+    assert_eq!(filled, [SLOTS; 4], "each to its slots and none beyond");
+}
+
+/// A zone of any size is told of in one packet, its freest servers first.
+#[test]
+fn a_large_zone_tells_of_its_freest_servers() {
+    let servers = (0..200).map(|at| {
+        let key = ServerKey {
+            id: format!("server-{at}"),
+            incarnation: 1,
+        };
+        (zone_loads::fingerprint(&key), online(at % 10), 8)
+    });
+    let told = zone_loads::told_servers(servers.collect());
+    assert_eq!(told.len(), MAX_TOLD_SERVERS);
+    assert!(told.iter().all(|(_, load)| load.online <= 1));
+    assert!(told.is_sorted_by_key(|(server, _)| *server));
+}
