Workers of other zones are known from their zone's summary

Ruled out: the redirect of reads (a worker answers from the store when it hears no holder). Test: a_worker_hears_of_another_by_its_zones_summary, seen failing on the code before.

--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -18,7 +18,7 @@
 use crate::other_zones::OtherZones;
 use crate::peer_calls::KnownState;
 use crate::peer_messages::{
-    AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote,
+    AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote, ZoneSummary,
 };
 use crate::settings::Role;
 
@@ -245,18 +245,9 @@
         let mut sent = LoadSums::default();
         sent.add(own_loads);
         sent.add(tables.sums.all());
-        let zone = &told.summary.zone;
-        for addr in &told.summary.speakers {
-            // Kept for the time after its zone has no worker that is heard.
-            let contact = Contact {
-                addr: *addr,
-                zone: zone.clone(),
-                role: Role::Front,
-            };
-            if !tables.contacts.addresses().contains(addr) {
-                tables.contacts.note(&contact, &self.own_zone, now);
-            }
-            tables.contacts.refresh(*addr, now);
+        for contact in contacts_of(&told.summary) {
+            tables.contacts.note(&contact, &self.own_zone, now);
+            tables.contacts.refresh(contact.addr, now);
         }
         tables.other_zones.take(told, sent.all(), now);
     }
@@ -501,6 +492,26 @@
     }
 }
 
+/// Whom a summary tells of: its zone's workers, and its speakers for the time in which no
+/// worker lives there.
+fn contacts_of(summary: &ZoneSummary) -> Vec<Contact> {
+    let contact = |addr, role| Contact {
+        addr,
+        zone: summary.zone.clone(),
+        role,
+    };
+    let workers = summary.workers.iter();
+    let mut contacts: Vec<Contact> = workers
+        .map(|note| contact(note.addr, Role::Worker))
+        .collect();
+    for addr in &summary.speakers {
+        if !contacts.iter().any(|known| known.addr == *addr) {
+            contacts.push(contact(*addr, Role::Front));
+        }
+    }
+    contacts
+}
+
 impl ToldLoads {
     fn replace(&mut self, loads: Vec<ServerLoad>, sums: &mut LoadSums) {
         self.uncount(sums);
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -418,3 +418,13 @@
         assert!(!peers.recipients(Reach::Beyond, now).contains(&addr(9)));
     }
 }
+
+/// Two workers that started together may each have missed the other's entry in the store. The
+/// summary of its zone tells one of the other: they must hear each other, or both would run
+/// the same jobs.
+#[test]
+fn a_worker_hears_of_another_by_its_zones_summary() {
+    let (peers, now) = (peers(), Instant::now());
+    peers.take_summary(aged(0, summary(5, 1, 1, 4)), &[], now);
+    assert_eq!(peers.recipients(Reach::Beyond, now), [addr(5)]);
+}
