A leaving worker hands its jobs over at once

Cause: a worker that was told to leave started nothing, let its runs go on for up to 4.5 s and kept its jobs until the last of them ended: items that waited stood still. Now: it stops its runs, saves how far they got, stores what is finished and gives the jobs back; who takes them goes on behind the last event. Test: items_of_a_leaving_worker_go_on_elsewhere_at_once, seen failing before (its items ended at the leaving worker).

--- a/crates/foxwheel-node/src/worker/checkpointing.rs
+++ b/crates/foxwheel-node/src/worker/checkpointing.rs
@@ -8,6 +8,7 @@
 use foxwheel_policy::batch::checkpoint::{CheckpointClock, JobCheckpoint};
 
 use crate::worker::Worker;
+use crate::worker_jobs::WorkerJobs;
 
 /// The checkpoints of one worker.
 #[derive(Debug, Default)]
@@ -24,7 +25,7 @@
     pub(super) fn save_progress(&mut self) {
         let now = Instant::now();
         let checkpoints = &self.checkpoints;
-        if !checkpoints.clock.is_due(now) || checkpoints.saving.load(Ordering::Relaxed) {
+        if !checkpoints.clock.is_due(now) || self.is_saving() {
             return;
         }
         let jobs = self.job_checkpoints();
@@ -40,14 +41,32 @@
         let saving = Arc::clone(&checkpoints.saving);
         let store = Arc::clone(&self.jobs);
         tokio::spawn(async move {
-            match store.store.save_checkpoints(&jobs).await {
-                Ok(bytes) => log::info!(jobs = jobs.len(), bytes; "progress saved"),
-                Err(e) => log::info!(jobs = jobs.len(), error:% = e; "progress not saved"),
-            }
+            save(&store, &jobs).await;
             saving.store(false, Ordering::Relaxed);
         });
     }
 
+    /// Whether a checkpoint is on its way to the store. A later one must not overtake it.
+    pub(super) fn is_saving(&self) -> bool {
+        self.checkpoints.saving.load(Ordering::Relaxed)
+    }
+
+    /// Saves the progress whether or not that is due. The answered flag is set when it is
+    /// saved, or could not be.
+    pub(super) fn save_progress_now(&mut self) -> Arc<AtomicBool> {
+        let jobs = self.job_checkpoints();
+        let saved = Arc::new(AtomicBool::new(jobs.is_empty()));
+        let (done, store) = (Arc::clone(&saved), Arc::clone(&self.jobs));
+        tokio::spawn(async move {
+            if !jobs.is_empty() {
+                save(&store, &jobs).await;
+            }
+            done.store(true, Ordering::Relaxed);
+            store.wake.notify_one();
+        });
+        saved
+    }
+
     fn job_checkpoints(&mut self) -> Vec<JobCheckpoint> {
         for run in &self.runs {
             let output = run.output.lock().expect("output lock");
@@ -62,6 +81,13 @@
     }
 }
 
+async fn save(store: &WorkerJobs, jobs: &[JobCheckpoint]) {
+    match store.store.save_checkpoints(jobs).await {
+        Ok(bytes) => log::info!(jobs = jobs.len(), bytes; "progress saved"),
+        Err(e) => log::info!(jobs = jobs.len(), error:% = e; "progress not saved"),
+    }
+}
+
 fn text_bytes(job: &JobCheckpoint) -> usize {
     job.items.iter().map(|item| item.output.text.len()).sum()
 }
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -8,6 +8,7 @@
 mod ownership;
 mod scheduling;
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -33,9 +34,6 @@
 /// milliseconds. An item then starts this much later, of some hundred that it runs.
 const PEER_NEWS_PAUSE: Duration = Duration::from_millis(10);
 
-/// How long a leaving worker lets items run on before it stops them.
-const LEAVE_RUNS_FOR: Duration = Duration::from_millis(4_500);
-
 /// A run of an item under way.
 struct Run {
     job: JobId,
@@ -59,11 +57,22 @@
     unheld: Vec<(JobId, Instant)>,
     /// Jobs that other workers told of at the last look; sorted.
     told_elsewhere: Vec<JobId>,
-    /// When the process learned that it must leave.
-    leaving_since: Option<Instant>,
+    /// Set while the process must leave.
+    leaving: Option<Leaving>,
     started_at: Instant,
 }
 
+/// How far a leaving worker has handed over its jobs.
+enum Leaving {
+    /// Its runs were told to stop; what they got so far comes in.
+    StoppingRuns,
+    /// The progress of its items is on its way to the store, so that whoever takes the jobs
+    /// goes on there. Set when it is saved, or could not be.
+    SavingProgress(Arc<AtomicBool>),
+    /// Others may take its jobs.
+    Released,
+}
+
 struct EndedRun {
     job: JobId,
     item: usize,
@@ -88,7 +97,7 @@
         checkpoints: Checkpoints::default(),
         unheld: Vec::new(),
         told_elsewhere: Vec::new(),
-        leaving_since: None,
+        leaving: None,
         started_at: Instant::now(),
     };
     let background = tokio::spawn(run_background(Arc::clone(&node), Arc::clone(&jobs)));
@@ -191,7 +200,7 @@
     fn store_results(&mut self) {
         let now = Instant::now();
         let config = self.node.config();
-        let leaving = self.leaving_since.is_some();
+        let leaving = self.leaving.is_some();
         let mut due = Vec::new();
         self.jobs.each_held(|entry| {
             let mut nearly_due = false;
@@ -216,32 +225,45 @@
         self.jobs.evict(now);
     }
 
-    /// Whether a leaving worker has nothing left. Releases jobs on the way.
+    /// Whether a leaving worker has nothing left. Hands its jobs over on the way, at once:
+    /// items that wait would stand still while others run on for seconds.
     fn is_done(&mut self) -> bool {
         if !self.node.is_leaving() {
-            self.leaving_since = None;
+            self.leaving = None;
             return false;
         }
-        let now = Instant::now();
-        let since = *self.leaving_since.get_or_insert(now);
-        if now.duration_since(since) >= LEAVE_RUNS_FOR {
-            for run in &self.runs {
-                run.cancel.cancel();
+        match &self.leaving {
+            None => {
+                for run in &self.runs {
+                    run.cancel.cancel();
+                }
+                log::info!(runs = self.runs.len(); "leaving, runs stopped");
+                self.leaving = Some(Leaving::StoppingRuns);
+            }
+            Some(Leaving::StoppingRuns) if self.runs.is_empty() && !self.is_saving() => {
+                self.leaving = Some(Leaving::SavingProgress(self.save_progress_now()));
             }
+            Some(Leaving::SavingProgress(saved)) if saved.load(Ordering::Relaxed) => {
+                self.leaving = Some(Leaving::Released);
+            }
+            Some(Leaving::Released) => self.release_stored(),
+            Some(Leaving::StoppingRuns | Leaving::SavingProgress(_)) => {}
         }
+        self.runs.is_empty() && !self.node.holds_jobs() && self.node.leaving.is_cancelled()
+    }
+
+    /// Leaves the jobs to others whose finished results are stored.
+    fn release_stored(&mut self) {
         let mut idle = Vec::new();
         self.jobs.each_held(|entry| {
-            let id = &entry.progress.spec.id;
-            let runs = self.runs.iter().any(|run| run.job == *id);
-            if !runs && !entry.storing && entry.progress.unstored_since.is_none() {
-                idle.push(id.clone());
+            if !entry.storing && entry.progress.unstored_since.is_none() {
+                idle.push(entry.progress.spec.id.clone());
             }
         });
         for job in idle {
             log::info!(job; "job released");
             self.jobs.release(&job);
         }
-        self.runs.is_empty() && !self.node.holds_jobs() && self.node.leaving.is_cancelled()
     }
 }
 
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -25,7 +25,7 @@
 impl Worker {
     /// Starts waiting items while servers have slots.
     pub(super) fn start_items(&mut self) {
-        if self.leaving_since.is_some() {
+        if self.leaving.is_some() {
             return;
         }
         let Some(config) = self.node.config() else {
--- a/crates/foxwheel-node/tests/checkpoints.rs
+++ b/crates/foxwheel-node/tests/checkpoints.rs
@@ -104,3 +104,43 @@
     assert_went_on(&fleet, "a", 6).await;
     fleet.cancel.cancel();
 }
+
+/// A worker that is told to stop saves how far its items got and hands its jobs over at once:
+/// none of them waits until others end, and none runs an event again.
+#[actix_web::test]
+async fn items_of_a_leaving_worker_go_on_elsewhere_at_once() {
+    let fleet = start(2).await;
+    let jobs = ["a", "b", "c"];
+    for job in jobs {
+        submit(fleet.fronts[0], job, 3).await.expect("answered");
+    }
+    // Half of their events are left to run.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    for worker in [1, 2] {
+        fleet.processes[worker].stop.cancel();
+    }
+    let mut fleet = fleet;
+    fleet
+        .add_process(foxwheel_node::settings::Role::Worker)
+        .await;
+    while !fleet.processes[1].has_ended() || !fleet.processes[2].has_ended() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    for job in jobs {
+        for id in common::item_ids(job, 3) {
+            let first = &fleet.runs_of(&id)[0];
+            assert_eq!(first.finished, Some(false), "{id} was not handed over");
+        }
+    }
+    for job in jobs {
+        let results = until_listed(fleet.fronts[0], job, 3).await;
+        for result in &results {
+            let id = result["id"].as_str().expect("an id");
+            assert_eq!(result["output"], whole_output(id), "{id}");
+            let runs = fleet.runs_of(id);
+            let anew = runs.iter().filter(|run| run.resumed_after.is_none());
+            assert_eq!(anew.count(), 1, "{id} began anew: {runs:?}");
+        }
+    }
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-node/tests/explain_failures.rs
+++ b/crates/foxwheel-node/tests/explain_failures.rs
@@ -66,6 +66,7 @@
         servers,
         fronts: 0,
         workers: 0,
+        ..Plan::default()
     })
     .await;
     let mut processes = vec![Spawned::start(name, &fleet.settings_of(1, Role::Front))];
--- a/crates/foxwheel-node/tests/herd_restart.rs
+++ b/crates/foxwheel-node/tests/herd_restart.rs
@@ -33,6 +33,7 @@
         servers: common::shapes(3),
         fronts: 6,
         workers: 3,
+        ..Plan::default()
     })
     .await;
     fleet
