A choice looks at a sample of the servers

Cause: each placement and each look of a worker went over every server. Now: an index by service and zone; up to 32 servers of the own zone in a row from a random one, up to 16 that each other zone told of, 64 for batch. Changes of the list are kept for 4,096 servers, so that a registration of 3,000 is passed on as changes and not as whole lists; heartbeats tell of workers, and of all processes once a second. Deployments up to 16 servers a zone are chosen among as before.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -29,6 +29,11 @@
 /// Most addresses of others told in one heartbeat.
 const MAX_KNOWN: usize = 40;
 
+/// Heartbeats for each one that tells of all processes that are heard: once a second. The
+/// others tell of workers only, whose liveness others rely on; with all addresses in each,
+/// these took half of the bytes in a zone of 25 processes.
+const PER_FULL_INTRODUCTION: u64 = 10;
+
 /// Sends and receives until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
     let socket = Arc::new(socket);
@@ -183,6 +188,9 @@
         self.node.pick_speakers(now);
         let sequence = self.next_sequence();
         let mut beat = heartbeat(&self.node, sequence, now);
+        let whole = self.heartbeats % PER_FULL_INTRODUCTION == 1;
+        beat.known = self.node.peers.heard(!whole, now);
+        beat.known.truncate(MAX_KNOWN);
         let local = self.node.peers.recipients(Reach::OwnZone, now);
         let message = PeerMessage::Heartbeat(beat.clone());
         let bytes = self.outbox.send(&message, &local).await;
@@ -261,8 +269,6 @@
 }
 
 fn heartbeat(node: &Node, sequence: u64, now: Instant) -> Heartbeat {
-    let mut known = node.peers.heard(now);
-    known.truncate(MAX_KNOWN);
     Heartbeat {
         host: node.settings.host.clone(),
         incarnation: node.incarnation,
@@ -279,6 +285,6 @@
         gone: node.gone_servers(now),
         claims: node.claims(),
         waiting_items: node.waiting_items(),
-        known,
+        known: Vec::new(),
     }
 }
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -15,6 +15,7 @@
 use foxwheel_policy::membership::{self, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
+use foxwheel_policy::server_index::{self, ServerIndex};
 use foxwheel_policy::speakers::{self, Member};
 use foxwheel_policy::zone_loads::Requests;
 use tokio::sync::Notify;
@@ -48,6 +49,8 @@
     pub config: Mutex<ConfigInForce>,
     /// The backend servers known here.
     pub directory: Mutex<Directory>,
+    /// Index of the directory's servers, and the generation that it shows.
+    server_index: Mutex<(u64, Arc<ServerIndex>)>,
     /// This process's load on each backend server.
     pub loads: Arc<LoadTable>,
     /// How fast the slots of each service are freed.
@@ -94,6 +97,7 @@
             incarnation: time::unix_ms(),
             config: Mutex::default(),
             directory: Mutex::default(),
+            server_index: Mutex::default(),
             loads: Arc::default(),
             paces: ServicePaces::default(),
             load_alarm: Notify::new(),
@@ -148,17 +152,56 @@
         knows_servers && self.config().is_some()
     }
 
-    /// The servers of `service` that may take work, without those named in `tried`.
+    /// Servers of `service` that may take work, without those named in `tried`: a sample of
+    /// those of the own zone and of those that other zones told of.
     pub fn candidates(&self, service: &str, tried: &[ServerKey], now: Instant) -> Vec<Candidate> {
-        let directory = self.directory.lock().expect("directory lock");
-        directory
-            .usable(service, now)
-            .map(|member| (member, member.server.key()))
-            .filter(|(_, key)| !tried.contains(key) && !self.peers.found_gone(key, now))
-            .map(|(member, key)| self.candidate_of(member, key, now))
+        self.sample(service, server_index::MOST_LOCAL, now)
+            .iter()
+            .filter(|key| !tried.contains(key))
+            .filter_map(|key| self.candidate(key, now))
+            .collect()
+    }
+
+    /// Servers of `service` as places for batch items: a larger sample.
+    pub fn batch_candidates(&self, service: &str, now: Instant) -> Vec<Candidate> {
+        self.sample(service, server_index::MOST_FOR_BATCH, now)
+            .iter()
+            .filter_map(|key| self.candidate(key, now))
             .collect()
     }
 
+    fn sample(&self, service: &str, most_local: usize, now: Instant) -> Vec<ServerKey> {
+        let index = self.server_index();
+        let draw = rand::random::<u32>() as usize;
+        let mut sampled = Vec::new();
+        for group in index.of_service(service) {
+            if group.zone == self.settings.availability_zone {
+                sampled.extend(group.sample(most_local, draw).cloned());
+                continue;
+            }
+            let most = server_index::MOST_REMOTE;
+            let told = self.peers.told_servers(&group.zone, now);
+            match told.filter(|_| group.len() > most) {
+                Some(told) => {
+                    let servers = told.iter().filter_map(|one| group.by_fingerprint(*one));
+                    sampled.extend(servers.take(most).cloned());
+                }
+                None => sampled.extend(group.sample(most, draw).cloned()),
+            }
+        }
+        sampled
+    }
+
+    fn server_index(&self) -> Arc<ServerIndex> {
+        let directory = self.directory.lock().expect("directory lock");
+        let mut index = self.server_index.lock().expect("server index lock");
+        if index.0 != directory.generation() {
+            let built = ServerIndex::new(directory.members());
+            *index = (directory.generation(), Arc::new(built));
+        }
+        Arc::clone(&index.1)
+    }
+
     /// That start of a server, if it may take work.
     pub fn candidate(&self, key: &ServerKey, now: Instant) -> Option<Candidate> {
         let directory = self.directory.lock().expect("directory lock");
@@ -201,11 +244,8 @@
 
     /// When a caller should come back who found every slot of `service` taken.
     pub fn retry_after_full(&self, service: &ServiceName, now: Instant) -> Duration {
-        let slots = self
-            .candidates(service, &[], now)
-            .iter()
-            .map(|one| one.slots)
-            .sum();
+        let index = self.server_index();
+        let slots = index.of_service(service).map(|group| group.slots).sum();
         let fronts = self.peers.front_count(now) + 1;
         self.paces.retry_after(service, slots, fronts, now)
     }
--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -89,6 +89,13 @@
         Some(zone_loads::estimate(told, sent_then, sent_now))
     }
 
+    /// The servers that a speaker of `zone` told of, if one lives.
+    pub fn told_servers(&self, zone: &Zone, now: Instant) -> Option<Vec<ServerFingerprint>> {
+        let other = self.live(now).find(|other| other.summary.zone == *zone)?;
+        let servers = other.summary.servers.iter();
+        Some(servers.map(|(server, _)| *server).collect())
+    }
+
     /// Whether a zone found that start of a server to be gone.
     pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
         self.live(now)
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -10,7 +10,7 @@
 use foxwheel_policy::load_reports::DEAD_AFTER;
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::speakers::Member;
-use foxwheel_policy::zone_loads::Requests;
+use foxwheel_policy::zone_loads::{Requests, ServerFingerprint};
 
 use crate::contacts::{Contacts, Reach};
 use crate::load_sums::LoadSums;
@@ -280,10 +280,12 @@
             .recipients(&self.own_zone, self.own_role, reach)
     }
 
-    /// Addresses of the processes that are heard.
-    pub fn heard(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Addresses of the processes that are heard, or of the workers among them.
+    pub fn heard(&self, only_workers: bool, now: Instant) -> Vec<SocketAddr> {
         let tables = self.lock();
-        tables.live(now).map(|beat| beat.addr).collect()
+        let wanted = |beat: &&Heartbeat| !only_workers || beat.role == Role::Worker;
+        let heard = tables.live(now).filter(wanted);
+        heard.map(|beat| beat.addr).collect()
     }
 
     /// The live processes of the own zone that are heard.
@@ -473,6 +475,12 @@
         tables.other_zones.load(zone, server, slots, sent_now, now)
     }
 
+    /// The servers that a speaker of another zone told of, if one lives: the freest of a large
+    /// zone.
+    pub fn told_servers(&self, zone: &Zone, now: Instant) -> Option<Vec<ServerFingerprint>> {
+        self.lock().other_zones.told_servers(zone, now)
+    }
+
     /// Whether a live process found that start of a server to be gone.
     pub fn found_gone(&self, server: &ServerKey, now: Instant) -> bool {
         let mut tables = self.lock();
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -103,7 +103,7 @@
     fn batch_candidates(&self, service: &str, now: Instant) -> Vec<Candidate> {
         let workers = self.all_workers(now);
         let own = &self.node.settings.host;
-        let mut candidates = self.node.candidates(service, &[], now);
+        let mut candidates = self.node.batch_candidates(service, now);
         for candidate in &mut candidates {
             let keeper = ownership::slot_keeper(&candidate.id, &candidate.zone, &workers);
             candidate.slot_keeper = keeper.is_some_and(|keeper| keeper.node == *own);
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod retry;
 pub mod routes;
 pub mod server_changes;
+pub mod server_index;
 pub mod speakers;
 pub mod stopping;
 pub mod zone_loads;
@@ -23,6 +24,6 @@
 pub mod prelude {
     pub use crate::{
         admission, batch, config_in_force, following, health, load_reports, membership, placement,
-        retry, routes, server_changes, speakers, stopping, zone_loads,
+        retry, routes, server_changes, server_index, speakers, stopping, zone_loads,
     };
 }
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -106,6 +106,8 @@
     revision: Option<u64>,
     /// Changes since a whole list.
     changes: ServerChanges,
+    /// Grows with each change of the members.
+    generation: u64,
     /// Set while the list's source is out of reach.
     source_lost: bool,
     /// When the list's source was last found again.
@@ -119,6 +121,7 @@
     /// its last write may be done after the first of the later start. Once the entry was
     /// removed, any start counts, as the clock that it goes by may have been set back.
     pub fn upsert(&mut self, server: BackendServer) {
+        self.generation += 1;
         self.refused.retain(|id| *id != server.id);
         let member = Member {
             server,
@@ -134,6 +137,7 @@
     /// Takes note that the entry of `id` names no server any more: another writer spoiled
     /// it. The server is used again once its entry is whole.
     pub fn refuse(&mut self, id: &str) {
+        self.generation += 1;
         if let Ok(at) = self.position(id) {
             self.members.remove(at);
         }
@@ -177,6 +181,7 @@
 
     /// Takes note that the entry of `id` was removed.
     pub fn remove(&mut self, id: &str, now: Instant) {
+        self.generation += 1;
         self.refused.retain(|refused| refused != id);
         let Ok(at) = self.position(id) else { return };
         let until = self.lapse_end(now);
@@ -307,6 +312,7 @@
         self.members.retain(|member| {
             let keep = member.lapsed_until.is_none_or(|until| now < until);
             if !keep {
+                self.generation += 1;
                 gone.push(member.server.id.clone());
             }
             keep
@@ -344,6 +350,11 @@
         (server.incarnation == key.incarnation).then_some(server)
     }
 
+    /// Tells whether the members changed since it was asked before.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Every member, sorted by id.
     pub fn members(&self) -> &[Member] {
         &self.members
--- a/crates/foxwheel-policy/src/server_changes.rs
+++ b/crates/foxwheel-policy/src/server_changes.rs
@@ -5,9 +5,10 @@
 
 use crate::membership::BackendServer;
 
-/// Changes that are kept: more than a release of every server brings within the second or two
-/// by which a process may be behind.
-const MAX_CHANGES: usize = 512;
+/// Changes that are kept: more than 3,000 servers bring that register within the second or two
+/// by which a process may be behind. With 512 each process of a zone took whole lists of them
+/// then, 200 KB a second over a day.
+const MAX_CHANGES: usize = 4_096;
 
 /// A change of one server's entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
