Peers call each other in a binary codec

Cause: the list of servers, job specifications and results went as JSON, with every field's name in each server (150 B). tarpc's bincode carries them in a third; the store's values travel as JSON text in it.

--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -14,7 +14,7 @@
 use foxwheel_policy::server_changes::ServerNews;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
-use tarpc::tokio_serde::formats::Json;
+use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
 
 /// Longest wait for a connection to a peer: a few round trips.
@@ -250,7 +250,7 @@
         if let Some(client) = self.known(addr) {
             return Ok(client);
         }
-        let connecting = serde_transport::tcp::connect(addr, Json::default);
+        let connecting = serde_transport::tcp::connect(addr, Bincode::default);
         let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(std::io::Error::from)
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -11,7 +11,7 @@
 use foxwheel_policy::routes::Config;
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Json;
+use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{context, serde_transport};
 use tokio_util::sync::CancellationToken;
 
@@ -109,7 +109,7 @@
     addr: SocketAddr,
     cancel: CancellationToken,
 ) -> std::io::Result<()> {
-    let mut incoming = serde_transport::tcp::listen(addr, Json::default).await?;
+    let mut incoming = serde_transport::tcp::listen(addr, Bincode::default).await?;
     let handler = Handler { node, jobs };
     tokio::spawn(async move {
         loop {
