Whole heartbeats go to most of a larger zone three times a second

Cause: in a zone of 50 processes each told all the others everything ten times a second. Changes of load reach them at once all the same, and only speakers must be missed within half a second. Now: in zones of more than 9 processes heartbeats go to the speakers and to those who named this process every 100 ms, to all every 300 ms, and to all at once when something must be known. Test: a_large_zone_is_told_more_rarely.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -133,6 +133,15 @@
     outbox.send(&message, &[beat.addr]).await;
 }
 
+/// Why a heartbeat is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// Its time has come.
+    Time,
+    /// Something must be known at once.
+    News,
+}
+
 /// What a process tells the others.
 struct Sender {
     outbox: Outbox,
@@ -155,15 +164,15 @@
         let node = Arc::clone(&self.node);
         loop {
             let heartbeat = tokio::select! {
-                _ = ticks.tick() => true,
-                () = node.load_alarm.notified() => true,
-                () = node.loads.news.notified() => false,
-                () = wait_until(self.changes.next_at()), if node.loads.has_changes() => false,
-                () = wait_until(self.guest_loads.next_at()), if !self.visited.is_empty() => false,
+                _ = ticks.tick() => Some(Cause::Time),
+                () = node.load_alarm.notified() => Some(Cause::News),
+                () = node.loads.news.notified() => None,
+                () = wait_until(self.changes.next_at()), if node.loads.has_changes() => None,
+                () = wait_until(self.guest_loads.next_at()), if !self.visited.is_empty() => None,
             };
             let now = Instant::now();
-            if heartbeat && now >= self.next_heartbeat_at {
-                let bytes = self.send_heartbeat(now).await;
+            if let Some(cause) = heartbeat.filter(|_| now >= self.next_heartbeat_at) {
+                let bytes = self.send_heartbeat(cause, now).await;
                 self.next_heartbeat_at = now + load_reports::pause_after(bytes);
             }
             if self.changes.is_due(now) && node.loads.has_changes() {
@@ -183,7 +192,7 @@
     }
 
     /// Sends one heartbeat, and what goes out with every few of them; answers its size.
-    async fn send_heartbeat(&mut self, now: Instant) -> usize {
+    async fn send_heartbeat(&mut self, cause: Cause, now: Instant) -> usize {
         self.heartbeats += 1;
         self.node.pick_speakers(now);
         let sequence = self.next_sequence();
@@ -191,7 +200,10 @@
         let whole = self.heartbeats % PER_FULL_INTRODUCTION == 1;
         beat.known = self.node.peers.heard(!whole, now);
         beat.known.truncate(MAX_KNOWN);
-        let local = self.node.peers.recipients(Reach::OwnZone, now);
+        let mut local = self.node.peers.recipients(Reach::OwnZone, now);
+        if cause == Cause::Time && !load_reports::is_zone_wide(self.heartbeats, local.len()) {
+            local = self.node.close_peers(now);
+        }
         let message = PeerMessage::Heartbeat(beat.clone());
         let bytes = self.outbox.send(&message, &local).await;
         if self.heartbeats % load_reports::LOCAL_PER_REMOTE == 1 {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -374,6 +374,17 @@
         named.map(|peer| peer.addr).collect()
     }
 
+    /// Addresses of the zone's processes that this one named as speakers, or that named it.
+    pub fn close_peers(&self, now: Instant) -> Vec<SocketAddr> {
+        let named = self.speakers();
+        let local = self.peers.of_own_zone(now);
+        let close = local.into_iter().filter(|peer| {
+            let names_this = peer.speakers.contains(&self.settings.host);
+            names_this || named.contains(&peer.member.host)
+        });
+        close.map(|peer| peer.addr).collect()
+    }
+
     /// Whether some process of the zone, or this one, takes this one as its first speaker.
     pub fn speaks_for_zone(&self, now: Instant) -> bool {
         let own = self.speakers().first() == Some(&self.settings.host);
--- a/crates/foxwheel-policy/src/load_reports.rs
+++ b/crates/foxwheel-policy/src/load_reports.rs
@@ -19,6 +19,21 @@
 /// priced: every 300 ms.
 pub const LOCAL_PER_REMOTE: u64 = 3;
 
+/// Processes of the zone that are all told by each report. In a larger zone only the speakers
+/// and those who named this process as one are; the others with every third report, as changes
+/// of load reach them at once all the same: with 50 processes a zone, whole reports to all of
+/// them took half of the bytes that a front sent.
+pub const MOST_TOLD_EACH_TIME: usize = 8;
+
+/// Reports to the speakers for each one to all processes of a larger zone: every 300 ms.
+pub const PER_ZONE_WIDE: u64 = 3;
+
+/// Whether the report of that number goes to all processes of the zone, of which there are
+/// `recipients`.
+pub fn is_zone_wide(number: u64, recipients: usize) -> bool {
+    recipients <= MOST_TOLD_EACH_TIME || number % PER_ZONE_WIDE == 1
+}
+
 /// Reports within the zone for each summary that a zone's speaker sends to other zones: every
 /// 200 ms. It is then passed on with the next report, so views of other zones are as old as if
 /// each process told each every 300 ms.
--- a/crates/foxwheel-policy/tests/load_reports.rs
+++ b/crates/foxwheel-policy/tests/load_reports.rs
@@ -23,3 +23,14 @@
         "a change alone is told at once"
     );
 }
+
+/// A zone of 80 processes: each tells most of them three times a second, so that its messages
+/// stay a few hundred a second, and still more often than they count it as dead.
+#[test]
+fn a_large_zone_is_told_more_rarely() {
+    let wide = |recipients| (1..=30).filter(move |n| load_reports::is_zone_wide(*n, recipients));
+    assert_eq!(wide(8).count(), 30);
+    assert_eq!(wide(79).count(), 10);
+    let between = load_reports::HEARTBEAT_EVERY * load_reports::PER_ZONE_WIDE as u32;
+    assert!(between * 4 < load_reports::DEAD_AFTER);
+}
