A zone is told of all load but its own, which it knows better

Cause: a summary told the whole load of a server; what the reading zone had sent before and since was guessed from what it had when the summary came, and what was on its way counted not at all: fronts of a full zone filled the same remote servers. Now each zone is told the load without its own, and adds that as it knows it.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -90,14 +90,11 @@
         PeerMessage::GuestLoads(told) => zone_speaker::take_guest(outbox, node, told, now).await,
         PeerMessage::Summary(summary) => {
             let age = Duration::ZERO;
-            let told = AgedSummary { age, summary };
-            let own_loads = node.loads.snapshot();
-            node.peers.take_summary(told, &own_loads, now);
+            node.peers.take_summary(AgedSummary { age, summary }, now);
         }
         PeerMessage::Summaries(summaries) => {
-            let own_loads = node.loads.snapshot();
             for told in summaries {
-                node.peers.take_summary(told, &own_loads, now);
+                node.peers.take_summary(told, now);
             }
         }
         PeerMessage::Introduction(told) => node.peers.take_introduction(&told, own, now),
@@ -262,6 +259,7 @@
                 |load: &&ServerLoad| self.node.server_zone(&load.server).as_ref() == Some(&visited);
             let told = GuestLoads {
                 host: self.node.settings.host.clone(),
+                zone: self.node.settings.availability_zone.clone(),
                 incarnation: self.node.incarnation,
                 sequence,
                 passed_on: false,
--- a/crates/foxwheel-node/src/load_sums.rs
+++ b/crates/foxwheel-node/src/load_sums.rs
@@ -50,11 +50,6 @@
         }
     }
 
-    /// The load on every server that has any; sorted by server and start.
-    pub fn all(&self) -> &[ServerLoad] {
-        &self.sums
-    }
-
     fn position(&self, server: &ServerKey) -> Result<usize, usize> {
         self.sums.binary_search_by(|sum| sum.server.cmp(server))
     }
--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -8,7 +8,6 @@
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
-use crate::load_table::ServerLoad;
 use crate::peer_messages::{AgedSummary, WorkerNote, ZoneSummary};
 
 /// A zone's newest summary.
@@ -17,8 +16,6 @@
     summary: ZoneSummary,
     /// When its speaker sent it, as far as is known.
     told_at: Instant,
-    /// What this zone had in flight at all servers when the summary came; sorted by server.
-    sent_then: Vec<(ServerFingerprint, Requests)>,
     /// It was not passed on to this zone yet.
     is_news: bool,
 }
@@ -31,9 +28,8 @@
 }
 
 impl OtherZones {
-    /// Takes a summary that is `age` old, unless a newer one of its zone is known. `sent` is
-    /// what this zone has in flight at servers now.
-    pub fn take(&mut self, told: AgedSummary, sent: &[ServerLoad], now: Instant) {
+    /// Takes a summary that is `age` old, unless a newer one of its zone is known.
+    pub fn take(&mut self, told: AgedSummary, now: Instant) {
         let AgedSummary { age, summary } = told;
         let Some(told_at) = now.checked_sub(age) else {
             return;
@@ -53,15 +49,9 @@
                 return;
             }
         }
-        let mut sent_then: Vec<_> = sent
-            .iter()
-            .map(|load| (zone_loads::fingerprint(&load.server), load.requests()))
-            .collect();
-        sent_then.sort_unstable_by_key(|(server, _)| *server);
         let zone = OtherZone {
             summary,
             told_at,
-            sent_then,
             is_news: true,
         };
         match found {
@@ -70,23 +60,22 @@
         }
     }
 
-    /// The load on a server of `zone`, if a speaker of that zone lives; `sent_now` is what this
+    /// The load on a server of `zone`, if a speaker of that zone lives; `own_zone` is what this
     /// zone has in flight there.
     pub fn load(
         &self,
         zone: &Zone,
         server: &ServerKey,
         slots: u32,
-        sent_now: Requests,
+        own_zone: Requests,
         now: Instant,
     ) -> Option<Requests> {
         let other = self.live(now).find(|other| other.summary.zone == *zone)?;
         let fingerprint = zone_loads::fingerprint(server);
         let Some(told) = find(&other.summary.servers, fingerprint) else {
-            return Some(zone_loads::untold(slots, sent_now));
+            return Some(zone_loads::untold(slots, own_zone));
         };
-        let sent_then = find(&other.sent_then, fingerprint).unwrap_or_default();
-        Some(zone_loads::estimate(told, sent_then, sent_now))
+        Some(zone_loads::with_own(told, own_zone))
     }
 
     /// The servers that a speaker of `zone` told of, if one lives.
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -71,6 +71,8 @@
 pub struct GuestLoads {
     /// The process's host.
     pub host: NodeId,
+    /// The process's availability zone.
+    pub zone: Zone,
     /// When it started, in milliseconds since the Unix epoch.
     pub incarnation: Incarnation,
     /// Grows with each message of an incarnation.
@@ -81,7 +83,7 @@
     pub loads: Vec<ServerLoad>,
 }
 
-/// What a zone's speaker tells other zones.
+/// What a zone's speaker tells another zone.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ZoneSummary {
     /// The zone.
@@ -96,7 +98,7 @@
     pub speakers: Vec<SocketAddr>,
     /// Fronts that live there.
     pub fronts: u32,
-    /// Load on the zone's servers, from all zones; sorted by server.
+    /// Load on the zone's servers from all zones but the one that is told; sorted by server.
     pub servers: Vec<(ServerFingerprint, Requests)>,
     /// Starts of servers that the zone found to be gone; sorted.
     pub gone: Vec<ServerKey>,
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -46,6 +46,7 @@
 #[derive(Debug)]
 struct Guest {
     host: NodeId,
+    zone: Zone,
     incarnation: Incarnation,
     sequence: u64,
     told: ToldLoads,
@@ -216,6 +217,7 @@
             Err(at) => {
                 let guest = Guest {
                     host: told.host.clone(),
+                    zone: told.zone.clone(),
                     incarnation: told.incarnation,
                     sequence: told.sequence,
                     told: ToldLoads::default(),
@@ -235,21 +237,28 @@
         true
     }
 
-    /// Takes a summary of another zone. `own_loads` is this process's load at servers.
-    pub fn take_summary(&self, told: AgedSummary, own_loads: &[ServerLoad], now: Instant) {
+    /// What the processes of another zone have in flight at this zone's servers.
+    pub fn guest_loads(&self, zone: &Zone, now: Instant) -> LoadSums {
+        let mut tables = self.lock();
+        tables.notice_deaths(now);
+        let mut sums = LoadSums::default();
+        for guest in tables.guests.iter().filter(|guest| guest.zone == *zone) {
+            sums.add(&guest.told.loads);
+        }
+        sums
+    }
+
+    /// Takes a summary of another zone.
+    pub fn take_summary(&self, told: AgedSummary, now: Instant) {
         if told.summary.zone == self.own_zone {
             return;
         }
         let mut tables = self.lock();
-        tables.notice_deaths(now);
-        let mut sent = LoadSums::default();
-        sent.add(own_loads);
-        sent.add(tables.sums.all());
         for contact in contacts_of(&told.summary) {
             tables.contacts.note(&contact, &self.own_zone, now);
             tables.contacts.refresh(contact.addr, now);
         }
-        tables.other_zones.take(told, sent.all(), now);
+        tables.other_zones.take(told, now);
     }
 
     /// Adds an address of which nothing else is known.
@@ -468,11 +477,11 @@
         let mut tables = self.lock();
         tables.notice_deaths(now);
         let (online, batch) = tables.sums.get(server);
-        let sent_now = Requests {
+        let own_zone = Requests {
             online: own.online + online,
             batch: own.batch + batch,
         };
-        tables.other_zones.load(zone, server, slots, sent_now, now)
+        tables.other_zones.load(zone, server, slots, own_zone, now)
     }
 
     /// The servers that a speaker of another zone told of, if one lives: the freest of a large
--- a/crates/foxwheel-node/src/zone_speaker.rs
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -4,7 +4,8 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use foxwheel_policy::membership::{Directory, ServerState};
+use foxwheel_core::ids::Zone;
+use foxwheel_policy::membership::ServerState;
 use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
@@ -21,9 +22,11 @@
     if others.is_empty() {
         return;
     }
-    let summary = PeerMessage::Summary(summary(node, sequence, now));
-    for (_, addresses) in others {
-        outbox.send(&summary, &addresses).await;
+    let mut summary = summary(node, sequence, now);
+    for (zone, addresses) in others {
+        summary.servers = server_loads(node, &zone, now);
+        let message = PeerMessage::Summary(summary.clone());
+        outbox.send(&message, &addresses).await;
     }
 }
 
@@ -50,6 +53,7 @@
     }
 }
 
+/// What every zone is told; the loads are for each one apart.
 fn summary(node: &Node, sequence: u64, now: Instant) -> ZoneSummary {
     let settings = &node.settings;
     let local = node.peers.of_own_zone(now);
@@ -77,7 +81,6 @@
     gone.extend(node.gone_servers(now));
     gone.sort_unstable();
     gone.dedup();
-    let directory = node.directory.lock().expect("directory lock");
     ZoneSummary {
         zone: settings.availability_zone.clone(),
         host: settings.host.clone(),
@@ -85,17 +88,20 @@
         sequence,
         speakers,
         fronts: fronts as u32,
-        servers: server_loads(node, &directory, now),
+        servers: Vec::new(),
         gone,
         workers,
     }
 }
 
+/// The load on the zone's servers without that of `told_zone`, which knows its own better.
 fn server_loads(
     node: &Node,
-    directory: &Directory,
+    told_zone: &Zone,
     now: Instant,
 ) -> Vec<(zone_loads::ServerFingerprint, zone_loads::Requests)> {
+    let theirs = node.peers.guest_loads(told_zone, now);
+    let directory = node.directory.lock().expect("directory lock");
     let local = directory.members().iter().filter(|member| {
         let server = &member.server;
         server.zone == node.settings.availability_zone && server.state == ServerState::Ready
@@ -104,9 +110,10 @@
         let key = member.server.key();
         let own = node.loads.own(&key, now);
         let (online, batch) = node.peers.load(&key, now);
+        let (their_online, their_batch) = theirs.get(&key);
         let load = zone_loads::Requests {
-            online: own.online + online,
-            batch: own.batch + batch,
+            online: own.online + online.saturating_sub(their_online),
+            batch: own.batch + batch.saturating_sub(their_batch),
         };
         (zone_loads::fingerprint(&key), load, member.server.slots)
     });
--- a/crates/foxwheel-policy/src/load_reports.rs
+++ b/crates/foxwheel-policy/src/load_reports.rs
@@ -40,8 +40,8 @@
 pub const LOCAL_PER_SUMMARY: u64 = 2;
 
 /// Least time between two reports of a process's load to another zone at whose servers it has
-/// requests. They are few, and each is passed on to every process of that zone.
-pub const GUEST_LOADS_GAP: Duration = Duration::from_millis(10);
+/// requests: as within the zone, since those who choose there count them in the same way.
+pub const GUEST_LOADS_GAP: Duration = CHANGES_GAP;
 
 /// Least time between two reports of changes; what changes meanwhile is told together. Below
 /// it fronts hardly gain: views of 5 ms and of 1 ms differ by 1 in 100 requests in time
--- a/crates/foxwheel-policy/src/zone_loads.rs
+++ b/crates/foxwheel-policy/src/zone_loads.rs
@@ -37,23 +37,22 @@
     }
 }
 
-/// The load on a server of another zone: what its zone told, and what this zone sent or took
-/// off since. `sent_then` is what this zone had in flight there when the zone told, `sent_now`
-/// what it has now.
-pub fn estimate(told: Requests, sent_then: Requests, sent_now: Requests) -> Requests {
-    let since = |told: u32, then: u32, now: u32| now.max((told + now).saturating_sub(then));
+/// The load on a server of another zone: what that zone told of all but this zone's requests,
+/// and what this zone has in flight there now, which it knows better. Told together with them,
+/// requests that were on their way when the zone told would count twice or not at all.
+pub fn with_own(told: Requests, own_zone: Requests) -> Requests {
     Requests {
-        online: since(told.online, sent_then.online, sent_now.online),
-        batch: since(told.batch, sent_then.batch, sent_now.batch),
+        online: told.online + own_zone.online,
+        batch: told.batch + own_zone.batch,
     }
 }
 
 /// The load on a server that its zone did not tell of: it is new there, or among the fullest.
 /// It counts as full.
-pub fn untold(slots: u32, sent_now: Requests) -> Requests {
+pub fn untold(slots: u32, own_zone: Requests) -> Requests {
     Requests {
-        online: sent_now.online + slots,
-        batch: sent_now.batch,
+        online: own_zone.online + slots,
+        batch: own_zone.batch,
     }
 }
 
