A zone's second speaker tells and passes on where the first one does not

Nobody heard anything of the other zones, their servers counted as empty, and each zone sent what was too much to them; two workers ran one job. Now: the second speaker sends summaries every 600 ms and passes on what the first one does not; a server of a zone that is silent counts as three quarters full, one of a zone without processes as used evenly by all. The table of peers is split: guests, what each told.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -11,12 +11,14 @@
 use foxwheel_core::ids::Zone;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::load_reports::{self, ChangeClock};
+use foxwheel_policy::speakers::Rank;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use crate::contacts::Reach;
 use crate::load_table::ServerLoad;
 use crate::node::Node;
+use crate::other_zones::Via;
 use crate::outbox::Outbox;
 use crate::peer_messages::{
     AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, PeerMessage,
@@ -90,11 +92,12 @@
         PeerMessage::GuestLoads(told) => zone_speaker::take_guest(outbox, node, told, now).await,
         PeerMessage::Summary(summary) => {
             let age = Duration::ZERO;
-            node.peers.take_summary(AgedSummary { age, summary }, now);
+            let told = AgedSummary { age, summary };
+            node.peers.take_summary(told, Via::ThatZone, now);
         }
         PeerMessage::Summaries(summaries) => {
             for told in summaries {
-                node.peers.take_summary(told, now);
+                node.peers.take_summary(told, Via::ThisZone, now);
             }
         }
         PeerMessage::Introduction(told) => node.peers.take_introduction(&told, own, now),
@@ -211,7 +214,12 @@
             let loads = self.node.loads.snapshot();
             self.note_visited(&loads);
         }
-        if self.heartbeats % load_reports::LOCAL_PER_SUMMARY == 1 {
+        let per_summary = match self.node.speaker_rank(now) {
+            Rank::First => Some(load_reports::LOCAL_PER_SUMMARY),
+            Rank::Second => Some(load_reports::LOCAL_PER_SECOND_SUMMARY),
+            Rank::Listener => None,
+        };
+        if per_summary.is_some_and(|per_summary| self.heartbeats % per_summary == 1) {
             let sequence = self.next_sequence();
             zone_speaker::send_summary(&self.outbox, &self.node, sequence, now).await;
         }
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -16,7 +16,7 @@
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_index::{self, ServerIndex};
-use foxwheel_policy::speakers::{self, Member};
+use foxwheel_policy::speakers::{self, Member, Rank};
 use foxwheel_policy::zone_loads::Requests;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -365,12 +365,14 @@
         }
     }
 
-    /// Addresses of the zone's processes that named this one as their first speaker.
-    pub fn audience(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Addresses of the zone's processes that take this one for a speaker of `rank`.
+    pub fn audience(&self, rank: Rank, now: Instant) -> Vec<SocketAddr> {
         let local = self.peers.of_own_zone(now);
-        let named = local
-            .into_iter()
-            .filter(|peer| peer.speakers.first() == Some(&self.settings.host));
+        let own = &self.settings.host;
+        let named = local.into_iter().filter(|peer| {
+            let named = [peer.speakers.as_slice()];
+            speakers::rank(own, named.into_iter()) == rank
+        });
         named.map(|peer| peer.addr).collect()
     }
 
@@ -385,10 +387,12 @@
         close.map(|peer| peer.addr).collect()
     }
 
-    /// Whether some process of the zone, or this one, takes this one as its first speaker.
-    pub fn speaks_for_zone(&self, now: Instant) -> bool {
-        let own = self.speakers().first() == Some(&self.settings.host);
-        own || !self.audience(now).is_empty()
+    /// What this process is taken for by the zone's processes and itself.
+    pub fn speaker_rank(&self, now: Instant) -> Rank {
+        let own = self.speakers();
+        let local = self.peers.of_own_zone(now);
+        let named = local.iter().map(|peer| peer.speakers.as_slice());
+        speakers::rank(&self.settings.host, named.chain([own.as_slice()]))
     }
 
     /// Jobs that this process runs or closed a short while ago; sorted by job.
--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use foxwheel_core::ids::Zone;
-use foxwheel_policy::load_reports::DEAD_AFTER;
+use foxwheel_policy::load_reports::{DEAD_AFTER, PASS_ON_AFTER};
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
@@ -16,8 +16,19 @@
     summary: ZoneSummary,
     /// When its speaker sent it, as far as is known.
     told_at: Instant,
-    /// It was not passed on to this zone yet.
+    /// It came from that zone and was not passed on to this one yet.
     is_news: bool,
+    /// When another process of this zone last passed on a summary of that zone.
+    passed_on_at: Option<Instant>,
+}
+
+/// By which way a summary came.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Via {
+    /// From a speaker of the zone that it tells of.
+    ThatZone,
+    /// Passed on by a speaker of this zone.
+    ThisZone,
 }
 
 /// The other zones.
@@ -29,7 +40,7 @@
 
 impl OtherZones {
     /// Takes a summary that is `age` old, unless a newer one of its zone is known.
-    pub fn take(&mut self, told: AgedSummary, now: Instant) {
+    pub fn take(&mut self, told: AgedSummary, via: Via, now: Instant) {
         let AgedSummary { age, summary } = told;
         let Some(told_at) = now.checked_sub(age) else {
             return;
@@ -37,8 +48,11 @@
         let found = self
             .zones
             .binary_search_by(|known| known.summary.zone.cmp(&summary.zone));
+        let mut passed_on_at = (via == Via::ThisZone).then_some(now);
         if let Ok(at) = found {
-            let known = &self.zones[at];
+            let known = &mut self.zones[at];
+            known.passed_on_at = passed_on_at.or(known.passed_on_at);
+            passed_on_at = known.passed_on_at;
             let is_newer = if known.summary.host == summary.host {
                 let order = |of: &ZoneSummary| (of.incarnation, of.sequence);
                 order(&summary) > order(&known.summary)
@@ -52,7 +66,8 @@
         let zone = OtherZone {
             summary,
             told_at,
-            is_news: true,
+            is_news: via == Via::ThatZone,
+            passed_on_at,
         };
         match found {
             Ok(at) => self.zones[at] = zone,
@@ -114,17 +129,29 @@
         other.map_or(&[], |other| &other.summary.speakers)
     }
 
-    /// Live summaries, if any of them came since the last call.
-    pub fn news(&mut self, now: Instant) -> Option<Vec<AgedSummary>> {
-        let mut any = false;
-        for zone in &mut self.zones {
-            any |= std::mem::take(&mut zone.is_news);
+    /// Live summaries to pass on to this zone: for its first speaker all of them if any came
+    /// since the last call, for another one those that came and that nobody else passes on.
+    pub fn to_pass_on(&mut self, is_first: bool, now: Instant) -> Vec<AgedSummary> {
+        let mut any_news = false;
+        let mut to_pass_on = Vec::new();
+        for other in &mut self.zones {
+            let is_news = std::mem::take(&mut other.is_news);
+            any_news |= is_news;
+            let is_left_out = other
+                .passed_on_at
+                .is_none_or(|at| now.duration_since(at) >= PASS_ON_AFTER);
+            let age = now.duration_since(other.told_at);
+            if age < DEAD_AFTER && (is_first || (is_news && is_left_out)) {
+                to_pass_on.push(AgedSummary {
+                    age,
+                    summary: other.summary.clone(),
+                });
+            }
         }
-        let aged = |other: &OtherZone| AgedSummary {
-            age: now.duration_since(other.told_at),
-            summary: other.summary.clone(),
-        };
-        any.then(|| self.live(now).map(aged).collect())
+        if !any_news {
+            to_pass_on.clear();
+        }
+        to_pass_on
     }
 
     fn live(&self, now: Instant) -> impl Iterator<Item = &OtherZone> {
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -5,35 +5,28 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{Incarnation, NodeId, Zone};
+use foxwheel_core::ids::{NodeId, Zone};
 use foxwheel_policy::batch::ownership::Worker;
 use foxwheel_policy::load_reports::DEAD_AFTER;
 use foxwheel_policy::membership::ServerKey;
 use foxwheel_policy::speakers::Member;
-use foxwheel_policy::zone_loads::{Requests, ServerFingerprint};
+use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
 use crate::contacts::{Contacts, Reach};
+use crate::guests::Guests;
 use crate::load_sums::LoadSums;
 use crate::load_table::ServerLoad;
-use crate::other_zones::OtherZones;
+use crate::other_zones::{OtherZones, Via};
 use crate::peer_calls::KnownState;
 use crate::peer_messages::{
     AgedSummary, Contact, GuestLoads, Heartbeat, Introduction, LoadChanges, WorkerNote, ZoneSummary,
 };
 use crate::settings::Role;
+use crate::told_loads::ToldLoads;
 
 /// Most processes told of in one introduction.
 const MAX_INTRODUCED: usize = 40;
 
-/// What one process has in flight at servers, as it told last.
-#[derive(Debug, Default)]
-struct ToldLoads {
-    /// Sorted by server and start.
-    loads: Vec<ServerLoad>,
-    /// They are in the sums; until the death of their process is noticed.
-    counted: bool,
-}
-
 #[derive(Debug)]
 struct Peer {
     /// Its last heartbeat; the loads are in `told`.
@@ -42,17 +35,6 @@
     heard_at: Instant,
 }
 
-/// A process of another zone that has requests in flight at this zone's servers.
-#[derive(Debug)]
-struct Guest {
-    host: NodeId,
-    zone: Zone,
-    incarnation: Incarnation,
-    sequence: u64,
-    told: ToldLoads,
-    heard_at: Instant,
-}
-
 /// The other processes.
 #[derive(Debug)]
 pub struct Peers {
@@ -65,8 +47,7 @@
 struct Tables {
     /// Those heard themselves: of the own zone, and between workers; sorted by host.
     peers: Vec<Peer>,
-    /// Sorted by host.
-    guests: Vec<Guest>,
+    guests: Guests,
     contacts: Contacts,
     other_zones: OtherZones,
     /// The loads of peers and guests that are counted.
@@ -202,54 +183,21 @@
     /// Takes what a process of another zone has in flight at this zone's servers; answers
     /// whether it is news.
     pub fn take_guest(&self, told: &GuestLoads, now: Instant) -> bool {
-        let mut tables = self.lock();
-        let found = tables
-            .guests
-            .binary_search_by(|guest| guest.host.cmp(&told.host));
-        let at = match found {
-            Ok(at) => {
-                let known = &tables.guests[at];
-                if (told.incarnation, told.sequence) <= (known.incarnation, known.sequence) {
-                    return false;
-                }
-                at
-            }
-            Err(at) => {
-                let guest = Guest {
-                    host: told.host.clone(),
-                    zone: told.zone.clone(),
-                    incarnation: told.incarnation,
-                    sequence: told.sequence,
-                    told: ToldLoads::default(),
-                    heard_at: now,
-                };
-                tables.guests.insert(at, guest);
-                at
-            }
-        };
-        let tables = &mut *tables;
-        let guest = &mut tables.guests[at];
-        guest.incarnation = told.incarnation;
-        guest.sequence = told.sequence;
-        guest.heard_at = now;
-        guest.told.replace(told.loads.clone(), &mut tables.sums);
+        let tables = &mut *self.lock();
+        let is_news = tables.guests.take(told, &mut tables.sums, now);
         tables.expect_death(now + DEAD_AFTER);
-        true
+        is_news
     }
 
     /// What the processes of another zone have in flight at this zone's servers.
     pub fn guest_loads(&self, zone: &Zone, now: Instant) -> LoadSums {
         let mut tables = self.lock();
         tables.notice_deaths(now);
-        let mut sums = LoadSums::default();
-        for guest in tables.guests.iter().filter(|guest| guest.zone == *zone) {
-            sums.add(&guest.told.loads);
-        }
-        sums
+        tables.guests.of_zone(zone)
     }
 
     /// Takes a summary of another zone.
-    pub fn take_summary(&self, told: AgedSummary, now: Instant) {
+    pub fn take_summary(&self, told: AgedSummary, via: Via, now: Instant) {
         if told.summary.zone == self.own_zone {
             return;
         }
@@ -258,7 +206,7 @@
             tables.contacts.note(&contact, &self.own_zone, now);
             tables.contacts.refresh(contact.addr, now);
         }
-        tables.other_zones.take(told, now);
+        tables.other_zones.take(told, via, now);
     }
 
     /// Adds an address of which nothing else is known.
@@ -374,9 +322,9 @@
         addressed.collect()
     }
 
-    /// Summaries of other zones, if any came since the last call.
-    pub fn summaries(&self, now: Instant) -> Option<Vec<AgedSummary>> {
-        self.lock().other_zones.news(now)
+    /// Summaries of other zones to pass on to this one.
+    pub fn to_pass_on(&self, is_first: bool, now: Instant) -> Vec<AgedSummary> {
+        self.lock().other_zones.to_pass_on(is_first, now)
     }
 
     /// Addresses of live processes that do `role` and are heard, in the order of their hosts;
@@ -461,8 +409,8 @@
         tables.sums.get(server)
     }
 
-    /// Requests in flight at a server of `zone` from all processes; `own` are those of this
-    /// one. None if nobody speaks for that zone.
+    /// Requests in flight at a server of another zone from all processes, as far as is known;
+    /// `own` are those of this one. None for the own zone.
     pub fn load_elsewhere(
         &self,
         zone: &Zone,
@@ -481,7 +429,14 @@
             online: own.online + online,
             batch: own.batch + batch,
         };
-        tables.other_zones.load(zone, server, slots, own_zone, now)
+        let told = tables.other_zones.load(zone, server, slots, own_zone, now);
+        Some(told.unwrap_or_else(|| {
+            if tables.contacts.of_zone(zone).next().is_some() {
+                return zone_loads::silent(slots, own_zone);
+            }
+            let zones = tables.contacts.other_zones(&self.own_zone).len() + 1;
+            zone_loads::shared_evenly(zones as u32, own_zone)
+        }))
     }
 
     /// The servers that a speaker of another zone told of, if one lives: the freest of a large
@@ -529,36 +484,6 @@
     contacts
 }
 
-impl ToldLoads {
-    fn replace(&mut self, loads: Vec<ServerLoad>, sums: &mut LoadSums) {
-        self.uncount(sums);
-        self.loads = loads;
-        sums.add(&self.loads);
-        self.counted = true;
-    }
-
-    fn uncount(&mut self, sums: &mut LoadSums) {
-        if std::mem::take(&mut self.counted) {
-            sums.subtract(&self.loads);
-        }
-    }
-
-    fn set(&mut self, load: ServerLoad, sums: &mut LoadSums) {
-        let found = self
-            .loads
-            .binary_search_by(|known| known.server.cmp(&load.server));
-        if let Ok(at) = found {
-            let before = self.loads.remove(at);
-            sums.subtract(std::slice::from_ref(&before));
-        }
-        if load.requests().total() > 0 {
-            let (Ok(at) | Err(at)) = found;
-            sums.add(std::slice::from_ref(&load));
-            self.loads.insert(at, load);
-        }
-    }
-}
-
 impl Peer {
     fn is_live(&self, now: Instant) -> bool {
         now.duration_since(self.heard_at) < DEAD_AFTER
@@ -588,7 +513,7 @@
     }
 
     fn collect_gone(&mut self) {
-        let counted = self.peers.iter().filter(|peer| peer.told.counted);
+        let counted = self.peers.iter().filter(|peer| peer.told.is_counted());
         self.gone = counted.flat_map(|peer| peer.beat.gone.clone()).collect();
         self.gone.sort_unstable();
         self.gone.dedup();
@@ -606,14 +531,7 @@
                 false => peer.told.uncount(&mut self.sums),
             }
         }
-        let lives = |guest: &Guest| now.duration_since(guest.heard_at) < DEAD_AFTER;
-        for guest in &mut self.guests {
-            match lives(guest) {
-                true => deaths.push(guest.heard_at + DEAD_AFTER),
-                false => guest.told.uncount(&mut self.sums),
-            }
-        }
-        self.guests.retain(lives);
+        deaths.extend(self.guests.forget_silent(&mut self.sums, now));
         self.next_death = deaths.into_iter().min();
         self.collect_gone();
     }
--- a/crates/foxwheel-node/src/zone_speaker.rs
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -1,11 +1,13 @@
-//! What a process does that others of its zone named as their first speaker: it tells other
-//! zones how full its zone's servers are, and passes on what it hears from them.
+//! What a process does that others of its zone named as a speaker: it tells other zones how
+//! full its zone's servers are, and passes on what it hears from them. The second speaker does
+//! so where the first one does not, because a path to it is cut.
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::Zone;
 use foxwheel_policy::membership::ServerState;
+use foxwheel_policy::speakers::Rank;
 use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
@@ -13,11 +15,8 @@
 use crate::peer_messages::{GuestLoads, PeerMessage, WorkerNote, ZoneSummary};
 use crate::settings::Role;
 
-/// Tells the other zones' speakers, if this process speaks for its zone.
+/// Tells the other zones' speakers.
 pub async fn send_summary(outbox: &Outbox, node: &Node, sequence: u64, now: Instant) {
-    if !node.speaks_for_zone(now) {
-        return;
-    }
     let others = node.peers.other_zones(now);
     if others.is_empty() {
         return;
@@ -32,13 +31,16 @@
 
 /// Passes new summaries of other zones on to those who named this process.
 pub async fn pass_on_summaries(outbox: &Outbox, node: &Node, now: Instant) {
-    let audience = node.audience(now);
-    if audience.is_empty() {
-        return;
-    }
-    if let Some(summaries) = node.peers.summaries(now) {
-        let message = PeerMessage::Summaries(summaries);
-        outbox.send(&message, &audience).await;
+    for rank in [Rank::First, Rank::Second] {
+        let audience = node.audience(rank, now);
+        if audience.is_empty() {
+            continue;
+        }
+        let summaries = node.peers.to_pass_on(rank == Rank::First, now);
+        if !summaries.is_empty() {
+            let message = PeerMessage::Summaries(summaries);
+            outbox.send(&message, &audience).await;
+        }
     }
 }
 
@@ -47,7 +49,7 @@
 pub async fn take_guest(outbox: &Outbox, node: &Node, mut told: GuestLoads, now: Instant) {
     if node.peers.take_guest(&told, now) && !told.passed_on {
         told.passed_on = true;
-        let audience = node.audience(now);
+        let audience = node.audience(Rank::First, now);
         let message = PeerMessage::GuestLoads(told);
         outbox.send(&message, &audience).await;
     }
--- a/crates/foxwheel-policy/src/load_reports.rs
+++ b/crates/foxwheel-policy/src/load_reports.rs
@@ -39,6 +39,14 @@
 /// each process told each every 300 ms.
 pub const LOCAL_PER_SUMMARY: u64 = 2;
 
+/// The same for the zone's second speaker, whose summaries arrive where the path from the first
+/// one is cut: every 600 ms, well within the time after which a zone counts as silent.
+pub const LOCAL_PER_SECOND_SUMMARY: u64 = 6;
+
+/// How long a zone's first speaker may pass on nothing of another zone before the second one
+/// passes on what it heard of it.
+pub const PASS_ON_AFTER: Duration = Duration::from_millis(500);
+
 /// Least time between two reports of a process's load to another zone at whose servers it has
 /// requests: as within the zone, since those who choose there count them in the same way.
 pub const GUEST_LOADS_GAP: Duration = CHANGES_GAP;
--- a/crates/foxwheel-policy/src/speakers.rs
+++ b/crates/foxwheel-policy/src/speakers.rs
@@ -20,6 +20,29 @@
 /// dies, is cut off, or is turned away by the store.
 pub const SPEAKERS: usize = 2;
 
+/// What a process is taken for by somebody of its zone, itself included.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rank {
+    /// Nobody names it.
+    Listener,
+    /// Somebody names it as the second speaker.
+    Second,
+    /// Somebody names it as the first speaker.
+    First,
+}
+
+/// What `host` is taken for by those who named speakers so.
+pub fn rank<'a>(host: &str, named: impl Iterator<Item = &'a [NodeId]>) -> Rank {
+    let ranks = named.map(
+        |speakers| match speakers.iter().position(|one| one == host) {
+            Some(0) => Rank::First,
+            Some(_) => Rank::Second,
+            None => Rank::Listener,
+        },
+    );
+    ranks.max().unwrap_or(Rank::Listener)
+}
+
 /// A process of the zone as another one, or itself, sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
--- a/crates/foxwheel-policy/src/zone_loads.rs
+++ b/crates/foxwheel-policy/src/zone_loads.rs
@@ -56,6 +56,28 @@
     }
 }
 
+/// Share of its slots that a server is taken to use while nobody speaks for its zone. Servers
+/// that counted as empty then drew the requests of every full zone at once: half of the
+/// requests of a small fleet were late for as long as the path to one speaker was cut.
+const UNKNOWN_SHARE: f64 = 0.75;
+
+/// The load on a server of a zone whose processes are known and silent.
+pub fn silent(slots: u32, own_zone: Requests) -> Requests {
+    Requests {
+        online: own_zone.online + (f64::from(slots) * UNKNOWN_SHARE).ceil() as u32,
+        batch: own_zone.batch,
+    }
+}
+
+/// The load on a server of a zone that has no processes: each of `zones` zones that have some
+/// is taken to use it as this one does.
+pub fn shared_evenly(zones: u32, own_zone: Requests) -> Requests {
+    Requests {
+        online: own_zone.online * zones,
+        batch: own_zone.batch * zones,
+    }
+}
+
 /// Keeps the servers that other zones are told of: the freest by their load as a share of
 /// their slots. Each is a fingerprint, its load and its slots.
 pub fn told_servers(
