--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -5,6 +5,7 @@
 //! the store would cost a write and a wake-up of every watcher for each beat.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -39,12 +40,13 @@
 /// Sends and receives until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
     let socket = Arc::new(socket);
+    let sequence = Arc::new(AtomicU64::new(0));
     let outbox = Outbox::new(Arc::clone(&node), Arc::clone(&socket));
-    let receiving = receive(outbox.clone(), socket);
+    let receiving = receive(outbox.clone(), socket, Arc::clone(&sequence));
     let sender = Sender {
         outbox,
         node,
-        sequence: 0,
+        sequence,
         heartbeats: 0,
         next_heartbeat_at: Instant::now(),
         changes: ChangeClock::new(load_reports::CHANGES_GAP),
@@ -58,7 +60,7 @@
     }
 }
 
-async fn receive(outbox: Outbox, socket: Arc<UdpSocket>) {
+async fn receive(outbox: Outbox, socket: Arc<UdpSocket>, sequence: Arc<AtomicU64>) {
     let node = outbox.node();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -73,13 +75,13 @@
         node.metrics.incr(Counter::PeerMessageHeard);
         node.metrics.add(Counter::PeerBytesHeard, received.len());
         match postcard::from_bytes::<PeerMessage>(received) {
-            Ok(message) => take(&outbox, message).await,
+            Ok(message) => take(&outbox, message, &sequence).await,
             Err(_) => node.metrics.incr(Counter::HeartbeatUnreadable),
         }
     }
 }
 
-async fn take(outbox: &Outbox, message: PeerMessage) {
+async fn take(outbox: &Outbox, message: PeerMessage, sequence: &AtomicU64) {
     let node = outbox.node();
     let now = Instant::now();
     let own = node.settings.peer_address();
@@ -100,6 +102,9 @@
                 node.peers.take_summary(told, Via::ThisZone, now);
             }
         }
+        PeerMessage::SummaryWanted(asker) => {
+            return zone_speaker::answer(outbox, node, &asker, next_sequence(sequence)).await;
+        }
         PeerMessage::Introduction(told) => node.peers.take_introduction(&told, own, now),
     }
     node.peer_news.notify_waiters();
@@ -146,8 +151,8 @@
 struct Sender {
     outbox: Outbox,
     node: Arc<Node>,
-    /// Messages so far.
-    sequence: u64,
+    /// Number of the last message; answers to others are counted with it.
+    sequence: Arc<AtomicU64>,
     /// Heartbeats so far.
     heartbeats: u64,
     next_heartbeat_at: Instant,
@@ -186,9 +191,8 @@
         }
     }
 
-    fn next_sequence(&mut self) -> u64 {
-        self.sequence += 1;
-        self.sequence
+    fn next_sequence(&self) -> u64 {
+        next_sequence(&self.sequence)
     }
 
     /// Sends one heartbeat, and what goes out with every few of them; answers its size.
@@ -213,6 +217,7 @@
             self.outbox.send(&message, &beyond).await;
             let loads = self.node.loads.snapshot();
             self.note_visited(&loads);
+            zone_speaker::ask_silent_zones(&self.outbox, &self.node, now).await;
         }
         let per_summary = match self.node.speaker_rank(now) {
             Rank::First => Some(load_reports::LOCAL_PER_SUMMARY),
@@ -280,6 +285,10 @@
     }
 }
 
+fn next_sequence(sequence: &AtomicU64) -> u64 {
+    sequence.fetch_add(1, Ordering::Relaxed) + 1
+}
+
 async fn wait_until(at: Option<Instant>) {
     if let Some(at) = at {
         tokio::time::sleep_until(at.into()).await;
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -88,13 +88,13 @@
 pub struct ZoneSummary {
     /// The zone.
     pub zone: Zone,
-    /// The speaker's host.
+    /// The sender's host.
     pub host: NodeId,
-    /// When the speaker started, in milliseconds since the Unix epoch.
+    /// When the sender started, in milliseconds since the Unix epoch.
     pub incarnation: Incarnation,
     /// Grows with each message of an incarnation.
     pub sequence: u64,
-    /// Where the zone's speakers take messages, the sender first.
+    /// Where the zone's speakers take messages, the first one first; the sender among them.
     pub speakers: Vec<SocketAddr>,
     /// Fronts that live there.
     pub fronts: u32,
@@ -172,6 +172,8 @@
     Summary(ZoneSummary),
     /// From a speaker to its zone.
     Summaries(Vec<AgedSummary>),
+    /// From a process that hears nothing of the receiver's zone: it is answered a summary.
+    SummaryWanted(Contact),
     /// Answer to a heartbeat from another zone.
     Introduction(Introduction),
 }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -322,6 +322,19 @@
         addressed.collect()
     }
 
+    /// For each zone of which processes are known and that nobody tells of, where they take
+    /// messages.
+    pub fn silent_zones(&self, now: Instant) -> Vec<Vec<SocketAddr>> {
+        let tables = self.lock();
+        let zones = tables.contacts.other_zones(&self.own_zone);
+        let silent = zones
+            .into_iter()
+            .filter(|zone| tables.other_zones.speakers(zone, now).is_empty());
+        silent
+            .map(|zone| tables.contacts.of_zone(&zone).collect())
+            .collect()
+    }
+
     /// Summaries of other zones to pass on to this one.
     pub fn to_pass_on(&self, is_first: bool, now: Instant) -> Vec<AgedSummary> {
         self.lock().other_zones.to_pass_on(is_first, now)
--- a/crates/foxwheel-node/src/zone_speaker.rs
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -5,14 +5,14 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::Zone;
+use foxwheel_core::ids::{NodeId, Zone};
 use foxwheel_policy::membership::ServerState;
 use foxwheel_policy::speakers::Rank;
 use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
 use crate::outbox::Outbox;
-use crate::peer_messages::{GuestLoads, PeerMessage, WorkerNote, ZoneSummary};
+use crate::peer_messages::{Contact, GuestLoads, PeerMessage, WorkerNote, ZoneSummary};
 use crate::settings::Role;
 
 /// Tells the other zones' speakers.
@@ -29,6 +29,25 @@
     }
 }
 
+/// Asks the processes of each zone that nobody tells of any more: the paths to this zone's
+/// speakers may be cut, or those speakers may be dead. A front that knew of no other zone's
+/// workers handed its jobs to nobody: they began seconds late.
+pub async fn ask_silent_zones(outbox: &Outbox, node: &Node, now: Instant) {
+    let message = PeerMessage::SummaryWanted(node.contact());
+    for addresses in node.peers.silent_zones(now) {
+        outbox.send(&message, &addresses).await;
+    }
+}
+
+/// Answers a process that hears nothing of this zone.
+pub async fn answer(outbox: &Outbox, node: &Node, asker: &Contact, sequence: u64) {
+    let now = Instant::now();
+    let mut summary = summary(node, sequence, now);
+    summary.servers = server_loads(node, &asker.zone, now);
+    let message = PeerMessage::Summary(summary);
+    outbox.send(&message, &[asker.addr]).await;
+}
+
 /// Passes new summaries of other zones on to those who named this process.
 pub async fn pass_on_summaries(outbox: &Outbox, node: &Node, now: Instant) {
     for rank in [Rank::First, Rank::Second] {
@@ -61,12 +80,18 @@
     let local = node.peers.of_own_zone(now);
     let own_front = usize::from(settings.role == Role::Front);
     let fronts = local.iter().filter(|peer| !peer.member.is_worker).count() + own_front;
-    let mut speakers: Vec<SocketAddr> = vec![settings.peer_address()];
-    let named = node.speakers();
-    let others = local
-        .iter()
-        .filter(|peer| named.contains(&peer.member.host));
-    speakers.extend(others.map(|peer| peer.addr));
+    let own = settings.peer_address();
+    let addr_of = |host: &NodeId| match *host == settings.host {
+        true => Some(own),
+        false => local
+            .iter()
+            .find(|peer| peer.member.host == *host)
+            .map(|peer| peer.addr),
+    };
+    let mut speakers: Vec<SocketAddr> = node.speakers().iter().filter_map(addr_of).collect();
+    if !speakers.contains(&own) {
+        speakers.push(own);
+    }
     let mut workers = node.peers.worker_notes(now);
     if settings.role == Role::Worker {
         workers.push(WorkerNote {
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -462,3 +462,14 @@
         "as the first speaker"
     );
 }
+
+/// A process that hears nothing of a zone any more asks its processes itself, and no zone
+/// that it is told of.
+#[test]
+fn silent_zones_are_asked() {
+    let (peers, now) = (peers(), Instant::now());
+    assert!(peers.silent_zones(now).is_empty());
+    peers.take_summary(aged(0, summary(5, 1, 1, 4)), Via::ThisZone, now);
+    assert!(peers.silent_zones(now).is_empty());
+    assert_eq!(peers.silent_zones(now + DEAD_AFTER), [[addr(5)]]);
+}
