--- a/crates/foxwheel-node/src/ledger_keeper.rs
+++ b/crates/foxwheel-node/src/ledger_keeper.rs
@@ -104,15 +104,15 @@
         (Some(own), _) if is_own => Some(own.change(change.clone()).await),
         (_, Some(keeper)) => {
             let live = node.peers.live(Role::Worker, now);
-            let addr = live.iter().find(|(host, _)| *host == keeper.node);
-            match addr {
-                Some((_, addr)) => {
+            let found = live.iter().find(|(host, _)| *host == keeper.node);
+            match found {
+                Some((_, addr)) if !node.peer_calls.failed_lately(*addr, now) => {
                     let asked = node.peer_calls.change_ledger(*addr, change.clone()).await;
                     asked
                         .inspect_err(|e| log::info!(error:% = e; "ledger keeper did not answer"))
                         .ok()
                 }
-                None => None,
+                Some(_) | None => None,
             }
         }
         _ => None,
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -17,8 +17,14 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{client, context, serde_transport};
 
-/// Longest wait for a connection to a peer: a few round trips.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest wait for a connection to a peer: the peer's kernel opens it, so this is many round
+/// trips within a region. A front behind a cut path accepted each job 8 ms after its target of
+/// 400 ms when it waited so long for the ledger's keeper.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// How long a peer that did not answer is not asked where another way leads to the same end.
+/// Cuts last for seconds; one call in that time shows that they are over.
+const AVOID_FAILED_FOR: Duration = Duration::from_millis(2_000);
 
 /// Longest wait for a peer's answer, beside what the call itself may wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -155,9 +161,27 @@
 pub struct PeerCalls {
     /// Sorted by address.
     clients: Mutex<Vec<(SocketAddr, PeerServiceClient)>>,
+    /// Peers whose last call failed, and when; sorted by address.
+    failed: Mutex<Vec<(SocketAddr, Instant)>>,
 }
 
 impl PeerCalls {
+    /// Whether a call to the peer at `addr` failed a short while ago and none succeeded since.
+    pub fn failed_lately(&self, addr: SocketAddr, now: Instant) -> bool {
+        let failed = self.failed.lock().expect("failed peers lock");
+        let found = failed.binary_search_by_key(&addr, |(addr, _)| *addr);
+        found.is_ok_and(|at| now.duration_since(failed[at].1) < AVOID_FAILED_FOR)
+    }
+
+    fn note_outcome(&self, addr: SocketAddr, answered: bool) {
+        let mut failed = self.failed.lock().expect("failed peers lock");
+        failed.retain(|(known, _)| *known != addr);
+        if !answered {
+            let at = failed.partition_point(|(known, _)| *known < addr);
+            failed.insert(at, (addr, Instant::now()));
+        }
+    }
+
     /// What the peer at `addr` knows of the platform beyond `known`.
     pub async fn knowledge(
         &self,
@@ -255,10 +279,13 @@
             .await
             .map_err(std::io::Error::from)
             .and_then(|connected| connected)
-            .map_err(|e| PeerError {
-                origin: Origin::new("connect to peer", addr.to_string()),
-                reason: e.to_string(),
-                not_sent: true,
+            .map_err(|e| {
+                self.note_outcome(addr, false);
+                PeerError {
+                    origin: Origin::new("connect to peer", addr.to_string()),
+                    reason: e.to_string(),
+                    not_sent: true,
+                }
             })?;
         let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
         let mut clients = self.clients.lock().expect("peer clients lock");
@@ -282,6 +309,7 @@
         addr: SocketAddr,
         answer: Result<T, client::RpcError>,
     ) -> Result<T, PeerError> {
+        self.note_outcome(addr, answer.is_ok());
         answer.map_err(|e| {
             let mut clients = self.clients.lock().expect("peer clients lock");
             clients.retain(|(known, _)| *known != addr);
