--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -366,17 +366,17 @@
         heard.count() + tables.other_zones.fronts(now)
     }
 
-    /// Addresses of live processes that reach the platform's store.
-    pub fn reaching_store(&self, now: Instant) -> Vec<SocketAddr> {
+    /// Addresses of live processes that reach the platform's store: those that are heard, and
+    /// other zones' workers, whom this process may not reach.
+    pub fn reaching_store(&self, now: Instant) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         let tables = self.lock();
         let heard = tables.live(now).filter(|beat| beat.store_reached);
-        let mut reaching: Vec<SocketAddr> = heard.map(|beat| beat.addr).collect();
+        let heard: Vec<SocketAddr> = heard.map(|beat| beat.addr).collect();
         let told = tables.other_zones.workers(now);
         let told = told.filter(|(_, note)| note.store_reached);
-        reaching.extend(told.map(|(_, note)| note.addr));
-        reaching.sort_unstable();
-        reaching.dedup();
-        reaching
+        let told = told.map(|(_, note)| note.addr);
+        let told = told.filter(|addr| !heard.contains(addr)).collect();
+        (heard, told)
     }
 
     /// Live workers: those heard, and those that others tell of though they are not heard
--- a/crates/foxwheel-node/src/store_relay.rs
+++ b/crates/foxwheel-node/src/store_relay.rs
@@ -88,11 +88,14 @@
 /// call through peers would only be refused several times.
 fn routes(node: &Node) -> Vec<Route> {
     let now = Instant::now();
-    let mut peers = node.peers.reaching_store(now);
-    let first = rand::random_range(0..peers.len().max(1));
-    peers.rotate_left(first);
-    peers.truncate(MAX_PEERS);
-    let mut routes: Vec<Route> = peers.into_iter().map(Route::Peer).collect();
+    let (mut heard, mut told) = node.peers.reaching_store(now);
+    for peers in [&mut heard, &mut told] {
+        peers.retain(|addr| !node.peer_calls.failed_lately(*addr, now));
+        let first = rand::random_range(0..peers.len().max(1));
+        peers.rotate_left(first);
+    }
+    let peers = heard.into_iter().chain(told).take(MAX_PEERS);
+    let mut routes: Vec<Route> = peers.map(Route::Peer).collect();
     let turned_away = node.store.failing_for(now).is_some();
     if !turned_away {
         routes.insert(0, Route::Own);
