--- a/crates/foxwheel-node/src/discovery.rs
+++ b/crates/foxwheel-node/src/discovery.rs
@@ -67,7 +67,10 @@
     };
     let mut backoff = Backoff::default();
     loop {
+        let stands = |object: &Object| object.spec == serde_json::json!(node.contact());
         let written = match node.store.write(&create).await {
+            // It started before: the entry need not be written again.
+            Ok(Written::Conflict(Some(object))) if stands(&object) => Ok(Written::Done(object)),
             Ok(Written::Conflict(_)) => node.store.write(&replace).await,
             other => other,
         };
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -233,8 +233,15 @@
         self.publish_held();
     }
 
-    /// Drops jobs that ended and that nobody read for a while.
+    /// Drops jobs that ended and that nobody read for a while, and saved progress that was read
+    /// for jobs adopted before: megabytes in a large fleet.
     pub fn evict(&self, now: Instant) {
+        if let Ok(mut known) = self.checkpoints.try_lock() {
+            let is_old = |read_at: Instant| {
+                now.saturating_duration_since(read_at) >= READ_CHECKPOINTS_AGAIN_AFTER
+            };
+            known.take_if(|(read_at, _)| is_old(*read_at));
+        }
         let mut entries = self.entries.lock().expect("jobs lock");
         entries.retain(|entry| {
             entry.held || entry.storing || now.duration_since(entry.used_at) < KEEP_UNREAD
--- a/crates/foxwheel-policy/tests/speakers.rs
+++ b/crates/foxwheel-policy/tests/speakers.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use foxwheel_policy::following::{self, Standing};
-use foxwheel_policy::speakers::{self, Member, SPEAKERS, SPEAKER_SILENCE};
+use foxwheel_policy::speakers::{self, Member, Rank, SPEAKERS, SPEAKER_SILENCE};
 
 fn member(host: &str) -> Member {
     Member {
@@ -122,3 +122,20 @@
     };
     assert!(!following::should_follow(no_longer));
 }
+
+/// Processes that hear each other differently name different speakers: each of those acts.
+#[test]
+fn whoever_is_named_acts() {
+    let named = |speakers: &[&str]| -> Vec<String> {
+        speakers.iter().map(|host| (*host).to_owned()).collect()
+    };
+    let all = [
+        named(&["worker-1", "front-1"]),
+        named(&["front-1", "front-2"]),
+    ];
+    let rank = |host| speakers::rank(host, all.iter().map(Vec::as_slice));
+    assert_eq!(rank("worker-1"), Rank::First);
+    assert_eq!(rank("front-1"), Rank::First, "by one of them");
+    assert_eq!(rank("front-2"), Rank::Second);
+    assert_eq!(rank("front-3"), Rank::Listener);
+}
--- a/crates/foxwheel-policy/tests/zone_loads.rs
+++ b/crates/foxwheel-policy/tests/zone_loads.rs
@@ -1,6 +1,7 @@
 //! Load on servers of other zones, as it is estimated from what their zones told a moment ago.
 
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::zone_loads::{self, Requests, MAX_TOLD_SERVERS};
 
 fn online(online: u32) -> Requests {
@@ -38,3 +39,32 @@
     assert!(told.iter().all(|(_, load)| load.online <= 1));
     assert!(told.is_sorted_by_key(|(server, _)| *server));
 }
+
+/// Nobody speaks for a zone: a full zone leaves some to it, and does not take its servers for
+/// empty; batch items stay away.
+#[test]
+fn servers_of_a_silent_zone_are_neither_empty_nor_full() {
+    const SLOTS: u32 = 8;
+    let candidate = |zone: &str, load: Requests| Candidate {
+        id: format!("server of {zone}"),
+        zone: zone.to_owned(),
+        slots: SLOTS,
+        in_flight: load.total(),
+        batch_in_flight: load.batch,
+        ..Candidate::default()
+    };
+    let silent = candidate("yard", zone_loads::silent(SLOTS, online(0)));
+    for (local, wanted) in [(7, "hall"), (9, "hall"), (10, "yard")] {
+        let candidates = [candidate("hall", online(local)), silent.clone()];
+        let pick = placement::pick_online(&candidates, "hall", 0).expect("a server");
+        assert_eq!(pick.zone, wanted, "{local} in flight here");
+    }
+    assert!(placement::pick_batch(&[silent], "hall", 0).is_none());
+}
+
+/// A zone without processes: what this zone sends there the others are taken to send too.
+#[test]
+fn a_zone_without_processes_is_shared() {
+    assert_eq!(zone_loads::shared_evenly(3, online(0)).total(), 0);
+    assert_eq!(zone_loads::shared_evenly(3, online(2)).total(), 6);
+}
