--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -1,6 +1,7 @@
 //! A front's side of batch jobs: submissions, reads, ends.
 
 use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
 use crate::job_store::{JobStore, JobStoreError};
 use crate::ledger_keeper;
 use crate::node::Node;
-use crate::peer_calls::{BodyAnswer, ReadAnswer, ReadSpec};
+use crate::peer_calls::{BodyAnswer, NextAsked, PeerError, ReadAnswer, ReadSpec};
 use crate::replies::{self, Reply};
 use crate::settings::Role;
 
@@ -216,27 +217,15 @@
             known_parts: ownership::known_parts(&job, &workers),
             wait: wait.min(MAX_READ_WAIT),
         };
-        let mut answer = ReadAnswer::Unsure;
-        let mut workers = VecDeque::from(self.workers_for(&job));
-        let mut asked = 0;
-        while let Some(addr) = workers.pop_front() {
-            if asked == MAX_WORKERS_ASKED {
-                break;
-            }
-            asked += 1;
-            match self.node.peer_calls.read(addr, job.clone(), read).await {
-                Ok(ReadAnswer::Unsure) => {}
-                Ok(ReadAnswer::Elsewhere(holder)) => workers.push_front(holder),
-                Ok(told) => {
-                    answer = told;
-                    break;
-                }
-                Err(e) => log::info!(request_id = job, error:% = e; "worker did not answer a read"),
-            }
-        }
-        if answer == ReadAnswer::Unsure {
-            answer = self.read_from_store(&job, from).await;
+        let mut asking = Asking::new(self.workers_for(&job));
+        while let Some(addr) = asking.next() {
+            let answer = self.node.peer_calls.read(addr, job.clone(), read).await;
+            asking.take(answer, ReadAnswer::next_asked, &job);
         }
+        let answer = match asking.settled {
+            Some(answer) => answer,
+            None => self.read_from_store(&job, from).await,
+        };
         match answer {
             ReadAnswer::Results {
                 item_count,
@@ -257,23 +246,16 @@
         if !is_valid_id(&job) {
             return replies::status(StatusCode::NOT_FOUND);
         }
-        let mut answer = BodyAnswer::Unsure;
-        for addr in self.workers_for(&job) {
+        let mut asking = Asking::new(self.workers_for(&job));
+        while let Some(addr) = asking.next() {
             let calls = &self.node.peer_calls;
-            match calls.body(addr, job.clone(), item.clone()).await {
-                Ok(BodyAnswer::Unsure) => {}
-                Ok(body) => {
-                    answer = body;
-                    break;
-                }
-                Err(e) => {
-                    log::info!(request_id = item, error:% = e; "worker did not answer a read")
-                }
-            }
-        }
-        if answer == BodyAnswer::Unsure {
-            answer = self.body_from_store(&job, &item).await;
+            let answer = calls.body(addr, job.clone(), item.clone()).await;
+            asking.take(answer, BodyAnswer::next_asked, &job);
         }
+        let answer = match asking.settled {
+            Some(answer) => answer,
+            None => self.body_from_store(&job, &item).await,
+        };
         match answer {
             BodyAnswer::Body(body) => {
                 let mut reply = replies::status(StatusCode::OK);
@@ -281,7 +263,7 @@
                 reply
             }
             BodyAnswer::NoSuchItem => replies::status(StatusCode::NOT_FOUND),
-            BodyAnswer::Unsure => {
+            BodyAnswer::Unsure | BodyAnswer::Elsewhere(_) => {
                 log::warn!(request_id = item, job; "item not readable now");
                 replies::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER)
             }
@@ -338,7 +320,7 @@
 
     /// Addresses of the workers to ask about a job: its holder, then the one that should
     /// hold it.
-    fn workers_for(&self, job: &JobId) -> Vec<std::net::SocketAddr> {
+    fn workers_for(&self, job: &JobId) -> Vec<SocketAddr> {
         let now = Instant::now();
         let workers = self.node.peers.workers(now);
         let holders = workers.iter().filter(|worker| worker.holds(job));
@@ -353,7 +335,7 @@
             .collect()
     }
 
-    fn worker_addr(&self, host: &str, now: Instant) -> Option<std::net::SocketAddr> {
+    fn worker_addr(&self, host: &str, now: Instant) -> Option<SocketAddr> {
         let live = self.node.peers.live(Role::Worker, now);
         live.into_iter()
             .find(|(name, _)| name == host)
@@ -393,6 +375,50 @@
     }
 }
 
+/// Asking workers about a job, one after the other, until an answer settles the question.
+struct Asking<A> {
+    workers: VecDeque<SocketAddr>,
+    /// Questions that may still be asked.
+    left: u32,
+    /// The answer that settles it.
+    settled: Option<A>,
+}
+
+impl<A> Asking<A> {
+    fn new(workers: Vec<SocketAddr>) -> Self {
+        Self {
+            workers: workers.into(),
+            left: MAX_WORKERS_ASKED,
+            settled: None,
+        }
+    }
+
+    /// The next worker to ask; none once the question is settled.
+    fn next(&mut self) -> Option<SocketAddr> {
+        if self.settled.is_some() || self.left == 0 {
+            return None;
+        }
+        self.left -= 1;
+        self.workers.pop_front()
+    }
+
+    fn take(
+        &mut self,
+        answer: Result<A, PeerError>,
+        next_asked: impl Fn(&A) -> NextAsked,
+        job: &JobId,
+    ) {
+        match answer {
+            Ok(answer) => match next_asked(&answer) {
+                NextAsked::Nobody => self.settled = Some(answer),
+                NextAsked::Worker(holder) => self.workers.push_front(holder),
+                NextAsked::Others => {}
+            },
+            Err(e) => log::info!(request_id = job, error:% = e; "worker did not answer a read"),
+        }
+    }
+}
+
 enum NotAccepted {
     /// No part of the job will run through this submission.
     Never(JobStoreError),
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -98,12 +98,47 @@
 pub enum BodyAnswer {
     /// The body.
     Body(Vec<u8>),
+    /// The worker at this address runs the job.
+    Elsewhere(SocketAddr),
     /// No such job or item.
     NoSuchItem,
     /// It cannot be told now.
     Unsure,
 }
 
+/// What a worker's answer means for whom to ask next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextAsked {
+    /// Nobody: the answer settles the question.
+    Nobody,
+    /// The worker at this address.
+    Worker(SocketAddr),
+    /// Whoever else may know.
+    Others,
+}
+
+impl ReadAnswer {
+    /// Whom to ask after this answer.
+    pub fn next_asked(&self) -> NextAsked {
+        match self {
+            Self::Results { .. } | Self::NoSuchJob => NextAsked::Nobody,
+            Self::Elsewhere(holder) => NextAsked::Worker(*holder),
+            Self::Unsure => NextAsked::Others,
+        }
+    }
+}
+
+impl BodyAnswer {
+    /// Whom to ask after this answer.
+    pub fn next_asked(&self) -> NextAsked {
+        match self {
+            Self::Body(_) | Self::NoSuchItem => NextAsked::Nobody,
+            Self::Elsewhere(holder) => NextAsked::Worker(*holder),
+            Self::Unsure => NextAsked::Others,
+        }
+    }
+}
+
 /// What came of a call to the store that a peer made for another process.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Relayed<T> {
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -64,7 +64,10 @@
 
     async fn body(self, _: context::Context, job: JobId, item: ItemId) -> BodyAnswer {
         match &self.jobs {
-            Some(jobs) => jobs.body(&job, &item).await,
+            Some(jobs) => match jobs.holder_elsewhere(&job) {
+                Some(holder) => BodyAnswer::Elsewhere(holder),
+                None => jobs.body(&job, &item).await,
+            },
             None => BodyAnswer::Unsure,
         }
     }
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -37,8 +37,13 @@
 /// hundred milliseconds after a worker died.
 const READ_CHECKPOINTS_AGAIN_AFTER: Duration = Duration::from_millis(1_000);
 
-/// How long a job that nobody reads stays in memory after it ended.
-const KEEP_UNREAD: Duration = Duration::from_secs(20);
+/// How long a job that nobody reads stays in memory after it ended: its results are readable
+/// for two minutes, and each read of a job that is not in memory costs three calls or more.
+const KEEP_UNREAD: Duration = Duration::from_secs(120);
+
+/// Most bytes of such jobs, the ones unread for longest go first: half of the memory that a
+/// process may take for control.
+const MAX_UNREAD_BYTES: usize = 16_000_000;
 
 /// A job in memory.
 #[derive(Debug)]
@@ -243,9 +248,23 @@
             known.take_if(|(read_at, _)| is_old(*read_at));
         }
         let mut entries = self.entries.lock().expect("jobs lock");
+        let is_kept = |entry: &JobEntry| entry.held || entry.storing;
         entries.retain(|entry| {
-            entry.held || entry.storing || now.duration_since(entry.used_at) < KEEP_UNREAD
+            is_kept(entry) || now.saturating_duration_since(entry.used_at) < KEEP_UNREAD
+        });
+        let unread = entries.iter().filter(|entry| !is_kept(entry));
+        let mut by_use: Vec<(Instant, usize)> = unread
+            .map(|entry| (entry.used_at, entry.progress.bytes()))
+            .collect();
+        by_use.sort_unstable_by(|a, b| b.cmp(a));
+        let mut bytes = 0;
+        let too_many = by_use.into_iter().find(|(_, of_entry)| {
+            bytes += of_entry;
+            bytes > MAX_UNREAD_BYTES
         });
+        if let Some((unread_since, _)) = too_many {
+            entries.retain(|entry| is_kept(entry) || entry.used_at > unread_since);
+        }
     }
 
     /// Where another worker that is heard runs the job, if this one does not.
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -137,3 +137,29 @@
     let answer = jobs.read(&"other".to_owned(), read).await;
     assert_eq!(answer, ReadAnswer::Unsure);
 }
+
+/// Jobs that nobody reads stay in memory within a bound: the ones unread for longest go first.
+#[actix_web::test]
+async fn jobs_kept_for_readers_stay_within_a_bound() {
+    let cancel = CancellationToken::new();
+    let jobs = start(&cancel);
+    let large = |at: usize| {
+        let mut job = job(1);
+        job.id = format!("job-{at:02}");
+        job.items[0].body = vec![0; 1_000_000];
+        job
+    };
+    for at in 0..40 {
+        let spec = large(at);
+        let id = spec.id.clone();
+        jobs.take_new(spec);
+        jobs.end(&id, "test");
+    }
+    jobs.evict(Instant::now());
+    let kept: Vec<bool> = (0..40)
+        .map(|at| jobs.with(&format!("job-{at:02}"), |_| ()).is_some())
+        .collect();
+    assert_eq!(kept.iter().filter(|kept| **kept).count(), 16);
+    assert!(kept[39] && !kept[0], "the newest stay: {kept:?}");
+    cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -260,6 +260,13 @@
             .all(|item| matches!(item.state, ItemState::Done(_) | ItemState::Listed))
     }
 
+    /// Bytes of its items' bodies and listed results.
+    pub fn bytes(&self) -> usize {
+        let bodies: usize = self.spec.items.iter().map(|item| item.body.len()).sum();
+        let results: usize = self.listed.iter().map(|result| result.output.len()).sum();
+        bodies + results
+    }
+
     /// Whether every result is stored.
     pub fn is_listed(&self) -> bool {
         self.listed.len() >= self.spec.items.len()
