--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -12,7 +12,6 @@
 use foxwheel_policy::server_changes::ServerChange;
 use tokio_util::sync::CancellationToken;
 
-use crate::contacts::Reach;
 use crate::node::Node;
 use crate::store_access::Backoff;
 use crate::{catch_up, discovery};
@@ -82,40 +81,18 @@
 const LOOK_EVERY: Duration = Duration::from_millis(50);
 
 /// How long a process that just started and has its first list waits before it watches: by
-/// then it has heard who follows for its zone, and its watch is not needed. A quarter of the
-/// shortest bound for a change (2 s); the watch goes on from the list.
-const SETTLE_AFTER_START: Duration = Duration::from_millis(500);
-
-/// How long after its start a process that knows no other one of its zone waits no longer: the
-/// entries of the others were read by then.
-const ALONE_AFTER: Duration = Duration::from_millis(50);
-
-/// How often a process that settles looks whether it was told of a follower.
-const SETTLE_EVERY: Duration = Duration::from_millis(20);
-
-/// Waits until this process knows whether it must watch.
-async fn settle(node: &Node, started_at: Instant) {
-    loop {
-        let now = Instant::now();
-        let age = now.duration_since(started_at);
-        let is_alone = || node.peers.recipients(Reach::OwnZone, now).is_empty();
-        node.pick_speakers(now);
-        let knows = !node.should_follow(now) || (age >= ALONE_AFTER && is_alone());
-        if knows || age >= SETTLE_AFTER_START {
-            return;
-        }
-        tokio::time::sleep(SETTLE_EVERY).await;
-    }
-}
+/// then it has heard who follows for its zone, and its watch is not needed: two heartbeats.
+/// A tenth of the shortest bound for a change (2 s); the watch goes on from the list.
+const SETTLE_AFTER_START: Duration = Duration::from_millis(200);
 
 async fn follow<F: Follower>(node: &Node, follower: F) {
     let mut backoff = Backoff::default();
     let mut revision = None;
     let mut failing = false;
-    let started_at = Instant::now();
+    let settled_at = Instant::now() + SETTLE_AFTER_START;
     loop {
         if revision.is_some() {
-            settle(node, started_at).await;
+            tokio::time::sleep_until(settled_at.into()).await;
         }
         // A process that never listed asks at once; one whose calls fail goes on until the
         // store answers, so that it knows whether it is turned away.
