--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -127,13 +127,16 @@
     }
 }
 
-/// Makes sure that the store answers, while others rely on this process.
+/// Makes sure that the store answers: while others rely on this process, and while its own
+/// calls fail and it does not follow. It would not call again for long, and go on sending its
+/// writes through peers when the store answers it again.
 async fn probe(node: &Node) {
     loop {
         tokio::time::sleep(following::PROBE_EVERY).await;
         let now = Instant::now();
-        if node.is_relied_on(now) && node.should_follow(now) {
-            let reached = node.store.failing_for(now).is_none();
+        let reached = node.store.failing_for(now).is_none();
+        let follows = node.should_follow(now);
+        if (follows && node.is_relied_on(now)) || (!follows && !reached) {
             let answered = node.store.probe(config::KIND, config::NAME).await;
             if answered.is_err() && reached {
                 // The others must take another process for the zone's follower now.
--- a/crates/foxwheel-node/tests/zones.rs
+++ b/crates/foxwheel-node/tests/zones.rs
@@ -51,6 +51,14 @@
     fleet
 }
 
+/// Wakes whoever began to watch before it knew of the others: it does not watch again.
+async fn flush_watches(fleet: &Fleet) {
+    fleet.configure(2, move_plain).await;
+    let one = fleet.servers[0].addr;
+    fleet.list_server("server-0", one, "draining").await;
+    tokio::time::sleep(SETTLE).await;
+}
+
 async fn watches(fleet: &Fleet) -> Vec<u64> {
     let mut watches = Vec::new();
     for process in &fleet.processes {
@@ -62,11 +70,7 @@
 #[actix_web::test]
 async fn a_change_wakes_two_processes_of_a_zone_and_reaches_all() {
     let fleet = one_zone().await;
-    // Whoever began to watch before it knew of the others is woken once.
-    fleet.configure(2, move_plain).await;
-    let one = fleet.servers[0].addr;
-    fleet.list_server("server-0", one, "draining").await;
-    tokio::time::sleep(SETTLE).await;
+    flush_watches(&fleet).await;
     let before = watches(&fleet).await;
     fleet.configure(3, |_| {}).await;
     for front in &fleet.fronts {
@@ -172,3 +176,24 @@
     assert_eq!(common::ids(&results), common::item_ids("job-from-afar", 3));
     fleet.cancel.cancel();
 }
+
+/// The store turns a front away that does not follow it: the front finds out by itself when it
+/// is served again, and does not send its writes through peers until it next needs a list.
+#[actix_web::test]
+async fn a_front_that_was_turned_away_notices_that_it_is_served_again() {
+    let fleet = one_zone().await;
+    flush_watches(&fleet).await;
+    let turned_away = &fleet.processes[2];
+    turned_away.gate.cut();
+    let accepted = common::submit(fleet.fronts[2], "job-by-way-of-a-peer", 1).await;
+    assert_eq!(accepted.expect("answered").status, StatusCode::ACCEPTED);
+    turned_away.gate.heal();
+    let noticing = async {
+        while fleet.counter(turned_away, "foxwheel.store.probe.ok").await == 0 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let noticed = tokio::time::timeout(PATIENCE, noticing).await;
+    assert!(noticed.is_ok(), "it never looked");
+    fleet.cancel.cancel();
+}
