--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -445,6 +445,31 @@
     Ok(read(answer).await)
 }
 
+/// Longest wait for something that takes milliseconds when all is well.
+pub const PATIENCE: Duration = Duration::from_secs(10);
+
+/// The status that `front` answers a read of `path` with, if it answers.
+pub async fn status(front: SocketAddr, path: &str) -> Option<StatusCode> {
+    let answer = call(front, Method::GET, path, "r", &[], "").await.ok()?;
+    Some(answer.status)
+}
+
+/// Waits until `front` answers `path` with `wanted`.
+pub async fn until(front: SocketAddr, path: &str, wanted: StatusCode) {
+    let waiting = async {
+        while status(front, path).await != Some(wanted) {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let waited = tokio::time::timeout(PATIENCE, waiting).await;
+    assert!(waited.is_ok(), "{front}{path} never answered {wanted}");
+}
+
+/// Moves the route of `/plain/` to `/moved/`.
+pub fn move_plain(config: &mut Value) {
+    config["routes"][0]["path_prefix"] = json!("/moved/");
+}
+
 /// Reads an answer to its end, or to where it broke.
 pub async fn read(answer: hyper::Response<hyper::body::Incoming>) -> Answer {
     let (head, mut body) = answer.into_parts();
--- a/crates/foxwheel-node/tests/membership_contract.rs
+++ b/crates/foxwheel-node/tests/membership_contract.rs
@@ -6,32 +6,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{call, Fleet, Plan};
+use common::{call, move_plain, status, until, Fleet, Plan};
 use foxwheel_node::settings::Role;
 use foxwheel_server_emu::server::Shape;
 use foxwheel_store::api::Faults;
 use hyper::{Method, StatusCode};
 use serde_json::json;
 
-/// Longest wait for something that takes milliseconds when all is well.
-const PATIENCE: Duration = Duration::from_secs(10);
-
-async fn status(front: SocketAddr, path: &str) -> Option<StatusCode> {
-    let answer = call(front, Method::GET, path, "r", &[], "").await.ok()?;
-    Some(answer.status)
-}
-
-/// Waits until `front` answers `path` with `wanted`.
-async fn until(front: SocketAddr, path: &str, wanted: StatusCode) {
-    let waiting = async {
-        while status(front, path).await != Some(wanted) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(waited.is_ok(), "{front}{path} never answered {wanted}");
-}
-
 fn readiness(fleet: &Fleet, at: usize) -> SocketAddr {
     fleet.processes[at]
         .settings
@@ -39,11 +20,6 @@
         .expect("a front")
 }
 
-/// Moves the route of `/plain/` to `/moved/`.
-fn move_plain(config: &mut serde_json::Value) {
-    config["routes"][0]["path_prefix"] = json!("/moved/");
-}
-
 #[actix_web::test]
 async fn a_configuration_reaches_every_front_and_an_older_one_none() {
     let fleet = Fleet::start(Plan {
--- a/crates/foxwheel-node/tests/zones.rs
+++ b/crates/foxwheel-node/tests/zones.rs
@@ -4,41 +4,17 @@
 
 mod common;
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{call, Fleet, Plan};
+use common::{call, move_plain, until, Fleet, Plan, PATIENCE};
 use foxwheel_server_emu::server::Shape;
 use hyper::{Method, StatusCode};
-use serde_json::json;
-
-/// Longest wait for something that takes milliseconds when all is well.
-const PATIENCE: Duration = Duration::from_secs(10);
 
 /// By then every process has heard the others and those who follow are settled.
 const SETTLE: Duration = Duration::from_millis(2_000);
 
 const WATCHES: &str = "foxwheel.store.watch.ok";
 
-async fn status(front: SocketAddr, path: &str) -> Option<StatusCode> {
-    let answer = call(front, Method::GET, path, "r", &[], "").await.ok()?;
-    Some(answer.status)
-}
-
-async fn until(front: SocketAddr, path: &str, wanted: StatusCode) {
-    let waiting = async {
-        while status(front, path).await != Some(wanted) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    let waited = tokio::time::timeout(PATIENCE, waiting).await;
-    assert!(waited.is_ok(), "{front}{path} never answered {wanted}");
-}
-
-fn move_plain(config: &mut serde_json::Value) {
-    config["routes"][0]["path_prefix"] = json!("/moved/");
-}
-
 /// Five fronts and a worker in one zone, settled: the worker on host 6 and the front on host 1
 /// follow the store.
 async fn one_zone() -> Fleet {
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! test can replay any order of events. The runtime (`foxwheel-node`) feeds them.
 
 pub mod admission;
+pub mod backend_server;
 pub mod batch;
 pub mod config_in_force;
 pub mod following;
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -5,12 +5,11 @@
 //! last resort until it had time to register again. A server may start again under its id:
 //! what is known of one start never speaks for another.
 
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, Zone};
-use serde::{Deserialize, Serialize};
+use foxwheel_core::ids::ServerId;
 
+pub use crate::backend_server::{BackendServer, ServerKey, ServerState};
 use crate::server_changes::{ServerChange, ServerChanges, ServerNews};
 
 /// How long after an entry vanished in calm times its server is still a last resort.
@@ -26,59 +25,6 @@
 /// store); bounded, as the answer may have been spoiled on its way.
 const GONE_FOR: Duration = Duration::from_secs(12);
 
-/// One start of a backend server. Loads, failures and connections belong to it.
-#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct ServerKey {
-    /// The server's id.
-    pub id: ServerId,
-    /// Tells its starts apart.
-    pub incarnation: Incarnation,
-}
-
-impl std::fmt::Display for ServerKey {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(&self.id)
-    }
-}
-
-/// What a backend server says of itself.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ServerState {
-    /// Takes new work.
-    Ready,
-    /// Is leaving: takes no new work.
-    Draining,
-}
-
-/// One backend server as the platform lists it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BackendServer {
-    /// Its id, which a later start may have too.
-    pub id: ServerId,
-    /// Tells starts under one id apart.
-    pub incarnation: Incarnation,
-    /// The service it belongs to.
-    pub service: ServiceName,
-    /// Where it listens; may be reused by another service's server later.
-    pub addr: SocketAddr,
-    /// Its availability zone.
-    pub zone: Zone,
-    /// Requests it processes at once.
-    pub slots: u32,
-    /// Whether it takes new work.
-    pub state: ServerState,
-}
-
-impl BackendServer {
-    /// The start that the entry tells of.
-    pub fn key(&self) -> ServerKey {
-        ServerKey {
-            id: self.id.clone(),
-            incarnation: self.incarnation,
-        }
-    }
-}
-
 /// A listed server and what this process thinks of its entry.
 #[derive(Debug, Clone)]
 pub struct Member {
--- a/crates/foxwheel-policy/src/server_changes.rs
+++ b/crates/foxwheel-policy/src/server_changes.rs
@@ -3,7 +3,7 @@
 use foxwheel_core::ids::ServerId;
 use serde::{Deserialize, Serialize};
 
-use crate::membership::BackendServer;
+use crate::backend_server::BackendServer;
 
 /// Changes that are kept: more than 3,000 servers bring that register within the second or two
 /// by which a process may be behind. With 512 each process of a zone took whole lists of them
--- a/crates/foxwheel-policy/src/server_index.rs
+++ b/crates/foxwheel-policy/src/server_index.rs
@@ -7,7 +7,8 @@
 
 use foxwheel_core::ids::{ServiceName, Zone};
 
-use crate::membership::{Member, ServerKey, ServerState};
+use crate::backend_server::{ServerKey, ServerState};
+use crate::membership::Member;
 use crate::zone_loads::{self, ServerFingerprint};
 
 /// Most servers of the own zone that one choice looks at.
--- a/crates/foxwheel-policy/src/zone_loads.rs
+++ b/crates/foxwheel-policy/src/zone_loads.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::membership::ServerKey;
+use crate::backend_server::ServerKey;
 
 /// Stands for a start of a server in messages between zones: a third of the key's bytes. Two
 /// servers with one fingerprint, once in 10^13 fleets of 1,000, would count as equally full.
