A broken answer's log line tells whether its server ended, and of which content the request was

In the incident no log line told whether a server's process had ended or one connection broke, nor that two attempts carried the same request: one request that ends every server could not be told from servers that end by themselves. Ruled out as substitutes: refused connections seen by chance (they name the wrong request), the servers' list (it shows an end seconds later, of whichever cause).

Each answer that breaks on its connection now has the server looked at once, beside the request: refused means that its process ended. Nothing decides by it yet. Costs one connection for a broken answer, and a fingerprint then; nothing otherwise.

--- a/crates/foxwheel-core/src/ids.rs
+++ b/crates/foxwheel-core/src/ids.rs
@@ -17,6 +17,8 @@
 pub type ItemId = String;
 /// A request id carried end to end in the `x-request-id` header.
 pub type RequestId = String;
+/// A fingerprint of what a request asks for, whatever its id: see [`crate::fingerprint`].
+pub type ContentFingerprint = String;
 /// A version of an object in the platform store; a store-wide revision number.
 pub type Version = u64;
 /// A fencing number handed out with a lease; a holder with an older number is stale.
--- a/crates/foxwheel-ctl/src/explain/story.rs
+++ b/crates/foxwheel-ctl/src/explain/story.rs
@@ -78,11 +78,11 @@
     ids
 }
 
-/// Whether the line is on the id itself, or on its job as a whole. Lines on other items of
-/// the job are left out.
+/// Whether the line is on the id itself, on the content of several requests that it stands for,
+/// or on its job as a whole. Lines on other items of the job are left out.
 fn names_any(line: &Line, ids: &[&str]) -> bool {
     let (id, job) = (ids[0], ids.get(1));
-    if line.has("request_id", id) {
+    if line.has("request_id", id) || line.has("content", id) {
         return true;
     }
     match job {
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -71,6 +71,26 @@
     driver: JoinHandle<()>,
 }
 
+/// What a peer's kernel makes of a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Listening {
+    /// It opens it.
+    Accepts,
+    /// It refuses it: nothing listens there.
+    Refuses,
+    /// Neither came in time.
+    NoAnswer,
+}
+
+/// Whether something listens at `peer`, found out by a connection that is closed at once.
+pub async fn listening(peer: SocketAddr, timeout: Duration) -> Listening {
+    match tokio::time::timeout(timeout, TcpStream::connect(peer)).await {
+        Ok(Ok(_)) => Listening::Accepts,
+        Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => Listening::Refuses,
+        Ok(Err(_)) | Err(_) => Listening::NoAnswer,
+    }
+}
+
 impl Connection {
     /// Opens a connection to `peer`. Runs its transport on the current tokio runtime.
     pub async fn open(peer: SocketAddr, options: ConnectOptions) -> Result<Self, ExchangeError> {
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -18,6 +18,8 @@
 
 use crate::load_table::InFlight;
 use crate::node::Node;
+use crate::request_content::RequestContent;
+use crate::server_fate;
 
 /// Silence of a server on all requests of this process after which it is sent nothing new:
 /// engines take a step every few milliseconds.
@@ -30,6 +32,8 @@
     pub slot: InFlight,
     /// The request's id, which the answer must carry.
     pub request_id: RequestId,
+    /// What the request asks for.
+    pub content: Arc<RequestContent>,
     /// How long it is expected to wait for a slot there.
     pub expected_wait: Duration,
     /// When to stop waiting.
@@ -69,6 +73,8 @@
     /// The server.
     pub server: ServerKey,
     node: Arc<Node>,
+    request_id: RequestId,
+    content: Arc<RequestContent>,
     body: Incoming,
     connection: Connection,
     slot: InFlight,
@@ -114,6 +120,9 @@
         Some(Ok(exchanged)) => exchanged,
         Some(Err(e)) => {
             note_broken(node, server, &e, is_new);
+            if matches!(e, ExchangeError::Broken { .. }) {
+                look_at_server(node, server, &target.request_id, &target.content);
+            }
             let outcome = match e.is_not_sent() {
                 true => AttemptOutcome::NotSent,
                 false => AttemptOutcome::Unknown,
@@ -150,6 +159,8 @@
         says,
         server: server.clone(),
         node: Arc::clone(node),
+        request_id: target.request_id,
+        content: target.content,
         body,
         connection,
         slot: target.slot,
@@ -172,7 +183,10 @@
                     // Trailers concern the connection only.
                     Err(_) => continue,
                 },
-                Some(Some(Err(e))) => Piece::Broken(e.to_string()),
+                Some(Some(Err(e))) => {
+                    look_at_server(&self.node, &self.server, &self.request_id, &self.content);
+                    Piece::Broken(e.to_string())
+                }
                 None => Piece::Broken("silent for too long".to_owned()),
             };
         }
@@ -259,6 +273,18 @@
     }
 }
 
+/// Finds out, beside the request, whether the server ended that broke an answer off.
+fn look_at_server(
+    node: &Arc<Node>,
+    server: &ServerKey,
+    request_id: &RequestId,
+    content: &Arc<RequestContent>,
+) {
+    let (node, content) = (Arc::clone(node), Arc::clone(content));
+    let look = server_fate::look(node, server.clone(), request_id.clone(), content);
+    tokio::spawn(look);
+}
+
 fn note_suspect(node: &Node, server: &ServerKey, reason: &str) {
     if node.loads.suspect(server, Instant::now()) {
         log::info!(server = server.id, reason; "backend server suspected");
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -3,18 +3,20 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foxwheel_core::ids::JobId;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_platform::online::{self, Attempt};
 use foxwheel_policy::batch::item::{ItemSpec, PartialOutput, RunEnd};
 use foxwheel_policy::retry::AttemptOutcome;
-use hyper::StatusCode;
+use hyper::{Method, StatusCode};
 use tokio_util::sync::CancellationToken;
 
 use crate::attempt::{self, OpenAnswer, Piece, Target};
 use crate::event_stream::EventSplitter;
 use crate::load_table::InFlight;
 use crate::node::Node;
+use crate::request_content::RequestContent;
 
 /// Longest wait for the first event: an engine that does not begin within it is full.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(4_000);
@@ -95,9 +97,12 @@
         Ok(request) => request,
         Err(e) => return (RunEnd::Impossible, format!("not a valid request: {e}")),
     };
+    let body = Bytes::from(item.body.clone());
+    let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body);
     let target = Target {
         slot,
         request_id: item.id.clone(),
+        content: Arc::new(content),
         expected_wait: EXPECTED_WAIT,
         give_up_at: Instant::now() + FIRST_EVENT_PATIENCE,
         head_by: None,
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -256,6 +256,13 @@
         directory.server(key).map(|server| server.addr)
     }
 
+    /// The address of that start of a server, if it is the one that is listed and not leaving.
+    pub fn ready_server_addr(&self, key: &ServerKey) -> Option<SocketAddr> {
+        let directory = self.directory.lock().expect("directory lock");
+        let member = directory.usable_member(key, Instant::now())?;
+        member.lapsed_until.is_none().then_some(member.server.addr)
+    }
+
     /// The availability zone of a listed start of a server.
     pub fn server_zone(&self, key: &ServerKey) -> Option<Zone> {
         let directory = self.directory.lock().expect("directory lock");
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -17,6 +17,7 @@
 use crate::attempt::{self, Failure, OpenAnswer, Target, WholeAnswer};
 use crate::load_table::{InFlight, WorkClass};
 use crate::node::Node;
+use crate::request_content::RequestContent;
 
 /// How long a repeatable request waits for the head of an answer before it is sent to
 /// another server: many times a usual answer's time, a third of a usual caller's.
@@ -58,6 +59,7 @@
     pub choice: Option<Choice>,
     head: request::Parts,
     body: Bytes,
+    content: Arc<RequestContent>,
     /// Servers that were tried.
     pub tried: Vec<ServerKey>,
 }
@@ -90,6 +92,12 @@
     ) -> Self {
         let service = route.pick_service(rand::random()).clone();
         let time_limit = caller.time_limit.unwrap_or(route.timeout);
+        let content = RequestContent::new(
+            head.method.as_str(),
+            &caller.host,
+            online::target(&head),
+            body.clone(),
+        );
         Self {
             attempts: Attempts::new(route.is_repeatable(), route.max_attempts),
             last_event_id: caller.last_event_id,
@@ -103,6 +111,7 @@
             received_at,
             head,
             body,
+            content: Arc::new(content),
         }
     }
 
@@ -224,6 +233,7 @@
         let target = Target {
             slot,
             request_id: self.caller.id.clone(),
+            content: Arc::clone(&self.content),
             expected_wait: self.choice.map_or(Duration::ZERO, |one| one.expected_wait),
             give_up_at: self.answer_by,
             head_by: again.then(|| now + HEAD_PATIENCE),
