--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -37,6 +37,8 @@
     pub events: u64,
     /// Time from the start of a run to its answer, and between events.
     pub step: Duration,
+    /// Body of a request that crashes the server as soon as it begins to run.
+    pub crashes_on: Option<String>,
 }
 
 impl Default for Shape {
@@ -47,6 +49,7 @@
             queue: 24,
             events: 5,
             step: Duration::from_millis(2),
+            crashes_on: None,
         }
     }
 }
@@ -60,6 +63,20 @@
     pub script: Arc<Script>,
     /// Its record.
     pub runs: Arc<Runs>,
+    /// Cancelled when it ends.
+    ended: CancellationToken,
+}
+
+impl Server {
+    /// Whether it crashed or was ended: nothing listens at its address.
+    pub fn has_ended(&self) -> bool {
+        self.ended.is_cancelled()
+    }
+
+    /// Ends it: it closes everything without a word.
+    pub fn end(&self) {
+        self.ended.cancel();
+    }
 }
 
 #[derive(Debug)]
@@ -69,6 +86,7 @@
     runs: Arc<Runs>,
     slots: Arc<Semaphore>,
     waiting: Arc<Semaphore>,
+    ended: CancellationToken,
 }
 
 /// Starts a stand-in on an ephemeral port of `ip`; it closes everything when cancelled.
@@ -78,27 +96,30 @@
     cancel: CancellationToken,
 ) -> std::io::Result<Server> {
     let listener = TcpListener::bind((ip, 0)).await?;
+    let ended = cancel.child_token();
     let server = Server {
         addr: listener.local_addr()?,
         script: Arc::default(),
         runs: Arc::default(),
+        ended: ended.clone(),
     };
     let inner = Arc::new(Inner {
         slots: Arc::new(Semaphore::new(shape.slots)),
         waiting: Arc::new(Semaphore::new(shape.slots + shape.queue)),
         script: Arc::clone(&server.script),
         runs: Arc::clone(&server.runs),
+        ended: ended.clone(),
         shape,
     });
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
-                () = cancel.cancelled() => return,
+                () = ended.cancelled() => return,
                 accepted = listener.accept() => accepted,
             };
             let Ok((stream, _)) = accepted else { continue };
             let inner = Arc::clone(&inner);
-            let cancel = cancel.clone();
+            let ended = ended.clone();
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
                     let inner = Arc::clone(&inner);
@@ -107,7 +128,7 @@
                 let connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service);
                 tokio::select! {
-                    () = cancel.cancelled() => {}
+                    () = ended.cancelled() => {}
                     // Broken connections are part of the tests.
                     _ = connection => {}
                 }
@@ -171,6 +192,9 @@
             finished: false,
         };
         tokio::time::sleep(self.shape.step).await;
+        if self.crashes_on(&body) {
+            self.ended.cancel();
+        }
         let held = (place, slot, guard);
         self.run(fault, &request_id, resumed_after, held).await
     }
@@ -203,6 +227,11 @@
         }
     }
 
+    fn crashes_on(&self, body: &[u8]) -> bool {
+        let crash = self.shape.crashes_on.as_ref();
+        crash.is_some_and(|crash| crash.as_bytes() == body)
+    }
+
     fn head(&self, status: StatusCode, request_id: &str) -> hyper::http::response::Builder {
         Response::builder()
             .status(status)
