A request that crashes backend servers is quarantined by every process

Callers saw their streams break in waves: one request crashed every server that began to run it, and each of its repeats crashed two more.

Cause: nothing outlived the attempt. A broken answer counted against the server (failure rate) and against its attempt (runs of its route), never against the request's content, and no process learned of crashes that another one saw. Ruled out: too many runs in one attempt (no attempt was at more than two servers); servers that end by themselves (each pair shared one attempt, before its first event).

Now each crash (broken answer, then a refused connection) is kept by content, and processes tell each other: a state number in heartbeats and summaries, asked for where it differs. After crashes of three starts of servers the content is refused as not run, at once, for ten minutes, with that time to come back; then the next crash is enough. One whole answer clears a content, everywhere.

Why it holds: crashes add up whoever saw them and merge in any order; who starts, wakes or was cut off asks for what it missed. Innocents beside a crash are accused once each and cleared when served; leaving servers accuse nobody.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -46,6 +46,8 @@
     NoServer,
     /// Every server that was tried turned it away.
     Rejected,
+    /// Servers crashed under its content.
+    Quarantined,
 }
 
 /// A call to the platform's store.
@@ -78,6 +80,8 @@
     StreamBroken,
     /// New connections to backend servers.
     ServerConnection,
+    /// Requests at which a backend server crashed; one crash counts for each request there.
+    CrashNoted,
     /// Jobs accepted, repeats included.
     JobAccepted,
     /// Jobs refused for the quota.
@@ -154,6 +158,7 @@
             Self::ServersFull => "servers_full",
             Self::NoServer => "no_server",
             Self::Rejected => "rejected",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -166,6 +171,7 @@
             Self::ServersFull => "all servers full",
             Self::NoServer => "no server",
             Self::Rejected => "all tried servers rejected it",
+            Self::Quarantined => "servers crashed under it",
         }
     }
 }
@@ -197,6 +203,7 @@
             Self::StreamResumed => "stream.resumed",
             Self::StreamBroken => "stream.broken",
             Self::ServerConnection => "server.connections",
+            Self::CrashNoted => "server.crashes_noted",
             Self::JobAccepted => "batch.accepted",
             Self::JobOverQuota => "batch.over_quota",
             Self::RunWhole => "batch.runs_whole",
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -25,6 +25,10 @@
 /// engines take a step every few milliseconds.
 const SUSPECT_SILENCE: Duration = Duration::from_millis(400);
 
+/// Longest wait for what became of a server that broke an answer off: one that crashed refuses
+/// connections within a round trip.
+const FINDING_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Where an attempt goes and how long it may take.
 #[derive(Debug)]
 pub struct Target {
@@ -121,7 +125,7 @@
         Some(Err(e)) => {
             note_broken(node, server, &e, is_new);
             if matches!(e, ExchangeError::Broken { .. }) {
-                look_at_server(node, server, &target.request_id, &target.content);
+                look_at_server(node, server, &target.request_id, &target.content).await;
             }
             let outcome = match e.is_not_sent() {
                 true => AttemptOutcome::NotSent,
@@ -184,7 +188,8 @@
                     Err(_) => continue,
                 },
                 Some(Some(Err(e))) => {
-                    look_at_server(&self.node, &self.server, &self.request_id, &self.content);
+                    let (id, content) = (&self.request_id, &self.content);
+                    look_at_server(&self.node, &self.server, id, content).await;
                     Piece::Broken(e.to_string())
                 }
                 None => Piece::Broken("silent for too long".to_owned()),
@@ -212,9 +217,13 @@
             node,
             connection,
             slot,
+            content,
             ..
         } = self;
         drop(slot);
+        if says.status.is_success() && !says.not_run {
+            node.note_success(&content);
+        }
         if !says.closes {
             node.pool.put(&server, connection, says.idle_timeout);
         }
@@ -273,16 +282,23 @@
     }
 }
 
-/// Finds out, beside the request, whether the server ended that broke an answer off.
-fn look_at_server(
+/// Has the server looked at that broke an answer off, before the request goes on elsewhere:
+/// one that crashes servers would otherwise reach the next ones faster than it is found out.
+async fn look_at_server(
     node: &Arc<Node>,
     server: &ServerKey,
     request_id: &RequestId,
     content: &Arc<RequestContent>,
 ) {
-    let (node, content) = (Arc::clone(node), Arc::clone(content));
-    let look = server_fate::look(node, server.clone(), request_id.clone(), content);
-    tokio::spawn(look);
+    let look = server_fate::look(
+        Arc::clone(node),
+        server.clone(),
+        request_id.clone(),
+        Arc::clone(content),
+    );
+    // Looked for to the end, also when the caller leaves meanwhile; without a finding in time
+    // the request goes on.
+    let _ = tokio::time::timeout(FINDING_PATIENCE, tokio::spawn(look)).await;
 }
 
 fn note_suspect(node: &Node, server: &ServerKey, reason: &str) {
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -12,6 +12,7 @@
 use foxwheel_core::ids::Zone;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::load_reports::{self, ChangeClock};
+use foxwheel_policy::quarantine::QuarantineState;
 use foxwheel_policy::speakers::Rank;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
@@ -93,6 +94,7 @@
         PeerMessage::LoadChanges(changes) => node.peers.take_changes(changes, now),
         PeerMessage::GuestLoads(told) => zone_speaker::take_guest(outbox, node, told, now).await,
         PeerMessage::Summary(summary) => {
+            hear_quarantine(node, summary.quarantine);
             let age = Duration::ZERO;
             let told = AgedSummary { age, summary };
             node.peers.take_summary(told, Via::ThatZone, now);
@@ -116,11 +118,19 @@
     if beat.follows && beat.knows.is_more_than(node.known_state()) {
         node.follower_news.notify_one();
     }
+    hear_quarantine(node, beat.quarantine);
     if node.peers.hear(beat, own, now) {
         log::info!(peer = host, incarnation, leaving; "peer is alive");
     }
 }
 
+/// Has the sender of a message asked, if it knows of other crashes of servers.
+fn hear_quarantine(node: &Node, told: QuarantineState) {
+    if told != 0 && told != node.quarantine_state() {
+        node.quarantine_news.notify_one();
+    }
+}
+
 /// Answers a process of another zone that does not know who is here.
 async fn introduce(outbox: &Outbox, beat: &Heartbeat) {
     let node = outbox.node();
@@ -307,6 +317,7 @@
         store_reached: node.store.failing_for(now).is_none(),
         follows: node.follows(now),
         knows: node.known_state(),
+        quarantine: node.quarantine_state(),
         speakers: node.speakers(),
         loads: node.loads.snapshot(),
         gone: node.gone_servers(now),
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod relay;
 pub mod replies;
 pub mod request_content;
+pub mod request_quarantine;
 pub mod result_store;
 pub mod retirement_follower;
 pub mod server_fate;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -14,6 +14,7 @@
 use foxwheel_policy::following::{self, Standing};
 use foxwheel_policy::membership::{self, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
+use foxwheel_policy::quarantine::Quarantine;
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_index::{self, ServerIndex};
 use foxwheel_policy::speakers::{self, Member, Rank};
@@ -69,6 +70,10 @@
     pub servers_are_current: AtomicBool,
     /// Woken when a process that follows the store tells that it knows more.
     pub follower_news: Notify,
+    /// Requests under which servers crashed.
+    pub quarantine: Mutex<Quarantine>,
+    /// Woken when another process tells that it knows of other crashes.
+    pub quarantine_news: Notify,
     /// Woken at every heartbeat heard.
     pub peer_news: Notify,
     /// Calls to the other processes.
@@ -107,6 +112,8 @@
             config_is_current: AtomicBool::new(false),
             servers_are_current: AtomicBool::new(false),
             follower_news: Notify::new(),
+            quarantine: Mutex::default(),
+            quarantine_news: Notify::new(),
             peer_news: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -137,6 +137,10 @@
     pub async fn open(&mut self, node: &Arc<Node>) -> Result<OpenAnswer, Refusal> {
         loop {
             let now = Instant::now();
+            if let Some(left) = node.quarantined_for(&self.content, now) {
+                // Each further run would crash one more server under other callers' requests.
+                return Err(self.refusal(RefusalReason::Quarantined, left));
+            }
             if now + LEAST_TIME_LEFT >= self.answer_by {
                 return Err(self.refusal(RefusalReason::TimeIsUp, TIME_UP_RETRY_AFTER));
             }
--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -6,6 +6,7 @@
 use foxwheel_core::ids::Zone;
 use foxwheel_policy::load_reports::{DEAD_AFTER, PASS_ON_AFTER};
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::quarantine::QuarantineState;
 use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
 use crate::peer_messages::{AgedSummary, WorkerNote, ZoneSummary};
@@ -18,6 +19,8 @@
     told_at: Instant,
     /// It came from that zone and was not passed on to this one yet.
     is_news: bool,
+    /// By which way it came.
+    via: Via,
     /// When another process of this zone last passed on a summary of that zone.
     passed_on_at: Option<Instant>,
 }
@@ -67,6 +70,7 @@
             summary,
             told_at,
             is_news: via == Via::ThatZone,
+            via,
             passed_on_at,
         };
         match found {
@@ -113,6 +117,16 @@
             .sum()
     }
 
+    /// Which crashes the speakers know of that told this process themselves, and where they
+    /// take calls; the others' news reach this zone by its own speakers.
+    pub fn quarantine_states(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (SocketAddr, QuarantineState)> + '_ {
+        let direct = self.live(now).filter(|other| other.via == Via::ThatZone);
+        direct.map(|other| (other.summary.addr, other.summary.quarantine))
+    }
+
     /// Live workers of the other zones, and their zones.
     pub fn workers(&self, now: Instant) -> impl Iterator<Item = (&Zone, &WorkerNote)> {
         self.live(now).flat_map(move |other| {
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -10,6 +10,7 @@
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{self, LedgerAnswer, LedgerChange};
+use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_changes::ServerNews;
 use serde::{Deserialize, Serialize};
@@ -166,6 +167,8 @@
     async fn body(job: JobId, item: ItemId) -> BodyAnswer;
     /// Makes a change of the ledger.
     async fn change_ledger(change: LedgerChange) -> Relayed<LedgerAnswer>;
+    /// The crashes of servers that the peer knows of.
+    async fn crashes() -> Vec<CrashReport>;
     /// Performs a write for a process that the store turns away.
     async fn store_write(write: Write) -> Relayed<Written>;
     /// Reads an object for a process that the store turns away.
@@ -279,6 +282,13 @@
         self.checked("change ledger", addr, answer)
     }
 
+    /// The crashes of servers that the peer at `addr` knows of.
+    pub async fn crashes(&self, addr: SocketAddr) -> Result<Vec<CrashReport>, PeerError> {
+        let client = self.client(addr).await?;
+        let answer = client.crashes(context_for(CALL_TIMEOUT)).await;
+        self.checked("ask for crashes", addr, answer)
+    }
+
     /// Has the peer at `addr` perform a write.
     pub async fn store_write(
         &self,
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -5,6 +5,7 @@
 use foxwheel_core::ids::{Incarnation, NodeId, Zone};
 use foxwheel_policy::batch::ownership::JobClaim;
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::quarantine::QuarantineState;
 use foxwheel_policy::zone_loads::{Requests, ServerFingerprint};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
@@ -37,6 +38,8 @@
     pub follows: bool,
     /// How new the configuration and the list of servers are that it knows.
     pub knows: KnownState,
+    /// Which crashes of servers it knows of.
+    pub quarantine: QuarantineState,
     /// The processes of its zone that it takes as speakers, first choice first.
     pub speakers: Vec<NodeId>,
     /// Its load on backend servers; sorted by server and start.
@@ -90,6 +93,10 @@
     pub zone: Zone,
     /// The sender's host.
     pub host: NodeId,
+    /// Where the sender takes calls and heartbeats.
+    pub addr: SocketAddr,
+    /// Which crashes of servers the sender knows of.
+    pub quarantine: QuarantineState,
     /// When the sender started, in milliseconds since the Unix epoch.
     pub incarnation: Incarnation,
     /// Grows with each message of an incarnation.
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -8,6 +8,7 @@
 use foxwheel_platform::store::{Object, StoreError, Write, Written};
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{LedgerAnswer, LedgerChange};
+use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
@@ -83,6 +84,11 @@
         }
     }
 
+    async fn crashes(self, _: context::Context) -> Vec<CrashReport> {
+        let quarantine = self.node.quarantine.lock().expect("quarantine lock");
+        quarantine.reports(Instant::now())
+    }
+
     async fn store_write(self, _: context::Context, write: Write) -> Relayed<Written> {
         relayed(self.node.store.write(&write).await)
     }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -9,6 +9,7 @@
 use foxwheel_policy::batch::ownership::Worker;
 use foxwheel_policy::load_reports::DEAD_AFTER;
 use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::quarantine::QuarantineState;
 use foxwheel_policy::speakers::Member;
 use foxwheel_policy::zone_loads::{self, Requests, ServerFingerprint};
 
@@ -279,6 +280,15 @@
         followers.collect()
     }
 
+    /// Which crashes of servers the processes that are heard know of, and where they take calls.
+    pub fn quarantine_states(&self, now: Instant) -> Vec<(SocketAddr, QuarantineState)> {
+        let tables = self.lock();
+        let heard = tables.live(now).map(|beat| (beat.addr, beat.quarantine));
+        heard
+            .chain(tables.other_zones.quarantine_states(now))
+            .collect()
+    }
+
     /// How long ago a process of the own zone last told that it follows the platform's store.
     pub fn told_by_follower_ago(&self, now: Instant) -> Option<Duration> {
         let tables = self.lock();
--- /dev/null
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -0,0 +1,115 @@
+//! Requests that crash backend servers, as this process and the others know of them.
+//!
+//! Whoever sees a crash tells its state of knowledge with the next heartbeat, and a speaker
+//! with the next summary; whoever hears of another state than its own asks for it. So a
+//! process that starts, wakes or was cut off learns all that it missed, and while nothing
+//! crashes this costs one byte a message.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use foxwheel_core::metric_names::Counter;
+use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::quarantine::{QuarantineState, Standing};
+use foxwheel_policy::zone_loads;
+
+use crate::node::Node;
+use crate::request_content::RequestContent;
+
+/// How often a process looks whether others know of other crashes, in case the wake-up by
+/// their messages was missed or their answer was lost.
+const LOOK_EVERY: Duration = Duration::from_millis(300);
+
+/// Least time between two looks: several messages tell of one crash.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+impl Node {
+    /// For how long a request must not be run, if its content is quarantined.
+    pub fn quarantined_for(&self, content: &RequestContent, now: Instant) -> Option<Duration> {
+        let quarantine = self.quarantine.lock().expect("quarantine lock");
+        if quarantine.is_empty() {
+            return None;
+        }
+        match quarantine.standing(content.fingerprint(), now) {
+            Standing::Quarantined(left) => Some(left),
+            Standing::Clear | Standing::Suspect => None,
+        }
+    }
+
+    /// Takes note that `server` crashed while a request with that content was there.
+    pub fn note_crash(&self, content: &RequestContent, server: &ServerKey) {
+        let server = zone_loads::fingerprint(server);
+        let content = content.fingerprint();
+        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
+        let is_quarantined = quarantine.note_crash(content, server, Instant::now());
+        drop(quarantine);
+        self.metrics.incr(Counter::CrashNoted);
+        if is_quarantined {
+            log::warn!(content; "request quarantined");
+        }
+        self.load_alarm.notify_one();
+    }
+
+    /// Takes note that a request with that content was answered whole.
+    pub fn note_success(&self, content: &RequestContent) {
+        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
+        if quarantine.is_empty() {
+            return;
+        }
+        let content = content.fingerprint();
+        if quarantine.note_success(content) {
+            drop(quarantine);
+            log::info!(content; "request cleared of crashes");
+            self.load_alarm.notify_one();
+        }
+    }
+
+    /// Stands for the crashes that are known here.
+    pub fn quarantine_state(&self) -> QuarantineState {
+        self.quarantine.lock().expect("quarantine lock").state()
+    }
+}
+
+/// Asks each process that tells of another state, once for each state.
+pub async fn follow_peers(node: &Node) {
+    // What each process was last asked for; sorted by address.
+    let mut asked: Vec<(SocketAddr, QuarantineState)> = Vec::new();
+    loop {
+        // Both mean that there may be news.
+        let _ = tokio::time::timeout(LOOK_EVERY, node.quarantine_news.notified()).await;
+        for (addr, told) in node.peers.quarantine_states(Instant::now()) {
+            let at = asked.partition_point(|(known, _)| *known < addr);
+            let was_asked = asked.get(at) == Some(&(addr, told));
+            if told == 0 || told == node.quarantine_state() || was_asked {
+                continue;
+            }
+            if !ask(node, addr).await {
+                continue;
+            }
+            match asked.get_mut(at).filter(|(known, _)| *known == addr) {
+                Some(known) => known.1 = told,
+                None => asked.insert(at, (addr, told)),
+            }
+        }
+        tokio::time::sleep(LOOK_PAUSE).await;
+    }
+}
+
+/// Takes what the peer at `addr` knows; answers whether it answered.
+async fn ask(node: &Node, addr: SocketAddr) -> bool {
+    let reports = match node.peer_calls.crashes(addr).await {
+        Ok(reports) => reports,
+        Err(e) => {
+            log::info!(peer:% = addr, error:% = e; "peer did not tell of crashes");
+            return false;
+        }
+    };
+    let mut quarantine = node.quarantine.lock().expect("quarantine lock");
+    let is_news = quarantine.merge(&reports, Instant::now());
+    drop(quarantine);
+    if is_news {
+        log::info!(peer:% = addr, crashes = reports.len(); "crashes taken from a peer");
+        node.load_alarm.notify_one();
+    }
+    true
+}
--- a/crates/foxwheel-node/src/server_fate.rs
+++ b/crates/foxwheel-node/src/server_fate.rs
@@ -39,6 +39,9 @@
     content: Arc<RequestContent>,
 ) {
     let fate = fate_of(&node, &server).await;
+    if fate == ServerFate::Ended {
+        node.note_crash(&content, &server);
+    }
     log::info!(request_id, content = content.fingerprint(), server = server.id, incarnation = server.incarnation, fate:? = fate; "answer broke");
 }
 
--- a/crates/foxwheel-node/src/zone_speaker.rs
+++ b/crates/foxwheel-node/src/zone_speaker.rs
@@ -111,6 +111,8 @@
     ZoneSummary {
         zone: settings.availability_zone.clone(),
         host: settings.host.clone(),
+        addr: own,
+        quarantine: node.quarantine_state(),
         incarnation: node.incarnation,
         sequence,
         speakers,
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -1,17 +1,21 @@
 //! One request crashed every backend server that began to run it. Its callers sent it again and
 //! again, under new ids and at fronts of all zones, and each attempt took two more servers with
-//! it: each kept to its route's two runs, but nothing connected one attempt with the next. In
-//! the incident 55 servers ended under one such request within half a minute, and every stream
-//! that ran beside it broke. The logs showed each attempt at two servers that ended 0.1 s apart:
-//! `stream resumed`, `after: null`, then `stream broken`.
+//! it: each kept to its route's two runs, but what a front learned of a crash ended with the
+//! attempt, and no other process ever learned it. In the incident 55 servers ended under one
+//! such request within half a minute, and every stream that ran beside it broke. The logs showed
+//! each attempt at two servers that ended 0.1 s apart: `stream resumed` with `after: null`, then
+//! `stream broken`. That the attempts carried one content was in no log line; `answer broke`
+//! tells it since, with what became of the server.
 
 mod common;
 
 use std::time::Duration;
 
 use common::{call, shapes, Answer, Fleet, Plan};
+use foxwheel_node::settings::Role;
 use foxwheel_server_emu::server::Shape;
-use hyper::Method;
+use hyper::{Method, StatusCode};
+use serde_json::{json, Value};
 
 /// Body of the request that crashes servers.
 const CRASH: &str = "a prompt that the engine cannot stand";
@@ -85,3 +89,114 @@
         fleet.cancel.cancel();
     }
 }
+
+/// A route that allows many runs does not let one attempt crash more servers than tell enough.
+#[actix_web::test]
+async fn one_attempt_of_many_runs_stops_when_enough_servers_crashed() {
+    let fleet = frail_fleet(12, 0).await;
+    let many_runs = |config: &mut Value| config["routes"][2]["max_attempts"] = json!(10);
+    fleet.configure(2, many_runs).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    send_crash(&fleet, "/stream/a", 0).await;
+    assert_eq!(ended(&fleet), ENOUGH_CRASHES);
+    fleet.cancel.cancel();
+}
+
+/// The refusal is true and at once, and names a time to come back.
+#[actix_web::test]
+async fn a_quarantined_request_is_refused_as_not_run() {
+    let fleet = frail_fleet(12, 0).await;
+    until_known(&fleet, "/once/a").await;
+    for number in 0..4 {
+        let answer = send_crash(&fleet, "/once/a", number + 100).await;
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+        let retry_after = answer.headers["retry-after"].to_str().expect("text");
+        let retry_after_s: f64 = retry_after.parse().expect("a number");
+        assert!(retry_after_s > 60.0, "come back in {retry_after_s} s");
+        let id = format!("crash-/once/a-{}", number + 100);
+        assert!(fleet.runs_of(&id).is_empty(), "{id} ran");
+    }
+    fleet.cancel.cancel();
+}
+
+/// A process that starts later knows what happened before it came.
+#[actix_web::test]
+async fn a_front_that_starts_later_knows_of_the_crashes() {
+    let mut fleet = frail_fleet(24, 0).await;
+    until_known(&fleet, "/stream/a").await;
+    let before = ended(&fleet);
+    fleet.add_process(Role::Front).await;
+    let late = *fleet.fronts.last().expect("a front");
+    fleet.until_served(late).await;
+    tokio::time::sleep(STABLE_AFTER).await;
+    for number in 0..4 {
+        let id = format!("crash-late-{number}");
+        // Refused or broken off: what counts is what the servers see.
+        let _ = call(late, Method::POST, "/stream/a", &id, &[], CRASH).await;
+    }
+    assert_eq!(ended(&fleet), before);
+    fleet.cancel.cancel();
+}
+
+/// Streams that were beside the crashing request, and contents of another caller or path,
+/// are served all the while.
+#[actix_web::test]
+async fn requests_beside_a_crashing_one_are_served() {
+    let fleet = frail_fleet(24, 0).await;
+    until_known(&fleet, "/stream/a").await;
+    for (number, front) in fleet.fronts.iter().cycle().take(20).enumerate() {
+        let id = format!("beside-{number}");
+        let body = format!("another prompt {number}");
+        let answer = call(*front, Method::POST, "/stream/a", &id, &[], &body).await;
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+        assert!(answer.whole, "{id}");
+    }
+    fleet.cancel.cancel();
+}
+
+/// Servers that crash by themselves under a request accuse it; one whole answer clears it
+/// before enough crashes come together, however many there are in all.
+#[actix_web::test]
+async fn a_request_that_others_crashes_broke_is_cleared_when_it_is_served() {
+    let fleet = Fleet::start(Plan {
+        servers: shapes(16)
+            .into_iter()
+            .map(|shape| Shape {
+                events: 40,
+                step: Duration::from_millis(5),
+                ..shape
+            })
+            .collect(),
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    for round in 0..6 {
+        let id = format!("innocent-{round}");
+        let crashing = async {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            let at_work = fleet.servers.iter().find(|server| {
+                let runs = server.runs.of(&id);
+                !server.has_ended() && runs.iter().any(|run| run.finished.is_none())
+            });
+            at_work.expect("it runs").end();
+        };
+        let calling = call(
+            front,
+            Method::POST,
+            "/stream/a",
+            &id,
+            &[],
+            "an innocent prompt",
+        );
+        let (answer, ()) = tokio::join!(calling, crashing);
+        let answer = answer.expect("answered");
+        assert_eq!(answer.status, StatusCode::OK, "{id}");
+        assert!(answer.whole, "{id} was resumed");
+    }
+    assert_eq!(ended(&fleet), 6);
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -45,6 +45,7 @@
         store_reached: true,
         follows: false,
         knows: KnownState::default(),
+        quarantine: 0,
         speakers: Vec::new(),
         loads: vec![ServerLoad {
             server: server(1),
@@ -264,6 +265,8 @@
     ZoneSummary {
         zone: "yard".to_owned(),
         host: format!("host-{host}"),
+        addr: addr(host),
+        quarantine: 0,
         incarnation,
         sequence,
         speakers: vec![addr(host)],
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod membership;
 pub mod moving_average;
 pub mod placement;
+pub mod quarantine;
 pub mod retry;
 pub mod routes;
 pub mod server_changes;
@@ -25,6 +26,6 @@
 pub mod prelude {
     pub use crate::{
         admission, batch, config_in_force, following, health, load_reports, membership, placement,
-        retry, routes, server_changes, server_index, speakers, stopping, zone_loads,
+        quarantine, retry, routes, server_changes, server_index, speakers, stopping, zone_loads,
     };
 }
