What is known of crashing requests outlives a stop of every process

Ruled out: a copy on disk (only few hosts have one, and it may come back empty), a watch or list by every process (calls that grow with the fleet).

A process that saw a crash of a quarantined content creates one object for it in the platform's store. Workers read the objects once at their start, and tell fronts as they tell each other; a front reads them itself only if it hears no worker for 0.5 s. One worker removes what is older than an hour. One call a worker and start; one to three a quarantined content. What was seen of one or two crashes is not kept: a stop then costs at most as many servers again.

--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -14,7 +14,7 @@
 
 use crate::node::Node;
 use crate::store_access::Backoff;
-use crate::{catch_up, discovery, request_quarantine};
+use crate::{catch_up, discovery, quarantine_store, request_quarantine};
 
 /// How long one watch waits. Longer costs fewer calls; a connection that fell silent is
 /// found by its keep-alive probes and not by this.
@@ -69,6 +69,7 @@
             catch_up::run(&node),
             catch_up::ask_peers(&node),
             request_quarantine::follow_peers(&node),
+            quarantine_store::run(&node),
             probe(&node),
         )
     };
--- a/crates/foxwheel-node/src/ledger_follower.rs
+++ b/crates/foxwheel-node/src/ledger_follower.rs
@@ -10,6 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::node::Node;
+use crate::quarantine_store;
 use crate::settings::Role;
 use crate::worker_jobs::WorkerJobs;
 
@@ -86,8 +87,8 @@
 /// seconds of its end, or when the store is back.
 const KEEP_CHECKPOINTS: Duration = Duration::from_secs(600);
 
-/// Forgets closed jobs and old checkpoints, so that the store stays small; one worker does it
-/// for all.
+/// Forgets closed jobs, old checkpoints and old quarantines, so that the store stays small; one
+/// worker does it for all.
 pub async fn prune(node: &Node, jobs: &WorkerJobs) {
     let keep = node.settings.results_readable + REMEMBER_CLOSED;
     loop {
@@ -113,6 +114,9 @@
             Ok(removed) => log::info!(removed; "old checkpoints removed"),
             Err(e) => log::warn!(error:% = e; "old checkpoints not removed"),
         }
+        if let Err(e) = quarantine_store::prune(node).await {
+            log::warn!(error:% = e; "old quarantines not removed");
+        }
     }
 }
 
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peer_server;
 pub mod peers;
 pub mod process;
+pub mod quarantine_store;
 pub mod relay;
 pub mod replies;
 pub mod request_content;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -74,6 +74,8 @@
     pub quarantine: Mutex<Quarantine>,
     /// Woken when another process tells that it knows of other crashes.
     pub quarantine_news: Notify,
+    /// Woken when this process knows of more crashes.
+    pub crashes_changed: Notify,
     /// Woken at every heartbeat heard.
     pub peer_news: Notify,
     /// Calls to the other processes.
@@ -114,6 +116,7 @@
             follower_news: Notify::new(),
             quarantine: Mutex::default(),
             quarantine_news: Notify::new(),
+            crashes_changed: Notify::new(),
             peer_news: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -10,7 +10,7 @@
 
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::membership::ServerKey;
-use foxwheel_policy::quarantine::{QuarantineState, Standing};
+use foxwheel_policy::quarantine::{CrashReport, QuarantineState, Standing};
 use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
@@ -47,9 +47,22 @@
         if is_quarantined {
             log::warn!(content; "request quarantined");
         }
+        self.crashes_changed.notify_one();
         self.load_alarm.notify_one();
     }
 
+    /// Takes crashes that `source` knows of.
+    pub fn take_crashes(&self, reports: &[CrashReport], source: &str) {
+        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
+        let is_news = quarantine.merge(reports, Instant::now());
+        drop(quarantine);
+        if is_news {
+            log::info!(source, crashes = reports.len(); "crashes taken");
+            self.crashes_changed.notify_one();
+            self.load_alarm.notify_one();
+        }
+    }
+
     /// Takes note that a request with that content was answered whole.
     pub fn note_success(&self, content: &RequestContent) {
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
@@ -104,12 +117,6 @@
             return false;
         }
     };
-    let mut quarantine = node.quarantine.lock().expect("quarantine lock");
-    let is_news = quarantine.merge(&reports, Instant::now());
-    drop(quarantine);
-    if is_news {
-        log::info!(peer:% = addr, crashes = reports.len(); "crashes taken from a peer");
-        node.load_alarm.notify_one();
-    }
+    node.take_crashes(&reports, &addr.to_string());
     true
 }
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -200,3 +200,21 @@
     assert_eq!(ended(&fleet), 6);
     fleet.cancel.cancel();
 }
+
+/// What is known of crashes outlives a stop of every process.
+#[actix_web::test]
+async fn a_stop_of_all_processes_forgets_no_crash() {
+    let mut fleet = frail_fleet(24, 1).await;
+    until_known(&fleet, "/stream/a").await;
+    let before = ended(&fleet);
+    fleet.restart_all().await;
+    for front in fleet.fronts.clone() {
+        fleet.until_served(front).await;
+    }
+    tokio::time::sleep(STABLE_AFTER).await;
+    for number in 0..6 {
+        send_crash(&fleet, "/stream/a", number + 100).await;
+    }
+    assert_eq!(ended(&fleet), before);
+    fleet.cancel.cancel();
+}
