An item that crashes backend servers is not run again and again

Callers of batch jobs, and online callers beside them, lost 16 servers in a few seconds to one item: an item whose server broke off runs again after 150 ms, as often as it likes, and such a run counts as no failure (the test, before). The same cause as for online requests, in the worker's own retry.

An item whose content is quarantined is not begun; it is looked at again every five seconds, and given up when its route's retention time is over, as the route allows no sooner. Crashes of items and online requests count together.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -90,6 +90,8 @@
     RunWhole,
     /// Runs of items stopped to free their slots, or because their job ended.
     RunPreempted,
+    /// Items looked at that are not run, because servers crashed under them.
+    RunQuarantined,
     /// Runs of items that ended otherwise.
     RunFailed,
     /// Calls to the platform's store that were answered.
@@ -208,6 +210,7 @@
             Self::JobOverQuota => "batch.over_quota",
             Self::RunWhole => "batch.runs_whole",
             Self::RunPreempted => "batch.runs_preempted",
+            Self::RunQuarantined => "batch.runs_quarantined",
             Self::RunFailed => "batch.runs_failed",
             Self::PeerMessageSent => "peers.messages_sent",
             Self::PeerBytesSent => "peers.bytes_sent",
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -72,6 +72,7 @@
     node.metrics.incr(match end {
         RunEnd::Whole => Counter::RunWhole,
         RunEnd::Preempted => Counter::RunPreempted,
+        RunEnd::Quarantined => Counter::RunQuarantined,
         _ => Counter::RunFailed,
     });
     end
@@ -99,6 +100,10 @@
     };
     let body = Bytes::from(item.body.clone());
     let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body);
+    if node.quarantined_for(&content, Instant::now()).is_some() {
+        // It waits until its route lets it be given up: no run would end whole.
+        return (RunEnd::Quarantined, "servers crashed under it".to_owned());
+    }
     let target = Target {
         slot,
         request_id: item.id.clone(),
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -11,7 +11,8 @@
 
 use std::time::Duration;
 
-use common::{call, shapes, Answer, Fleet, Plan};
+use base64::Engine;
+use common::{call, job_body, shapes, until_listed, Answer, Fleet, Plan};
 use foxwheel_node::settings::Role;
 use foxwheel_server_emu::server::Shape;
 use hyper::{Method, StatusCode};
@@ -218,3 +219,29 @@
     assert_eq!(ended(&fleet), before);
     fleet.cancel.cancel();
 }
+
+/// An item that crashes servers stops running, whichever worker has its job, while the job's
+/// other items complete. It may be given up only when its route says so.
+#[actix_web::test]
+async fn an_item_that_crashes_servers_stops_running() {
+    let fleet = frail_fleet(24, 2).await;
+    let short = |config: &mut Value| config["routes"][4]["retention_s"] = json!(8);
+    fleet.configure(2, short).await;
+    let crash = base64::engine::general_purpose::STANDARD.encode(CRASH);
+    let mut job: Value = serde_json::from_str(&job_body("job", 4)).expect("JSON");
+    job["items"][1]["body"] = json!(crash);
+    let headers = [("content-type", "application/json")];
+    let front = fleet.fronts[0];
+    let body = job.to_string();
+    let accepted = call(front, Method::POST, "/batch/submit", "job", &headers, &body).await;
+    assert_eq!(accepted.expect("answered").status, StatusCode::ACCEPTED);
+    let completed = until_listed(front, "job", 3).await;
+    tokio::time::sleep(STABLE_AFTER).await;
+    assert_eq!(ended(&fleet), ENOUGH_CRASHES);
+    assert!(completed.iter().all(|item| item["state"] == "completed"));
+    let listed = until_listed(front, "job", 4).await;
+    assert_eq!(listed[3]["id"], "job-item-1");
+    assert_eq!(listed[3]["state"], "dead_letter");
+    assert_eq!(ended(&fleet), ENOUGH_CRASHES);
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -86,6 +86,8 @@
     Broken,
     /// This process stopped the run to free the slot.
     Preempted,
+    /// It was not begun: servers crashed under its content.
+    Quarantined,
 }
 
 /// The state of an item on the worker that runs its job.
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -20,6 +20,10 @@
 /// Wait before an item runs again after its server failed it; the fault may be short.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 
+/// Wait before an item whose content is quarantined is looked at again: the same content may
+/// have been served elsewhere.
+const QUARANTINE_PAUSE: Duration = Duration::from_secs(5);
+
 /// How long finished results of a job with more to run wait for others, so that one write
 /// stores several: a crash in this time costs their runs again.
 const STORE_AFTER: Duration = Duration::from_millis(2_500);
@@ -191,6 +195,7 @@
             }
             RunEnd::NotRun | RunEnd::Broken => self.wait(at, now + RERUN_PAUSE),
             RunEnd::Preempted => self.wait(at, now + placement::PREEMPTED_PAUSE),
+            RunEnd::Quarantined => self.wait(at, now + QUARANTINE_PAUSE),
         }
     }
 
