Servers that are lost together accuse nothing that many callers ask for

Crashes were counted by server, whatever their order.

What crashes servers is sent on after each crash. So crashes count by turns: the request was sent to the next server after the one before had crashed. Servers lost together count once, however many processes saw it. Two refinements of the same evidence: a whole answer clears only crashes at its own service, and a start that is known to be gone has ended, even if its address answers again or its entry has lapsed.

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::load_table::InFlight;
 use crate::node::Node;
 use crate::request_content::RequestContent;
-use crate::server_fate;
+use crate::server_fate::{self, BrokenRun};
 
 /// Silence of a server on all requests of this process after which it is sent nothing new:
 /// engines take a step every few milliseconds.
@@ -79,6 +79,7 @@
     node: Arc<Node>,
     request_id: RequestId,
     content: Arc<RequestContent>,
+    sent_at: Instant,
     body: Incoming,
     connection: Connection,
     slot: InFlight,
@@ -105,6 +106,7 @@
     let Some(addr) = node.server_addr(server) else {
         return Err(Failure::new(AttemptOutcome::NotSent, "server is gone"));
     };
+    let sent_at = Instant::now();
     let mut is_new = true;
     let exchange = async {
         let mut lease = node.pool.take(server, addr).await?;
@@ -125,7 +127,14 @@
         Some(Err(e)) => {
             note_broken(node, server, &e, is_new);
             if matches!(e, ExchangeError::Broken { .. }) {
-                look_at_server(node, server, &target.request_id, &target.content).await;
+                let run = BrokenRun {
+                    server: server.clone(),
+                    request_id: target.request_id,
+                    content: target.content,
+                    sent_at,
+                    broke_at: Instant::now(),
+                };
+                look_at_server(node, run).await;
             }
             let outcome = match e.is_not_sent() {
                 true => AttemptOutcome::NotSent,
@@ -165,6 +174,7 @@
         node: Arc::clone(node),
         request_id: target.request_id,
         content: target.content,
+        sent_at,
         body,
         connection,
         slot: target.slot,
@@ -188,8 +198,7 @@
                     Err(_) => continue,
                 },
                 Some(Some(Err(e))) => {
-                    let (id, content) = (&self.request_id, &self.content);
-                    look_at_server(&self.node, &self.server, id, content).await;
+                    look_at_server(&self.node, self.broken_run()).await;
                     Piece::Broken(e.to_string())
                 }
                 None => Piece::Broken("silent for too long".to_owned()),
@@ -197,6 +206,16 @@
         }
     }
 
+    fn broken_run(&self) -> BrokenRun {
+        BrokenRun {
+            server: self.server.clone(),
+            request_id: self.request_id.clone(),
+            content: Arc::clone(&self.content),
+            sent_at: self.sent_at,
+            broke_at: Instant::now(),
+        }
+    }
+
     /// The whole body, waited for until `give_up_at`.
     pub async fn collect(&mut self, give_up_at: Instant) -> Result<Bytes, String> {
         let mut whole = bytes::BytesMut::new();
@@ -222,7 +241,7 @@
         } = self;
         drop(slot);
         if says.status.is_success() && !says.not_run {
-            node.note_success(&content);
+            node.note_success(&content, &server);
         }
         if !says.closes {
             node.pool.put(&server, connection, says.idle_timeout);
@@ -284,18 +303,8 @@
 
 /// Has the server looked at that broke an answer off, before the request goes on elsewhere:
 /// one that crashes servers would otherwise reach the next ones faster than it is found out.
-async fn look_at_server(
-    node: &Arc<Node>,
-    server: &ServerKey,
-    request_id: &RequestId,
-    content: &Arc<RequestContent>,
-) {
-    let look = server_fate::look(
-        Arc::clone(node),
-        server.clone(),
-        request_id.clone(),
-        Arc::clone(content),
-    );
+async fn look_at_server(node: &Arc<Node>, run: BrokenRun) {
+    let look = server_fate::look(Arc::clone(node), run);
     // Looked for to the end, also when the caller leaves meanwhile; without a finding in time
     // the request goes on.
     let _ = tokio::time::timeout(FINDING_PATIENCE, tokio::spawn(look)).await;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -12,7 +12,7 @@
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
 use foxwheel_policy::following::{self, Standing};
-use foxwheel_policy::membership::{self, Directory, ServerKey};
+use foxwheel_policy::membership::{self, BackendServer, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::quarantine::Quarantine;
 use foxwheel_policy::routes::Config;
@@ -266,11 +266,16 @@
         directory.server(key).map(|server| server.addr)
     }
 
-    /// The address of that start of a server, if it is the one that is listed and not leaving.
-    pub fn ready_server_addr(&self, key: &ServerKey) -> Option<SocketAddr> {
+    /// That start of a server as it is listed.
+    pub fn listed_server(&self, key: &ServerKey) -> Option<BackendServer> {
         let directory = self.directory.lock().expect("directory lock");
-        let member = directory.usable_member(key, Instant::now())?;
-        member.lapsed_until.is_none().then_some(member.server.addr)
+        directory.server(key).cloned()
+    }
+
+    /// Whether this process or another one found that start of a server to be gone.
+    pub fn is_gone(&self, key: &ServerKey, now: Instant) -> bool {
+        let found_here = self.gone_servers(now).binary_search(key).is_ok();
+        found_here || self.peers.found_gone(key, now)
     }
 
     /// The availability zone of a listed start of a server.
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -8,10 +8,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use foxwheel_core::ids::ContentFingerprint;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::membership::ServerKey;
-use foxwheel_policy::quarantine::{CrashReport, QuarantineState, Standing};
-use foxwheel_policy::zone_loads;
+use foxwheel_policy::quarantine::{CrashReport, QuarantineState, SeenCrash, Standing};
 
 use crate::node::Node;
 use crate::request_content::RequestContent;
@@ -36,12 +36,10 @@
         }
     }
 
-    /// Takes note that `server` crashed while a request with that content was there.
-    pub fn note_crash(&self, content: &RequestContent, server: &ServerKey) {
-        let server = zone_loads::fingerprint(server);
-        let content = content.fingerprint();
+    /// Takes note that a server crashed while a request with that content was there.
+    pub fn note_crash(&self, content: &ContentFingerprint, crash: SeenCrash) {
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
-        let is_quarantined = quarantine.note_crash(content, server, Instant::now());
+        let is_quarantined = quarantine.note_crash(content, crash, Instant::now());
         drop(quarantine);
         self.metrics.incr(Counter::CrashNoted);
         if is_quarantined {
@@ -63,15 +61,19 @@
         }
     }
 
-    /// Takes note that a request with that content was answered whole.
-    pub fn note_success(&self, content: &RequestContent) {
-        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
-        if quarantine.is_empty() {
+    /// Takes note that `server` answered a request with that content whole.
+    pub fn note_success(&self, content: &RequestContent, server: &ServerKey) {
+        if self.quarantine.lock().expect("quarantine lock").is_empty() {
             return;
         }
+        let Some(server) = self.listed_server(server) else {
+            return;
+        };
         let content = content.fingerprint();
-        if quarantine.note_success(content) {
-            drop(quarantine);
+        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
+        let was_held = quarantine.note_success(content, &server.service);
+        drop(quarantine);
+        if was_held {
             log::info!(content; "request cleared of crashes");
             self.load_alarm.notify_one();
         }
--- a/crates/foxwheel-node/src/server_fate.rs
+++ b/crates/foxwheel-node/src/server_fate.rs
@@ -2,11 +2,13 @@
 //! or only the connection did.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::RequestId;
 use foxwheel_http1::connection::{self, Listening};
-use foxwheel_policy::membership::ServerKey;
+use foxwheel_policy::membership::{BackendServer, ServerKey, ServerState};
+use foxwheel_policy::quarantine::SeenCrash;
+use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
 use crate::request_content::RequestContent;
@@ -21,36 +23,58 @@
 /// What became of a server whose answer broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerFate {
-    /// Its process ended unasked: nothing listens at its address any more.
+    /// Its process ended unasked: nothing listens at its address any more, or another start.
     Ended,
     /// It takes connections: only that one broke.
     Lives,
     /// It cannot be told: the path may be cut, or the host is down.
     Unknown,
-    /// It was to leave, or its entry had lapsed: its end says nothing.
+    /// It was to leave, or is not listed any more: its end says nothing.
     Leaving,
 }
 
-/// Looks at `server` after an answer to the request with `content` broke there.
-pub async fn look(
-    node: Arc<Node>,
-    server: ServerKey,
-    request_id: RequestId,
-    content: Arc<RequestContent>,
-) {
-    let fate = fate_of(&node, &server).await;
-    if fate == ServerFate::Ended {
-        node.note_crash(&content, &server);
-    }
-    log::info!(request_id, content = content.fingerprint(), server = server.id, incarnation = server.incarnation, fate:? = fate; "answer broke");
+/// A request whose answer broke at a server.
+#[derive(Debug, Clone)]
+pub struct BrokenRun {
+    /// The server.
+    pub server: ServerKey,
+    /// The request's id.
+    pub request_id: RequestId,
+    /// What the request asks for.
+    pub content: Arc<RequestContent>,
+    /// When it was sent there.
+    pub sent_at: Instant,
+    /// When its answer broke.
+    pub broke_at: Instant,
 }
 
-async fn fate_of(node: &Node, server: &ServerKey) -> ServerFate {
-    let Some(addr) = node.ready_server_addr(server) else {
-        return ServerFate::Leaving;
+/// Looks at the server of `run`; a crash is held against the request's content.
+pub async fn look(node: Arc<Node>, run: BrokenRun) {
+    let listed = node.listed_server(&run.server);
+    let ready = listed.filter(|server| server.state == ServerState::Ready);
+    let fate = match &ready {
+        Some(server) => fate_of(&node, server).await,
+        None => ServerFate::Leaving,
     };
+    let content = run.content.fingerprint();
+    log::info!(request_id = run.request_id, content, server = run.server.id, incarnation = run.server.incarnation, fate:? = fate; "answer broke");
+    if let Some(server) = ready.filter(|_| fate == ServerFate::Ended) {
+        let crash = SeenCrash {
+            server: zone_loads::fingerprint(&run.server),
+            service: server.service,
+            sent_at: run.sent_at,
+            broke_at: run.broke_at,
+        };
+        node.note_crash(content, crash);
+    }
+}
+
+async fn fate_of(node: &Node, server: &BackendServer) -> ServerFate {
     tokio::time::sleep(LOOK_AFTER).await;
-    match connection::listening(addr, LOOK_FOR).await {
+    if node.is_gone(&server.key(), Instant::now()) {
+        return ServerFate::Ended;
+    }
+    match connection::listening(server.addr, LOOK_FOR).await {
         Listening::Refuses => ServerFate::Ended,
         Listening::Accepts => ServerFate::Lives,
         Listening::NoAnswer => ServerFate::Unknown,
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -7,19 +7,19 @@
 //!
 //! What counts is a request's content. Every process keeps the crashes that any process saw;
 //! merging them in any order, once or often, gives the same. A content under which enough
-//! starts of servers crashed is not run for a while; one whole answer to it clears it, since
-//! what always crashes its server never gets that far.
+//! starts of servers crashed, one after the other, is not run for a while; one whole answer of
+//! the same service clears it, since what always crashes its server never gets that far.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::ContentFingerprint;
+use foxwheel_core::ids::{ContentFingerprint, ServiceName};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
 use crate::zone_loads::ServerFingerprint;
 
-/// Crashes after which a content is quarantined. Two happen to innocents: a stream that breaks
+/// Crashes one after the other after which a content is quarantined. Two happen to innocents: a stream that breaks
 /// with its server is resumed at another one, at times just where the culprit went too.
 pub const ENOUGH_CRASHES: usize = 3;
 
@@ -47,10 +47,16 @@
     pub content: ContentFingerprint,
     /// The start of a server that crashed.
     pub server: ServerFingerprint,
+    /// The server's service.
+    pub service: ServiceName,
     /// How long ago.
     #[serde(rename = "age_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub age: Duration,
+    /// How long before that the request was sent there.
+    #[serde(rename = "ran_for_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub ran_for: Duration,
     /// The content was answered whole later on.
     pub cleared: bool,
 }
@@ -70,9 +76,24 @@
     Quarantined(Duration),
 }
 
+/// A crash as the process saw it that had a request there.
+#[derive(Debug, Clone)]
+pub struct SeenCrash {
+    /// The start of a server that crashed.
+    pub server: ServerFingerprint,
+    /// The server's service.
+    pub service: ServiceName,
+    /// When the request was sent there.
+    pub sent_at: Instant,
+    /// When its answer broke.
+    pub broke_at: Instant,
+}
+
 #[derive(Debug, Clone)]
 struct Crash {
     server: ServerFingerprint,
+    service: ServiceName,
+    sent_at: Instant,
     at: Instant,
     cleared: bool,
     /// This process saw it.
@@ -98,19 +119,33 @@
 impl Accused {
     fn standing(&self, now: Instant) -> Standing {
         let held = self.crashes.iter().filter(|crash| !crash.cleared);
-        let (count, last) = held.fold((0, None), |(count, last), crash| {
-            (count + 1, last.max(Some(crash.at)))
-        });
-        let Some(last) = last else {
+        let Some(last) = held.map(|crash| crash.at).max() else {
             return Standing::Clear;
         };
         let left = (last + QUARANTINED_FOR).saturating_duration_since(now);
-        if count < ENOUGH_CRASHES || left.is_zero() {
+        if self.crashes_in_turn().len() < ENOUGH_CRASHES || left.is_zero() {
             return Standing::Suspect;
         }
         Standing::Quarantined(left)
     }
 
+    /// The most crashes, by server, of which each request was sent after the crash before.
+    /// Servers that are lost together, with the same content at each because many ask for it,
+    /// count as one.
+    fn crashes_in_turn(&self) -> Vec<ServerFingerprint> {
+        let mut held: Vec<&Crash> = self.crashes.iter().filter(|crash| !crash.cleared).collect();
+        held.sort_unstable_by_key(|crash| crash.at);
+        let mut in_turn = Vec::new();
+        let mut last = None;
+        for crash in held {
+            if last.is_none_or(|last| crash.sent_at >= last) {
+                in_turn.push(crash.server);
+                last = Some(crash.at);
+            }
+        }
+        in_turn
+    }
+
     fn is_quarantined(&self, now: Instant) -> bool {
         matches!(self.standing(now), Standing::Quarantined(_))
     }
@@ -131,17 +166,19 @@
             Err(at) => {
                 self.crashes.insert(at, crash);
                 if self.crashes.len() > MAX_CRASHES {
-                    self.drop_oldest();
+                    self.drop_one();
                 }
                 true
             }
         }
     }
 
-    fn drop_oldest(&mut self) {
+    /// Drops the oldest crash, of those first that add nothing to what is held against it.
+    fn drop_one(&mut self) {
+        let in_turn = self.crashes_in_turn();
         let crashes = self.crashes.iter().enumerate();
-        let oldest = crashes.min_by_key(|(_, crash)| crash.at);
-        if let Some((at, _)) = oldest {
+        let least = crashes.min_by_key(|(_, crash)| (in_turn.contains(&crash.server), crash.at));
+        if let Some((at, _)) = least {
             self.crashes.remove(at);
         }
     }
@@ -169,11 +206,13 @@
 
     /// Takes note that a server crashed under a request, as this process saw. Answers whether
     /// the content is quarantined by it.
-    pub fn note_crash(&mut self, content: &str, server: ServerFingerprint, now: Instant) -> bool {
+    pub fn note_crash(&mut self, content: &str, seen: SeenCrash, now: Instant) -> bool {
         let before = self.standing(content, now);
         let crash = Crash {
-            server,
-            at: now,
+            server: seen.server,
+            service: seen.service,
+            sent_at: seen.sent_at,
+            at: seen.broke_at,
             cleared: false,
             seen_here: true,
         };
@@ -184,16 +223,18 @@
         matches!(after, Standing::Quarantined(_)) && !matches!(before, Standing::Quarantined(_))
     }
 
-    /// Takes note that a request of that content was answered whole. Answers whether anything
-    /// was held against it.
-    pub fn note_success(&mut self, content: &str) -> bool {
+    /// Takes note that a server of `service` answered a request of that content whole. Answers
+    /// whether a crash there was held against it: what another service makes of it says nothing.
+    pub fn note_success(&mut self, content: &str, service: &str) -> bool {
         let Ok(at) = self.position(content) else {
             return false;
         };
-        let crashes = &mut self.accused[at].crashes;
-        let was_held = crashes.iter().any(|crash| !crash.cleared);
-        for crash in crashes {
-            crash.cleared = true;
+        let mut was_held = false;
+        for crash in &mut self.accused[at].crashes {
+            if crash.service == service {
+                was_held |= !crash.cleared;
+                crash.cleared = true;
+            }
         }
         self.state = state_of(&self.accused);
         was_held
@@ -203,14 +244,14 @@
     pub fn merge(&mut self, reports: &[CrashReport], now: Instant) -> bool {
         let mut changed = false;
         for report in reports {
-            let Some(at) = now.checked_sub(report.age) else {
+            let at = now.checked_sub(report.age);
+            let Some(at) = at.filter(|_| report.age < REMEMBERED_FOR) else {
                 continue;
             };
-            if report.age >= REMEMBERED_FOR {
-                continue;
-            }
             let crash = Crash {
                 server: report.server,
+                service: report.service.clone(),
+                sent_at: at.checked_sub(report.ran_for).unwrap_or(at),
                 at,
                 cleared: report.cleared,
                 seen_here: false,
@@ -230,7 +271,9 @@
                 accused.crashes.iter().map(|crash| CrashReport {
                     content: accused.content.clone(),
                     server: crash.server,
+                    service: crash.service.clone(),
                     age: now.duration_since(crash.at),
+                    ran_for: crash.at.duration_since(crash.sent_at),
                     cleared: crash.cleared,
                 })
             })
