--- a/crates/foxwheel-ctl/tests/explain_contract.rs
+++ b/crates/foxwheel-ctl/tests/explain_contract.rs
@@ -141,3 +141,35 @@
     let missing = explain::explain("nothing", &[PathBuf::from("/nonexistent/log")]);
     assert!(matches!(missing, Err(CtlError::File { .. })));
 }
+
+#[test]
+fn a_content_is_told_with_all_its_requests() {
+    let broke = |request: &str, server: &str| {
+        format!(
+            r#"{{"request_id":"{request}","content":"c0ffee","server":"{server}","fate":"Ended"}}"#
+        )
+    };
+    let front = [
+        line(1_000, "front-1", "INFO", "answer broke", &broke("r1", "s1")),
+        line(1_100, "front-1", "INFO", "answer broke", &broke("r2", "s2")),
+        line(
+            1_150,
+            "front-1",
+            "INFO",
+            "answer broke",
+            r#"{"request_id":"r3","content":"other","server":"s2","fate":"Ended"}"#,
+        ),
+        line(
+            1_200,
+            "front-1",
+            "WARN",
+            "request quarantined",
+            r#"{"content":"c0ffee"}"#,
+        ),
+    ];
+    let files = [file("explain-content.log", &front.concat())];
+    let story = explain::explain("c0ffee", &files).expect("a story");
+    assert!(position(&story, "r1") < position(&story, "r2"));
+    assert!(!story.contains("r3"), "{story}");
+    assert!(story.contains("cause: request quarantined"), "{story}");
+}
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -15,6 +15,7 @@
 use common::{call, job_body, shapes, until_listed, Answer, Fleet, Plan};
 use foxwheel_node::settings::Role;
 use foxwheel_server_emu::server::Shape;
+use foxwheel_store::api::Faults;
 use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
 
@@ -292,3 +293,29 @@
     }
     fleet.cancel.cancel();
 }
+
+/// A quarantine that began while the store was down outlives a stop of every process too.
+#[actix_web::test]
+async fn a_quarantine_that_began_in_an_outage_is_saved_after_it() {
+    let mut fleet = frail_fleet(24, 1).await;
+    let outage = Faults {
+        outage: true,
+        ..Faults::default()
+    };
+    fleet.store_faults(outage).await;
+    until_known(&fleet, "/stream/a").await;
+    let before = ended(&fleet);
+    fleet.store_faults(Faults::default()).await;
+    tokio::time::sleep(STABLE_AFTER).await;
+    assert_eq!(fleet.stored("foxwheel-quarantine/").await.len(), 1);
+    fleet.restart_all().await;
+    for front in fleet.fronts.clone() {
+        fleet.until_served(front).await;
+    }
+    tokio::time::sleep(STABLE_AFTER).await;
+    for number in 0..4 {
+        send_crash(&fleet, "/stream/a", number + 100).await;
+    }
+    assert_eq!(ended(&fleet), before);
+    fleet.cancel.cancel();
+}
