--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -347,10 +347,7 @@
 
     /// Whether another process of the zone named this one as one of its speakers.
     pub fn is_relied_on(&self, now: Instant) -> bool {
-        let local = self.peers.of_own_zone(now);
-        local
-            .iter()
-            .any(|peer| peer.speakers.contains(&self.settings.host))
+        self.peers.is_named(&self.settings.host, now)
     }
 
     /// Whether this process should follow the platform's store itself.
@@ -389,24 +386,19 @@
 
     /// Addresses of the zone's processes that take this one for a speaker of `rank`.
     pub fn audience(&self, rank: Rank, now: Instant) -> Vec<SocketAddr> {
-        let local = self.peers.of_own_zone(now);
         let own = &self.settings.host;
-        let named = local.into_iter().filter(|peer| {
-            let named = [peer.speakers.as_slice()];
-            speakers::rank(own, named.into_iter()) == rank
-        });
-        named.map(|peer| peer.addr).collect()
+        self.peers.local_addresses(now, |_, speakers| {
+            speakers::rank(own, std::iter::once(speakers)) == rank
+        })
     }
 
     /// Addresses of the zone's processes that this one named as speakers, or that named it.
     pub fn close_peers(&self, now: Instant) -> Vec<SocketAddr> {
         let named = self.speakers();
-        let local = self.peers.of_own_zone(now);
-        let close = local.into_iter().filter(|peer| {
-            let names_this = peer.speakers.contains(&self.settings.host);
-            names_this || named.contains(&peer.member.host)
-        });
-        close.map(|peer| peer.addr).collect()
+        let own = &self.settings.host;
+        self.peers.local_addresses(now, |host, speakers| {
+            speakers.contains(own) || named.contains(host)
+        })
     }
 
     /// What this process is taken for by the zone's processes and itself.
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -19,8 +19,9 @@
 
 use crate::zone_loads::ServerFingerprint;
 
-/// Crashes one after the other after which a content is quarantined. Two happen to innocents: a stream that breaks
-/// with its server is resumed at another one, at times just where the culprit went too.
+/// Crashes one after the other after which a content is quarantined. Two happen to innocents: a
+/// stream that breaks with its server is resumed at another one, at times just where the
+/// culprit went too.
 pub const ENOUGH_CRASHES: usize = 3;
 
 /// How long a content is not run after its last crash. Then it may run again, and the next
@@ -89,6 +90,7 @@
     pub broke_at: Instant,
 }
 
+/// A crash that is remembered.
 #[derive(Debug, Clone)]
 struct Crash {
     server: ServerFingerprint,
@@ -100,10 +102,11 @@
     seen_here: bool,
 }
 
+/// A content and the crashes under it.
 #[derive(Debug, Clone)]
 struct Accused {
     content: ContentFingerprint,
-    /// Sorted by server.
+    /// Sorted by server; never empty, at most [`MAX_CRASHES`].
     crashes: Vec<Crash>,
 }
 
@@ -191,7 +194,7 @@
 }
 
 impl Quarantine {
-    /// Whether nothing is remembered: no request needs a fingerprint.
+    /// Whether nothing is remembered.
     pub fn is_empty(&self) -> bool {
         self.accused.is_empty()
     }
