Crashes clearly apart count though the request waited at each server

Found by asking for the load at its worst: at full servers a request waits for seconds before it runs, so its repeats overlap, and crashes counted only where the request was sent after the crash before. Three crashes 300 ms apart then counted as one (the test, before), and the quarantine came seconds late.

Crashes 250 ms apart count too: a loss of many servers at one moment is seen by all processes within some ten milliseconds, and still counts once.

--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -24,6 +24,10 @@
 /// culprit went too.
 pub const ENOUGH_CRASHES: usize = 3;
 
+/// Time between two crashes from which servers were not lost together: a loss of many is seen
+/// by all within some ten milliseconds.
+const CLEARLY_LATER: Duration = Duration::from_millis(250);
+
 /// How long a content is not run after its last crash. Then it may run again, and the next
 /// crash quarantines it at once: whoever is accused wrongly gets a new trial, and a culprit
 /// costs one server each time.
@@ -132,16 +136,19 @@
         Standing::Quarantined(left)
     }
 
-    /// The most crashes, by server, of which each request was sent after the crash before.
-    /// Servers that are lost together, with the same content at each because many ask for it,
-    /// count as one.
+    /// The crashes, by server, that came one after the other: the request was sent after the
+    /// crash before, or the server crashed clearly later. Servers that are lost together, with
+    /// the same content at each because many ask for it, count as one.
     fn crashes_in_turn(&self) -> Vec<ServerFingerprint> {
         let mut held: Vec<&Crash> = self.crashes.iter().filter(|crash| !crash.cleared).collect();
         held.sort_unstable_by_key(|crash| crash.at);
         let mut in_turn = Vec::new();
         let mut last = None;
         for crash in held {
-            if last.is_none_or(|last| crash.sent_at >= last) {
+            let is_next = last.is_none_or(|last: Instant| {
+                crash.sent_at >= last || crash.at >= last + CLEARLY_LATER
+            });
+            if is_next {
                 in_turn.push(crash.server);
                 last = Some(crash.at);
             }
--- a/crates/foxwheel-policy/tests/quarantine.rs
+++ b/crates/foxwheel-policy/tests/quarantine.rs
@@ -138,6 +138,22 @@
     );
 }
 
+/// At full servers the request waits for seconds before it runs, so that its repeats overlap.
+#[test]
+fn crashes_apart_count_though_the_requests_waited_beside_each_other() {
+    let now = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for server in 0..ENOUGH_CRASHES as u64 {
+        let at = now + Duration::from_millis(300 * server);
+        let waited = SeenCrash {
+            sent_at: at - Duration::from_secs(2),
+            ..crash(server, at)
+        };
+        quarantine.note_crash(CULPRIT, waited, at);
+    }
+    assert!(quarantined(&quarantine, CULPRIT, after(now, 1)));
+}
+
 #[test]
 fn what_another_service_answers_clears_nothing() {
     let now = Instant::now();
