--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -282,6 +282,17 @@
         self.processes = restarted.collect();
     }
 
+    /// Kills the process at `at` and starts it again with the settings it had.
+    pub async fn restart(&mut self, at: usize) {
+        self.processes[at].kill();
+        while !self.processes[at].has_ended() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let killed = self.processes.remove(at);
+        let restarted = Process::start(killed.settings, killed.gate, &self.cancel);
+        self.processes.insert(at, restarted);
+    }
+
     /// Settings of the process on host `number`, with a straight path to the store.
     pub fn settings_of(&self, number: u32, role: Role) -> NodeSettings {
         let ip_of = |host| IpAddr::V4(Ipv4Addr::new(127, 27, self.network, host));
