A batch item that servers were lost under is tried again, a culprit twice at most

Two errors in the decision: a start that was found gone by another's answer counted as crashed under whatever was there, though it may have ended for any reason behind the cut; and nobody asks again for an item that lies still.

Now only a refused connection, seen at once, accuses. A quarantined item has two trials, some three to five seconds after the last crash, which stays within the three retries that are allowed; a caller's request has none.

--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -100,8 +100,8 @@
     };
     let body = Bytes::from(item.body.clone());
     let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body);
-    if node.quarantined_for(&content, Instant::now()).is_some() {
-        // It waits until its route lets it be given up: no run would end whole.
+    if !node.admits_item(&content, Instant::now()) {
+        // It waits for a trial, or until its route lets it be given up.
         return (RunEnd::Quarantined, "servers crashed under it".to_owned());
     }
     let target = Target {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -272,12 +272,6 @@
         directory.server(key).cloned()
     }
 
-    /// Whether this process or another one found that start of a server to be gone.
-    pub fn is_gone(&self, key: &ServerKey, now: Instant) -> bool {
-        let found_here = self.gone_servers(now).binary_search(key).is_ok();
-        found_here || self.peers.found_gone(key, now)
-    }
-
     /// The availability zone of a listed start of a server.
     pub fn server_zone(&self, key: &ServerKey) -> Option<Zone> {
         let directory = self.directory.lock().expect("directory lock");
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -37,6 +37,16 @@
         }
     }
 
+    /// Whether a batch item with that content may run.
+    pub fn admits_item(&self, content: &RequestContent, now: Instant) -> bool {
+        if self.knows_no_crash() {
+            return true;
+        }
+        let content = content.fingerprint();
+        let quarantine = self.quarantine.lock().expect("quarantine lock");
+        quarantine.admits_item(content, now)
+    }
+
     /// Takes note that a server crashed while a request with that content was there.
     pub fn note_crash(&self, content: &ContentFingerprint, crash: SeenCrash) {
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
--- a/crates/foxwheel-node/src/server_fate.rs
+++ b/crates/foxwheel-node/src/server_fate.rs
@@ -23,9 +23,10 @@
 /// What became of a server whose answer broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerFate {
-    /// Its process ended unasked: nothing listens at its address any more, or another start.
+    /// Its process ended unasked: nothing listens at its address any more.
     Ended,
-    /// It takes connections: only that one broke.
+    /// Its address takes connections: only that one broke, or its server started again, for
+    /// whichever reason, while the path to it was cut.
     Lives,
     /// It cannot be told: the path may be cut, or the host is down.
     Unknown,
@@ -53,7 +54,7 @@
     let listed = node.listed_server(&run.server);
     let ready = listed.filter(|server| server.state == ServerState::Ready);
     let fate = match &ready {
-        Some(server) => fate_of(&node, server).await,
+        Some(server) => fate_of(server).await,
         None => ServerFate::Leaving,
     };
     let content = run.content.fingerprint();
@@ -69,11 +70,8 @@
     }
 }
 
-async fn fate_of(node: &Node, server: &BackendServer) -> ServerFate {
+async fn fate_of(server: &BackendServer) -> ServerFate {
     tokio::time::sleep(LOOK_AFTER).await;
-    if node.is_gone(&server.key(), Instant::now()) {
-        return ServerFate::Ended;
-    }
     match connection::listening(server.addr, LOOK_FOR).await {
         Listening::Refuses => ServerFate::Ended,
         Listening::Accepts => ServerFate::Lives,
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -22,7 +22,7 @@
 
 /// Wait before an item whose content is quarantined is looked at again: the same content may
 /// have been served elsewhere.
-const QUARANTINE_PAUSE: Duration = Duration::from_secs(5);
+const QUARANTINE_PAUSE: Duration = Duration::from_secs(2);
 
 /// How long finished results of a job with more to run wait for others, so that one write
 /// stores several: a crash in this time costs their runs again.
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -33,6 +33,14 @@
 /// costs one server each time.
 const QUARANTINED_FOR: Duration = Duration::from_secs(600);
 
+/// Further crashes that a quarantined batch item may cost: a worker has one run of it at a time,
+/// and nobody asks again for an item that lies still, as a caller does.
+const ITEM_TRIALS: usize = 2;
+
+/// How long after the last crash such an item is tried again: what took its servers, if it was
+/// not the item, is over by then.
+const ITEM_TRIAL_AFTER: Duration = Duration::from_secs(3);
+
 /// How long a crash is remembered.
 pub const REMEMBERED_FOR: Duration = Duration::from_secs(3_600);
 
@@ -214,6 +222,21 @@
         }
     }
 
+    /// Whether a batch item of that content may run: also as a trial while it is quarantined.
+    pub fn admits_item(&self, content: &str, now: Instant) -> bool {
+        let Ok(at) = self.position(content) else {
+            return true;
+        };
+        let accused = &self.accused[at];
+        if !accused.is_quarantined(now) {
+            return true;
+        }
+        let trials_left = accused.crashes_in_turn().len() < ENOUGH_CRASHES + ITEM_TRIALS;
+        let held = accused.crashes.iter().filter(|crash| !crash.cleared);
+        let last = held.map(|crash| crash.at).max();
+        trials_left && last.is_none_or(|last| now >= last + ITEM_TRIAL_AFTER)
+    }
+
     /// Takes note that a server crashed under a request, as this process saw. Answers whether
     /// the content is quarantined by it.
     pub fn note_crash(&mut self, content: &str, seen: SeenCrash, now: Instant) -> bool {
--- a/crates/foxwheel-policy/tests/quarantine.rs
+++ b/crates/foxwheel-policy/tests/quarantine.rs
@@ -215,3 +215,31 @@
         Ok(())
     });
 }
+
+/// Servers that were cut off and started again broke an item three times in turn; it was held
+/// for as long as a culprit, and lay still though servers were free.
+#[test]
+fn an_item_is_tried_again_after_a_pause_and_a_culprit_only_twice() {
+    let now = Instant::now();
+    let mut quarantine = knowing(now);
+    let mut at = after(now, 1);
+    for trial in 0..2 {
+        assert!(
+            !quarantine.admits_item(CULPRIT, at),
+            "trial {trial} comes too soon"
+        );
+        at = after(at, 5);
+        assert!(quarantine.admits_item(CULPRIT, at), "trial {trial}");
+        assert!(
+            quarantined(&quarantine, CULPRIT, at),
+            "no caller's request is tried"
+        );
+        quarantine.note_crash(CULPRIT, crash(50 + trial, at), at);
+    }
+    assert!(
+        !quarantine.admits_item(CULPRIT, after(at, 60)),
+        "it crashed five servers"
+    );
+    quarantine.note_success(CULPRIT, "model");
+    assert!(quarantine.admits_item(CULPRIT, at));
+}
