A chunk is begun only if its job still runs by the store's word

What callers saw: a job whose cancel had been confirmed still had items run. The gateway decides from a watched copy of the jobs, and the copy may trail: it took the lease of a chunk after the cancel and ran items of it until its next watch came back. The holder of a fresh lease reads the job itself before its first item; a job that cannot be read has its chunk given back. Ruled out: an item claimed before the cancel (no chunk had a lease). The API's doc said that no item starts after a cancel; a chunk already held by then goes on until its holder hears of it, and the doc says so now.

--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -3,7 +3,8 @@
 //! - `POST /v1/batches` takes a [`CreateJob`]; answers the [`JobStatus`]. A resend with the
 //!   same `client_key` answers the job made the first time.
 //! - `GET /v1/batches/{id}` answers the [`JobStatus`].
-//! - `POST /v1/batches/{id}/cancel` cancels it; no item starts afterwards.
+//! - `POST /v1/batches/{id}/cancel` cancels it; no chunk is begun afterwards, and one
+//!   that a gateway holds stops as soon as that gateway hears of it.
 //! - `GET /v1/batches/{id}/results` answers one [`ItemResult`] per line (JSON lines).
 
 use actix_web::http::StatusCode;
--- a/crates/foxwheel-gateway/src/batch/chunk_work.rs
+++ b/crates/foxwheel-gateway/src/batch/chunk_work.rs
@@ -166,9 +166,15 @@
             }
         }
         drop(outcomes);
-        if job_cancelled() {
-            self.chunk.cancel_pending();
+        match job_cancelled() {
+            true => self.cancel(shape, stop).await,
+            false => self.release(shape, stop).await,
         }
+    }
+
+    /// Gives the chunk of a cancelled job back, its pending items as cancelled.
+    pub async fn cancel(mut self, shape: &WorkShape, stop: &CancellationToken) -> ChunkEnd {
+        self.chunk.cancel_pending();
         self.release(shape, stop).await
     }
 
@@ -194,7 +200,7 @@
 
     /// Gives the lease back with the last results. While the store is down this waits for
     /// it: the results exist nowhere else. After `stop` it tries [`WRITE_TRIES`] times.
-    async fn release(mut self, shape: &WorkShape, stop: &CancellationToken) -> ChunkEnd {
+    pub async fn release(mut self, shape: &WorkShape, stop: &CancellationToken) -> ChunkEnd {
         let mut tries_after_stop = 0;
         while tries_after_stop < WRITE_TRIES {
             let mut released = self.chunk.clone();
--- a/crates/foxwheel-gateway/src/batch/dispatch.rs
+++ b/crates/foxwheel-gateway/src/batch/dispatch.rs
@@ -19,7 +19,7 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::batch::chunk_work::{ChunkEnd, FreeChunk, WorkShape};
+use crate::batch::chunk_work::{ChunkEnd, FreeChunk, HeldChunk, WorkShape};
 use crate::batch::items::ItemRunner;
 use crate::batch::jobs::{ChunkRecord, JobRecord, JobState};
 use crate::batch::progress::{self, FinishedChunk, JobProgress};
@@ -250,11 +250,7 @@
                 self.with_work(&job.id, |w| w.working += 1);
                 let (this, job, cancel) = (self.clone(), job.clone(), cancel.clone());
                 actix_web::rt::spawn(async move {
-                    let runner = this.runner(&job);
-                    let job_cancelled = || this.job_state(&job.id) == Some(JobState::Cancelled);
-                    let end = held
-                        .work(&runner, &this.shape, &cancel, job_cancelled)
-                        .await;
+                    let end = this.work(&job, held, &cancel).await;
                     this.chunk_done(&job.id, index, end);
                 });
             }
@@ -263,6 +259,25 @@
         Ok(())
     }
 
+    /// Works on a chunk whose lease was just taken, if its job still runs.
+    async fn work(&self, job: &JobRecord, held: HeldChunk, cancel: &CancellationToken) -> ChunkEnd {
+        // The watched copy may miss a cancel that its caller has had confirmed.
+        let read = self.store.get_value::<JobRecord>(&keys::job(&job.id)).await;
+        match read.map(|found| found.map(|(record, _)| record.state)) {
+            Ok(Some(JobState::Running)) => {
+                let runner = self.runner(job);
+                let job_cancelled = || self.job_state(&job.id) == Some(JobState::Cancelled);
+                held.work(&runner, &self.shape, cancel, job_cancelled).await
+            }
+            Ok(Some(JobState::Cancelled)) => held.cancel(&self.shape, cancel).await,
+            Ok(Some(JobState::Completed) | None) => held.release(&self.shape, cancel).await,
+            Err(e) => {
+                log::info!("batch job {}: a chunk given back unrun: {e}", job.id);
+                held.release(&self.shape, cancel).await
+            }
+        }
+    }
+
     fn runner(&self, job: &JobRecord) -> ItemRunner {
         ItemRunner {
             http: self.http.clone(),
--- a/crates/foxwheel-gateway/tests/batch_faults.rs
+++ b/crates/foxwheel-gateway/tests/batch_faults.rs
@@ -64,6 +64,37 @@
     }
 }
 
+/// A job was cancelled right after it was created, and its caller was told that no item
+/// starts any more. The gateway still had the job as running, for its watch of the jobs had
+/// not come back; it took the lease of a chunk after the cancel and ran two of its items.
+#[actix_web::test]
+async fn no_item_starts_after_a_cancel_that_the_gateway_has_not_heard_of() {
+    let fleet = common::start(1).await;
+    let late_news = Faults {
+        watch_delay_ms: 500,
+        ..Faults::default()
+    };
+    fleet.store.set_faults(&late_news).await.expect("faults");
+    let id = fleet
+        .create_batch(&common::batch_request_of("late-news", 300, 40))
+        .await;
+    let cancel = format!("{}/v1/batches/{id}/cancel", fleet.gateway);
+    let cancelled = fleet.http.post(cancel).send().await.expect("cancel");
+    assert_eq!(cancelled.status().as_u16(), 200);
+    let chunks = foxwheel_core::keys::chunks_of(&id);
+    let listed = fleet.store.list(&chunks).await.expect("chunks");
+    let is_held = |chunk: &serde_json::Value| chunk.get("lease").is_some();
+    assert!(!listed.objects.iter().any(|chunk| is_held(&chunk.value)));
+    // The gateway hears of the job first, then of its cancel.
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let counts = &fleet.batch_status(&id).await["counts"];
+    assert_eq!(
+        (&counts["done"], &counts["cancelled"]),
+        (&0.into(), &300.into())
+    );
+    fleet.cancel.cancel();
+}
+
 #[actix_web::test]
 async fn a_cancel_is_recorded_or_refused_and_the_job_stops() {
     let outage = Faults {
--- a/crates/foxwheel-platform-emu/src/server.rs
+++ b/crates/foxwheel-platform-emu/src/server.rs
@@ -381,6 +381,8 @@
         };
         let now = Instant::now();
         if !events.is_empty() || now >= deadline {
+            let delay_ms = emu.lock().faults.watch_delay_ms;
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
             return HttpResponse::Ok().json(json!({ "events": events, "as_of": as_of }));
         }
         // The end of the wait is seen above.
--- a/crates/foxwheel-store/src/api.rs
+++ b/crates/foxwheel-store/src/api.rs
@@ -95,6 +95,9 @@
     /// Delay every call by this many milliseconds.
     #[serde(default)]
     pub delay_ms: u64,
+    /// Hand a watch's answer out only this many milliseconds after it was read.
+    #[serde(default)]
+    pub watch_delay_ms: u64,
     /// Do every n-th write, then close the connection without an answer; 0 turns it off.
     #[serde(default)]
     pub lose_reply_every: u64,
