The agent's port is bound once

Cause: the agent bound its listening address to learn the port, dropped it and bound it again for the server; whoever took the port meanwhile made the start fail. Seen in a stress of the gateway's tests (80 runs of one binary, 12 at once beside ten busy loops): 6 failed with 'address already in use' at the start of an agent. The server is bound first now and the control channel next to it.

--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -97,8 +97,6 @@
         max_waiting_online: settings.max_waiting_online,
         max_waiting_batch: settings.max_waiting_batch,
     });
-    let listener = std::net::TcpListener::bind(&settings.listen_addr)?;
-    let addr = listener.local_addr()?;
     let nudge = Arc::new(tokio::sync::Notify::new());
     let state = Arc::new(AgentState {
         queue: queue.clone(),
@@ -112,6 +110,26 @@
     });
     let server_cancel = CancellationToken::new();
     let control_cancel = CancellationToken::new();
+    let served_state = web::Data::from(state.clone());
+    let shape = http::ServerShape::default();
+    let (addr, server) = http::serve(
+        &settings.listen_addr,
+        shape,
+        server_cancel.clone(),
+        move || {
+            actix_web::App::new()
+                .app_data(served_state.clone())
+                .app_data(web::Data::new(
+                    awc::Client::builder().disable_timeout().finish(),
+                ))
+                .route("/v1/chat/completions", web::post().to(complete))
+                .route("/v1/completions", web::post().to(complete))
+                .route("/services/{tail:.*}", web::route().to(service_call))
+                .route("/load", web::get().to(load))
+                .route("/counters", web::get().to(counters))
+                .route("/drain", web::post().to(drain))
+        },
+    )?;
     let control_listen = settings
         .control_addr
         .clone()
@@ -126,27 +144,10 @@
         control_addr: control_addr.to_string(),
     };
     let membership = Membership::new(&settings, advertised, queue.clone(), nudge);
-    let gate_state = state.clone();
-    let state = web::Data::from(state);
-    let shape = http::ServerShape::default();
-    drop(listener);
-    let (addr, server) = http::serve(&addr.to_string(), shape, server_cancel.clone(), move || {
-        actix_web::App::new()
-            .app_data(state.clone())
-            .app_data(web::Data::new(
-                awc::Client::builder().disable_timeout().finish(),
-            ))
-            .route("/v1/chat/completions", web::post().to(complete))
-            .route("/v1/completions", web::post().to(complete))
-            .route("/services/{tail:.*}", web::route().to(service_call))
-            .route("/load", web::get().to(load))
-            .route("/counters", web::get().to(counters))
-            .route("/drain", web::post().to(drain))
-    })?;
     if settings.backend == BackendKind::Model {
-        let engine_url = gate_state.backend.base_url.clone();
+        let engine_url = state.backend.base_url.clone();
         let gate = gate::run(
-            gate_state.gate.clone(),
+            state.gate.clone(),
             queue.clone(),
             engine_url,
             control_cancel.clone(),
