A process may listen at another address than the one peers reach

Purpose: paths between processes can be put under faults from outside, and hosts behind address translation can be peers. New setting bind_ip; without it nothing changes. Ruled out: a proxy setting for each peer (the processes would know of the proxies).

--- a/crates/foxwheel-node/src/settings.rs
+++ b/crates/foxwheel-node/src/settings.rs
@@ -30,8 +30,11 @@
     pub role: Role,
     /// Its availability zone.
     pub availability_zone: Zone,
-    /// Address it binds and peers reach.
+    /// Address that peers reach, and that it binds unless `bind_ip` says otherwise.
     pub ip: std::net::IpAddr,
+    /// Address it binds where peers reach it through address translation; none binds `ip`.
+    #[serde(default)]
+    pub bind_ip: Option<std::net::IpAddr>,
     /// First and last port for talk between processes; the first one is used, on TCP for
     /// calls and on UDP for heartbeats.
     pub peer_ports: (u16, u16),
@@ -45,7 +48,7 @@
     /// Where the platform asks whether the process is ready; a front's only.
     #[serde(default)]
     pub readiness_address: Option<SocketAddr>,
-    /// Port of `GET /metrics` on `ip`; none serves no metrics.
+    /// Port of `GET /metrics` on the address it binds; none serves no metrics.
     #[serde(default)]
     pub metrics_port: Option<u16>,
     /// The platform's store.
@@ -73,10 +76,15 @@
 }
 
 impl NodeSettings {
-    /// Address for calls and heartbeats between processes.
+    /// Where peers reach it, for calls and heartbeats.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_ports.0)
     }
+
+    /// Where it listens on `port`.
+    pub fn bound(&self, port: u16) -> SocketAddr {
+        SocketAddr::new(self.bind_ip.unwrap_or(self.ip), port)
+    }
 }
 
 impl Check for NodeSettings {
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -319,6 +319,7 @@
             role,
             availability_zone: zone(number % self.zones),
             ip,
+            bind_ip: None,
             peer_ports: (PEER_PORT, PEER_PORT),
             seeds: vec![SocketAddr::new(ip_of(1), PEER_PORT)],
             caller_address: front_port(PEER_PORT + 1),
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -49,6 +49,7 @@
         role: Role::Worker,
         availability_zone: "hall".to_owned(),
         ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        bind_ip: None,
         peer_ports: (7_660, 7_660),
         seeds: Vec::new(),
         caller_address: None,
