A stopping front answers the first request of every connection it opened

What callers saw: for the second half of a front's stop, a connection that they had just opened was closed without an answer; a caller of a request that may run only once could not tell whether it had run (it had not). Cause: once idle connections are to be closed, a new one counted as idle from its first moment; whether its request was read first was up to chance (an unordered select). Ruled out: refused connections (told apart by the paths of the soak), connections kept and closed as a request crossed (reused ones are told apart), faults of servers and paths (their times are known). A new connection has 300 ms for its first request now, which is then answered or refused with when to come back; and connections that the kernel opened just before the front ends are taken before the listener closes. Test: a_stopping_front_answers_the_first_request_of_each_connection failed before ('connection was not ready' at the first one), passes now.

--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -9,6 +9,7 @@
 use foxwheel_platform::batch_api;
 use foxwheel_platform::online as wire;
 use foxwheel_policy::routes::{CallerLimits, Config, RouteKind};
+use futures::FutureExt;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
@@ -18,6 +19,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -40,6 +42,9 @@
 /// When a caller refused by a stopping front should come back: at once, to another front.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// How long the first request of a connection may take to come while the front stops.
+const FIRST_REQUEST_WITHIN: Duration = Duration::from_millis(300);
+
 /// The front's part that connections share.
 #[derive(Debug)]
 struct Front {
@@ -55,32 +60,73 @@
     pub close_idle: CancellationToken,
     /// Cancelled when new requests are to be refused.
     pub refuse: CancellationToken,
+    /// Cancelled when no new connections are to be taken.
+    pub close: CancellationToken,
+}
+
+/// A front that takes connections.
+#[derive(Debug)]
+pub struct Serving {
+    connections: TaskTracker,
+    accepting: JoinHandle<()>,
+    stop: StopSignals,
+}
+
+impl Serving {
+    /// Open connections.
+    pub fn open(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Waits until no connection is open, takes those that were opened meanwhile as the last,
+    /// and waits for them too.
+    pub async fn end(&mut self) {
+        self.connections.close();
+        self.connections.wait().await;
+        self.stop.close.cancel();
+        if let Err(e) = (&mut self.accepting).await {
+            log::warn!(error:% = e; "connections of the last moment not taken");
+        }
+        self.connections.wait().await;
+    }
 }
 
-/// Answers callers on `listener` for as long as the process lives. The answered tracker
-/// counts the open connections.
-pub fn serve(node: Arc<Node>, listener: TcpListener, stop: StopSignals) -> TaskTracker {
+/// Answers callers on `listener` until told to close.
+pub fn serve(node: Arc<Node>, listener: TcpListener, stop: StopSignals) -> Serving {
     let connections = TaskTracker::new();
     let front = Arc::new(Front {
         batch: BatchFront::new(Arc::clone(&node)),
         node,
-        stop,
+        stop: stop.clone(),
     });
-    let tracker = connections.clone();
-    tokio::spawn(async move {
+    let (tracker, close) = (connections.clone(), stop.close.clone());
+    let accepting = tokio::spawn(async move {
+        let take = |stream| {
+            tracker.spawn(serve_connection(Arc::clone(&front), stream));
+        };
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    tracker.spawn(serve_connection(Arc::clone(&front), stream));
-                }
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = close.cancelled() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => take(stream),
                 Err(e) => {
                     log::warn!(error:% = e; "caller's connection not accepted");
                     tokio::time::sleep(Duration::from_millis(20)).await;
                 }
             }
         }
+        // Closing the listener would break connections that the kernel has already opened.
+        while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+            take(stream);
+        }
     });
-    connections
+    Serving {
+        connections,
+        accepting,
+        stop,
+    }
 }
 
 async fn serve_connection(front: Arc<Front>, stream: TcpStream) {
@@ -89,11 +135,22 @@
         log::debug!(error:% = e; "connection closed before its first request");
         return;
     }
+    let opened_at = tokio::time::Instant::now();
     let idle = front.node.config().map_or(DEFAULT_IDLE, |config| {
         config.limits.idle_timeout + IDLE_SLACK
     });
-    let closing = front.stop.close_idle.clone();
+    let close_idle = front.stop.close_idle.clone();
+    let asked = CancellationToken::new();
+    let first_asked = asked.clone();
+    let may_close = async move {
+        close_idle.cancelled().await;
+        // Whoever has just connected is about to ask, and could not tell a close from an
+        // answer that was lost.
+        let first_by = opened_at + FIRST_REQUEST_WITHIN;
+        tokio::time::timeout_at(first_by, first_asked.cancelled()).await
+    };
     let service = service_fn(move |request| {
+        asked.cancel();
         let front = Arc::clone(&front);
         async move { Ok::<_, std::convert::Infallible>(front.answer(request).await) }
     });
@@ -103,8 +160,9 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
+        biased;
         ended = connection.as_mut() => ended,
-        () = closing.cancelled() => {
+        _ = may_close => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/foxwheel-node/src/process.rs
+++ b/crates/foxwheel-node/src/process.rs
@@ -27,7 +27,7 @@
         .ok_or_else(|| std::io::Error::other("a front needs a caller address"))?;
     let listener = TcpListener::bind(caller_address).await?;
     let stop = front::StopSignals::default();
-    let connections = front::serve(Arc::clone(&node), listener, stop.clone());
+    let mut serving = front::serve(Arc::clone(&node), listener, stop.clone());
     if let Some(addr) = settings.readiness_address {
         front::serve_readiness(Arc::clone(&node), addr).await?;
     }
@@ -35,17 +35,16 @@
     let plan = StopPlan::new(Instant::now(), settings.stop_grace);
     tokio::time::sleep_until(plan.close_idle_at.into()).await;
     stop.close_idle.cancel();
-    connections.close();
     let refusing = async {
         tokio::time::sleep_until(plan.refuse_from.into()).await;
         stop.refuse.cancel();
         tokio::time::sleep_until(plan.end_at.into()).await;
     };
     let in_time = tokio::select! {
-        () = connections.wait() => true,
+        () = serving.end() => true,
         () = refusing => false,
     };
-    log::info!(cut = connections.len(), in_time; "front stopped");
+    log::info!(cut = serving.open(), in_time; "front stopped");
     background.cancel();
     structured_log::flush();
     Ok(())
--- a/crates/foxwheel-node/tests/membership_contract.rs
+++ b/crates/foxwheel-node/tests/membership_contract.rs
@@ -246,6 +246,47 @@
     fleet.cancel.cancel();
 }
 
+/// A front that was stopping closed connections that callers had just opened, before their
+/// first request had arrived; those callers saw a broken connection and could not tell whether
+/// their request had run. It stays up here as long as a stream goes on.
+#[actix_web::test]
+async fn a_stopping_front_answers_the_first_request_of_each_connection() {
+    let slow = common::shapes(1).into_iter().map(|shape| Shape {
+        step: Duration::from_millis(100),
+        events: 25,
+        ..shape
+    });
+    let fleet = Fleet::start(Plan {
+        servers: slow.collect(),
+        workers: 0,
+        ..Plan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    fleet.processes[0].stop.cancel();
+    // Half of its time to stop (2.75 s) goes by before it closes idle connections.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let mut streaming = common::connect(front).await.expect("connected");
+    let request = common::request(Method::POST, "/stream-once/a", "last", &[], "");
+    let stream = streaming.send(request).await.expect("answered");
+    let mut refused = 0;
+    while refused < 20 {
+        let mut connection = common::connect(front).await.expect("connected");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let id = format!("late-{refused}");
+        let request = common::request(Method::POST, "/once/a", &id, &[], "");
+        let sent = tokio::time::timeout(Duration::from_millis(50), connection.send(request));
+        // Until it refuses, requests go to the slow server.
+        let Ok(answer) = sent.await else { continue };
+        let answer = answer.expect("the first request is answered");
+        assert_eq!(answer.status(), StatusCode::SERVICE_UNAVAILABLE);
+        assert!(answer.headers().contains_key("retry-after"));
+        refused += 1;
+    }
+    drop(stream);
+    fleet.cancel.cancel();
+}
+
 /// The store's history is dropped while servers change: the list is read anew.
 #[actix_web::test]
 async fn a_dropped_history_loses_no_change() {
