A fault soak on the real processes

Stand-ins learn what it needs: when a run began and ended, dropping the store's history and a server's faults. Weighed: driving the processes inside one test program (what node's tests do, no signals); iptables (needs root). A path in front of a front takes connections that the front then refuses; it notes them, so that they do not count as cut.

--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -42,6 +42,11 @@
         self.0.lock().expect("script lock").extend(faults);
     }
 
+    /// Drops the faults that no request has met yet.
+    pub fn clear(&self) {
+        self.0.lock().expect("script lock").clear();
+    }
+
     /// The fault of the request that came now.
     pub fn next_fault(&self) -> Fault {
         let mut script = self.0.lock().expect("script lock");
--- a/crates/foxwheel-server-emu/src/runs.rs
+++ b/crates/foxwheel-server-emu/src/runs.rs
@@ -1,6 +1,7 @@
 //! The record of what ran.
 
 use std::sync::Mutex;
+use std::time::Instant;
 
 /// One run of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -15,6 +16,10 @@
     pub deadline_ms: Option<u64>,
     /// The event behind which it was resumed.
     pub resumed_after: Option<u64>,
+    /// When it began.
+    pub started_at: Instant,
+    /// When it ended; none while it runs.
+    pub ended_at: Option<Instant>,
     /// Whether the sender was still there when it ended; none while it runs.
     pub finished: Option<bool>,
 }
@@ -34,7 +39,9 @@
     /// Records an end.
     pub fn end(&self, number: usize, finished: bool) {
         let mut runs = self.0.lock().expect("runs lock");
-        runs[number].finished.get_or_insert(finished);
+        let run = &mut runs[number];
+        run.finished.get_or_insert(finished);
+        run.ended_at.get_or_insert_with(Instant::now);
     }
 
     /// Every run so far.
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use foxwheel_platform::online as names;
@@ -77,6 +77,11 @@
     pub fn end(&self) {
         self.ended.cancel();
     }
+
+    /// Fires when it has crashed or was ended.
+    pub fn ended(&self) -> CancellationToken {
+        self.ended.clone()
+    }
 }
 
 #[derive(Debug)]
@@ -184,6 +189,8 @@
             body: body.to_vec(),
             deadline_ms: header(names::DEADLINE_MS).and_then(|ms| ms.parse().ok()),
             resumed_after,
+            started_at: Instant::now(),
+            ended_at: None,
             finished: None,
         });
         let guard = RunGuard {
--- /dev/null
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -0,0 +1,390 @@
+//! Each promise's check, with evidence in which it is kept and evidence in which it is broken.
+
+use std::time::{Duration, Instant};
+
+use foxwheel_server_emu::runs::Run;
+use foxwheel_server_emu::server::event_data;
+use foxwheel_soak::caller;
+use foxwheel_soak::checks::{self, Promise};
+use foxwheel_soak::evidence::{Call, CallEnd, ConfigProbe, ConfigWrite, Cuts, Disturbance};
+use foxwheel_soak::evidence::{Evidence, Job, Kind, ServerRun, Stop};
+use foxwheel_soak::process::{Ended, Resources};
+use serde_json::{json, Value};
+
+const EVENTS: u64 = 3;
+
+/// Evidence of a run that began at `began`.
+struct Case {
+    began: Instant,
+    evidence: Evidence,
+}
+
+impl Case {
+    fn new() -> Self {
+        let began = Instant::now();
+        let evidence = Evidence {
+            events: EVENTS,
+            began_at: Some(began),
+            ..Evidence::default()
+        };
+        Self { began, evidence }
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.began + Duration::from_millis(ms)
+    }
+
+    fn call(&mut self, id: &str, kind: Kind, sent_ms: u64, end: CallEnd) {
+        let sent_at = self.at(sent_ms);
+        self.evidence.calls.push(Call {
+            id: id.to_owned(),
+            kind,
+            front: 0,
+            connected_at: sent_at,
+            sent_at,
+            ended_at: sent_at + Duration::from_millis(100),
+            end,
+        });
+    }
+
+    fn run(&mut self, request: &str, from_ms: u64, until_ms: Option<u64>) {
+        let run = Run {
+            request_id: request.to_owned(),
+            target: String::new(),
+            body: Vec::new(),
+            deadline_ms: None,
+            resumed_after: None,
+            started_at: self.at(from_ms),
+            ended_at: until_ms.map(|ms| self.at(ms)),
+            finished: until_ms.map(|_| true),
+        };
+        self.evidence.runs.push(ServerRun {
+            server: "server-1".to_owned(),
+            leaving_since: None,
+            run,
+        });
+    }
+
+    fn disturb(&mut self, from_ms: u64, until_ms: u64, cuts: Cuts) {
+        let (from, until) = (self.at(from_ms), self.at(until_ms));
+        let disturbance = Disturbance { from, until, cuts };
+        self.evidence.disturbances.push(disturbance);
+    }
+
+    /// The promises broken, each once.
+    fn broken(&self) -> Vec<Promise> {
+        let breaches = checks::check(&self.evidence).into_iter();
+        let mut broken: Vec<Promise> = breaches.map(|breach| breach.promise).collect();
+        broken.dedup();
+        broken
+    }
+}
+
+fn whole(id: &str) -> CallEnd {
+    CallEnd::Whole {
+        status: 200,
+        not_run: false,
+        body: checks::whole_body(id, EVENTS),
+    }
+}
+
+fn refused() -> CallEnd {
+    CallEnd::Whole {
+        status: 503,
+        not_run: true,
+        body: Vec::new(),
+    }
+}
+
+fn broken(body: Vec<u8>, reused: bool) -> CallEnd {
+    CallEnd::Broken { body, reused }
+}
+
+#[test]
+fn a_whole_run_breaks_nothing() {
+    let mut case = Case::new();
+    case.run("a", 10_000, Some(10_050));
+    case.call("a", Kind::Once, 10_000, whole("a"));
+    assert_eq!(case.broken(), []);
+}
+
+#[test]
+fn an_answer_of_another_request_or_out_of_order() {
+    let part = |id: &str| checks::whole_body(id, EVENTS)[..28].to_vec();
+    let cases = [
+        ("another's answer", whole("b")),
+        ("another's events before a break", broken(part("b"), false)),
+    ];
+    for (name, end) in cases {
+        let mut case = Case::new();
+        case.disturb(9_000, 10_050, Cuts::Any);
+        case.call("a", Kind::Plain, 10_000, end);
+        assert_eq!(case.broken(), [Promise::OwnAnswer], "{name}");
+    }
+    let mut case = Case::new();
+    case.disturb(9_000, 10_050, Cuts::Any);
+    case.call("a", Kind::Plain, 10_000, broken(part("a"), false));
+    assert_eq!(case.broken(), []);
+}
+
+#[test]
+fn a_refusal_that_is_not_true() {
+    let mut case = Case::new();
+    case.disturb(9_000, 10_050, Cuts::Any);
+    case.call("a", Kind::Once, 10_000, refused());
+    assert_eq!(case.broken(), []);
+    case.run("a", 10_000, Some(10_050));
+    assert_eq!(case.broken(), [Promise::NotRunIsTrue]);
+}
+
+#[test]
+fn more_runs_than_the_route_allows() {
+    for (kind, allowed) in [(Kind::Once, 1), (Kind::StreamOnce, 1), (Kind::Plain, 2)] {
+        let mut case = Case::new();
+        case.call("a", kind, 10_000, whole("a"));
+        for _ in 0..allowed {
+            case.run("a", 10_000, Some(10_050));
+        }
+        assert_eq!(case.broken(), [], "{kind:?}");
+        case.run("a", 10_000, Some(10_050));
+        assert_eq!(case.broken(), [Promise::RunsAllowed], "{kind:?}");
+    }
+}
+
+/// A planned stop is no fault that may cut an answer.
+#[test]
+fn an_answer_cut_without_a_fault() {
+    let cases = [
+        (
+            "a fault at its own front",
+            Cuts::Front(0),
+            false,
+            false,
+            true,
+        ),
+        (
+            "a fault at another front",
+            Cuts::Front(1),
+            false,
+            true,
+            false,
+        ),
+        ("a stop, connection new", Cuts::Nothing, false, false, false),
+        ("a stop, connection kept", Cuts::Nothing, true, false, true),
+        (
+            "a stop, connection kept, run",
+            Cuts::Nothing,
+            true,
+            true,
+            false,
+        ),
+    ];
+    for (name, cuts, reused, ran, allowed) in cases {
+        let mut case = Case::new();
+        case.disturb(9_000, 10_050, cuts);
+        case.call("a", Kind::Once, 10_000, broken(Vec::new(), reused));
+        if ran {
+            case.run("a", 10_000, Some(10_050));
+        }
+        let expected = if allowed {
+            vec![]
+        } else {
+            vec![Promise::NotCut]
+        };
+        assert_eq!(case.broken(), expected, "{name}");
+    }
+    let mut case = Case::new();
+    case.disturb(9_000, 10_050, Cuts::Nothing);
+    case.call("a", Kind::Once, 10_000, broken(Vec::new(), false));
+    let refusal = (0, case.at(10_020));
+    case.evidence.refusals.push(refusal);
+    assert_eq!(case.broken(), [], "the front refused the connection");
+}
+
+#[test]
+fn callers_not_served_after_the_last_fault() {
+    for (name, until_ms, expected) in [
+        ("within the bound", 6_000, vec![]),
+        ("after it", 4_000, vec![Promise::Served]),
+    ] {
+        let mut case = Case::new();
+        case.disturb(0, until_ms, Cuts::Any);
+        case.call("a", Kind::Plain, 10_000, refused());
+        assert_eq!(case.broken(), expected, "{name}");
+    }
+}
+
+fn job(case: &Case, id: &str, results: Vec<Value>) -> Job {
+    Job {
+        id: id.to_owned(),
+        count: 2,
+        accepted_at: case.at(0),
+        ended_at: None,
+        read_again: Some(results.clone()),
+        results,
+    }
+}
+
+fn result(job: &str, at: usize) -> Value {
+    let id = caller::item_id(job, at);
+    let output: Vec<String> = (1..=EVENTS).map(|event| event_data(&id, event)).collect();
+    json!({"id": id, "state": "completed", "output": output.join("\n")})
+}
+
+#[test]
+fn items_lost_listed_twice_or_changed() {
+    let all = || vec![result("j", 1), result("j", 0)];
+    let twice = || [all(), vec![result("j", 0)]].concat();
+    let mut swapped = all();
+    swapped.reverse();
+    let mut foreign = all();
+    foreign[0]["output"] = "another's".into();
+    let lost = || vec![result("j", 0)];
+    let cases = [
+        ("whole", all(), Some(all()), vec![]),
+        ("lost", lost(), Some(lost()), vec![Promise::ItemsOnce]),
+        ("twice", twice(), Some(twice()), vec![Promise::ItemsOnce]),
+        ("changed", all(), Some(swapped), vec![Promise::ItemsOnce]),
+        ("not readable again", all(), None, vec![Promise::ItemsOnce]),
+        (
+            "another's output",
+            foreign.clone(),
+            Some(foreign),
+            vec![Promise::OwnAnswer],
+        ),
+    ];
+    for (name, results, read_again, expected) in cases {
+        let mut case = Case::new();
+        let mut job = job(&case, "j", results);
+        job.read_again = read_again;
+        case.evidence.jobs.push(job);
+        assert_eq!(case.broken(), expected, "{name}");
+    }
+}
+
+#[test]
+fn an_ended_job_that_goes_on() {
+    for (name, fault_until_ms, expected) in [
+        ("in quiet", 0, vec![Promise::JobEnds]),
+        ("a fault until shortly before", 3_000, vec![]),
+    ] {
+        let mut case = Case::new();
+        case.disturb(0, fault_until_ms, Cuts::Nothing);
+        let mut job = job(&case, "j", Vec::new());
+        job.ended_at = Some(case.at(100));
+        case.evidence.jobs.push(job);
+        case.run("j-item-0", 200, Some(300));
+        assert_eq!(case.broken(), [], "{name}");
+        case.run("j-item-1", 5_000, Some(5_100));
+        // Another job's name begins alike.
+        case.run("j1-item-1", 9_000, Some(9_100));
+        assert_eq!(case.broken(), expected, "{name}");
+    }
+}
+
+#[test]
+fn work_for_a_leaving_server_or_a_caller_that_left() {
+    let mut case = Case::new();
+    case.run("a", 500, Some(600));
+    case.run("b", 4_000, Some(4_100));
+    let leaving = Some(case.at(100));
+    case.evidence.runs[0].leaving_since = leaving;
+    assert_eq!(case.broken(), []);
+    case.evidence.runs[1].leaving_since = leaving;
+    assert_eq!(case.broken(), [Promise::Drained]);
+
+    let mut case = Case::new();
+    let left = CallEnd::Left { meant_to: true };
+    case.run("a", 10_000, Some(10_500));
+    case.call("a", Kind::Stream, 10_000, left);
+    assert_eq!(case.broken(), []);
+    case.run("a", 10_000, None);
+    assert_eq!(case.broken(), [Promise::Abandoned]);
+}
+
+#[test]
+fn a_configuration_not_in_force_or_gone_back() {
+    let probe = |case: &Case, at_ms, routed| ConfigProbe {
+        front: 0,
+        version: 2,
+        at: case.at(at_ms),
+        routed,
+    };
+    let mut case = Case::new();
+    let at = case.at(0);
+    case.evidence.configs.push(ConfigWrite { version: 2, at });
+    for (at_ms, routed) in [(100, false), (900, true), (4_000, true)] {
+        let probe = probe(&case, at_ms, routed);
+        case.evidence.probes.push(probe);
+    }
+    assert_eq!(case.broken(), []);
+    let back = probe(&case, 4_500, false);
+    case.evidence.probes.push(back);
+    assert_eq!(case.broken(), [Promise::ConfigInForce]);
+    // Its route goes with the next version.
+    let next = ConfigWrite {
+        version: 3,
+        at: case.at(4_200),
+    };
+    case.evidence.configs.push(next);
+    assert_eq!(case.broken(), []);
+}
+
+#[test]
+fn a_crashing_request_that_is_run_on_and_on() {
+    let mut case = Case::new();
+    case.call("c", Kind::Crashing, 0, broken(Vec::new(), false));
+    case.disturb(0, 200, Cuts::Any);
+    for at in 0..9 {
+        case.run("c", at * 100, Some(at * 100 + 10));
+    }
+    let goes_on = |case: &Case| case.broken().contains(&Promise::CrashesEnd);
+    assert!(!goes_on(&case), "until the crashes are known everywhere");
+    for at in 0..4 {
+        case.run("c", 5_000 + at * 100, Some(5_010 + at * 100));
+    }
+    assert!(goes_on(&case));
+}
+
+#[test]
+fn processes_that_overstay_end_or_grow() {
+    let host = || "host-1".to_owned();
+    let mut case = Case::new();
+    let ended = Some(Ended::Exit(0));
+    let stop = Stop {
+        host: host(),
+        ended,
+    };
+    case.evidence.stops.push(stop);
+    let held = Resources {
+        memory_bytes: checks::MOST_MEMORY_BYTES,
+        open_files: checks::MOST_OPEN_FILES,
+    };
+    case.evidence.resources.push((host(), held));
+    assert_eq!(case.broken(), []);
+    for ended in [None, Some(Ended::Exit(101)), Some(Ended::Signal(6))] {
+        case.evidence.stops[0].ended = ended;
+        assert_eq!(case.broken(), [Promise::StopsInTime], "{ended:?}");
+    }
+    case.evidence.stops.clear();
+    case.evidence.resources[0].1.open_files += 1;
+    assert_eq!(case.broken(), [Promise::Bounded]);
+    case.evidence.resources[0].1 = held;
+    case.evidence.resources[0].1.memory_bytes += 1;
+    assert_eq!(case.broken(), [Promise::Bounded]);
+    case.evidence.resources.clear();
+    case.evidence.unasked_ends.push((host(), Ended::Exit(101)));
+    assert_eq!(case.broken(), [Promise::StaysUp]);
+}
+
+/// A bound counts from the last fault that came before it was over.
+#[test]
+fn a_bound_starts_again_with_each_fault() {
+    let mut case = Case::new();
+    let bound = Duration::from_millis(1_000);
+    assert_eq!(case.evidence.settled_by(case.at(0), bound), case.at(1_000));
+    case.disturb(500, 900, Cuts::Nothing);
+    case.disturb(1_800, 2_000, Cuts::Nothing);
+    case.disturb(3_100, 3_200, Cuts::Nothing);
+    assert_eq!(case.evidence.settled_by(case.at(0), bound), case.at(3_000));
+}
--- a/crates/foxwheel-store/src/client.rs
+++ b/crates/foxwheel-store/src/client.rs
@@ -262,6 +262,14 @@
             .map_err(|e| self.unavailable("set faults", e))
     }
 
+    /// Makes the stand-in forget the changes it kept for watches.
+    pub async fn drop_history(&self) -> Result<(), StoreError> {
+        let request = awc::Client::default().post(format!("{}/drop-history", self.base_url));
+        let sent = request.send().await;
+        sent.map(|_| ())
+            .map_err(|e| self.unavailable("drop history", e))
+    }
+
     async fn write(&self, step: &'static str, write: &Write) -> Result<Written, StoreError> {
         let written = self.store(step)?.write(write).await;
         written.map_err(|e| self.error(step, e))
