Tests of the node use the soak's callers, declarations and networks

The same requests, configuration, entries and loopback networks stood in the tests' common module and would have stood in the soak again: one copy of each. Ruled out: the soak using the tests' module (a library cannot).

--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -4,43 +4,30 @@
 //! all hosts.
 
 // Each test file uses its own part of this.
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports)]
 
 pub mod gate;
 
+pub use foxwheel_soak::caller::{self, Answer};
+pub use foxwheel_soak::caller::{call, connect, job_body, read, read_results, request, submit};
+pub use foxwheel_soak::declarations::{self, zone, HOST};
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use foxwheel_core::keys;
-use foxwheel_http1::connection::{ConnectOptions, Connection, ExchangeError};
 use foxwheel_node::process;
 use foxwheel_node::settings::{NodeSettings, Role};
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_server_emu::server::{self, Server, Shape};
+use foxwheel_soak::network::{self, Network};
 use foxwheel_store::api::Faults;
 use foxwheel_store::client::StoreClient;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, StatusCode};
+use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
 use tokio_util::sync::CancellationToken;
 
-/// Port for talk between the processes, on each host's own address.
-const PEER_PORT: u16 = 27_660;
-
-/// Port of the metrics, on each host's own address.
-const METRICS_PORT: u16 = 27_664;
-
-/// Whoever listens here on a network's last address has the network.
-const NETWORK_PORT: u16 = 27_659;
-
-/// Networks that fleets may have.
-const NETWORKS: u32 = 240;
-
-/// Host header of every route.
-pub const HOST: &str = "calls.example";
-
 /// A store, backend servers, fronts and workers.
 pub struct Fleet {
     /// The store, as the operator and the backend servers reach it.
@@ -55,7 +42,7 @@
     pub cancel: CancellationToken,
     hosts: u32,
     zones: u32,
-    network: u8,
+    network: Network,
     store_addr: SocketAddr,
 }
 
@@ -149,25 +136,6 @@
         .collect()
 }
 
-/// Takes a network for one fleet, as several run at once. Whoever listens at its last address
-/// has it, also against other test binaries, until this process ends.
-fn take_network() -> u8 {
-    let first = std::process::id();
-    let mut taken = (0..NETWORKS).filter_map(|at| {
-        let network = 10 + ((first + at) % NETWORKS) as u8;
-        let listener = std::net::TcpListener::bind((host_ip(network, 255), NETWORK_PORT));
-        listener.ok().map(|listener| (network, listener))
-    });
-    let (network, listener) = taken.next().expect("a free network");
-    // Tests end with their process; nothing gives a network back earlier.
-    std::mem::forget(listener);
-    network
-}
-
-fn host_ip(network: u8, host: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 27, network, host))
-}
-
 impl Fleet {
     /// Starts a fleet and waits until every front is ready.
     pub async fn start(plan: Plan) -> Self {
@@ -184,7 +152,7 @@
             cancel,
             hosts: 0,
             zones: plan.zones,
-            network: take_network(),
+            network: Network::take().expect("a free network"),
             store_addr,
         };
         fleet.configure(1, |_| {}).await;
@@ -239,34 +207,7 @@
 
     /// Writes a configuration; `alter` changes the usual one.
     pub async fn configure(&self, version: u64, alter: impl FnOnce(&mut Value)) {
-        let route = |name: &str, kind: &str, more: Value| {
-            let mut route = json!({
-                "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-                "timeout_ms": 3_000, "target_latency_ms": 300, "service": "model",
-                "max_attempts": 2, "priority": 0,
-            });
-            let fields = route.as_object_mut().expect("an object");
-            fields.extend(more.as_object().expect("an object").clone());
-            route
-        };
-        let mut config = json!({
-            "version": version,
-            "routes": [
-                route("plain", "idempotent", json!({})),
-                route("once", "non_idempotent", json!({})),
-                route("stream", "streaming", json!({"resumable": true})),
-                route("stream-once", "streaming", json!({"max_attempts": 1})),
-                route("batch", "batch", json!({
-                    "completion_target_ms": 18_000, "retention_s": 60, "cap": 0,
-                    "max_attempts": 3, "priority": 2,
-                })),
-            ],
-            "services": [{"name": "model", "health_path": "/healthz", "max_conns": 100}],
-            "limits": {
-                "max_header_bytes": 16_384, "max_body_bytes": 4_194_304,
-                "header_timeout_ms": 3_000, "idle_timeout_ms": 15_000,
-            },
-        });
+        let mut config = declarations::config(version);
         alter(&mut config);
         let written = self.store.put("config/main", &config, None).await;
         written.expect("configuration written");
@@ -311,7 +252,7 @@
 
     /// Settings of the process on host `number`, with a straight path to the store.
     pub fn settings_of(&self, number: u32, role: Role) -> NodeSettings {
-        let ip_of = |host| host_ip(self.network, host);
+        let ip_of = |host| self.network.host(host);
         let ip = ip_of(number as u8);
         let front_port = |port| (role == Role::Front).then(|| SocketAddr::new(ip, port));
         NodeSettings {
@@ -320,11 +261,11 @@
             availability_zone: zone(number % self.zones),
             ip,
             bind_ip: None,
-            peer_ports: (PEER_PORT, PEER_PORT),
-            seeds: vec![SocketAddr::new(ip_of(1), PEER_PORT)],
-            caller_address: front_port(PEER_PORT + 1),
-            readiness_address: front_port(PEER_PORT + 2),
-            metrics_port: Some(METRICS_PORT),
+            peer_ports: (network::PEER_PORT, network::PEER_PORT),
+            seeds: vec![SocketAddr::new(ip_of(1), network::PEER_PORT)],
+            caller_address: front_port(network::CALLER_PORT),
+            readiness_address: front_port(network::READINESS_PORT),
+            metrics_port: Some(network::METRICS_PORT),
             store_address: self.store_addr,
             store_value_bytes: 1_048_576,
             stop_grace: Duration::from_secs(6),
@@ -354,7 +295,7 @@
 
     /// A counter of a process's metrics; 0 before its first event.
     pub async fn counter(&self, process: &Process, name: &str) -> u64 {
-        let addr = SocketAddr::new(process.settings.ip, METRICS_PORT);
+        let addr = SocketAddr::new(process.settings.ip, network::METRICS_PORT);
         let answer = call(addr, Method::GET, "/metrics", "metrics", &[], "").await;
         let text = answer.expect("metrics").text();
         let found = text.lines().find_map(|line| line.strip_prefix(name));
@@ -386,91 +327,9 @@
     }
 }
 
-/// Name of the zone `number`, counted from 0.
-pub fn zone(number: u32) -> String {
-    match number {
-        0 => "hall".to_owned(),
-        number => format!("hall-{number}"),
-    }
-}
-
 /// The entry of a backend server of the service `model`.
 pub fn entry(addr: SocketAddr, state: &str) -> Value {
-    json!({
-        "service": "model", "addr": addr, "zone": "hall", "version": "v1", "slots": 8,
-        "state": state, "cold_left_ms": 0, "seq": 1,
-    })
-}
-
-/// An answer as its caller saw it.
-#[derive(Debug, Clone)]
-pub struct Answer {
-    /// Its status.
-    pub status: StatusCode,
-    /// Its headers.
-    pub headers: hyper::HeaderMap,
-    /// Its body.
-    pub body: Bytes,
-    /// Whether the body ended whole.
-    pub whole: bool,
-}
-
-impl Answer {
-    /// The body as text.
-    pub fn text(&self) -> String {
-        String::from_utf8_lossy(&self.body).into_owned()
-    }
-
-    /// The body as JSON.
-    pub fn json(&self) -> Value {
-        serde_json::from_slice(&self.body).expect("a JSON body")
-    }
-}
-
-const OPTIONS: ConnectOptions = ConnectOptions {
-    connect_timeout: Duration::from_secs(1),
-    unacknowledged_timeout: Duration::from_secs(5),
-};
-
-/// Opens a caller's connection.
-pub async fn connect(front: SocketAddr) -> Result<Connection, ExchangeError> {
-    Connection::open(front, OPTIONS).await
-}
-
-/// A caller's request.
-pub fn request(
-    method: Method,
-    path: &str,
-    id: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Request<Full<Bytes>> {
-    let mut builder = Request::builder()
-        .method(method)
-        .uri(path)
-        .header("host", HOST)
-        .header(foxwheel_platform::online::REQUEST_ID, id);
-    for (name, value) in headers {
-        builder = builder.header(*name, *value);
-    }
-    let body = Full::new(Bytes::from(body.to_owned()));
-    builder.body(body).expect("a valid request")
-}
-
-/// Sends one request on a connection of its own and reads the whole answer.
-pub async fn call(
-    front: SocketAddr,
-    method: Method,
-    path: &str,
-    id: &str,
-    headers: &[(&str, &str)],
-    body: &str,
-) -> Result<Answer, ExchangeError> {
-    let mut connection = connect(front).await?;
-    let answer = connection
-        .send(request(method, path, id, headers, body))
-        .await?;
-    Ok(read(answer).await)
+    declarations::server_entry(addr, state)
 }
 
 /// Longest wait for something that takes milliseconds when all is well.
@@ -498,59 +357,6 @@
     config["routes"][0]["path_prefix"] = json!("/moved/");
 }
 
-/// Reads an answer to its end, or to where it broke.
-pub async fn read(answer: hyper::Response<hyper::body::Incoming>) -> Answer {
-    let (head, mut body) = answer.into_parts();
-    let mut bytes = bytes::BytesMut::new();
-    let mut whole = true;
-    while let Some(frame) = body.frame().await {
-        match frame.map(hyper::body::Frame::into_data) {
-            Ok(Ok(data)) => bytes.extend_from_slice(&data),
-            Ok(Err(_)) => {}
-            Err(_) => {
-                whole = false;
-                break;
-            }
-        }
-    }
-    Answer {
-        status: head.status,
-        headers: head.headers,
-        body: bytes.freeze(),
-        whole,
-    }
-}
-
-/// The body of a submission of `count` items, named after the job.
-pub fn job_body(job: &str, count: usize) -> String {
-    let items: Vec<Value> = (0..count)
-        .map(|at| {
-            json!({
-                "id": format!("{job}-item-{at}"), "path": format!("/batch/{job}/{at}"),
-                "headers": {"X-Model": "m"}, "body": "q83vEjRWeJA=", "tokens": 100,
-            })
-        })
-        .collect();
-    json!({ "items": items }).to_string()
-}
-
-/// Submits a job.
-pub async fn submit(front: SocketAddr, job: &str, count: usize) -> Result<Answer, ExchangeError> {
-    let body = job_body(job, count);
-    let headers = [("content-type", "application/json")];
-    call(front, Method::POST, "/batch/submit", job, &headers, &body).await
-}
-
-/// Reads results of a job from position `after` on; waits at the front for a first one.
-pub async fn read_results(front: SocketAddr, job: &str, after: usize) -> Option<Value> {
-    let path = format!("/api/lots/{job}?after={after}");
-    let headers = [("x-wait-ms", "300")];
-    let answer = call(front, Method::GET, &path, "read", &headers, "")
-        .await
-        .ok()?;
-    (answer.status == StatusCode::OK).then(|| answer.json())
-}
-
 /// Reads a job until `count` results are listed; answers them all.
 pub async fn until_listed(front: SocketAddr, job: &str, count: usize) -> Vec<Value> {
     let mut results = Vec::new();
@@ -578,7 +384,7 @@
 
 /// The ids of a job's items as submitted, sorted.
 pub fn item_ids(job: &str, count: usize) -> Vec<String> {
-    let mut ids: Vec<String> = (0..count).map(|at| format!("{job}-item-{at}")).collect();
+    let mut ids: Vec<String> = (0..count).map(|at| caller::item_id(job, at)).collect();
     ids.sort();
     ids
 }
