The soak checks the quota of waiting tokens

Counts only what certainly waited while a job was admitted: items of jobs accepted before it was submitted which first began after it was accepted. The route of the soak's jobs has a quota its clients meet. Test: fails one token below.

--- a/crates/foxwheel-soak/src/caller.rs
+++ b/crates/foxwheel-soak/src/caller.rs
@@ -117,6 +117,9 @@
     }
 }
 
+/// Tokens of each item of a job.
+pub const ITEM_TOKENS: u64 = 100;
+
 /// The id of the item at `at` of a job.
 pub fn item_id(job: &str, at: usize) -> String {
     format!("{job}-item-{at}")
@@ -128,7 +131,7 @@
         .map(|at| {
             json!({
                 "id": item_id(job, at), "path": format!("/batch/{job}/{at}"),
-                "headers": {"X-Model": "m"}, "body": "q83vEjRWeJA=", "tokens": 100,
+                "headers": {"X-Model": "m"}, "body": "q83vEjRWeJA=", "tokens": ITEM_TOKENS,
             })
         })
         .collect();
--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -55,6 +55,8 @@
     ItemsOnce,
     /// Nothing of an ended job starts.
     JobEnds,
+    /// No more tokens wait than the quota allows.
+    Quota,
     /// A server that is to leave gets nothing new.
     Drained,
     /// Work for a caller that left stops.
@@ -100,6 +102,7 @@
     for job in &evidence.jobs {
         check_job(job, &mut found);
         check_job_end(evidence, job, &mut found);
+        check_quota(evidence, job, &mut found);
     }
     check_leaving_servers(evidence, &mut found);
     check_crashes(evidence, &mut found);
@@ -260,6 +263,26 @@
     }
 }
 
+/// Counts only what certainly waited while `job` was admitted: items of jobs accepted before
+/// it was submitted that first began after it was accepted.
+fn check_quota(evidence: &Evidence, job: &Job, found: &mut Found) {
+    let waited_throughout = |item: &str| {
+        let starts = evidence.runs_of(item).map(|seen| seen.run.started_at);
+        starts.min().is_some_and(|first| first > job.accepted_at)
+    };
+    let before = evidence
+        .jobs
+        .iter()
+        .filter(|other| other.accepted_at < job.submitted_at);
+    let items = before.flat_map(|other| (0..other.count).map(|at| caller::item_id(&other.id, at)));
+    let waiting = items.filter(|item| waited_throughout(item)).count() + job.count;
+    let waiting_tokens = waiting as u64 * caller::ITEM_TOKENS;
+    if evidence.quota_tokens > 0 && waiting_tokens > evidence.quota_tokens {
+        let seen = format!("{waiting_tokens} tokens waited when it was accepted");
+        found.breach(Promise::Quota, &job.id, seen);
+    }
+}
+
 fn check_leaving_servers(evidence: &Evidence, found: &mut Found) {
     for seen in &evidence.runs {
         let Some(since) = seen.leaving_since else {
--- a/crates/foxwheel-soak/src/evidence.rs
+++ b/crates/foxwheel-soak/src/evidence.rs
@@ -87,6 +87,8 @@
     pub id: String,
     /// Its items.
     pub count: usize,
+    /// When it was first submitted.
+    pub submitted_at: Instant,
     /// When it was accepted.
     pub accepted_at: Instant,
     /// When its end was confirmed, if the client ended it.
@@ -186,6 +188,8 @@
     pub resources: Vec<(String, Resources)>,
     /// Events of a whole answer.
     pub events: u64,
+    /// Tokens that may wait on the route of the jobs; 0 is no limit.
+    pub quota_tokens: u64,
     /// When the users of the fleet began; times are told from then on.
     pub began_at: Option<Instant>,
 }
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -37,6 +37,9 @@
 /// Longest wait for a front to serve at the start, or for the store to take a write.
 const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Tokens that may wait on the route of the jobs: fewer than its clients ask for at times.
+pub const QUOTA_TOKENS: u64 = 2_500;
+
 /// The first version of the configuration.
 pub const FIRST_VERSION: u64 = 1;
 
@@ -122,6 +125,9 @@
         let mut config = declarations::config(version);
         let own = declarations::route(&version_name(version), "idempotent", json!({}));
         if let Some(routes) = config["routes"].as_array_mut() {
+            for route in routes.iter_mut().filter(|route| route["kind"] == "batch") {
+                route["cap"] = QUOTA_TOKENS.into();
+            }
             routes.push(own);
         }
         self.write("write the configuration", "config/main", &config)
--- a/crates/foxwheel-soak/src/jobs.rs
+++ b/crates/foxwheel-soak/src/jobs.rs
@@ -45,12 +45,14 @@
             number += 1;
             let id = format!("{}-{number}", self.name);
             let count = rng.random_range(ITEMS);
+            let submitted_at = Instant::now();
             let Some(accepted_at) = self.submit(&id, count, &mut rng, &stop).await else {
                 continue;
             };
             let mut job = Job {
                 id,
                 count,
+                submitted_at,
                 accepted_at,
                 ended_at: None,
                 results: Vec::new(),
--- a/crates/foxwheel-soak/src/run.rs
+++ b/crates/foxwheel-soak/src/run.rs
@@ -225,6 +225,7 @@
             .flat_map(|(at, path)| path.refusals().into_iter().map(move |when| (at, when)))
             .collect();
         evidence.events = fleet::EVENTS;
+        evidence.quota_tokens = fleet::QUOTA_TOKENS;
         evidence.began_at = Some(self.started_at);
         evidence
     }
--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -218,6 +218,7 @@
     Job {
         id: id.to_owned(),
         count: 2,
+        submitted_at: case.at(0),
         accepted_at: case.at(0),
         ended_at: None,
         read_again: Some(results.clone()),
@@ -282,6 +283,26 @@
     }
 }
 
+/// Two items of the first job certainly wait while the second is accepted.
+#[test]
+fn jobs_accepted_beyond_the_quota() {
+    let mut case = Case::new();
+    for (id, submitted_ms) in [("j", 0), ("k", 1_000)] {
+        let mut job = job(&case, id, vec![result(id, 0), result(id, 1)]);
+        job.submitted_at = case.at(submitted_ms);
+        job.accepted_at = case.at(submitted_ms + 50);
+        case.evidence.jobs.push(job);
+    }
+    case.run("j-item-0", 2_000, Some(2_100));
+    case.run("j-item-1", 2_000, Some(2_100));
+    for (quota_tokens, expected) in [(0, vec![]), (400, vec![]), (399, vec![Promise::Quota])] {
+        case.evidence.quota_tokens = quota_tokens;
+        assert_eq!(case.broken(), expected, "{quota_tokens}");
+    }
+    case.run("j-item-0", 900, Some(950));
+    assert_eq!(case.broken(), [], "one of them had begun");
+}
+
 #[test]
 fn work_for_a_leaving_server_or_a_caller_that_left() {
     let mut case = Case::new();
