--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -26,7 +26,7 @@
 pub const ABANDONED_WITHIN: Duration = Duration::from_secs(2);
 
 /// A request that crashed three servers is known everywhere within this.
-pub const CRASHES_KNOWN_WITHIN: Duration = Duration::from_secs(2);
+pub const CRASHES_KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
 /// Servers that a request may crash before it is refused, and runs allowed after that.
 const ENOUGH_CRASHES: usize = 3;
--- a/crates/foxwheel-soak/src/proxy.rs
+++ b/crates/foxwheel-soak/src/proxy.rs
@@ -139,6 +139,16 @@
     pub fn set(&self, fault: PathFault) {
         self.fault.send_replace(fault);
     }
+
+    /// Breaks open connections and closes new ones at once.
+    pub fn cut(&self) {
+        self.set(PathFault::Reset);
+    }
+
+    /// Makes it whole again.
+    pub fn heal(&self) {
+        self.set(PathFault::None);
+    }
 }
 
 /// Passes one connection on until it ends; an error if the target refused it.
