Soak: a server's place is found by its id when it is replaced

Purpose: two faults on one server at a time no longer take another server's place, and a server that ends a second time under its id is replaced again.

--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! Carrying out the faults of a plan.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -36,19 +36,18 @@
     pub fleet: Rc<RefCell<Fleet>>,
     /// Where faults are noted.
     pub record: Arc<Record>,
-    /// Seed of what the injector's own callers do.
-    pub seed: u64,
-    version: Rc<RefCell<u64>>,
+    version: Rc<Cell<u64>>,
+    crashing_callers: Rc<Cell<u32>>,
 }
 
 impl Injector {
     /// An injector for `fleet`.
-    pub fn new(fleet: Rc<RefCell<Fleet>>, record: Arc<Record>, seed: u64) -> Self {
+    pub fn new(fleet: Rc<RefCell<Fleet>>, record: Arc<Record>) -> Self {
         Self {
             fleet,
             record,
-            seed,
-            version: Rc::new(RefCell::new(FIRST_VERSION)),
+            version: Rc::new(Cell::new(FIRST_VERSION)),
+            crashing_callers: Rc::default(),
         }
     }
 
@@ -61,7 +60,7 @@
             Fault::Store(fault) => self.break_store(fault, step.lasts).await?,
             Fault::Server { at, fault } => self.break_server(at, fault, step.lasts).await?,
             Fault::Configure => return self.configure().await,
-            Fault::CrashingRequest => self.send_crashing(from, step.lasts).await,
+            Fault::CrashingRequest => self.send_crashing(step.lasts).await,
         };
         self.note(from, cuts);
         Ok(())
@@ -78,11 +77,8 @@
     }
 
     async fn configure(&self) -> Result<(), SoakError> {
-        let version = {
-            let mut version = self.version.borrow_mut();
-            *version += 1;
-            *version
-        };
+        let version = self.version.get() + 1;
+        self.version.set(version);
         self.operator().configure(version).await?;
         let at = Instant::now();
         let mut evidence = self.record.lock();
@@ -91,9 +87,11 @@
         Ok(())
     }
 
-    async fn send_crashing(&self, from: Instant, lasts: Duration) -> Cuts {
+    async fn send_crashing(&self, lasts: Duration) -> Cuts {
+        let number = self.crashing_callers.get() + 1;
+        self.crashing_callers.set(number);
         let caller = Caller {
-            name: format!("crashing-{}-{:?}", self.seed, from.elapsed().as_nanos()),
+            name: format!("crashing-{number}"),
             fronts: self.fleet.borrow().fronts(),
             record: Arc::clone(&self.record),
         };
@@ -211,11 +209,10 @@
         lasts: Duration,
     ) -> Result<(), SoakError> {
         let operator = self.operator();
-        let (at, id, addr, server) = {
+        let (id, addr, server) = {
             let fleet = self.fleet.borrow();
-            let at = at % fleet.places.len();
-            let place = &fleet.places[at];
-            (at, place.id.clone(), place.path.addr, place.server.clone())
+            let place = &fleet.places[at % fleet.places.len()];
+            (place.id.clone(), place.path.addr, place.server.clone())
         };
         let leaving_since = match fault {
             ServerFault::Drains => {
@@ -237,13 +234,7 @@
             }
         };
         let next = operator.start_server(next).await?;
-        {
-            let mut fleet = self.fleet.borrow_mut();
-            // Another fault may have replaced it meanwhile.
-            let still = fleet.places[at].id == id;
-            let at = if still { at } else { fleet.places.len() - 1 };
-            fleet.replace(at, next, leaving_since.filter(|_| still));
-        }
+        self.fleet.borrow_mut().replace(&id, next, leaving_since);
         if leaving_since.is_some() {
             tokio::time::sleep(lasts).await;
         }
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -107,6 +107,8 @@
     pub server: Server,
     /// From the processes to it.
     pub path: Path,
+    /// Whether its end was seen, so that another is on its way.
+    pub end_seen: bool,
 }
 
 /// Who writes to the store beside the processes: the operator and the servers.
@@ -148,7 +150,12 @@
         let server = server.map_err(io_error("start a server"))?;
         let path = Path::open(SocketAddr::new(ip, 0), server.addr, server.ended()).await;
         let path = path.map_err(io_error("open the path to a server"))?;
-        let place = Place { id, server, path };
+        let place = Place {
+            id,
+            server,
+            path,
+            end_seen: false,
+        };
         self.list(&place.id, place.path.addr, "ready").await?;
         Ok(place)
     }
@@ -224,8 +231,6 @@
     pub places: Vec<Place>,
     /// Those before them.
     pub former: Vec<Former>,
-    /// Ids of servers that crashed and are being replaced, or were.
-    pub being_replaced: std::collections::BTreeSet<String>,
     network: Network,
     servers_started: usize,
 }
@@ -248,7 +253,6 @@
             nodes: Vec::new(),
             places: Vec::new(),
             former: Vec::new(),
-            being_replaced: std::collections::BTreeSet::new(),
             network: Network::take().ok_or(SoakError::NoNetwork)?,
             servers_started: 0,
         };
@@ -281,13 +285,15 @@
         format!("server-{}", self.servers_started)
     }
 
-    /// Puts `place` where another server was.
-    pub fn replace(&mut self, at: usize, place: Place, leaving_since: Option<Instant>) {
-        let place = std::mem::replace(&mut self.places[at], place);
-        self.former.push(Former {
-            place,
-            leaving_since,
-        });
+    /// Puts `next` where the server `id` is; beside the others if that was replaced already.
+    pub fn replace(&mut self, id: &str, next: Place, leaving_since: Option<Instant>) {
+        match self.places.iter_mut().find(|place| place.id == id) {
+            Some(place) => self.former.push(Former {
+                place: std::mem::replace(place, next),
+                leaving_since,
+            }),
+            None => self.places.push(next),
+        }
     }
 
     /// The runs of every server that there was.
--- a/crates/foxwheel-soak/src/run.rs
+++ b/crates/foxwheel-soak/src/run.rs
@@ -138,7 +138,7 @@
     /// Carries out the plan's steps at their times and waits until the last has ended.
     async fn inject(&self, plan: &Plan) -> Result<(), SoakError> {
         tokio::time::sleep(WARM_UP).await;
-        let injector = Injector::new(Rc::clone(&self.fleet), Arc::clone(&self.record), plan.seed);
+        let injector = Injector::new(Rc::clone(&self.fleet), Arc::clone(&self.record));
         let begin = tokio::time::Instant::now();
         let mut under_way = Vec::new();
         let mut said_at = begin;
@@ -276,19 +276,11 @@
 async fn watch(fleet: Rc<RefCell<Fleet>>, record: Arc<Record>, stop: CancellationToken) {
     while !stop.is_cancelled() {
         tokio::time::sleep(PROBE_EVERY).await;
-        let crashed: Vec<String> = {
-            let fleet = fleet.borrow();
-            let crashed = fleet.places.iter().filter(|place| place.server.has_ended());
-            crashed.map(|place| place.id.clone()).collect()
-        };
-        for id in crashed {
-            let (fleet, record) = (Rc::clone(&fleet), Arc::clone(&record));
-            if !fleet.borrow_mut().being_replaced.insert(id.clone()) {
-                continue;
-            }
+        for id in newly_ended(&fleet) {
+            let replaced = replace_ended(Rc::clone(&fleet), Arc::clone(&record), id);
             actix_web::rt::spawn(async move {
-                if let Err(e) = replace_crashed(fleet, record, id).await {
-                    log::error!("a crashed server was not replaced: {e}");
+                if let Err(e) = replaced.await {
+                    log::error!("a server that ended was not replaced: {e}");
                 }
             });
         }
@@ -296,27 +288,37 @@
     }
 }
 
-async fn replace_crashed(
+/// Servers whose end was not seen before.
+fn newly_ended(fleet: &Rc<RefCell<Fleet>>) -> Vec<String> {
+    let mut fleet = fleet.borrow_mut();
+    let places = fleet.places.iter_mut();
+    let ended = places.filter(|place| place.server.has_ended() && !place.end_seen);
+    ended
+        .map(|place| {
+            place.end_seen = true;
+            place.id.clone()
+        })
+        .collect()
+}
+
+async fn replace_ended(
     fleet: Rc<RefCell<Fleet>>,
     record: Arc<Record>,
     id: String,
 ) -> Result<(), SoakError> {
     let from = Instant::now() - PROBE_EVERY * 2;
-    let operator = fleet.borrow().operator.clone();
     tokio::time::sleep(REPLACED_AFTER).await;
-    let at = |fleet: &Fleet| fleet.places.iter().position(|place| place.id == id);
-    let ended = {
+    let (operator, still_ended) = {
         let fleet = fleet.borrow();
-        at(&fleet).filter(|at| fleet.places[*at].server.has_ended())
+        let mut places = fleet.places.iter();
+        let still_ended = places.any(|place| place.id == id && place.server.has_ended());
+        (fleet.operator.clone(), still_ended)
     };
-    if ended.is_some() {
+    if still_ended {
         operator.unlist(&id).await?;
         let next = fleet.borrow_mut().next_server();
         let next = operator.start_server(next).await?;
-        let mut fleet = fleet.borrow_mut();
-        if let Some(at) = at(&fleet) {
-            fleet.replace(at, next, None);
-        }
+        fleet.borrow_mut().replace(&id, next, None);
     }
     record.lock().disturbances.push(Disturbance {
         from,
