Soak: a signal to stop ends the processes it started

Seen by hand: a soak ended by SIGTERM left its fronts and workers running. It drops its run on SIGTERM or SIGINT now, which kills them; exit code 2. By hand: five processes before the signal, none after. A soak that is killed still leaves them.

--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -68,6 +68,9 @@
         /// The client's error.
         source: StoreError,
     },
+    /// A signal came.
+    #[error("told to stop")]
+    ToldToStop,
     /// No network is free.
     #[error("every loopback network is taken")]
     NoNetwork,
--- a/crates/foxwheel-soak/src/main.rs
+++ b/crates/foxwheel-soak/src/main.rs
@@ -3,6 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use foxwheel_core::shutdown;
 use foxwheel_soak::args::{self, Command, Options};
 use foxwheel_soak::checks::Promise;
 use foxwheel_soak::fleet::{io_error, SoakError};
@@ -26,7 +27,7 @@
             return ExitCode::from(2);
         }
     };
-    match actix_web::rt::System::new().block_on(soak(&options)) {
+    match actix_web::rt::System::new().block_on(until_told_to_stop(&options)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(e) => {
@@ -36,6 +37,15 @@
     }
 }
 
+/// Runs what was asked for, unless it is told to stop: the processes it started end with it.
+async fn until_told_to_stop(options: &Options) -> Result<bool, SoakError> {
+    let told = shutdown::on_signal();
+    tokio::select! {
+        kept = soak(options) => kept,
+        () = told.cancelled() => Err(SoakError::ToldToStop),
+    }
+}
+
 /// Runs what was asked for; answers whether every promise was kept.
 async fn soak(options: &Options) -> Result<bool, SoakError> {
     let plans = match &options.plan {
