--- a/crates/foxwheel-soak/src/main.rs
+++ b/crates/foxwheel-soak/src/main.rs
@@ -3,7 +3,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use foxwheel_core::shutdown;
+use foxwheel_core::{shutdown, telemetry};
 use foxwheel_soak::args::{self, Command, Options};
 use foxwheel_soak::checks::Promise;
 use foxwheel_soak::fleet::{io_error, SoakError};
@@ -27,6 +27,7 @@
             return ExitCode::from(2);
         }
     };
+    telemetry::init_logging();
     match actix_web::rt::System::new().block_on(until_told_to_stop(&options)) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
