--- a/crates/foxwheel-node/tests/soak.rs
+++ b/crates/foxwheel-node/tests/soak.rs
@@ -1,4 +1,5 @@
-//! The fault soak on this build's programs: three short seeds, at once.
+//! The fault soak on this build's programs: three short seeds, at once. On each of them a
+//! stopping front once closed connections that callers had just opened, without an answer.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
