Soak: a part of it that breaks off ends the run as not carried out

Purpose: no panic of a caller, a client or a fault is passed over; such a run would have counted as one in which every promise held. Found by reading.

--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -15,7 +15,7 @@
 use crate::caller;
 use crate::callers::Caller;
 use crate::evidence::{ConfigWrite, Cuts, Disturbance, Record, Stop};
-use crate::fleet::{Fleet, Operator, SoakError, FIRST_VERSION, STOP_GRACE};
+use crate::fleet::{task_error, Fleet, Operator, SoakError, FIRST_VERSION, STOP_GRACE};
 use crate::plan::{Act, Fault, Route, ServerFault, Step, StoreFault, Target};
 use crate::process::Ended;
 use crate::proxy::{Path, PathFault};
@@ -60,7 +60,7 @@
             Fault::Store(fault) => self.break_store(fault, step.lasts).await?,
             Fault::Server { at, fault } => self.break_server(at, fault, step.lasts).await?,
             Fault::Configure => return self.configure().await,
-            Fault::CrashingRequest => self.send_crashing(step.lasts).await,
+            Fault::CrashingRequest => self.send_crashing(step.lasts).await?,
         };
         self.note(from, cuts);
         Ok(())
@@ -87,7 +87,7 @@
         Ok(())
     }
 
-    async fn send_crashing(&self, lasts: Duration) -> Cuts {
+    async fn send_crashing(&self, lasts: Duration) -> Result<Cuts, SoakError> {
         let number = self.crashing_callers.get() + 1;
         self.crashing_callers.set(number);
         let caller = Caller {
@@ -99,9 +99,10 @@
         let sending = actix_web::rt::spawn(caller.crash(stop.clone()));
         tokio::time::sleep(lasts).await;
         stop.cancel();
-        // The caller ends with its last call.
-        let _ = sending.await;
-        Cuts::Any
+        sending
+            .await
+            .map_err(task_error("send the crashing request"))?;
+        Ok(Cuts::Any)
     }
 
     async fn break_path(&self, route: Route, fault: PathFault, lasts: Duration) -> Cuts {
@@ -255,7 +256,7 @@
             }));
         }
         for one in acting {
-            one.await.unwrap_or(Ok(()))?;
+            one.await.map_err(task_error("signal a process"))??;
         }
         Ok(())
     }
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -68,6 +68,14 @@
         /// The client's error.
         source: StoreError,
     },
+    /// A part of the soak itself broke off.
+    #[error("cannot {step}: {source}")]
+    Task {
+        /// The step.
+        step: &'static str,
+        /// How the task ended.
+        source: tokio::task::JoinError,
+    },
     /// A signal came.
     #[error("told to stop")]
     ToldToStop,
@@ -84,6 +92,11 @@
     move |source| SoakError::Io { step, source }
 }
 
+/// Names the step whose task broke off.
+pub fn task_error(step: &'static str) -> impl FnOnce(tokio::task::JoinError) -> SoakError {
+    move |source| SoakError::Task { step, source }
+}
+
 /// A process with the paths that lead to it and to the store.
 #[derive(Debug)]
 pub struct Node {
--- a/crates/foxwheel-soak/src/run.rs
+++ b/crates/foxwheel-soak/src/run.rs
@@ -9,6 +9,7 @@
 
 use hyper::{Method, StatusCode};
 use nix::sys::signal::Signal;
+use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
 use crate::caller;
@@ -16,10 +17,10 @@
 use crate::checks::{self, Breach, SERVED_AGAIN_WITHIN};
 use crate::evidence::{ConfigProbe, Cuts, Disturbance, Evidence, Record, Stop};
 use crate::faults::Injector;
-use crate::fleet::{self, io_error, Fleet, SoakError, STOP_GRACE};
+use crate::fleet::{self, io_error, task_error, Fleet, SoakError, STOP_GRACE};
 use crate::jobs::Client;
 use crate::plan::Plan;
-use crate::process::Resources;
+use crate::process::{Process, Resources};
 use crate::report;
 
 /// Time before the first fault.
@@ -71,9 +72,9 @@
     let fleet = Fleet::start(plan, &folders.programs, &folders.run).await?;
     let mut run = Running::start(plan, fleet);
     let injected = run.inject(plan).await;
-    run.settle(plan).await;
+    let settled = run.settle(plan).await;
     run.stop_all(&folders.run).await?;
-    injected?;
+    injected.and(settled)?;
     let evidence = run.evidence();
     let breaches = checks::check(&evidence);
     let logs = run.logs();
@@ -88,8 +89,8 @@
     stop_users: CancellationToken,
     give_up: CancellationToken,
     stop_watching: CancellationToken,
-    callers: Vec<tokio::task::JoinHandle<()>>,
-    clients: Vec<tokio::task::JoinHandle<()>>,
+    callers: Vec<JoinHandle<()>>,
+    clients: Vec<JoinHandle<()>>,
 }
 
 impl Running {
@@ -152,7 +153,7 @@
             }
         }
         for step in under_way {
-            step.await.unwrap_or(Ok(()))?;
+            step.await.map_err(task_error("carry out a fault"))??;
         }
         Ok(())
     }
@@ -170,20 +171,22 @@
     }
 
     /// Lets the fleet recover under load, then lets its users end.
-    async fn settle(&mut self, plan: &Plan) {
+    async fn settle(&mut self, plan: &Plan) -> Result<(), SoakError> {
         tokio::time::sleep(SERVED_AGAIN_WITHIN + QUIET).await;
         self.stop_users.cancel();
-        join(std::mem::take(&mut self.callers)).await;
+        join(std::mem::take(&mut self.callers)).await?;
         let clients = join(std::mem::take(&mut self.clients));
         tokio::pin!(clients);
-        if tokio::time::timeout(JOBS_END_WITHIN, &mut clients)
-            .await
-            .is_err()
-        {
-            self.give_up.cancel();
-            clients.await;
-        }
+        let ended = tokio::time::timeout(JOBS_END_WITHIN, &mut clients).await;
+        let joined = match ended {
+            Ok(joined) => joined,
+            Err(_) => {
+                self.give_up.cancel();
+                clients.await
+            }
+        };
         self.say_progress(plan);
+        joined
     }
 
     /// Keeps every process's metrics, then stops them all.
@@ -192,8 +195,7 @@
         let metrics: Vec<(String, SocketAddr)> = {
             let fleet = self.fleet.borrow();
             let processes = fleet.nodes.iter().map(|node| &node.process);
-            let page_of =
-                |process: &crate::process::Process| (process.host.clone(), process.metrics);
+            let page_of = |process: &Process| (process.host.clone(), process.metrics);
             processes.map(page_of).collect()
         };
         for (host, addr) in metrics {
@@ -237,12 +239,11 @@
     }
 }
 
-async fn join(tasks: Vec<tokio::task::JoinHandle<()>>) {
+async fn join(tasks: Vec<JoinHandle<()>>) -> Result<(), SoakError> {
     for task in tasks {
-        if let Err(e) = task.await {
-            log::error!("a user of the fleet ended: {e}");
-        }
+        task.await.map_err(task_error("use the fleet"))?;
     }
+    Ok(())
 }
 
 /// Asks the front at `at` for the newest version's own path, again and again.
