Soak: a job whose end was asked for does not count for the quota

Traced in its logs: the same client had asked for the end of job-6f-2-15 (1,200 tokens) 22 ms before; the ledger had closed it, and a worker that had not heard of that took it 2 ms later and ran it. The users' rule counts no job whose end was asked, and gives the work for it 3 s to stop (JobEnds), so the case is allowed and the check was wrong: narrowed to jobs not ended before the admission, with a test.

--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -264,16 +264,18 @@
 }
 
 /// Counts only what certainly waited while `job` was admitted: items of jobs accepted before
-/// it was submitted that first began after it was accepted.
+/// it was submitted that first began after it was accepted. A job whose end was asked for
+/// does not count, though an item of it may still begin.
 fn check_quota(evidence: &Evidence, job: &Job, found: &mut Found) {
     let waited_throughout = |item: &str| {
         let starts = evidence.runs_of(item).map(|seen| seen.run.started_at);
         starts.min().is_some_and(|first| first > job.accepted_at)
     };
+    let was_ended = |other: &Job| other.ended_at.is_some_and(|at| at < job.accepted_at);
     let before = evidence
         .jobs
         .iter()
-        .filter(|other| other.accepted_at < job.submitted_at);
+        .filter(|other| other.accepted_at < job.submitted_at && !was_ended(other));
     let items = before.flat_map(|other| (0..other.count).map(|at| caller::item_id(&other.id, at)));
     let waiting = items.filter(|item| waited_throughout(item)).count() + job.count;
     let waiting_tokens = waiting as u64 * caller::ITEM_TOKENS;
--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -299,6 +299,10 @@
         case.evidence.quota_tokens = quota_tokens;
         assert_eq!(case.broken(), expected, "{quota_tokens}");
     }
+    let ended_at = case.at(900);
+    case.evidence.jobs[0].ended_at = Some(ended_at);
+    assert_eq!(case.broken(), [], "its end was asked for before");
+    case.evidence.jobs[0].ended_at = None;
     case.run("j-item-0", 900, Some(950));
     assert_eq!(case.broken(), [], "one of them had begun");
 }
