Soak: what a process holds is read once it listens

Traced: right after a start the kernel still shows the files of whoever started it, here a test program of three soaks. A program with 900 sockets saw them in 2,675 of 3,000 children; the soak's own start, with 300 open, in 10 of 400 (at most 307). Ruled out: connections of the front (their buffers would show in its memory). The first look comes when the process listens; the bound stays.

--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -15,7 +15,7 @@
 use crate::caller;
 use crate::callers::Caller;
 use crate::evidence::{ConfigWrite, Cuts, Disturbance, Record, Stop};
-use crate::fleet::{task_error, Fleet, Operator, SoakError, FIRST_VERSION, STOP_GRACE};
+use crate::fleet::{self, task_error, Fleet, Operator, SoakError, FIRST_VERSION, STOP_GRACE};
 use crate::plan::{Act, Fault, Route, ServerFault, Step, StoreFault, Target};
 use crate::process::Ended;
 use crate::proxy::{Path, PathFault};
@@ -340,13 +340,8 @@
             node.process.start_again()?;
             node.listens
         };
-        let started_at = Instant::now();
-        while started_at.elapsed() < STOP_GRACE {
-            if tokio::net::TcpStream::connect(listens).await.is_ok() {
-                break;
-            }
-            tokio::time::sleep(LOOK_EVERY).await;
-        }
+        fleet::until_listening(listens, STOP_GRACE).await;
+        self.fleet.borrow_mut().nodes[at].process.note_listening();
         self.note(from, self.cuts_of(at));
         Ok(())
     }
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -286,6 +286,10 @@
         for front in fleet.fronts() {
             until_served(front).await?;
         }
+        for node in &mut fleet.nodes {
+            until_listening(node.listens, PATIENCE).await;
+            node.process.note_listening();
+        }
         Ok(fleet)
     }
 
@@ -398,6 +402,14 @@
     }
 }
 
+/// Waits until connections to `addr` are taken, for `patience` at most.
+pub async fn until_listening(addr: SocketAddr, patience: Duration) {
+    let started_at = Instant::now();
+    while tokio::net::TcpStream::connect(addr).await.is_err() && started_at.elapsed() < patience {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// Waits until a front answers a call.
 async fn until_served(front: SocketAddr) -> Result<(), SoakError> {
     let served = async {
--- a/crates/foxwheel-soak/src/process.rs
+++ b/crates/foxwheel-soak/src/process.rs
@@ -72,6 +72,8 @@
     settings_file: PathBuf,
     settings: Value,
     child: Option<Child>,
+    /// Whether it has listened since it was started last.
+    has_listened: bool,
 }
 
 /// Where things of a process are and what it is.
@@ -103,6 +105,7 @@
             metrics: spec.metrics,
             settings: spec.settings,
             child: None,
+            has_listened: false,
         };
         process.start_again()?;
         Ok(process)
@@ -126,9 +129,15 @@
             .spawn()
             .map_err(self.error("start"))?;
         self.child = Some(child);
+        self.has_listened = false;
         Ok(())
     }
 
+    /// Notes that it listens.
+    pub fn note_listening(&mut self) {
+        self.has_listened = true;
+    }
+
     /// Writes its settings file: the settings, or `spoiled` in their place.
     pub fn write_settings(&self, spoiled: Option<&str>) -> Result<(), ProcessError> {
         let text = spoiled.map_or_else(|| self.settings.to_string(), str::to_owned);
@@ -157,8 +166,12 @@
         })
     }
 
-    /// What it holds now; none if it has ended.
+    /// What it holds now; none if it has ended or has not listened yet. While the kernel
+    /// still loads its program, it shows the files of whoever started it.
     pub fn resources(&self) -> Option<Resources> {
+        if !self.has_listened {
+            return None;
+        }
         let folder = PathBuf::from(format!("/proc/{}", self.pid()?));
         let status = std::fs::read_to_string(folder.join("status")).ok()?;
         let anonymous = status
