One slow fleet for the tests of stopping fronts; an unused function goes

Found in the last read: two tests built the same fleet, and the soak's plan had a question that nobody asks. Behaviour and checks are unchanged; both tests of stopping fronts pass.

--- a/crates/foxwheel-node/tests/membership_contract.rs
+++ b/crates/foxwheel-node/tests/membership_contract.rs
@@ -196,20 +196,28 @@
     fleet.cancel.cancel();
 }
 
-/// A front that is told to stop is not ready at once, ends what it took, and is gone in
-/// time. A request sent meanwhile is served or refused as not run, never cut.
-#[actix_web::test]
-async fn a_stopping_front_cuts_nothing() {
-    let slow = common::shapes(2).into_iter().map(|shape| Shape {
-        step: Duration::from_millis(60),
+/// A front before `count` servers whose streams have `events` events, one each `step`.
+async fn slow_fleet(count: usize, step: Duration, events: u64) -> Fleet {
+    let shapes = common::shapes(count).into_iter();
+    let slow = shapes.map(|shape| Shape {
+        step,
+        events,
         ..shape
     });
-    let fleet = Fleet::start(Plan {
+    Fleet::start(Plan {
         servers: slow.collect(),
         workers: 0,
         ..Plan::default()
     })
-    .await;
+    .await
+}
+
+/// A front that is told to stop is not ready at once, ends what it took, and is gone in
+/// time. A request sent meanwhile is served or refused as not run, never cut.
+#[actix_web::test]
+async fn a_stopping_front_cuts_nothing() {
+    let usual = Shape::default().events;
+    let fleet = slow_fleet(2, Duration::from_millis(60), usual).await;
     let front = fleet.fronts[0];
     let ready = readiness(&fleet, 0);
     assert_eq!(status(ready, "/api/readyz").await, Some(StatusCode::OK));
@@ -251,17 +259,7 @@
 /// their request had run. It stays up here as long as a stream goes on.
 #[actix_web::test]
 async fn a_stopping_front_answers_the_first_request_of_each_connection() {
-    let slow = common::shapes(1).into_iter().map(|shape| Shape {
-        step: Duration::from_millis(100),
-        events: 25,
-        ..shape
-    });
-    let fleet = Fleet::start(Plan {
-        servers: slow.collect(),
-        workers: 0,
-        ..Plan::default()
-    })
-    .await;
+    let fleet = slow_fleet(1, Duration::from_millis(100), 25).await;
     let front = fleet.fronts[0];
     fleet.processes[0].stop.cancel();
     // Half of its time to stop (2.75 s) goes by before it closes idle connections.
--- a/crates/foxwheel-soak/src/plan.rs
+++ b/crates/foxwheel-soak/src/plan.rs
@@ -212,13 +212,6 @@
         }
         Self { seed, size, steps }
     }
-
-    /// Whether a step crashes servers by a request.
-    pub fn has_crashing_request(&self) -> bool {
-        self.steps
-            .iter()
-            .any(|step| step.fault == Fault::CrashingRequest)
-    }
 }
 
 fn one_of<T: Copy>(rng: &mut StdRng, choices: &[T]) -> T {
