Logs tell why an exchange with a backend server ended

'connection error' hid the operating system's reason, and no line told whether the connection had served others before.

--- a/crates/foxwheel-core/src/error.rs
+++ b/crates/foxwheel-core/src/error.rs
@@ -1,5 +1,6 @@
 //! Errors that carry the step and the peer at which they arose.
 
+use std::error::Error;
 use std::fmt;
 
 /// Where an error arose: the step of the work and the peer that was being talked to.
@@ -30,3 +31,20 @@
         }
     }
 }
+
+/// Shows an error with what caused it. Libraries often tell the kind of a failure in the error
+/// itself and the operating system's reason only in its source.
+#[derive(Debug)]
+pub struct WithCauses<'a>(pub &'a (dyn Error + 'static));
+
+impl fmt::Display for WithCauses<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)?;
+        let mut cause = self.0.source();
+        while let Some(error) = cause {
+            write!(f, ": {error}")?;
+            cause = error.source();
+        }
+        Ok(())
+    }
+}
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxwheel_core::error::Origin;
+use foxwheel_core::error::{Origin, WithCauses};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
@@ -38,7 +38,7 @@
         source: std::io::Error,
     },
     /// The connection closed before any byte of the request was written.
-    #[error("closed before sending {origin}: {source}")]
+    #[error("closed before sending {origin}: {}", WithCauses(source))]
     NotSent {
         /// The step and the peer's address.
         origin: Origin,
@@ -46,7 +46,7 @@
         source: hyper::Error,
     },
     /// The request was written and no whole answer came: the peer may have acted on it.
-    #[error("no whole answer {origin}: {source}")]
+    #[error("no whole answer {origin}: {}", WithCauses(source))]
     Broken {
         /// The step and the peer's address.
         origin: Origin,
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_core::error::WithCauses;
 use foxwheel_core::ids::RequestId;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::connection::{Connection, ExchangeError, RequestBody};
@@ -122,6 +123,10 @@
         .map_or(target.give_up_at, |at| at.min(target.give_up_at));
     let patience = SUSPECT_SILENCE + target.expected_wait;
     let exchanged = bounded(node, server, patience, wait_until, exchange).await;
+    if !matches!(exchanged, Some(Ok(_))) {
+        let waited_ms = sent_at.elapsed().as_millis() as u64;
+        log::info!(request_id = target.request_id, server = server.id, is_new, waited_ms; "connection given up");
+    }
     let (connection, response) = match exchanged {
         Some(Ok(exchanged)) => exchanged,
         Some(Err(e)) => {
@@ -199,7 +204,7 @@
                 },
                 Some(Some(Err(e))) => {
                     look_at_server(&self.node, self.broken_run()).await;
-                    Piece::Broken(e.to_string())
+                    Piece::Broken(WithCauses(&e).to_string())
                 }
                 None => Piece::Broken("silent for too long".to_owned()),
             };
