Tests: a request that was given up reaches its server later (fails)

Reproduces the incident without the platform: a path holds back what is sent to a server; the front gives the request up, or its caller leaves, or the item's job is ended; the server begins to drain; the path heals. The server gets the request in all three cases. The stand-in's path now keeps to what a network does: bytes that were held back are lost if their sender has reset the connection meanwhile. The stand-in's server records arrivals beside runs: a request whose sender is gone already is never begun there, which hid the fault from every test and from the soak.

--- a/crates/foxwheel-server-emu/src/runs.rs
+++ b/crates/foxwheel-server-emu/src/runs.rs
@@ -24,21 +24,47 @@
     pub finished: Option<bool>,
 }
 
-/// All runs, in the order of their starts.
+/// A request that reached the server, whether it was run or not.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// The request's id.
+    pub request_id: String,
+    /// When its head was read.
+    pub at: Instant,
+}
+
+/// All arrivals and runs, each in their order.
 #[derive(Debug, Default)]
-pub struct Runs(Mutex<Vec<Run>>);
+pub struct Runs {
+    arrivals: Mutex<Vec<Arrival>>,
+    runs: Mutex<Vec<Run>>,
+}
 
 impl Runs {
+    /// Records that a request arrived.
+    pub fn arrive(&self, request_id: &str) {
+        let arrival = Arrival {
+            request_id: request_id.to_owned(),
+            at: Instant::now(),
+        };
+        self.arrivals.lock().expect("arrivals lock").push(arrival);
+    }
+
+    /// Every arrival so far.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.arrivals.lock().expect("arrivals lock").clone()
+    }
+
     /// Records a start; answers the run's number.
     pub fn start(&self, run: Run) -> usize {
-        let mut runs = self.0.lock().expect("runs lock");
+        let mut runs = self.runs.lock().expect("runs lock");
         runs.push(run);
         runs.len() - 1
     }
 
     /// Records an end.
     pub fn end(&self, number: usize, finished: bool) {
-        let mut runs = self.0.lock().expect("runs lock");
+        let mut runs = self.runs.lock().expect("runs lock");
         let run = &mut runs[number];
         run.finished.get_or_insert(finished);
         run.ended_at.get_or_insert_with(Instant::now);
@@ -46,12 +72,12 @@
 
     /// Every run so far.
     pub fn all(&self) -> Vec<Run> {
-        self.0.lock().expect("runs lock").clone()
+        self.runs.lock().expect("runs lock").clone()
     }
 
     /// Runs of one request.
     pub fn of(&self, request_id: &str) -> Vec<Run> {
-        let runs = self.0.lock().expect("runs lock");
+        let runs = self.runs.lock().expect("runs lock");
         let of_request = runs.iter().filter(|run| run.request_id == request_id);
         of_request.cloned().collect()
     }
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -128,6 +128,8 @@
             tokio::spawn(async move {
                 let service = service_fn(move |request| {
                     let inner = Arc::clone(&inner);
+                    // At once: a request whose sender is gone already is never polled.
+                    inner.runs.arrive(id_of(&request));
                     async move { inner.answer(request).await }
                 });
                 let connection =
@@ -143,6 +145,12 @@
     Ok(server)
 }
 
+/// A request's id; empty without one.
+fn id_of<B>(request: &Request<B>) -> &str {
+    let id = request.headers().get(names::REQUEST_ID);
+    id.and_then(|id| id.to_str().ok()).unwrap_or("")
+}
+
 /// Records the end of a run when it is dropped.
 struct RunGuard {
     runs: Arc<Runs>,
@@ -161,9 +169,9 @@
         self: Arc<Self>,
         request: Request<Incoming>,
     ) -> Result<Response<Body>, std::io::Error> {
+        let request_id = id_of(&request).to_owned();
         let (head, body) = request.into_parts();
         let header = |name| head.headers.get(name).and_then(|value| value.to_str().ok());
-        let request_id = header(names::REQUEST_ID).unwrap_or_default().to_owned();
         let body = body
             .collect()
             .await
--- a/crates/foxwheel-soak/src/proxy.rs
+++ b/crates/foxwheel-soak/src/proxy.rs
@@ -187,6 +187,11 @@
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Whether the peer of a connection reset it.
+fn was_reset(stream: &TcpStream) -> bool {
+    !matches!(stream.take_error(), Ok(None))
+}
+
 /// Copies one direction until it ends; the other may go on, as after a half-close.
 async fn copy(
     mut from: OwnedReadHalf,
@@ -206,8 +211,13 @@
             PathFault::OneWay => direction == Direction::FromTarget,
             _ => false,
         };
+        let held_back = holds_back(&*fault.borrow());
         let passes = fault.wait_for(|fault| !holds_back(fault)).await;
         let now = *passes.map_err(|_| Broken)?;
+        if held_back && was_reset(from.as_ref()) {
+            // What did not arrive is the sender's to send again, and it dropped it.
+            return Err(Broken);
+        }
         let mut piece = &buffer[..length];
         match now {
             PathFault::Delay(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
