A request that was given up is taken back from the connection

What callers saw: a 502 or 504, or an answer from another server, and seconds later the request they had given up was run by a server that had begun to drain. Cause: a connection whose exchange was given up was closed in order, so the kernel went on delivering the request for as long as it retransmits, and nothing that the front learned meanwhile could stop it. The same for a caller that left and for an item whose job was ended. Now the connection is reset while its request is unanswered, which discards what has not arrived; an answered one is still closed in order, as a peer may miss a reset and would go on working.

Soak callers keep closing in order, as callers do; calls to the store are unchanged here.

--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -13,10 +13,21 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::transport::{Transport, Unanswered};
+
 /// Body of every request: small enough to be held whole.
 pub type RequestBody = Full<Bytes>;
 
-/// Bounds on how long a peer may be silent.
+/// How a connection ends whose exchange was given up before it was answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GivenUp {
+    /// It is closed in order: the kernel goes on delivering the request.
+    Close,
+    /// It is reset: a request that has not arrived never will.
+    Reset,
+}
+
+/// Bounds on how long a peer may be silent, and what follows.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectOptions {
     /// Longest wait for the connection to open.
@@ -24,6 +35,8 @@
     /// Longest time that sent bytes or keep-alive probes stay unacknowledged before the
     /// connection counts as broken. Without it a peer that lost power is never noticed.
     pub unacknowledged_timeout: Duration,
+    /// What becomes of an exchange that was given up.
+    pub given_up: GivenUp,
 }
 
 /// Why an exchange failed, and whether the request can have reached the peer.
@@ -67,6 +80,8 @@
 #[derive(Debug)]
 pub struct Connection {
     peer: SocketAddr,
+    given_up: GivenUp,
+    unanswered: Unanswered,
     sender: http1::SendRequest<RequestBody>,
     driver: JoinHandle<()>,
 }
@@ -104,8 +119,10 @@
             .map_err(|elapsed| error(elapsed.into()))?
             .map_err(error)?;
         bound_silence(&stream, options.unacknowledged_timeout).map_err(error)?;
+        let unanswered = Unanswered::default();
+        let transport = Transport::new(stream, unanswered.clone());
         let (sender, connection) = http1::Builder::new()
-            .handshake(TokioIo::new(stream))
+            .handshake(TokioIo::new(transport))
             .await
             .map_err(|e| error(std::io::Error::other(e)))?;
         // An error of the transport reaches the exchange under way, which reports it.
@@ -114,6 +131,8 @@
         });
         Ok(Self {
             peer,
+            given_up: options.given_up,
+            unanswered,
             sender,
             driver,
         })
@@ -140,18 +159,19 @@
         request: Request<RequestBody>,
     ) -> Result<Response<Incoming>, ExchangeError> {
         let origin = Origin::new("exchange", self.peer.to_string());
-        self.sender
-            .try_send_request(request)
-            .await
-            .map_err(|mut failed| {
-                let returned = failed.take_message().is_some();
-                let source = failed.into_error();
-                if returned {
-                    ExchangeError::NotSent { origin, source }
-                } else {
-                    ExchangeError::Broken { origin, source }
-                }
-            })
+        self.unanswered.set(self.given_up == GivenUp::Reset);
+        let answer = self.sender.try_send_request(request).await;
+        let answer = answer.map_err(|mut failed| {
+            let returned = failed.take_message().is_some();
+            let source = failed.into_error();
+            if returned {
+                ExchangeError::NotSent { origin, source }
+            } else {
+                ExchangeError::Broken { origin, source }
+            }
+        })?;
+        self.unanswered.set(false);
+        Ok(answer)
     }
 }
 
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -7,7 +7,7 @@
 
 use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, Zone};
 use foxwheel_core::time;
-use foxwheel_http1::connection::ConnectOptions;
+use foxwheel_http1::connection::{ConnectOptions, GivenUp};
 use foxwheel_http1::pool::Pool;
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
@@ -37,6 +37,7 @@
     // drops the opening packet is full or gone, and the packet comes again too late.
     connect_timeout: Duration::from_millis(250),
     unacknowledged_timeout: Duration::from_millis(2_000),
+    given_up: GivenUp::Reset,
 };
 
 /// The shared state of a front or worker.
--- a/crates/foxwheel-soak/src/proxy.rs
+++ b/crates/foxwheel-soak/src/proxy.rs
@@ -211,7 +211,7 @@
             PathFault::OneWay => direction == Direction::FromTarget,
             _ => false,
         };
-        let held_back = holds_back(&*fault.borrow());
+        let held_back = holds_back(&fault.borrow());
         let passes = fault.wait_for(|fault| !holds_back(fault)).await;
         let now = *passes.map_err(|_| Broken)?;
         if held_back && was_reset(from.as_ref()) {
