Bytes on their way to a backend server are bounded before probes can fail

What callers saw: as before, a request that was answered as failed and ran seconds later at a draining server. Cause: keep-alive probes of an idle connection over a cut path fail 3 s after it was last heard, also when a request was written to it a moment before; what was written then is still delivered (users' network; Linux stops probing while bytes are on their way). The bound on unacknowledged bytes, 2 s, came too late.

--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -27,18 +27,38 @@
     Reset,
 }
 
+/// Silence after which an open connection is probed, and the time between probes. The kernel
+/// counts whole seconds.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+
+/// Probes that must go unanswered before the connection counts as broken.
+const PROBES: u32 = 2;
+
+/// Late timers, here and in the kernel.
+const TIMER_SLACK: Duration = Duration::from_millis(300);
+
 /// Bounds on how long a peer may be silent, and what follows.
 #[derive(Debug, Clone, Copy)]
 pub struct ConnectOptions {
     /// Longest wait for the connection to open.
     pub connect_timeout: Duration,
-    /// Longest time that sent bytes or keep-alive probes stay unacknowledged before the
-    /// connection counts as broken. Without it a peer that lost power is never noticed.
+    /// Longest time that sent bytes stay unacknowledged: the connection counts as broken then,
+    /// and what has not arrived never will.
     pub unacknowledged_timeout: Duration,
     /// What becomes of an exchange that was given up.
     pub given_up: GivenUp,
 }
 
+impl ConnectOptions {
+    /// How long after its last exchange a connection may carry another one. A connection that
+    /// ends by unanswered probes may still deliver what was written to it since, so the bound
+    /// on unacknowledged bytes must end it first.
+    pub fn reuse_within(&self) -> Duration {
+        let probes_fail_after = PROBE_EVERY * (PROBES + 1);
+        probes_fail_after.saturating_sub(self.unacknowledged_timeout + TIMER_SLACK)
+    }
+}
+
 /// Why an exchange failed, and whether the request can have reached the peer.
 #[derive(Debug, thiserror::Error)]
 pub enum ExchangeError {
@@ -183,17 +203,11 @@
 
 /// Lets the kernel report a peer that stopped answering, and sends small writes at once.
 fn bound_silence(stream: &TcpStream, timeout: Duration) -> std::io::Result<()> {
-    /// Probes that must go unanswered before the connection counts as broken.
-    const PROBES: u32 = 2;
     stream.set_nodelay(true)?;
     let socket = socket2::SockRef::from(stream);
-    // Linux counts probe times in whole seconds, so they only bound idle waits coarsely.
-    let probe_every = timeout
-        .div_f64(f64::from(PROBES))
-        .max(Duration::from_secs(1));
     let keepalive = socket2::TcpKeepalive::new()
-        .with_time(probe_every)
-        .with_interval(probe_every)
+        .with_time(PROBE_EVERY)
+        .with_interval(PROBE_EVERY)
         .with_retries(PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(timeout))
--- a/crates/foxwheel-http1/src/pool.rs
+++ b/crates/foxwheel-http1/src/pool.rs
@@ -72,7 +72,7 @@
         });
         let idle = Idle {
             connection,
-            usable_until: Instant::now() + usable,
+            usable_until: Instant::now() + usable.min(self.options.reuse_within()),
         };
         let mut peers = self.idle.lock().expect("pool lock");
         match peers.binary_search_by(|(known, _)| known.cmp(peer)) {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -36,7 +36,9 @@
     // A round trip takes a few milliseconds and a new connection one more; a server that
     // drops the opening packet is full or gone, and the packet comes again too late.
     connect_timeout: Duration::from_millis(250),
-    unacknowledged_timeout: Duration::from_millis(2_000),
+    // Two retransmissions at a usual distance; what is on its way counts against the time
+    // within which a draining server must get no more work (2 s).
+    unacknowledged_timeout: Duration::from_millis(700),
     given_up: GivenUp::Reset,
 };
 
