A server that drains while it is connected to gets no request

What callers saw: nothing by itself; 0.25 s more between what a front knows and what it sends. Cause: a server that was chosen was not looked at again before the first byte, and opening a connection takes up to 0.25 s. The entry is read again once the connection stands; the request goes to another server as one that was not sent. The test fails without it (the request was sent).

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -104,8 +104,8 @@
     request: Request<RequestBody>,
 ) -> Result<OpenAnswer, Failure> {
     let server = target.slot.server();
-    let Some(addr) = node.server_addr(server) else {
-        return Err(Failure::new(AttemptOutcome::NotSent, "server is gone"));
+    let Some(addr) = node.usable_addr(server, Instant::now()) else {
+        return Err(Failure::left());
     };
     let sent_at = Instant::now();
     let mut is_new = true;
@@ -115,8 +115,12 @@
         if is_new {
             node.metrics.incr(Counter::ServerConnection);
         }
+        // It may have begun to drain while the connection was opened.
+        if node.usable_addr(server, Instant::now()).is_none() {
+            return Ok(None);
+        }
         let response = lease.connection.send(request).await?;
-        Ok::<_, ExchangeError>((lease.connection, response))
+        Ok::<_, ExchangeError>(Some((lease.connection, response)))
     };
     let wait_until = target
         .head_by
@@ -128,7 +132,8 @@
         log::info!(request_id = target.request_id, server = server.id, is_new, waited_ms; "connection given up");
     }
     let (connection, response) = match exchanged {
-        Some(Ok(exchanged)) => exchanged,
+        Some(Ok(Some(exchanged))) => exchanged,
+        Some(Ok(None)) => return Err(Failure::left()),
         Some(Err(e)) => {
             note_broken(node, server, &e, is_new);
             if matches!(e, ExchangeError::Broken { .. }) {
@@ -255,6 +260,11 @@
 }
 
 impl Failure {
+    /// The server takes no new work, so it was sent nothing.
+    fn left() -> Self {
+        Self::new(AttemptOutcome::NotSent, "server takes no new work")
+    }
+
     /// A failure without an answer of the server's.
     pub fn new(outcome: AttemptOutcome, reason: impl Into<String>) -> Self {
         Self {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -223,6 +223,14 @@
         (!gone).then(|| self.candidate_of(member, key.clone(), now))
     }
 
+    /// The address of that start of a server, if it may take work.
+    pub fn usable_addr(&self, key: &ServerKey, now: Instant) -> Option<SocketAddr> {
+        let directory = self.directory.lock().expect("directory lock");
+        let member = directory.usable_member(key, now)?;
+        let gone = self.peers.found_gone(key, now);
+        (!gone).then_some(member.server.addr)
+    }
+
     fn candidate_of(&self, member: &membership::Member, key: ServerKey, now: Instant) -> Candidate {
         let server = &member.server;
         let own = self.loads.own(&key, now);
@@ -263,12 +271,6 @@
         self.paces.retry_after(service, slots, fronts, now)
     }
 
-    /// The address of that start of a server, if it is the one that is listed.
-    pub fn server_addr(&self, key: &ServerKey) -> Option<SocketAddr> {
-        let directory = self.directory.lock().expect("directory lock");
-        directory.server(key).map(|server| server.addr)
-    }
-
     /// That start of a server as it is listed.
     pub fn listed_server(&self, key: &ServerKey) -> Option<BackendServer> {
         let directory = self.directory.lock().expect("directory lock");
--- /dev/null
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -0,0 +1,65 @@
+//! One attempt at a server whose entry changes meanwhile.
+
+mod common;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use foxwheel_node::attempt::{self, Target};
+use foxwheel_node::load_table::WorkClass;
+use foxwheel_node::node::Node;
+use foxwheel_node::request_content::RequestContent;
+use foxwheel_node::settings::Role;
+use foxwheel_policy::membership::{BackendServer, ServerState};
+use foxwheel_policy::retry::AttemptOutcome;
+use foxwheel_server_emu::server::{self, Shape};
+use foxwheel_soak::caller;
+use hyper::Method;
+use tokio_util::sync::CancellationToken;
+
+const LOCALHOST: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
+
+fn list(node: &Node, addr: SocketAddr, state: ServerState) -> BackendServer {
+    let server = BackendServer {
+        id: Shape::default().id,
+        incarnation: 1,
+        service: "model".to_owned(),
+        addr,
+        zone: common::zone(0),
+        slots: 8,
+        state,
+    };
+    let mut directory = node.directory.lock().expect("directory lock");
+    directory.upsert(server.clone());
+    server
+}
+
+/// The front chose a server and was still opening a connection when it learned that the server
+/// drains; the request went out all the same.
+#[actix_web::test]
+async fn a_server_that_drains_while_it_is_connected_to_gets_no_request() {
+    let cancel = CancellationToken::new();
+    let started = server::start(LOCALHOST, Shape::default(), cancel.clone()).await;
+    let server = started.expect("server starts");
+    let nowhere = SocketAddr::new(LOCALHOST, 9);
+    let settings = common::lone_settings(Role::Front, nowhere);
+    let node = Node::new(settings, cancel.clone());
+    let listed = list(&node, server.addr, ServerState::Ready);
+    let target = Target {
+        slot: node.loads.begin(&listed.key(), WorkClass::Online),
+        request_id: "late".to_owned(),
+        content: Arc::new(RequestContent::new("POST", "h", "/a", Default::default())),
+        expected_wait: Duration::ZERO,
+        give_up_at: Instant::now() + Duration::from_secs(5),
+        head_by: None,
+    };
+    let request = caller::request(Method::POST, "/plain/a", "late", &[], "");
+    let (sent, _) = tokio::join!(attempt::send(&node, target, request), async {
+        list(&node, server.addr, ServerState::Draining)
+    });
+    let outcome = sent.map(|_| ()).map_err(|failure| failure.outcome);
+    assert_eq!(outcome, Err(AttemptOutcome::NotSent));
+    assert!(server.runs.arrivals().is_empty());
+    cancel.cancel();
+}
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -330,6 +330,26 @@
     }
 }
 
+/// Settings of a process without others, for tests of one part of it.
+pub fn lone_settings(role: Role, store_address: SocketAddr) -> NodeSettings {
+    NodeSettings {
+        host: "host-1".to_owned(),
+        role,
+        availability_zone: zone(0),
+        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        bind_ip: None,
+        peer_ports: (7_660, 7_660),
+        seeds: Vec::new(),
+        caller_address: None,
+        readiness_address: None,
+        metrics_port: None,
+        store_address,
+        store_value_bytes: 1_048_576,
+        stop_grace: Duration::from_secs(8),
+        results_readable: Duration::from_secs(120),
+    }
+}
+
 /// The entry of a backend server of the service `model`.
 pub fn entry(addr: SocketAddr, state: &str) -> Value {
     declarations::server_entry(addr, state)
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -1,12 +1,13 @@
 //! A worker that reads a job which another worker runs.
 
-use std::net::{IpAddr, Ipv4Addr};
+mod common;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foxwheel_node::node::Node;
 use foxwheel_node::peer_calls::{ReadAnswer, ReadSpec};
-use foxwheel_node::settings::{NodeSettings, Role};
+use foxwheel_node::settings::Role;
 use foxwheel_node::worker_jobs::WorkerJobs;
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_policy::batch::item::{Ending, ItemResult, ItemSpec};
@@ -44,22 +45,7 @@
         foxwheel_platform_emu::server::start(&PlatformSettings::for_test(), cancel.clone())
             .expect("store starts");
     actix_web::rt::spawn(store);
-    let settings = NodeSettings {
-        host: "worker-1".to_owned(),
-        role: Role::Worker,
-        availability_zone: "hall".to_owned(),
-        ip: IpAddr::V4(Ipv4Addr::LOCALHOST),
-        bind_ip: None,
-        peer_ports: (7_660, 7_660),
-        seeds: Vec::new(),
-        caller_address: None,
-        readiness_address: None,
-        metrics_port: None,
-        store_address,
-        store_value_bytes: 1_048_576,
-        stop_grace: Duration::from_secs(8),
-        results_readable: Duration::from_secs(120),
-    };
+    let settings = common::lone_settings(Role::Worker, store_address);
     WorkerJobs::new(Node::new(settings, cancel.clone()))
 }
 
