What a process is told of the store ages from the store's last answer

What callers saw: nothing yet; read in the code. Cause: a follower that is cut off from the store without a word went on to vouch for its list until its probe failed (up to 1 s), and only then the others of its zone began to wait (0.9 s), 1.9 of the 2 s within which a leaving server must get no more work. A process that heard of something newer, but whose calls to the follower failed, counted as told without end. Now heartbeats carry how long ago the store last answered, others count the age of what they know from then, and a follower that knows more vouches for nothing older. At 1 s a process asks the store itself; followers on whom others rely probe each 0.4 s instead of 0.5 s, so that a slow store's answer stays below that.

Evidence: the two tests fail with either part taken out. Ruled out: a dead lock of the directory that a first form had in the answer to peers (three tests of membership hung).

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -316,6 +316,7 @@
         leaving: node.is_leaving(),
         store_reached: node.store.failing_for(now).is_none(),
         follows: node.follows(now),
+        store_answered_ago: node.store.answered_ago(now),
         knows: node.known_state(),
         quarantine: node.quarantine_state(),
         speakers: node.speakers(),
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -67,6 +67,8 @@
     speakers: Mutex<Vec<NodeId>>,
     /// When another process last named this one as one of the zone's speakers.
     relied_on_at: Mutex<Option<Instant>>,
+    /// When what other processes told was last known to be all that the store has.
+    told_current_at: Mutex<Option<Instant>>,
     /// It follows the store's configuration, which answers.
     pub config_is_current: AtomicBool,
     /// It follows the store's list of servers, which answers.
@@ -114,6 +116,7 @@
             peers: Peers::new(settings.availability_zone.clone(), settings.role),
             speakers: Mutex::default(),
             relied_on_at: Mutex::default(),
+            told_current_at: Mutex::default(),
             config_is_current: AtomicBool::new(false),
             servers_are_current: AtomicBool::new(false),
             follower_news: Notify::new(),
@@ -356,10 +359,19 @@
         following::should_follow(Standing {
             names_itself: speakers.contains(&self.settings.host),
             relied_on_ago: relied_on_at.map(|at| now.duration_since(at)),
-            told_ago: self.peers.told_by_follower_ago(now),
+            told_ago: self.told_current_ago(now),
         })
     }
 
+    /// The age of what this process knows of the store by others: how long ago the store last
+    /// answered a process that follows it and has told nothing that is not known here.
+    fn told_current_ago(&self, now: Instant) -> Option<Duration> {
+        let told_at = self.peers.current_at(self.known_state());
+        let mut current_at = self.told_current_at.lock().expect("told state lock");
+        *current_at = (*current_at).max(told_at);
+        current_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Whether this process follows the platform's store, which answers.
     pub fn follows(&self, now: Instant) -> bool {
         let both = [&self.config_is_current, &self.servers_are_current];
@@ -369,7 +381,7 @@
 
     /// Whether this process follows the platform's store, or is told by one that does.
     pub fn is_current(&self, now: Instant) -> bool {
-        let told = self.peers.told_by_follower_ago(now);
+        let told = self.told_current_ago(now);
         self.follows(now) || told.is_some_and(|ago| ago < following::TOLD_NOTHING)
     }
 
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -16,6 +16,7 @@
 
 /// What a process tells the others of its zone several times a second, and, without loads,
 /// workers tell those of other zones.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
     /// The process's host.
@@ -36,6 +37,10 @@
     pub store_reached: bool,
     /// It follows the store itself, which answers.
     pub follows: bool,
+    /// How long ago the store last answered it.
+    #[serde(rename = "store_answered_ago_ms")]
+    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    pub store_answered_ago: std::time::Duration,
     /// How new the configuration and the list of servers are that it knows.
     pub knows: KnownState,
     /// Which crashes of servers it knows of.
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -33,9 +33,10 @@
     async fn knowledge(self, _: context::Context, known: KnownState) -> Knowledge {
         let is_newer = |config: &Arc<Config>| Some(config.version) > known.config_version;
         let config = self.node.config().filter(is_newer);
+        let is_current = self.node.is_current(Instant::now());
         let directory = self.node.directory.lock().expect("directory lock");
         Knowledge {
-            is_current: self.node.is_current(Instant::now()),
+            is_current,
             config: config.map(|config| config.as_ref().clone()),
             servers: directory.news_since(known.servers_revision),
         }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -34,6 +34,9 @@
     beat: Heartbeat,
     told: ToldLoads,
     heard_at: Instant,
+    /// When the platform's store last answered it; none if that is longer ago than this
+    /// process can tell.
+    store_answered_at: Option<Instant>,
 }
 
 /// The other processes.
@@ -98,6 +101,7 @@
                 let peer = Peer {
                     told: ToldLoads::default(),
                     heard_at: now,
+                    store_answered_at: None,
                     beat: Heartbeat {
                         loads: Vec::new(),
                         gone: Vec::new(),
@@ -306,6 +310,7 @@
         peer.told.replace(loads, &mut self.sums);
         let gone_before = std::mem::replace(&mut peer.beat, beat).gone;
         peer.heard_at = now;
+        peer.store_answered_at = now.checked_sub(peer.beat.store_answered_ago);
         if gone_before != self.peers[at].beat.gone {
             self.collect_gone();
         }
--- a/crates/foxwheel-node/src/peers/views.rs
+++ b/crates/foxwheel-node/src/peers/views.rs
@@ -1,7 +1,7 @@
 //! Who lives, what each does and what it knows, as the others told.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use foxwheel_core::ids::{NodeId, Zone};
 use foxwheel_policy::batch::ownership::Worker;
@@ -114,15 +114,15 @@
             .collect()
     }
 
-    /// How long ago a process of the own zone last told that it follows the platform's store.
-    pub fn told_by_follower_ago(&self, now: Instant) -> Option<Duration> {
+    /// When the platform's store last answered a process of the own zone that follows it and
+    /// told of nothing newer than `known`: what is known here was current then.
+    pub fn current_at(&self, known: KnownState) -> Option<Instant> {
         let tables = self.lock();
         let following = tables.peers.iter().filter(|peer| {
             let is_local = peer.beat.zone == self.own_zone;
-            is_local && peer.beat.follows
+            is_local && peer.beat.follows && !peer.beat.knows.is_more_than(known)
         });
-        let ago = following.map(|peer| now.duration_since(peer.heard_at));
-        ago.min()
+        following.filter_map(|peer| peer.store_answered_at).max()
     }
 
     /// What other zones are told of the own zone's workers that are heard.
--- a/crates/foxwheel-node/src/store_access.rs
+++ b/crates/foxwheel-node/src/store_access.rs
@@ -28,8 +28,10 @@
     regained: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Health {
+    /// When a call last succeeded, or the process started.
+    answered_at: Instant,
     /// Set from the first failed call until one succeeds.
     failing_since: Option<Instant>,
 }
@@ -62,7 +64,10 @@
         Self {
             store: Store::new(addr),
             metrics,
-            health: Mutex::default(),
+            health: Mutex::new(Health {
+                answered_at: Instant::now(),
+                failing_since: None,
+            }),
             regained: Notify::new(),
         }
     }
@@ -73,6 +78,12 @@
         health.failing_since.map(|since| now.duration_since(since))
     }
 
+    /// How long ago the store last answered a call.
+    pub fn answered_ago(&self, now: Instant) -> Duration {
+        let health = self.health.lock().expect("health lock");
+        now.saturating_duration_since(health.answered_at)
+    }
+
     /// Waits for `pause`, or until the store answers this process again: callers wait for a
     /// submission's acceptance, and a pause of half a second would make it late.
     pub async fn pause(&self, pause: Duration) {
@@ -125,6 +136,7 @@
         match result {
             Ok(_) => {
                 self.metrics.incr(Counter::StoreAnswered(call));
+                health.answered_at = Instant::now();
                 if let Some(since) = health.failing_since.take() {
                     self.regained.notify_waiters();
                     let lost_ms = since.elapsed().as_millis() as u64;
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -44,6 +44,7 @@
         leaving: false,
         store_reached: true,
         follows: false,
+        store_answered_ago: Duration::ZERO,
         knows: KnownState::default(),
         quarantine: 0,
         speakers: Vec::new(),
@@ -513,3 +514,49 @@
         assert_eq!(picked.map(|one| one.zone.as_str()), wanted, "{told} told");
     }
 }
+
+fn follower(host: u8, sequence: u64, revision: u64, answered_ago_ms: u64) -> Heartbeat {
+    Heartbeat {
+        follows: true,
+        knows: KnownState {
+            servers_revision: Some(revision),
+            ..KnownState::default()
+        },
+        store_answered_ago: Duration::from_millis(answered_ago_ms),
+        ..beat(host, sequence, &[])
+    }
+}
+
+/// A follower that was cut off from the store without a word went on to vouch for its list until
+/// its probe failed, and only then the others began to wait.
+#[test]
+fn what_a_cut_off_follower_told_ages_from_the_stores_last_answer() {
+    let (peers, now) = (peers(), Instant::now());
+    let known = KnownState {
+        servers_revision: Some(7),
+        ..KnownState::default()
+    };
+    assert_eq!(peers.current_at(known), None);
+    peers.hear(follower(2, 1, 7, 300), addr(1), now);
+    let answered_at = now - Duration::from_millis(300);
+    assert_eq!(peers.current_at(known), Some(answered_at));
+    let later = now + Duration::from_millis(500);
+    peers.hear(follower(2, 2, 7, 800), addr(1), later);
+    assert_eq!(peers.current_at(known), Some(answered_at));
+    // Changes of its load say nothing of the store.
+    peers.take_changes(changes(3, 1, 1), later);
+    assert_eq!(peers.current_at(known), Some(answered_at));
+}
+
+/// A process that hears a follower's heartbeats, but whose calls to it fail, counted as told.
+#[test]
+fn a_follower_that_knows_more_vouches_for_nothing_older() {
+    let (peers, now) = (peers(), Instant::now());
+    let known = |revision| KnownState {
+        servers_revision: Some(revision),
+        ..KnownState::default()
+    };
+    peers.hear(follower(2, 1, 8, 0), addr(1), now);
+    assert_eq!(peers.current_at(known(7)), None);
+    assert_eq!(peers.current_at(known(8)), Some(now));
+}
--- a/crates/foxwheel-policy/src/following.rs
+++ b/crates/foxwheel-policy/src/following.rs
@@ -8,19 +8,20 @@
 
 use std::time::Duration;
 
-/// How long a process that was told nothing by a follower waits until it asks the store
-/// itself. Longer than it takes until another speaker is named and has asked (0.6 s), so that
-/// the end of a follower does not make every process of the zone ask; half of the shortest
-/// bound for a change met so far (2 s).
-pub const TOLD_NOTHING: Duration = Duration::from_millis(900);
+/// Age of what a process was told at which it asks the store itself. Longer than it takes until
+/// another speaker is named and has asked (0.6 s), so that the end of a follower does not make
+/// every process of the zone ask; half of the shortest bound for a change met so far (2 s).
+pub const TOLD_NOTHING: Duration = Duration::from_millis(1_000);
 
 /// How long a process goes on following after no other names it any more: speakers change
 /// for a moment when a heartbeat is late, and taking up again costs a list of each kind.
 pub const LINGER: Duration = Duration::from_secs(1);
 
 /// How often a follower on whom others rely makes sure that the store answers it. A watch
-/// waits for many seconds, and a silent path shows itself only after 2 s or more.
-pub const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// waits for many seconds, and a silent path shows itself only after 2 s or more. Others count
+/// the age of what it told from the last answer, so with the answer of a slow store (0.3 s)
+/// and a heartbeat this stays below [`TOLD_NOTHING`].
+pub const PROBE_EVERY: Duration = Duration::from_millis(400);
 
 /// Longest wait for the answer to such a probe: the store takes milliseconds, and some 250
 /// when it is slow.
@@ -33,7 +34,8 @@
     pub names_itself: bool,
     /// How long ago another process of the zone last named it as a speaker.
     pub relied_on_ago: Option<Duration>,
-    /// How long ago a process that follows last told it so.
+    /// How long ago the store last answered a process that follows it, as far as that process
+    /// told of nothing that is not known here.
     pub told_ago: Option<Duration>,
 }
 
