--- a/crates/foxwheel-node/src/followers.rs
+++ b/crates/foxwheel-node/src/followers.rs
@@ -7,9 +7,9 @@
 use foxwheel_core::ids::{ServerId, Version};
 use foxwheel_platform::store::{Change, Object, StoreError, Watched};
 use foxwheel_platform::{config, servers};
-use foxwheel_policy::following;
 use foxwheel_policy::membership::BackendServer;
 use foxwheel_policy::server_changes::ServerChange;
+use foxwheel_policy::{following, leaving};
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
@@ -23,10 +23,6 @@
 /// How often servers whose entries vanished are looked over.
 const EXPIRE_EVERY: Duration = Duration::from_millis(200);
 
-/// Pause after a watch that brought changes of servers. Servers register and drain together;
-/// far below the time within which a draining server must get no more work (2 s).
-const SERVER_CHANGES_PAUSE: Duration = Duration::from_millis(150);
-
 /// What follows one kind of object.
 trait Follower: Send + Sync + 'static {
     /// The kind.
@@ -79,9 +75,6 @@
     }
 }
 
-/// How often a process that does not follow looks whether it should.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
-
 /// How long a process that just started and has its first list waits before it watches: by
 /// then it has heard who follows for its zone, and its watch is not needed: two heartbeats.
 /// A tenth of the shortest bound for a change (2 s); the watch goes on from the list.
@@ -103,7 +96,7 @@
         while !must_go_on && !node.should_follow(Instant::now()) {
             F::is_current(node).store(false, Ordering::Relaxed);
             revision = None;
-            tokio::time::sleep(LOOK_EVERY).await;
+            tokio::time::sleep(following::LOOK_EVERY).await;
         }
         let step = follow_once(node, &follower, revision).await;
         F::is_current(node).store(step.is_ok(), Ordering::Relaxed);
@@ -231,7 +224,7 @@
 
 impl Follower for ServerFollower {
     const KIND: &'static str = servers::KIND;
-    const PAUSE: Duration = SERVER_CHANGES_PAUSE;
+    const PAUSE: Duration = leaving::CHANGES_PAUSE;
 
     fn is_current(node: &Node) -> &AtomicBool {
         &node.servers_are_current
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -12,6 +12,7 @@
 use foxwheel_policy::batch::ownership::{ClaimStanding, JobClaim};
 use foxwheel_policy::config_in_force::ConfigInForce;
 use foxwheel_policy::following::{self, Standing};
+use foxwheel_policy::leaving;
 use foxwheel_policy::membership::{self, BackendServer, Directory, ServerKey};
 use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::quarantine::Quarantine;
@@ -36,9 +37,7 @@
     // A round trip takes a few milliseconds and a new connection one more; a server that
     // drops the opening packet is full or gone, and the packet comes again too late.
     connect_timeout: Duration::from_millis(250),
-    // Two retransmissions at a usual distance; what is on its way counts against the time
-    // within which a draining server must get no more work (2 s).
-    unacknowledged_timeout: Duration::from_millis(700),
+    unacknowledged_timeout: leaving::ON_ITS_WAY,
     given_up: GivenUp::Reset,
 };
 
--- a/crates/foxwheel-policy/src/following.rs
+++ b/crates/foxwheel-policy/src/following.rs
@@ -13,6 +13,9 @@
 /// every process of the zone ask; half of the shortest bound for a change met so far (2 s).
 pub const TOLD_NOTHING: Duration = Duration::from_millis(1_000);
 
+/// How often a process that does not follow looks whether it should.
+pub const LOOK_EVERY: Duration = Duration::from_millis(50);
+
 /// How long a process goes on following after no other names it any more: speakers change
 /// for a moment when a heartbeat is late, and taking up again costs a list of each kind.
 pub const LINGER: Duration = Duration::from_secs(1);
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config_in_force;
 pub mod following;
 pub mod health;
+pub mod leaving;
 pub mod load_reports;
 pub mod membership;
 pub mod moving_average;
@@ -25,7 +26,8 @@
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        admission, batch, config_in_force, following, health, load_reports, membership, placement,
-        quarantine, retry, routes, server_changes, server_index, speakers, stopping, zone_loads,
+        admission, batch, config_in_force, following, health, leaving, load_reports, membership,
+        placement, quarantine, retry, routes, server_changes, server_index, speakers, stopping,
+        zone_loads,
     };
 }
