Soak: a request that was given up reaches no server later

It now takes arrivals as evidence and checks that none comes later than 1 s after its call's end, unless the front itself was stopped, paused, killed or kept from its callers meanwhile; a test has cases on both sides.

--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -25,6 +25,9 @@
 /// Work for a caller that left stops within this.
 pub const ABANDONED_WITHIN: Duration = Duration::from_secs(2);
 
+/// Nothing of a request that was answered or whose caller left arrives after this.
+pub const TAKEN_BACK_WITHIN: Duration = Duration::from_secs(1);
+
 /// A request that crashed three servers is known everywhere within this.
 pub const CRASHES_KNOWN_WITHIN: Duration = Duration::from_secs(3);
 
@@ -61,6 +64,8 @@
     Drained,
     /// Work for a caller that left stops.
     Abandoned,
+    /// A request that was answered or whose caller left reaches no server later.
+    TakenBack,
     /// The newest configuration is in force and stays.
     ConfigInForce,
     /// A process that is asked to stop does, in time and cleanly.
@@ -98,6 +103,7 @@
         check_runs(evidence, call, &mut found);
         check_end(evidence, call, &mut found);
         check_served(evidence, call, &mut found);
+        check_taken_back(evidence, call, &mut found);
     }
     for job in &evidence.jobs {
         check_job(job, &mut found);
@@ -200,6 +206,19 @@
     }
 }
 
+fn check_taken_back(evidence: &Evidence, call: &Call, found: &mut Found) {
+    let by = call.ended_at + TAKEN_BACK_WITHIN;
+    let mut arrivals = evidence.arrivals.iter();
+    let late = arrivals.find(|one| one.arrival.request_id == call.id && one.arrival.at > by);
+    let Some(late) = late else { return };
+    if evidence.was_kept(call.front, call.sent_at, late.arrival.at) {
+        return;
+    }
+    let late_ms = late.arrival.at.duration_since(call.ended_at).as_millis();
+    let seen = format!("reached {} {late_ms} ms after its end", late.server);
+    found.breach(Promise::TakenBack, &call.id, seen);
+}
+
 fn goes_on_after(seen: &ServerRun, at: Instant) -> bool {
     seen.run.ended_at.is_none_or(|ended_at| ended_at > at)
 }
--- a/crates/foxwheel-soak/src/evidence.rs
+++ b/crates/foxwheel-soak/src/evidence.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use foxwheel_server_emu::runs::Run;
+use foxwheel_server_emu::runs::{Arrival, Run};
 use serde_json::Value;
 
 use crate::process::{Ended, Resources};
@@ -110,6 +110,15 @@
     pub run: Run,
 }
 
+/// A request that reached a backend server, whether it was run or not.
+#[derive(Debug, Clone)]
+pub struct ServerArrival {
+    /// The server's id.
+    pub server: String,
+    /// The request's id and when it came.
+    pub arrival: Arrival,
+}
+
 /// Whose answers a disturbance may break.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cuts {
@@ -172,6 +181,8 @@
     pub jobs: Vec<Job>,
     /// Runs of all servers.
     pub runs: Vec<ServerRun>,
+    /// What reached the servers.
+    pub arrivals: Vec<ServerArrival>,
     /// Faults.
     pub disturbances: Vec<Disturbance>,
     /// Configurations.
@@ -225,6 +236,13 @@
         })
     }
 
+    /// Whether a fault kept the front at `front` itself, or its callers from it, in this time.
+    pub fn was_kept(&self, front: usize, from: Instant, until: Instant) -> bool {
+        let mut disturbances = self.disturbances.iter();
+        disturbances
+            .any(|one| one.cuts == Cuts::Front(front) && one.from < until && one.until > from)
+    }
+
     /// Whether the front at `front` refused a connection in this time.
     pub fn has_refused(&self, front: usize, from: Instant, until: Instant) -> bool {
         let mut refusals = self.refusals.iter();
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -15,7 +15,7 @@
 
 use crate::caller;
 use crate::declarations;
-use crate::evidence::ServerRun;
+use crate::evidence::{ServerArrival, ServerRun};
 use crate::network::{self, Network};
 use crate::plan::{Plan, Size};
 use crate::process::{Process, ProcessError, Role, Spec};
@@ -316,6 +316,21 @@
         }
     }
 
+    /// What reached every server that there was.
+    pub fn arrivals(&self) -> Vec<ServerArrival> {
+        let former = self.former.iter().map(|former| &former.place);
+        let all = self.places.iter().chain(former);
+        let arrivals_of = |place: &Place| {
+            let arrivals = place.server.runs.arrivals().into_iter();
+            let server = place.id.clone();
+            arrivals.map(move |arrival| ServerArrival {
+                server: server.clone(),
+                arrival,
+            })
+        };
+        all.flat_map(arrivals_of).collect()
+    }
+
     /// The runs of every server that there was.
     pub fn runs(&self) -> Vec<ServerRun> {
         let present = self.places.iter().map(|place| (place, None));
--- a/crates/foxwheel-soak/src/run.rs
+++ b/crates/foxwheel-soak/src/run.rs
@@ -221,6 +221,7 @@
         let mut evidence = self.record.take();
         let fleet = self.fleet.borrow();
         evidence.runs = fleet.runs();
+        evidence.arrivals = fleet.arrivals();
         let paths = fleet.nodes.iter().filter_map(|node| node.callers.as_ref());
         evidence.refusals = paths
             .enumerate()
--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -2,12 +2,12 @@
 
 use std::time::{Duration, Instant};
 
-use foxwheel_server_emu::runs::Run;
+use foxwheel_server_emu::runs::{Arrival, Run};
 use foxwheel_server_emu::server::event_data;
 use foxwheel_soak::caller;
 use foxwheel_soak::checks::{self, Promise};
 use foxwheel_soak::evidence::{Call, CallEnd, ConfigProbe, ConfigWrite, Cuts, Disturbance};
-use foxwheel_soak::evidence::{Evidence, Job, Kind, ServerRun, Stop};
+use foxwheel_soak::evidence::{Evidence, Job, Kind, ServerArrival, ServerRun, Stop};
 use foxwheel_soak::process::{Ended, Resources};
 use serde_json::{json, Value};
 
@@ -65,6 +65,15 @@
         });
     }
 
+    fn arrive(&mut self, request: &str, at_ms: u64) {
+        let at = self.at(at_ms);
+        let request_id = request.to_owned();
+        self.evidence.arrivals.push(ServerArrival {
+            server: "server-1".to_owned(),
+            arrival: Arrival { request_id, at },
+        });
+    }
+
     fn disturb(&mut self, from_ms: u64, until_ms: u64, cuts: Cuts) {
         let (from, until) = (self.at(from_ms), self.at(until_ms));
         let disturbance = Disturbance { from, until, cuts };
@@ -413,3 +422,21 @@
     case.disturb(3_100, 3_200, Cuts::Nothing);
     assert_eq!(case.evidence.settled_by(case.at(0), bound), case.at(3_000));
 }
+
+#[test]
+fn a_request_that_was_given_up_may_not_arrive_later() {
+    let left = || CallEnd::Left { meant_to: true };
+    let mut case = Case::new();
+    // It ends at 10.1 s.
+    case.call("a", Kind::Plain, 10_000, left());
+    case.arrive("a", 10_050);
+    case.arrive("a", 11_000);
+    assert_eq!(case.broken(), []);
+    case.arrive("a", 11_200);
+    assert_eq!(case.broken(), [Promise::TakenBack]);
+    // A fault of the server's path is no excuse, a front that stood still is one.
+    case.disturb(10_000, 11_000, Cuts::Any);
+    assert_eq!(case.broken(), [Promise::TakenBack]);
+    case.disturb(10_000, 11_000, Cuts::Front(0));
+    assert_eq!(case.broken(), []);
+}
