--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -24,7 +24,7 @@
 use foxwheel_soak::network::{self, Network};
 use foxwheel_soak::proxy::Path;
 use foxwheel_store::api::Faults;
-use foxwheel_store::client::StoreClient;
+use foxwheel_store::client::{StoreClient, StoreError};
 use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
 use tokio_util::sync::CancellationToken;
@@ -202,16 +202,24 @@
 
     /// Writes whatever stands for the entry of a backend server.
     pub async fn write_entry(&self, id: &str, entry: &Value) {
-        let written = self.store.put(&format!("servers/{id}"), entry, None).await;
-        written.expect("entry written");
+        self.declare(&format!("servers/{id}"), entry).await;
     }
 
     /// Writes a configuration; `alter` changes the usual one.
     pub async fn configure(&self, version: u64, alter: impl FnOnce(&mut Value)) {
         let mut config = declarations::config(version);
         alter(&mut config);
-        let written = self.store.put("config/main", &config, None).await;
-        written.expect("configuration written");
+        self.declare("config/main", &config).await;
+    }
+
+    /// Writes an object, again while the store does not answer: on a busy machine the test
+    /// process can stand still for longer than the store's client waits.
+    async fn declare(&self, key: &str, value: &Value) {
+        let started = std::time::Instant::now();
+        while let Err(e) = self.store.put(key, value, None).await {
+            let again = matches!(e, StoreError::Unavailable { .. }) && started.elapsed() < PATIENCE;
+            assert!(again, "{key}: {e}");
+        }
     }
 
     /// Starts a front or worker; a front's address is appended to `fronts`.
