--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -214,8 +214,14 @@
     if evidence.was_kept(call.front, call.sent_at, late.arrival.at) {
         return;
     }
-    let late_ms = late.arrival.at.duration_since(call.ended_at).as_millis();
-    let seen = format!("reached {} {late_ms} ms after its end", late.server);
+    let seen = format!(
+        "sent to front {} at {} ms, over at {} ms, reached {} at {} ms",
+        call.front,
+        evidence.at_ms(call.sent_at),
+        evidence.at_ms(call.ended_at),
+        late.server,
+        evidence.at_ms(late.arrival.at)
+    );
     found.breach(Promise::TakenBack, &call.id, seen);
 }
 
