Quarantine: the crashes of one content get a module of their own

Before changes to the verdict: `quarantine.rs` held both the crash records of one content and the table of all contents. Moved: Crash and SuspectedContent. The filter for crashes that count stood four times; `counted_crashes` and `last_counted_at` replace it.

--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -12,6 +12,8 @@
 //! from the same service clears the content, because a request that always crashes its server
 //! never gets one.
 
+mod suspected_content;
+
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
 
@@ -19,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
+use self::suspected_content::{Crash, SuspectedContent};
 use crate::zone_loads::ServerFingerprint;
 
 /// Number of successive crashes after which a content is quarantined. Two also happen to requests
@@ -26,11 +29,6 @@
 /// times the one to which the request that causes the crashes was sent as well.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// Time between two crashes from which on they count as separate failures, even if the request was
-/// sent to both servers before the first one crashed. The simultaneous loss of many servers is
-/// observed by all processes within tens of milliseconds.
-const MIN_CRASH_SEPARATION: Duration = Duration::from_millis(250);
-
 /// How long a content is quarantined after its last crash. After that it may run again, and the
 /// next crash quarantines it immediately: a wrongly suspected content gets another chance, and one
 /// that does cause the crashes takes down one server each time.
@@ -53,9 +51,6 @@
 /// once that are not at fault, and these must not displace the quarantined contents.
 const MAX_CONTENTS: usize = 512;
 
-/// Maximum number of crashes kept per content.
-const MAX_CRASHES: usize = 8;
-
 /// One crash, as processes report it to each other.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -106,26 +101,6 @@
     pub cut_off_at: Instant,
 }
 
-/// A crash that this process keeps.
-#[derive(Debug, Clone)]
-struct Crash {
-    server: ServerFingerprint,
-    service: ServiceName,
-    sent_at: Instant,
-    at: Instant,
-    cleared: bool,
-    /// This process observed the crash itself.
-    observed_locally: bool,
-}
-
-/// A content and the crashes of servers that ran it.
-#[derive(Debug, Clone)]
-struct SuspectedContent {
-    content: ContentFingerprint,
-    /// Sorted by server; never empty, at most [`MAX_CRASHES`].
-    crashes: Vec<Crash>,
-}
-
 /// The crashes that one process knows of, by request content.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -137,8 +112,7 @@
 
 impl SuspectedContent {
     fn status(&self, now: Instant) -> ContentStatus {
-        let counted = self.crashes.iter().filter(|crash| !crash.cleared);
-        let Some(last) = counted.map(|crash| crash.at).max() else {
+        let Some(last) = self.last_counted_at() else {
             return ContentStatus::Clear;
         };
         let left = (last + QUARANTINE_DURATION).saturating_duration_since(now);
@@ -148,70 +122,9 @@
         ContentStatus::Quarantined(left)
     }
 
-    /// Returns the servers whose crashes were successive: the request was sent after the previous
-    /// crash, or the server crashed at least [`MIN_CRASH_SEPARATION`] later. Servers that are lost
-    /// together, each while running a popular content, count as one.
-    fn successive_crashes(&self) -> Vec<ServerFingerprint> {
-        let mut counted: Vec<&Crash> = self.crashes.iter().filter(|crash| !crash.cleared).collect();
-        counted.sort_unstable_by_key(|crash| crash.at);
-        let mut successive = Vec::new();
-        let mut last = None;
-        for crash in counted {
-            let is_next = last.is_none_or(|last: Instant| {
-                crash.sent_at >= last || crash.at >= last + MIN_CRASH_SEPARATION
-            });
-            if is_next {
-                successive.push(crash.server);
-                last = Some(crash.at);
-            }
-        }
-        successive
-    }
-
     fn is_quarantined(&self, now: Instant) -> bool {
         matches!(self.status(now), ContentStatus::Quarantined(_))
     }
-
-    /// Adds a crash, or merges it with the known one of the same server. Returns whether that
-    /// changed anything.
-    fn add_crash(&mut self, crash: Crash) -> bool {
-        let found = self
-            .crashes
-            .binary_search_by_key(&crash.server, |known| known.server);
-        match found {
-            Ok(at) => {
-                let known = &mut self.crashes[at];
-                let is_new = crash.cleared && !known.cleared;
-                known.cleared |= crash.cleared;
-                known.observed_locally |= crash.observed_locally;
-                is_new
-            }
-            Err(at) => {
-                self.crashes.insert(at, crash);
-                if self.crashes.len() > MAX_CRASHES {
-                    self.drop_least_relevant();
-                }
-                true
-            }
-        }
-    }
-
-    /// Drops the oldest crash, preferably one that is not counted as successive.
-    fn drop_least_relevant(&mut self) {
-        let successive = self.successive_crashes();
-        let crashes = self.crashes.iter().enumerate();
-        let least = crashes.min_by_key(|(_, crash)| (successive.contains(&crash.server), crash.at));
-        if let Some((at, _)) = least {
-            self.crashes.remove(at);
-        }
-    }
-
-    /// Returns the number of crashes that count against the content and the time of the last crash.
-    /// The content with the lowest value is dropped first.
-    fn eviction_rank(&self) -> (usize, Option<Instant>) {
-        let counted = self.crashes.iter().filter(|crash| !crash.cleared).count();
-        (counted, self.crashes.iter().map(|crash| crash.at).max())
-    }
 }
 
 impl Quarantine {
@@ -240,8 +153,7 @@
         }
         let trials_left =
             suspected.successive_crashes().len() < CRASHES_TO_QUARANTINE + MAX_ITEM_TRIALS;
-        let counted = suspected.crashes.iter().filter(|crash| !crash.cleared);
-        let last = counted.map(|crash| crash.at).max();
+        let last = suspected.last_counted_at();
         trials_left && last.is_none_or(|last| now >= last + ITEM_TRIAL_DELAY)
     }
 
--- /dev/null
+++ b/crates/foxwheel-policy/src/quarantine/suspected_content.rs
@@ -0,0 +1,116 @@
+//! The crashes of backend servers under one request content.
+
+use std::time::{Duration, Instant};
+
+use foxwheel_core::ids::{ContentFingerprint, ServiceName};
+
+use crate::zone_loads::ServerFingerprint;
+
+/// Time between two crashes from which on they count as separate failures, even if the request was
+/// sent to both servers before the first one crashed. The simultaneous loss of many servers is
+/// observed by all processes within tens of milliseconds.
+const MIN_CRASH_SEPARATION: Duration = Duration::from_millis(250);
+
+/// Maximum number of crashes kept per content.
+const MAX_CRASHES: usize = 8;
+
+/// A crash that this process keeps.
+#[derive(Debug, Clone)]
+pub struct Crash {
+    /// The server instance that crashed.
+    pub server: ServerFingerprint,
+    /// The server's service.
+    pub service: ServiceName,
+    /// When the request was sent to the server.
+    pub sent_at: Instant,
+    /// When the server crashed.
+    pub at: Instant,
+    /// The content was cleared by a complete response after the crash.
+    pub cleared: bool,
+    /// This process observed the crash itself.
+    pub observed_locally: bool,
+}
+
+/// A content and the crashes of servers that ran it.
+#[derive(Debug, Clone)]
+pub struct SuspectedContent {
+    /// Fingerprint of the request's content.
+    pub content: ContentFingerprint,
+    /// Sorted by server; never empty, at most [`MAX_CRASHES`].
+    pub crashes: Vec<Crash>,
+}
+
+impl SuspectedContent {
+    /// Returns the crashes that count against the content, which it was not cleared of.
+    pub fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|crash| !crash.cleared)
+    }
+
+    /// Returns the time of the last crash that counts against the content.
+    pub fn last_counted_at(&self) -> Option<Instant> {
+        self.counted_crashes().map(|crash| crash.at).max()
+    }
+
+    /// Returns the servers whose crashes were successive: the request was sent after the previous
+    /// crash, or the server crashed at least [`MIN_CRASH_SEPARATION`] later. Servers that are lost
+    /// together, each while running a popular content, count as one.
+    pub fn successive_crashes(&self) -> Vec<ServerFingerprint> {
+        let mut counted: Vec<&Crash> = self.counted_crashes().collect();
+        counted.sort_unstable_by_key(|crash| crash.at);
+        let mut successive = Vec::new();
+        let mut last = None;
+        for crash in counted {
+            let is_next = last.is_none_or(|last: Instant| {
+                crash.sent_at >= last || crash.at >= last + MIN_CRASH_SEPARATION
+            });
+            if is_next {
+                successive.push(crash.server);
+                last = Some(crash.at);
+            }
+        }
+        successive
+    }
+
+    /// Adds a crash, or merges it with the known one of the same server. Returns whether that
+    /// changed anything.
+    pub fn add_crash(&mut self, crash: Crash) -> bool {
+        let found = self
+            .crashes
+            .binary_search_by_key(&crash.server, |known| known.server);
+        match found {
+            Ok(at) => {
+                let known = &mut self.crashes[at];
+                let is_new = crash.cleared && !known.cleared;
+                known.cleared |= crash.cleared;
+                known.observed_locally |= crash.observed_locally;
+                is_new
+            }
+            Err(at) => {
+                self.crashes.insert(at, crash);
+                if self.crashes.len() > MAX_CRASHES {
+                    self.drop_least_relevant();
+                }
+                true
+            }
+        }
+    }
+
+    /// Drops the oldest crash, preferably one that is not counted as successive.
+    fn drop_least_relevant(&mut self) {
+        let successive = self.successive_crashes();
+        let crashes = self.crashes.iter().enumerate();
+        let least = crashes.min_by_key(|(_, crash)| (successive.contains(&crash.server), crash.at));
+        if let Some((at, _)) = least {
+            self.crashes.remove(at);
+        }
+    }
+
+    /// Returns the number of crashes that count against the content and the time of the last crash.
+    /// The content with the lowest value is dropped first.
+    pub fn eviction_rank(&self) -> (usize, Option<Instant>) {
+        (
+            self.counted_crashes().count(),
+            self.crashes.iter().map(|crash| crash.at).max(),
+        )
+    }
+}
