Quarantine: log every verdict with the crashes that it rests on

Cause of the gap: `request quarantined` was written only by the process that saw the last crash.

Change: every process writes one line for each verdict and each further crash, with source, time left, each crash (server, time of sending, time of the crash) and up to four other contents at those servers; `answer broke` also gives the server's fingerprint and how long the request ran. Test: policy::quarantine, each_process_reports_a_quarantine_once_with_its_crashes_and_the_other_contents_there (the method is new, so that it could not be run on the code before). No decision changed.

--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -11,7 +11,9 @@
 use foxwheel_core::ids::ContentFingerprint;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::membership::ServerInstance;
-use foxwheel_policy::quarantine::{ContentStatus, CrashReport, ObservedCrash, QuarantineDigest};
+use foxwheel_policy::quarantine::{
+    ContentStatus, CrashReport, ObservedCrash, QuarantineDigest, QuarantineEvidence,
+};
 
 use crate::node::Node;
 use crate::request_content::RequestContent;
@@ -51,24 +53,27 @@
     /// Records that a server crashed while it ran a request with this content. The next heartbeat
     /// is sent immediately, so that the other processes fetch the crash.
     pub fn record_crash(&self, content: &ContentFingerprint, crash: ObservedCrash) {
+        let now = Instant::now();
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
-        let is_quarantined = quarantine.record_crash(content, crash, Instant::now());
+        quarantine.record_crash(content, crash, now);
+        let evidence = quarantine.take_new_evidence(now);
         drop(quarantine);
         self.metrics.incr(Counter::CrashRecorded);
-        if is_quarantined {
-            log::warn!(content; "request quarantined");
-        }
+        log_quarantines(&evidence, "observed");
         self.crashes_changed.notify_one();
         self.urgent_heartbeat.notify_one();
     }
 
     /// Adds crash reports received from `source`, which is a peer's address or `store`.
     pub fn apply_crash_reports(&self, reports: &[CrashReport], source: &str) {
+        let now = Instant::now();
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
-        let is_changed = quarantine.merge(reports, Instant::now());
+        let is_changed = quarantine.merge(reports, now);
+        let evidence = quarantine.take_new_evidence(now);
         drop(quarantine);
         if is_changed {
             log::info!(source, crashes = reports.len(); "crash reports received");
+            log_quarantines(&evidence, source);
             self.crashes_changed.notify_one();
             self.urgent_heartbeat.notify_one();
         }
@@ -104,6 +109,32 @@
     }
 }
 
+/// Logs each quarantine with the crashes that it rests on, whichever process observed them.
+/// `source` tells where the last of these crashes is known from.
+fn log_quarantines(evidence: &[QuarantineEvidence], source: &str) {
+    for QuarantineEvidence {
+        content,
+        time_left,
+        crashes,
+        other_contents,
+    } in evidence
+    {
+        let time_left_ms = time_left.as_millis() as u64;
+        let crashes: Vec<String> = crashes.iter().map(describe_crash).collect();
+        let (crashes, other_contents) = (crashes.join(", "), other_contents.join(", "));
+        log::warn!(content, source, time_left_ms, crashes, other_contents; "request quarantined");
+    }
+}
+
+fn describe_crash(crash: &CrashReport) -> String {
+    let crashed_ago_ms = crash.age.as_millis();
+    let sent_ago_ms = (crash.age + crash.ran_for).as_millis();
+    format!(
+        "{:016x}: sent {sent_ago_ms} ms ago and crashed {crashed_ago_ms} ms ago",
+        crash.server
+    )
+}
+
 /// Fetches the crash reports of each peer whose digest differs from this process's, once per
 /// digest. Never returns.
 pub async fn sync_crash_reports(node: &Node) {
--- a/crates/foxwheel-node/src/server_probe.rs
+++ b/crates/foxwheel-node/src/server_probe.rs
@@ -60,10 +60,12 @@
         None => ServerLiveness::Leaving,
     };
     let content = request.content.fingerprint();
-    log::info!(request_id = request.request_id, content, server = request.server.id, incarnation = request.server.incarnation, fate:? = liveness; "answer broke");
+    let fingerprint = zone_loads::fingerprint(&request.server);
+    let ran_for = request.cut_off_at.duration_since(request.sent_at);
+    log::info!(request_id = request.request_id, content, server = request.server.id, incarnation = request.server.incarnation, fingerprint = format!("{fingerprint:016x}"), ran_for_ms = ran_for.as_millis() as u64, fate:? = liveness; "answer broke");
     if let Some(server) = ready.filter(|_| liveness == ServerLiveness::Ended) {
         let crash = ObservedCrash {
-            server: zone_loads::fingerprint(&request.server),
+            server: fingerprint,
             service: server.service,
             sent_at: request.sent_at,
             cut_off_at: request.cut_off_at,
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -73,6 +73,9 @@
     pub cleared: bool,
 }
 
+/// Maximum number of other contents in [`QuarantineEvidence`].
+pub const MAX_OTHER_CONTENTS: usize = 4;
+
 /// A digest of all crashes that a process keeps, by which two processes can tell whether they keep
 /// the same ones; 0 if there is none.
 pub type QuarantineDigest = u64;
@@ -101,6 +104,20 @@
     pub cut_off_at: Instant,
 }
 
+/// What the quarantine of a content rests on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineEvidence {
+    /// Fingerprint of the request's content.
+    pub content: ContentFingerprint,
+    /// How long the content must not run.
+    pub time_left: Duration,
+    /// The crashes that count against the content, the first one first.
+    pub crashes: Vec<CrashReport>,
+    /// Other contents that ran at one of these servers when it crashed; at most
+    /// [`MAX_OTHER_CONTENTS`].
+    pub other_contents: Vec<ContentFingerprint>,
+}
+
 /// The crashes that one process knows of, by request content.
 #[derive(Debug, Default)]
 pub struct Quarantine {
@@ -125,6 +142,17 @@
     fn is_quarantined(&self, now: Instant) -> bool {
         matches!(self.status(now), ContentStatus::Quarantined(_))
     }
+
+    fn report(&self, crash: &Crash, now: Instant) -> CrashReport {
+        CrashReport {
+            content: self.content.clone(),
+            server: crash.server,
+            service: crash.service.clone(),
+            age: now.duration_since(crash.at),
+            ran_for: crash.at.duration_since(crash.sent_at),
+            cleared: crash.cleared,
+        }
+    }
 }
 
 impl Quarantine {
@@ -223,18 +251,56 @@
         let suspected = self.suspected.iter();
         suspected
             .flat_map(|suspected| {
-                suspected.crashes.iter().map(|crash| CrashReport {
-                    content: suspected.content.clone(),
-                    server: crash.server,
-                    service: crash.service.clone(),
-                    age: now.duration_since(crash.at),
-                    ran_for: crash.at.duration_since(crash.sent_at),
-                    cleared: crash.cleared,
-                })
+                let crashes = suspected.crashes.iter();
+                crashes.map(|crash| suspected.report(crash, now))
             })
             .collect()
     }
 
+    /// Returns the evidence for each content that was quarantined, or quarantined again by a
+    /// further crash, since the last call. Crashes observed by other processes count as well.
+    pub fn take_new_evidence(&mut self, now: Instant) -> Vec<QuarantineEvidence> {
+        let mut evidence = Vec::new();
+        for at in 0..self.suspected.len() {
+            let suspected = &self.suspected[at];
+            let crash_count = suspected.successive_crashes().len();
+            let ContentStatus::Quarantined(time_left) = suspected.status(now) else {
+                self.suspected[at].reported_crash_count = 0;
+                continue;
+            };
+            if crash_count > suspected.reported_crash_count {
+                evidence.push(self.evidence(suspected, time_left, now));
+                self.suspected[at].reported_crash_count = crash_count;
+            }
+        }
+        evidence
+    }
+
+    fn evidence(
+        &self,
+        suspected: &SuspectedContent,
+        time_left: Duration,
+        now: Instant,
+    ) -> QuarantineEvidence {
+        let mut counted: Vec<&Crash> = suspected.counted_crashes().collect();
+        counted.sort_unstable_by_key(|crash| crash.at);
+        let ran_there = |other: &&SuspectedContent| {
+            let ran_at = |crash: &&Crash| other.crash_of(crash.server).is_some();
+            other.content != suspected.content && counted.iter().any(ran_at)
+        };
+        let others = self.suspected.iter().filter(ran_there);
+        let others = others.take(MAX_OTHER_CONTENTS);
+        QuarantineEvidence {
+            content: suspected.content.clone(),
+            time_left,
+            other_contents: others.map(|other| other.content.clone()).collect(),
+            crashes: counted
+                .into_iter()
+                .map(|crash| suspected.report(crash, now))
+                .collect(),
+        }
+    }
+
     /// Returns the crashes that are kept of one content.
     pub fn reports_on(&self, content: &str, now: Instant) -> Vec<CrashReport> {
         let mut reports = self.reports(now);
@@ -265,6 +331,7 @@
                 let suspected = SuspectedContent {
                     content: content.to_owned(),
                     crashes: vec![crash],
+                    reported_crash_count: 0,
                 };
                 self.suspected.insert(at, suspected);
                 true
--- a/crates/foxwheel-policy/src/quarantine/suspected_content.rs
+++ b/crates/foxwheel-policy/src/quarantine/suspected_content.rs
@@ -38,6 +38,11 @@
     pub content: ContentFingerprint,
     /// Sorted by server; never empty, at most [`MAX_CRASHES`].
     pub crashes: Vec<Crash>,
+    /// Number of successive crashes that the last [`QuarantineEvidence`] listed; 0 before the
+    /// first one.
+    ///
+    /// [`QuarantineEvidence`]: super::QuarantineEvidence
+    pub reported_crash_count: usize,
 }
 
 impl SuspectedContent {
@@ -46,6 +51,14 @@
         self.crashes.iter().filter(|crash| !crash.cleared)
     }
 
+    /// Returns the crash of `server` under the content, or `None` if the content did not run there.
+    pub fn crash_of(&self, server: ServerFingerprint) -> Option<&Crash> {
+        let found = self
+            .crashes
+            .binary_search_by_key(&server, |crash| crash.server);
+        found.ok().map(|at| &self.crashes[at])
+    }
+
     /// Returns the time of the last crash that counts against the content.
     pub fn last_counted_at(&self) -> Option<Instant> {
         self.counted_crashes().map(|crash| crash.at).max()
--- a/crates/foxwheel-policy/tests/quarantine.rs
+++ b/crates/foxwheel-policy/tests/quarantine.rs
@@ -259,3 +259,26 @@
     quarantine.record_success(CRASHING, "model");
     assert!(quarantine.may_run_item(CRASHING, at));
 }
+
+/// Guards against a quarantine that no log explains: a verdict that rests on the reports of other
+/// processes was not announced at all, and none listed its crashes.
+#[test]
+fn each_process_reports_a_quarantine_once_with_its_crashes_and_the_other_contents_there() {
+    let now = Instant::now();
+    let later = seconds_after(now, 1);
+    let mut observer = with_quarantined_content(now);
+    observer.record_crash("bystander", successive_crash(1, now), later);
+    let mut other_process = Quarantine::default();
+    other_process.merge(&observer.reports(later), later);
+    for process in [&mut observer, &mut other_process] {
+        let evidence = process.take_new_evidence(later);
+        assert_eq!(evidence.len(), 1, "{evidence:?}");
+        assert_eq!(evidence[0].content, CRASHING);
+        let servers: Vec<_> = evidence[0].crashes.iter().map(|c| c.server).collect();
+        assert_eq!(servers, [0, 1, 2]);
+        assert_eq!(evidence[0].other_contents, ["bystander"]);
+        assert_eq!(process.take_new_evidence(later), [], "reported twice");
+        process.record_crash(CRASHING, successive_crash(3, now), later);
+        assert_eq!(process.take_new_evidence(later).len(), 1, "a further crash");
+    }
+}
