Quarantine: a content that was completed before is tried again after seconds

Cause: three successive crashes were enough, and only a complete response after them could speak for a content. When every server of a service ends within a short time, for any reason, a content that many callers send is at each of them, no response of it ends, and afterwards nothing can clear it because it is refused. The verdict lasted ten minutes and had no trial.

Ruled out: that the crashing request is needed; that the 250 ms rule is at fault (each run was sent after the crash before).

Change: every process remembers the contents it saw completed (two generations of 16,384 hashes, no message between processes). A content that was completed before may not be at fault: it is refused for 2 s after its last crash, 6, 18, 54, ... s after each further one. Any content whose quarantine is over is tried at one server, which all processes choose by the same rank, until it is completed or crashes that server; a process whose trial lost its server does not go on with the next one for 2 s. Items of one content are tried one at a time. Retry-After is the time of the next trial. Contents that were never completed are quarantined as before, and only these are saved in the store.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -85,6 +85,8 @@
     /// Requests that were running when their backend server crashed. One crash is counted once
     /// for each request that ran there.
     CrashRecorded,
+    /// Runs of a quarantined request content that show whether it still crashes its server.
+    TrialStarted,
     /// Accepted jobs, including repeated submissions.
     JobAccepted,
     /// Jobs refused because they exceeded the quota.
@@ -209,6 +211,7 @@
             Self::StreamCutOff => "stream.broken",
             Self::ServerConnection => "server.connections",
             Self::CrashRecorded => "server.crashes_noted",
+            Self::TrialStarted => "server.trials",
             Self::JobAccepted => "batch.accepted",
             Self::JobOverQuota => "batch.over_quota",
             Self::RunCompleted => "batch.runs_whole",
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -102,9 +102,13 @@
     };
     let body = Bytes::from(item.body.clone());
     let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body);
-    if !node.can_run_item(&content, Instant::now()) {
+    let Ok(mut trial) = node.begin_item_run(&content, Instant::now()) else {
         // The item waits until it may be tried again, or until its route allows giving it up.
         return (RunEnd::Quarantined, "servers crashed under it".to_owned());
+    };
+    if trial.is_some() {
+        log::info!(request_id = item.id, content = content.fingerprint(), server = slot.server().id; "trial of a quarantined request");
+        node.metrics.incr(Counter::TrialStarted);
     }
     let params = AttemptParams {
         slot,
@@ -116,12 +120,19 @@
     };
     match attempt::send(node, params, request).await {
         Ok(response) => read_response(response, output).await,
-        Err(failure) => match failure.outcome {
-            AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Rejected => {
-                (RunEnd::NotRun, failure.reason)
+        Err(failure) => {
+            if let Some(trial) = &mut trial {
+                trial.record_failure(failure.outcome);
+            }
+            match failure.outcome {
+                AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Rejected => {
+                    (RunEnd::NotRun, failure.reason)
+                }
+                AttemptOutcome::Failed | AttemptOutcome::Unknown => {
+                    (RunEnd::Broken, failure.reason)
+                }
             }
-            AttemptOutcome::Failed | AttemptOutcome::Unknown => (RunEnd::Broken, failure.reason),
-        },
+        }
     }
 }
 
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -17,7 +17,7 @@
 use foxwheel_policy::quarantine::Quarantine;
 use foxwheel_policy::representatives::{self, Rank, ZoneProcess};
 use foxwheel_policy::routes::Config;
-use foxwheel_policy::server_index::{self, ServerIndex};
+use foxwheel_policy::server_index::{self, ServerGroup, ServerIndex};
 use foxwheel_policy::watcher_selection::{self, WatchState};
 use foxwheel_policy::zone_loads::RequestCounts;
 use tokio::sync::Notify;
@@ -219,6 +219,13 @@
         sampled
     }
 
+    /// Returns all ready servers of `service`.
+    pub fn servers_of_service(&self, service: &str) -> Vec<ServerInstance> {
+        let index = self.server_index();
+        let groups = index.groups_of_service(service);
+        groups.flat_map(ServerGroup::servers).cloned().collect()
+    }
+
     /// Returns the index of the directory's servers, rebuilt if the directory has changed.
     fn server_index(&self) -> Arc<ServerIndex> {
         let directory = self.directory.lock().expect("directory lock");
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -9,7 +9,7 @@
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
 use foxwheel_policy::membership::ServerInstance;
-use foxwheel_policy::placement;
+use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{Route, RouteKind};
 use hyper::http::request;
@@ -18,6 +18,7 @@
 use crate::load_table::{InFlight, WorkClass};
 use crate::node::Node;
 use crate::request_content::RequestContent;
+use crate::request_quarantine::TrialRun;
 
 /// How long a repeatable request waits for a response head before it is sent to another server:
 /// many times the usual response time, and a third of the time that a caller usually waits.
@@ -65,6 +66,8 @@
     content: Arc<RequestContent>,
     /// Server instances that attempts were sent to.
     pub tried_servers: Vec<ServerInstance>,
+    /// The trial that the current attempt is, until its response is complete.
+    trial: Option<TrialRun>,
 }
 
 /// The known load of a server at the time it was chosen.
@@ -108,6 +111,7 @@
             response_deadline: received_at + time_limit.min(route.timeout),
             tried_servers: Vec::new(),
             chosen_server: None,
+            trial: None,
             caller,
             route,
             service,
@@ -142,9 +146,14 @@
     pub async fn open_response(&mut self, node: &Arc<Node>) -> Result<OpenResponse, Refusal> {
         loop {
             let now = Instant::now();
-            if let Some(time_left) = node.quarantine_time_left(&self.content, now) {
-                // Each further run would crash another server and cut off other callers' requests.
-                return Err(self.build_refusal(RefusalReason::Quarantined, time_left));
+            // The trial of the attempt before has ended.
+            self.trial = None;
+            match node.begin_run(&self.content, now) {
+                Ok(trial) => self.trial = trial,
+                // Each further run could crash another server and cut off other callers' requests.
+                Err(time_left) => {
+                    return Err(self.build_refusal(RefusalReason::Quarantined, time_left))
+                }
             }
             if now + MIN_TIME_LEFT >= self.response_deadline {
                 return Err(self.build_refusal(
@@ -168,6 +177,9 @@
                 Err(failure) => failure,
             };
             let next = self.attempts.record(failure.outcome);
+            if let Some(trial) = &mut self.trial {
+                trial.record_failure(failure.outcome);
+            }
             let age_ms = self.received_at.elapsed().as_millis() as u64;
             let (in_flight, slots) = self.chosen_server_load();
             log::info!(request_id = self.caller.id, server = server.id, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
@@ -190,6 +202,9 @@
     }
 
     async fn reserve_slot(&mut self, node: &Node) -> Placement {
+        if let Some(is_shared) = self.trial.as_ref().map(|trial| trial.is_shared) {
+            return self.reserve_trial_slot(node, is_shared);
+        }
         let wait_until = (Instant::now() + SLOT_WAIT_TIMEOUT).min(self.response_deadline);
         loop {
             let now = Instant::now();
@@ -205,18 +220,7 @@
             if let Some(pick) =
                 placement::pick_online(&candidates, zone, rand::random::<u32>() as usize)
             {
-                self.chosen_server = Some(ChosenServer {
-                    in_flight: pick.in_flight,
-                    slots: pick.slots,
-                    expected_wait: placement::expected_wait(
-                        pick,
-                        node.hold_times.hold_time(&self.service),
-                    ),
-                });
-                return Placement::Reserved(
-                    node.loads
-                        .begin_request(&pick.instance(), WorkClass::Online),
-                );
+                return self.reserve(node, pick);
             }
             let capacity_changed = async {
                 tokio::select! {
@@ -234,6 +238,35 @@
         }
     }
 
+    /// Reserves a slot at the server of the trial. If that is full, only one request of this process
+    /// with the same content is queued there.
+    fn reserve_trial_slot(&mut self, node: &Node, is_shared: bool) -> Placement {
+        let Some(server) = node.trial_candidate(&self.service, &self.content, Instant::now())
+        else {
+            return Placement::NoServer;
+        };
+        let candidates = [server];
+        let zone = &node.settings.availability_zone;
+        if is_shared && placement::pick_online(&candidates, zone, 0).is_none() {
+            return Placement::ServersFull;
+        }
+        let [server] = &candidates;
+        log::info!(request_id = self.caller.id, content = self.content.fingerprint(), server = server.id; "trial of a quarantined request");
+        node.metrics.incr(Counter::TrialStarted);
+        self.reserve(node, server)
+    }
+
+    fn reserve(&mut self, node: &Node, pick: &Candidate) -> Placement {
+        let hold_time = node.hold_times.hold_time(&self.service);
+        self.chosen_server = Some(ChosenServer {
+            in_flight: pick.in_flight,
+            slots: pick.slots,
+            expected_wait: placement::expected_wait(pick, hold_time),
+        });
+        let instance = pick.instance();
+        Placement::Reserved(node.loads.begin_request(&instance, WorkClass::Online))
+    }
+
     async fn send_attempt(
         &self,
         node: &Arc<Node>,
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -5,15 +5,21 @@
 //! the sender's crash reports. A process that starts, resumes or was partitioned thus receives
 //! every crash that it missed. As long as nothing crashes, the digest costs one byte per message.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::ContentFingerprint;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::membership::ServerInstance;
+use foxwheel_policy::placement::Candidate;
 use foxwheel_policy::quarantine::{
-    ContentStatus, CrashReport, ObservedCrash, QuarantineDigest, QuarantineEvidence,
+    self, CrashReport, ObservedCrash, Quarantine, QuarantineDigest, QuarantineEvidence,
+    RunPermission, TrialEnd,
 };
+use foxwheel_policy::retry::AttemptOutcome;
+use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
 use crate::request_content::RequestContent;
@@ -26,28 +32,80 @@
 const MIN_DIGEST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Node {
-    /// Returns how long a request with this content must not be run; `None` if the content is not
-    /// quarantined.
-    pub fn quarantine_time_left(&self, content: &RequestContent, now: Instant) -> Option<Duration> {
-        if self.has_no_crashes() {
-            return None;
+    /// Starts an online run of this content. Returns the trial that the run is, or `None` if the
+    /// content may run at any server. Returns an error with the time for which it must not run.
+    pub fn begin_run(
+        self: &Arc<Self>,
+        content: &RequestContent,
+        now: Instant,
+    ) -> Result<Option<TrialRun>, Duration> {
+        self.begin_permitted_run(content, |quarantine, fingerprint| {
+            quarantine.begin_run(fingerprint, now)
+        })
+    }
+
+    /// Starts a run of a batch item with this content, as [`Self::begin_run`] does for online
+    /// requests.
+    pub fn begin_item_run(
+        self: &Arc<Self>,
+        content: &RequestContent,
+        now: Instant,
+    ) -> Result<Option<TrialRun>, Duration> {
+        self.begin_permitted_run(content, |quarantine, fingerprint| {
+            quarantine.begin_item_run(fingerprint, now)
+        })
+    }
+
+    fn begin_permitted_run(
+        self: &Arc<Self>,
+        content: &RequestContent,
+        begin: impl FnOnce(&mut Quarantine, &str) -> RunPermission,
+    ) -> Result<Option<TrialRun>, Duration> {
+        let mut quarantine = self.quarantine.lock().expect("quarantine lock");
+        if quarantine.is_empty() {
+            return Ok(None);
         }
-        let content = content.fingerprint();
-        let quarantine = self.quarantine.lock().expect("quarantine lock");
-        match quarantine.status(content, now) {
-            ContentStatus::Quarantined(time_left) => Some(time_left),
-            ContentStatus::Clear | ContentStatus::Suspect => None,
+        let fingerprint = content.fingerprint();
+        match begin(&mut quarantine, fingerprint) {
+            RunPermission::Unrestricted => Ok(None),
+            RunPermission::Trial { is_shared } => Ok(Some(TrialRun {
+                node: Arc::clone(self),
+                content: fingerprint.clone(),
+                is_shared,
+                end: TrialEnd::Over,
+            })),
+            RunPermission::Refused(time_left) => Err(time_left),
         }
     }
 
-    /// Returns whether a batch item with this content may run now.
-    pub fn can_run_item(&self, content: &RequestContent, now: Instant) -> bool {
-        if self.has_no_crashes() {
-            return true;
-        }
+    /// Returns the server of `service` at which every process tries this content, or `None` if no
+    /// server can be used.
+    pub fn trial_candidate(
+        &self,
+        service: &str,
+        content: &RequestContent,
+        now: Instant,
+    ) -> Option<Candidate> {
+        let mut servers = self.servers_of_service(service);
         let content = content.fingerprint();
-        let quarantine = self.quarantine.lock().expect("quarantine lock");
-        quarantine.may_run_item(content, now)
+        let crashed = {
+            let quarantine = self.quarantine.lock().expect("quarantine lock");
+            quarantine.crashed_servers(content)
+        };
+        servers.sort_by_cached_key(|server| {
+            let fingerprint = zone_loads::fingerprint(server);
+            let has_crashed = crashed.binary_search(&fingerprint).is_ok();
+            let rank = quarantine::trial_rank(content, server);
+            (has_crashed, Reverse(rank))
+        });
+        let candidates = servers
+            .iter()
+            .filter_map(|server| self.candidate(server, now));
+        let mut candidates = candidates.peekable();
+        let first = candidates.peek().cloned();
+        candidates
+            .find(|candidate| !candidate.is_suspected)
+            .or(first)
     }
 
     /// Records that a server crashed while it ran a request with this content. The next heartbeat
@@ -82,9 +140,6 @@
     /// Records that `server` sent a complete response to a request with this content. This clears
     /// the content of the crashes of servers of the same service.
     pub fn record_success(&self, content: &RequestContent, server: &ServerInstance) {
-        if self.has_no_crashes() {
-            return;
-        }
         let Some(server) = self.listed_server(server) else {
             return;
         };
@@ -98,23 +153,49 @@
         }
     }
 
-    /// Returns whether no crash is recorded. In this case no request needs a fingerprint.
-    fn has_no_crashes(&self) -> bool {
-        self.quarantine.lock().expect("quarantine lock").is_empty()
-    }
-
     /// Returns a digest of the crashes recorded in this process; 0 if there are none.
     pub fn quarantine_digest(&self) -> QuarantineDigest {
         self.quarantine.lock().expect("quarantine lock").digest()
     }
 }
 
+/// A run of a content that was quarantined, at the server that [`Node::trial_candidate`] returns.
+/// The trial ends when this is dropped.
+#[derive(Debug)]
+pub struct TrialRun {
+    node: Arc<Node>,
+    content: ContentFingerprint,
+    /// Other requests of this process with the same content are on trial as well.
+    pub is_shared: bool,
+    end: TrialEnd,
+}
+
+impl TrialRun {
+    /// Records how the attempt at the trial's server failed.
+    pub fn record_failure(&mut self, outcome: AttemptOutcome) {
+        self.end = match outcome {
+            AttemptOutcome::Rejected | AttemptOutcome::Failed => TrialEnd::Over,
+            AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Unknown => {
+                TrialEnd::ServerLost
+            }
+        };
+    }
+}
+
+impl Drop for TrialRun {
+    fn drop(&mut self) {
+        let mut quarantine = self.node.quarantine.lock().expect("quarantine lock");
+        quarantine.end_trial(&self.content, self.end, Instant::now());
+    }
+}
+
 /// Logs each quarantine with the crashes that it rests on, whichever process observed them.
 /// `source` tells where the last of these crashes is known from.
 fn log_quarantines(evidence: &[QuarantineEvidence], source: &str) {
     for QuarantineEvidence {
         content,
         time_left,
+        doubt,
         crashes,
         other_contents,
     } in evidence
@@ -122,7 +203,7 @@
         let time_left_ms = time_left.as_millis() as u64;
         let crashes: Vec<String> = crashes.iter().map(describe_crash).collect();
         let (crashes, other_contents) = (crashes.join(", "), other_contents.join(", "));
-        log::warn!(content, source, time_left_ms, crashes, other_contents; "request quarantined");
+        log::warn!(content, source, time_left_ms, doubt:?, crashes, other_contents; "request quarantined");
     }
 }
 
--- a/crates/foxwheel-node/tests/common/crashing_servers.rs
+++ b/crates/foxwheel-node/tests/common/crashing_servers.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use foxwheel_server_emu::server::ServerConfig;
+use foxwheel_server_emu::server::{Server, ServerConfig};
+
+use super::Fleet;
 
 /// Body of the request that crashes the servers.
 pub const CRASHING_BODY: &str = "a prompt that the engine cannot stand";
@@ -25,3 +27,39 @@
     });
     crashing_shapes.collect()
 }
+
+/// Returns shapes of `count` servers whose streams take about 200 ms.
+pub fn slow_shapes(count: usize) -> Vec<ServerConfig> {
+    let shapes = super::server_shapes(count).into_iter();
+    let slow_shapes = shapes.map(|shape| ServerConfig {
+        events_per_stream: 40,
+        step_time: Duration::from_millis(5),
+        ..shape
+    });
+    slow_shapes.collect()
+}
+
+/// Returns the server that runs the request now, or `None` if no server does.
+pub fn busy_server<'a>(fleet: &'a Fleet, request_id: &str) -> Option<&'a Server> {
+    fleet.servers.iter().find(|server| {
+        let runs = server.run_log.runs_of(request_id);
+        !server.has_terminated() && runs.iter().any(|run| run.completed.is_none())
+    })
+}
+
+/// Terminates each server that starts to run the request, some time after its start. Never returns.
+pub async fn terminate_each_server_of(fleet: &Fleet, request_id: &str) {
+    loop {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+        if let Some(server) = busy_server(fleet, request_id) {
+            tokio::time::sleep(Duration::from_millis(40)).await;
+            server.terminate();
+        }
+    }
+}
+
+/// Returns the number of servers that have ended.
+pub fn ended_servers(fleet: &Fleet) -> usize {
+    let servers = fleet.servers.iter();
+    servers.filter(|server| server.has_terminated()).count()
+}
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -14,26 +14,16 @@
 
 use base64::Engine;
 use common::crashing_servers::{
-    self, CRASHES_TO_QUARANTINE, CRASHING_BODY, MAX_RUNS_IN_QUARANTINE, PROPAGATION_TIME,
+    self, ended_servers, CRASHES_TO_QUARANTINE, CRASHING_BODY, MAX_RUNS_IN_QUARANTINE,
+    PROPAGATION_TIME,
 };
-use common::{call, job_body, server_shapes, wait_for_results, Fleet, FleetPlan, ReceivedResponse};
+use common::{call, job_body, wait_for_results, Fleet, FleetPlan, ReceivedResponse};
 use foxwheel_node::settings::Role;
 use foxwheel_server_emu::server::ServerConfig;
 use foxwheel_store::api::Faults;
 use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
 
-/// Returns shapes of `count` servers whose streams take about 200 ms.
-fn slow_shapes(count: usize) -> Vec<ServerConfig> {
-    let shapes = server_shapes(count).into_iter();
-    let slow_shapes = shapes.map(|shape| ServerConfig {
-        events_per_stream: 40,
-        step_time: Duration::from_millis(5),
-        ..shape
-    });
-    slow_shapes.collect()
-}
-
 /// Starts fronts in two zones, and servers that end when they run the crashing request.
 async fn crashing_fleet(servers: usize, workers: u32) -> Fleet {
     Fleet::start(FleetPlan {
@@ -45,14 +35,6 @@
     .await
 }
 
-fn ended_servers(fleet: &Fleet) -> usize {
-    fleet
-        .servers
-        .iter()
-        .filter(|server| server.has_terminated())
-        .count()
-}
-
 /// Sends the crashing request to `path` under a new id, at each front in turn.
 async fn send_crashing_request(
     fleet: &Fleet,
@@ -179,7 +161,7 @@
 #[actix_web::test]
 async fn complete_response_clears_a_request_that_is_not_at_fault() {
     let fleet = Fleet::start(FleetPlan {
-        servers: slow_shapes(16),
+        servers: crashing_servers::slow_shapes(16),
         workers: 0,
         ..FleetPlan::default()
     })
@@ -189,10 +171,7 @@
         let id = format!("not-at-fault-{round}");
         let end_server = async {
             tokio::time::sleep(Duration::from_millis(60)).await;
-            let busy_server = fleet.servers.iter().find(|server| {
-                let runs = server.run_log.runs_of(&id);
-                !server.has_terminated() && runs.iter().any(|run| run.completed.is_none())
-            });
+            let busy_server = crashing_servers::busy_server(&fleet, &id);
             busy_server.expect("a server runs the request").terminate();
         };
         let request = call(
@@ -264,7 +243,7 @@
 #[actix_web::test]
 async fn servers_lost_together_quarantine_no_common_content() {
     let mut fleet = Fleet::start(FleetPlan {
-        servers: slow_shapes(4),
+        servers: crashing_servers::slow_shapes(4),
         fronts: 2,
         workers: 0,
         zones: 2,
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -11,8 +11,15 @@
 //! server instances crashed one after the other is not run for a while. One complete response
 //! from the same service clears the content, because a request that always crashes its server
 //! never gets one.
+//!
+//! When all servers of a service end within a short time, whatever the reason, a content that many
+//! callers send is at each of them and no server is left to clear it. A content that may not be at
+//! fault is therefore quarantined for seconds only. It is then run at one server at a time; each
+//! further crash lengthens its quarantine.
 
+mod completions;
 mod suspected_content;
+mod trials;
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::{Duration, Instant};
@@ -21,7 +28,10 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
+use self::completions::RecentCompletions;
 use self::suspected_content::{Crash, SuspectedContent};
+use self::trials::Trials;
+pub use self::trials::{trial_rank, TrialEnd};
 use crate::zone_loads::ServerFingerprint;
 
 /// Number of successive crashes after which a content is quarantined. Two also happen to requests
@@ -29,11 +39,21 @@
 /// times the one to which the request that causes the crashes was sent as well.
 pub const CRASHES_TO_QUARANTINE: usize = 3;
 
-/// How long a content is quarantined after its last crash. After that it may run again, and the
-/// next crash quarantines it immediately: a wrongly suspected content gets another chance, and one
-/// that does cause the crashes takes down one server each time.
+/// How long a content is quarantined after its last crash, if nothing speaks against it being the
+/// cause. After that it may run again, and the next crash quarantines it immediately: a wrongly
+/// suspected content gets another chance, and one that does cause the crashes takes down one
+/// server each time.
 const QUARANTINE_DURATION: Duration = Duration::from_secs(600);
 
+/// How long a content that may not be the cause is quarantined after the crash that quarantined
+/// it. The loss of a group of servers is over by then, and callers that are refused can still be
+/// served if they wait.
+const DOUBTFUL_QUARANTINE_DURATION: Duration = Duration::from_secs(2);
+
+/// Factor by which each further crash lengthens the quarantine of such a content, up to
+/// [`QUARANTINE_DURATION`].
+const DOUBTFUL_QUARANTINE_GROWTH: u32 = 3;
+
 /// Number of further crashes that a quarantined batch item may cause before it is no longer tried.
 /// Trying it is cheap, because a worker has only one run of it at a time, and needed, because no
 /// caller sends the item again.
@@ -91,6 +111,29 @@
     Quarantined(Duration),
 }
 
+/// What speaks against a quarantined content being the cause of the crashes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Doubt {
+    /// A server of the same service completed the content before, so that it does not crash every
+    /// server.
+    CompletedBefore,
+}
+
+/// How a request may run now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunPermission {
+    /// At any server.
+    Unrestricted,
+    /// As a trial, at the server with the highest [`trial_rank`]. The trial has begun, and ends with
+    /// [`Quarantine::end_trial`].
+    Trial {
+        /// Other requests of this process with the same content are on trial as well.
+        is_shared: bool,
+    },
+    /// Not before this time has passed.
+    Refused(Duration),
+}
+
 /// A crash observed by the process that had a request in flight at the server.
 #[derive(Debug, Clone)]
 pub struct ObservedCrash {
@@ -111,6 +154,8 @@
     pub content: ContentFingerprint,
     /// How long the content must not run.
     pub time_left: Duration,
+    /// What speaks against the content being the cause; `None` if nothing does.
+    pub doubt: Option<Doubt>,
     /// The crashes that count against the content, the first one first.
     pub crashes: Vec<CrashReport>,
     /// Other contents that ran at one of these servers when it crashed; at most
@@ -125,22 +170,28 @@
     suspected: Vec<SuspectedContent>,
     /// Digest of `suspected`, sent with each heartbeat.
     digest: QuarantineDigest,
+    /// The contents that this process saw completed, which are not reported to other processes: a
+    /// content that many callers send is completed at many fronts.
+    completions: RecentCompletions,
+    /// The trials of this process.
+    trials: Trials,
 }
 
-impl SuspectedContent {
-    fn status(&self, now: Instant) -> ContentStatus {
-        let Some(last) = self.last_counted_at() else {
-            return ContentStatus::Clear;
-        };
-        let left = (last + QUARANTINE_DURATION).saturating_duration_since(now);
-        if self.successive_crashes().len() < CRASHES_TO_QUARANTINE || left.is_zero() {
-            return ContentStatus::Suspect;
-        }
-        ContentStatus::Quarantined(left)
+/// Returns how long a content is quarantined after the last of `crashes` successive crashes.
+fn quarantine_duration(crashes: usize, doubt: Option<Doubt>) -> Duration {
+    if doubt.is_none() {
+        return QUARANTINE_DURATION;
     }
+    let further_crashes = crashes.saturating_sub(CRASHES_TO_QUARANTINE) as u32;
+    let growth = DOUBTFUL_QUARANTINE_GROWTH.saturating_pow(further_crashes);
+    let duration = DOUBTFUL_QUARANTINE_DURATION.saturating_mul(growth);
+    duration.min(QUARANTINE_DURATION)
+}
 
-    fn is_quarantined(&self, now: Instant) -> bool {
-        matches!(self.status(now), ContentStatus::Quarantined(_))
+impl SuspectedContent {
+    /// Returns whether enough servers crashed under the content to quarantine it.
+    fn has_quarantining_crashes(&self) -> bool {
+        self.successive_crashes().len() >= CRASHES_TO_QUARANTINE
     }
 
     fn report(&self, crash: &Crash, now: Instant) -> CrashReport {
@@ -164,11 +215,84 @@
     /// Returns whether requests with that content may run.
     pub fn status(&self, content: &str, now: Instant) -> ContentStatus {
         match self.position(content) {
-            Ok(at) => self.suspected[at].status(now),
+            Ok(at) => self.status_of(&self.suspected[at], now),
             Err(_) => ContentStatus::Clear,
         }
     }
 
+    fn status_of(&self, suspected: &SuspectedContent, now: Instant) -> ContentStatus {
+        let Some(last) = suspected.last_counted_at() else {
+            return ContentStatus::Clear;
+        };
+        if !suspected.has_quarantining_crashes() {
+            return ContentStatus::Suspect;
+        }
+        let crashes = suspected.successive_crashes().len();
+        let duration = quarantine_duration(crashes, self.doubt_about(suspected));
+        let left = (last + duration).saturating_duration_since(now);
+        match left.is_zero() {
+            true => ContentStatus::Suspect,
+            false => ContentStatus::Quarantined(left),
+        }
+    }
+
+    fn is_quarantined(&self, suspected: &SuspectedContent, now: Instant) -> bool {
+        matches!(
+            self.status_of(suspected, now),
+            ContentStatus::Quarantined(_)
+        )
+    }
+
+    /// Returns what speaks against the content being the cause of the crashes that count against
+    /// it.
+    fn doubt_about(&self, suspected: &SuspectedContent) -> Option<Doubt> {
+        let was_completed = suspected.crashes.iter().any(|crash| {
+            let content = &suspected.content;
+            crash.cleared || self.completions.contains(content, &crash.service)
+        });
+        was_completed.then_some(Doubt::CompletedBefore)
+    }
+
+    /// Returns how an online request with that content may run.
+    pub fn begin_run(&mut self, content: &str, now: Instant) -> RunPermission {
+        match self.status(content, now) {
+            ContentStatus::Clear => RunPermission::Unrestricted,
+            ContentStatus::Quarantined(left) => RunPermission::Refused(left),
+            ContentStatus::Suspect => self.begin_trial_if_needed(content, now),
+        }
+    }
+
+    /// Returns how a batch item with that content may run. Its server is chosen already, so that
+    /// only one item of a content is on trial at a time.
+    pub fn begin_item_run(&mut self, content: &str, now: Instant) -> RunPermission {
+        match self.status(content, now) {
+            ContentStatus::Quarantined(left) if !self.may_run_item(content, now) => {
+                RunPermission::Refused(left)
+            }
+            _ if self.trials.running(content) > 0 => RunPermission::Refused(ITEM_TRIAL_DELAY),
+            _ => self.begin_trial_if_needed(content, now),
+        }
+    }
+
+    /// Ends a trial.
+    pub fn end_trial(&mut self, content: &str, end: TrialEnd, now: Instant) {
+        self.trials.end(content, end, now);
+    }
+
+    fn begin_trial_if_needed(&mut self, content: &str, now: Instant) -> RunPermission {
+        let found = self.position(content).ok();
+        if !found.is_some_and(|at| self.suspected[at].has_quarantining_crashes()) {
+            return RunPermission::Unrestricted;
+        }
+        let delay = self.trials.delay(content, now);
+        if !delay.is_zero() {
+            return RunPermission::Refused(delay);
+        }
+        let is_shared = self.trials.running(content) > 0;
+        self.trials.begin(content, now);
+        RunPermission::Trial { is_shared }
+    }
+
     /// Returns whether a batch item with that content may run, including as a trial while the
     /// content is quarantined.
     pub fn may_run_item(&self, content: &str, now: Instant) -> bool {
@@ -176,9 +300,12 @@
             return true;
         };
         let suspected = &self.suspected[at];
-        if !suspected.is_quarantined(now) {
+        if !self.is_quarantined(suspected, now) {
             return true;
         }
+        if self.doubt_about(suspected).is_some() {
+            return false;
+        }
         let trials_left =
             suspected.successive_crashes().len() < CRASHES_TO_QUARANTINE + MAX_ITEM_TRIALS;
         let last = suspected.last_counted_at();
@@ -209,6 +336,7 @@
     /// Returns whether this cleared a crash. Only crashes of the same service are cleared, because
     /// another service may process the content in another way.
     pub fn record_success(&mut self, content: &str, service: &str) -> bool {
+        self.completions.record(content, service);
         let Ok(at) = self.position(content) else {
             return false;
         };
@@ -264,7 +392,7 @@
         for at in 0..self.suspected.len() {
             let suspected = &self.suspected[at];
             let crash_count = suspected.successive_crashes().len();
-            let ContentStatus::Quarantined(time_left) = suspected.status(now) else {
+            let ContentStatus::Quarantined(time_left) = self.status_of(suspected, now) else {
                 self.suspected[at].reported_crash_count = 0;
                 continue;
             };
@@ -293,6 +421,7 @@
         QuarantineEvidence {
             content: suspected.content.clone(),
             time_left,
+            doubt: self.doubt_about(suspected),
             other_contents: others.map(|other| other.content.clone()).collect(),
             crashes: counted
                 .into_iter()
@@ -301,6 +430,14 @@
         }
     }
 
+    /// Returns the servers that crashed under a content, sorted. Their list entries may remain for a
+    /// while.
+    pub fn crashed_servers(&self, content: &str) -> Vec<ServerFingerprint> {
+        let suspected = self.position(content).map(|at| &self.suspected[at]);
+        let crashes = suspected.map_or(&[][..], |suspected| &suspected.crashes);
+        crashes.iter().map(|crash| crash.server).collect()
+    }
+
     /// Returns the crashes that are kept of one content.
     pub fn reports_on(&self, content: &str, now: Instant) -> Vec<CrashReport> {
         let mut reports = self.reports(now);
@@ -308,11 +445,14 @@
         reports
     }
 
-    /// Returns the quarantined contents of which this process observed a crash itself, sorted.
+    /// Returns the quarantined contents, sorted, of which this process observed a crash itself and
+    /// which nothing speaks for.
     pub fn quarantined_locally(&self, now: Instant) -> Vec<ContentFingerprint> {
         let quarantined = self.suspected.iter().filter(|suspected| {
             let observed_locally = suspected.crashes.iter().any(|crash| crash.observed_locally);
-            observed_locally && suspected.is_quarantined(now)
+            observed_locally
+                && self.is_quarantined(suspected, now)
+                && self.doubt_about(suspected).is_none()
         });
         quarantined
             .map(|suspected| suspected.content.clone())
--- a/crates/foxwheel-policy/src/server_index.rs
+++ b/crates/foxwheel-policy/src/server_index.rs
@@ -103,6 +103,11 @@
         sampled.map(|at| &self.servers[at])
     }
 
+    /// Returns all servers, sorted by instance.
+    pub fn servers(&self) -> &[ServerInstance] {
+        &self.servers
+    }
+
     /// Returns the server with that fingerprint, or `None` if the group has none.
     pub fn find_by_fingerprint(&self, fingerprint: ServerFingerprint) -> Option<&ServerInstance> {
         let found = self
