Quarantine store: the object of a content is deleted when the content is cleared

What callers saw: a content that a complete response had cleared was refused again after a stop of all processes, for the rest of ten minutes, and for an hour one crash was enough to refuse it.

Cause: a quarantined content is saved when the verdict falls; nothing touched the object when the content was cleared, and a starting worker loads it with its crashes uncleared.

Change: each process that created or loaded an object deletes it when the content is cleared (one call each; nothing while no content is quarantined). A failed write or delete is retried with backoff.

--- a/crates/foxwheel-node/src/quarantine_store.rs
+++ b/crates/foxwheel-node/src/quarantine_store.rs
@@ -1,13 +1,15 @@
 //! Persistence of quarantined request contents in the platform's store, so that they outlive a
 //! stop of all processes. A process that observed a crash creates the object of a content once;
-//! processes read the objects when they start.
+//! processes read the objects when they start. Each process that created or read an object deletes
+//! it when the content is cleared.
 
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::ContentFingerprint;
 use foxwheel_core::time;
 use foxwheel_platform::store::{EncodedJson, Object, StoreError, Write};
-use foxwheel_policy::quarantine::{self, CrashReport};
+use foxwheel_policy::quarantine::{self, ContentStatus, CrashReport, Quarantine};
 use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
@@ -32,16 +34,50 @@
     crashes: Vec<CrashReport>,
 }
 
-/// Loads the saved crashes and meanwhile saves the quarantined contents that this process
-/// observes. Never returns.
+/// The contents that have an object in the store, as far as this process knows; sorted.
+#[derive(Default)]
+struct StoredContents(Mutex<Vec<ContentFingerprint>>);
+
+impl StoredContents {
+    fn insert(&self, content: ContentFingerprint) {
+        let mut contents = self.0.lock().expect("stored contents lock");
+        if let Err(at) = contents.binary_search(&content) {
+            contents.insert(at, content);
+        }
+    }
+
+    fn remove(&self, content: &ContentFingerprint) {
+        let mut contents = self.0.lock().expect("stored contents lock");
+        contents.retain(|known| known != content);
+    }
+
+    /// Returns the contents for which the store and `quarantine` differ: those to save, and those
+    /// to delete.
+    fn differences(
+        &self,
+        quarantine: &Quarantine,
+        now: Instant,
+    ) -> (Vec<ContentFingerprint>, Vec<ContentFingerprint>) {
+        let contents = self.0.lock().expect("stored contents lock");
+        let mut unsaved = quarantine.quarantined_locally(now);
+        unsaved.retain(|content| contents.binary_search(content).is_err());
+        let mut cleared = contents.clone();
+        cleared.retain(|content| quarantine.status(content, now) == ContentStatus::Clear);
+        (unsaved, cleared)
+    }
+}
+
+/// Loads the saved crashes and meanwhile keeps the store's objects like the quarantined contents
+/// that this process observes. Never returns.
 pub async fn run(node: &Node) {
-    tokio::join!(load_saved(node), save_quarantined(node));
+    let stored = StoredContents::default();
+    tokio::join!(load_saved(node, &stored), update_stored(node, &stored));
 }
 
 /// Loads the crashes saved before this process started. Workers load them for all processes. A
 /// front loads them only if it receives no worker's heartbeat, so that the number of store calls
 /// does not grow with the number of fronts.
-async fn load_saved(node: &Node) {
+async fn load_saved(node: &Node, stored: &StoredContents) {
     if node.settings.role == Role::Front {
         tokio::time::sleep(WORKER_WAIT_TIMEOUT).await;
         if !node
@@ -62,7 +98,10 @@
     let now_unix = Duration::from_millis(time::unix_ms());
     for object in &objects {
         match decode_crashes(object, now_unix) {
-            Ok(crashes) => node.apply_crash_reports(&crashes, "store"),
+            Ok(crashes) => {
+                node.apply_crash_reports(&crashes, "store");
+                stored.insert(object.name.clone());
+            }
             Err(e) => {
                 log::warn!(content = object.name, error:% = e; "saved crash record skipped: it cannot be decoded")
             }
@@ -84,32 +123,35 @@
     Ok(crashes.collect())
 }
 
-/// Saves each quarantined content under which this process observed a crash. Never returns.
-async fn save_quarantined(node: &Node) {
-    // Contents saved by this process; sorted.
-    let mut saved: Vec<ContentFingerprint> = Vec::new();
+/// Saves each quarantined content under which this process observed a crash, and deletes the
+/// object of each content that was cleared. Never returns.
+async fn update_stored(node: &Node, stored: &StoredContents) {
     let mut backoff = Backoff::default();
     loop {
         node.crashes_changed.notified().await;
-        let unsaved = {
+        let (unsaved, cleared) = {
             let quarantine = node.quarantine.lock().expect("quarantine lock");
-            let mut quarantined = quarantine.quarantined_locally(Instant::now());
-            quarantined.retain(|content| saved.binary_search(content).is_err());
-            quarantined
+            stored.differences(&quarantine, Instant::now())
         };
-        for content in unsaved {
-            match save_content(node, &content).await {
-                Ok(()) => {
-                    log::info!(content; "quarantine saved");
-                    let index = saved.partition_point(|known| *known < content);
-                    saved.insert(index, content);
-                    backoff = Backoff::default();
-                }
-                Err(e) => {
-                    log::warn!(content, error:% = e; "quarantine not saved; will retry");
-                    node.store.wait_before_retry(backoff.next_delay()).await;
-                    node.crashes_changed.notify_one();
-                }
+        let updated = async {
+            for content in unsaved {
+                save_content(node, &content).await?;
+                log::info!(content; "quarantine saved");
+                stored.insert(content);
+            }
+            for content in cleared {
+                delete_content(node, &content).await?;
+                log::info!(content; "saved quarantine deleted");
+                stored.remove(&content);
+            }
+            Ok::<_, StoreError>(())
+        };
+        match updated.await {
+            Ok(()) => backoff = Backoff::default(),
+            Err(e) => {
+                log::warn!(error:% = e; "stored quarantines not updated; will retry");
+                node.store.wait_before_retry(backoff.next_delay()).await;
+                node.crashes_changed.notify_one();
             }
         }
     }
@@ -133,6 +175,16 @@
     store_relay::write(node, &create).await.map(|_| ())
 }
 
+async fn delete_content(node: &Node, content: &ContentFingerprint) -> Result<(), StoreError> {
+    let delete = Write::Delete {
+        kind: OBJECT_KIND.to_owned(),
+        name: content.clone(),
+        revision: None,
+    };
+    // If the object does not exist, another process has deleted it.
+    store_relay::write(node, &delete).await.map(|_| ())
+}
+
 /// Deletes the objects whose crashes are all older than the retention time, or that cannot be
 /// decoded. Returns the number of deleted objects, or an error if a store call fails.
 pub async fn delete_expired(node: &Node) -> Result<usize, StoreError> {
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -149,6 +149,7 @@
         drop(quarantine);
         if had_crashes {
             log::info!(content; "request cleared of crashes");
+            self.crashes_changed.notify_one();
             self.urgent_heartbeat.notify_one();
         }
     }
--- a/crates/foxwheel-node/tests/common/crashing_servers.rs
+++ b/crates/foxwheel-node/tests/common/crashing_servers.rs
@@ -47,6 +47,13 @@
     })
 }
 
+/// Waits until a server runs the request.
+pub async fn wait_until_running(fleet: &Fleet, request_id: &str) {
+    while busy_server(fleet, request_id).is_none() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
 /// Terminates each server that starts to run the request, some time after its start. Never returns.
 pub async fn terminate_each_server_of(fleet: &Fleet, request_id: &str) {
     loop {
--- a/crates/foxwheel-node/tests/wrong_quarantine.rs
+++ b/crates/foxwheel-node/tests/wrong_quarantine.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::crashing_servers::{self, CRASHES_TO_QUARANTINE, CRASHING_BODY, PROPAGATION_TIME};
-use common::{call, Fleet, FleetPlan, ReceivedResponse};
+use common::{call, server_shapes, Fleet, FleetPlan, ReceivedResponse, WAIT_TIMEOUT};
 use foxwheel_server_emu::server::ServerConfig;
 use foxwheel_soak::checks::RECOVERY_TIMEOUT;
 use hyper::{Method, StatusCode};
@@ -18,12 +18,16 @@
 
 /// Starts fronts in two zones. The route of streams allows many runs.
 async fn fleet_of(servers: Vec<ServerConfig>, fronts: u32) -> Fleet {
-    let plan = FleetPlan {
+    start_fleet(FleetPlan {
         servers,
         fronts,
         workers: 0,
         zones: 2,
-    };
+    })
+    .await
+}
+
+async fn start_fleet(plan: FleetPlan) -> Fleet {
     let fleet = Fleet::start(plan).await;
     let many_runs = |config: &mut Value| config["routes"][2]["max_attempts"] = json!(10);
     fleet.configure(2, many_runs).await;
@@ -155,3 +159,60 @@
     assert!((1..=2).contains(&trials), "{trials} servers ended");
     fleet.cancel.cancel();
 }
+
+/// A quarantine was saved, and then lifted by a complete response. After a stop of all processes,
+/// the content was refused again.
+#[actix_web::test]
+async fn lifted_quarantine_does_not_return_after_a_stop_of_all_processes() {
+    let shapes = server_shapes(2 + CRASHES_TO_QUARANTINE).into_iter();
+    let slow_shapes = shapes.map(|shape| ServerConfig {
+        events_per_stream: 40,
+        step_time: Duration::from_millis(25),
+        ..shape
+    });
+    let plan = FleetPlan {
+        servers: slow_shapes.collect(),
+        fronts: 2,
+        workers: 1,
+        zones: 2,
+    };
+    let mut fleet = start_fleet(plan).await;
+    let front = fleet.fronts[0];
+    let completed = send(front, "/stream/popular", "completed", POPULAR_BODY);
+    let cut_off = async {
+        crashing_servers::wait_until_running(&fleet, "completed").await;
+        let cut_off = send(front, "/stream/popular", "cut-off", POPULAR_BODY);
+        tokio::select! {
+            _ = cut_off => {}
+            () = crashing_servers::terminate_each_server_of(&fleet, "cut-off") => {}
+        }
+        wait_for_stored_quarantines(&fleet, 1).await;
+    };
+    let (completed, ()) = tokio::join!(completed, cut_off);
+    assert!(is_served(&completed.expect("a response")));
+    assert_eq!(
+        crashing_servers::ended_servers(&fleet),
+        CRASHES_TO_QUARANTINE
+    );
+    wait_for_stored_quarantines(&fleet, 0).await;
+    fleet.restart_all_processes().await;
+    for front in fleet.fronts.clone() {
+        fleet.wait_until_serving(front).await;
+        tokio::time::sleep(PROPAGATION_TIME).await;
+        let response = send(front, "/stream/popular", "restarted", POPULAR_BODY).await;
+        assert!(is_served(&response.expect("a response")));
+    }
+    fleet.cancel.cancel();
+}
+
+async fn wait_for_stored_quarantines(fleet: &Fleet, count: usize) {
+    let started_at = Instant::now();
+    loop {
+        let stored = fleet.list_stored("foxwheel-quarantine/").await;
+        if stored.len() == count {
+            return;
+        }
+        assert!(started_at.elapsed() < WAIT_TIMEOUT, "stored: {stored:?}");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
