Quarantine: a content that no completion speaks for may be doubted as well

Cause: the verdict looked at the crashes of one content alone, not at what else ran at these servers or which servers crashed without it.

Change (policy::quarantine::doubt): a verdict is doubtful also if another content that was never completed ran at each of the crashed servers, or if a server of the service crashed within a second of these crashes without running the content and no other quarantined content explains that. Both are computed from the crash reports that processes exchange already. Two requests that crash servers do not excuse each other.

Tests, failed before (refused for 600 s): content_beside_crashes_without_it_is_tried_again_within_the_ recovery_time, contents_that_share_all_crashes_are_tried_until_one_of_them_is_found.

--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -18,6 +18,7 @@
 //! further crash lengthens its quarantine.
 
 mod completions;
+mod doubt;
 mod suspected_content;
 mod trials;
 
@@ -29,6 +30,8 @@
 use serde_with::{serde_as, DurationMilliSeconds};
 
 use self::completions::RecentCompletions;
+use self::doubt::CrashHistory;
+pub use self::doubt::Doubt;
 use self::suspected_content::{Crash, SuspectedContent};
 use self::trials::Trials;
 pub use self::trials::{trial_rank, TrialEnd};
@@ -111,14 +114,6 @@
     Quarantined(Duration),
 }
 
-/// What speaks against a quarantined content being the cause of the crashes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Doubt {
-    /// A server of the same service completed the content before, so that it does not crash every
-    /// server.
-    CompletedBefore,
-}
-
 /// How a request may run now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RunPermission {
@@ -189,11 +184,6 @@
 }
 
 impl SuspectedContent {
-    /// Returns whether enough servers crashed under the content to quarantine it.
-    fn has_quarantining_crashes(&self) -> bool {
-        self.successive_crashes().len() >= CRASHES_TO_QUARANTINE
-    }
-
     fn report(&self, crash: &Crash, now: Instant) -> CrashReport {
         CrashReport {
             content: self.content.clone(),
@@ -243,14 +233,12 @@
         )
     }
 
-    /// Returns what speaks against the content being the cause of the crashes that count against
-    /// it.
     fn doubt_about(&self, suspected: &SuspectedContent) -> Option<Doubt> {
-        let was_completed = suspected.crashes.iter().any(|crash| {
-            let content = &suspected.content;
-            crash.cleared || self.completions.contains(content, &crash.service)
-        });
-        was_completed.then_some(Doubt::CompletedBefore)
+        let history = CrashHistory {
+            suspected: &self.suspected,
+            completions: &self.completions,
+        };
+        history.doubt(suspected)
     }
 
     /// Returns how an online request with that content may run.
--- a/crates/foxwheel-policy/src/quarantine/suspected_content.rs
+++ b/crates/foxwheel-policy/src/quarantine/suspected_content.rs
@@ -4,6 +4,7 @@
 
 use foxwheel_core::ids::{ContentFingerprint, ServiceName};
 
+use crate::quarantine::CRASHES_TO_QUARANTINE;
 use crate::zone_loads::ServerFingerprint;
 
 /// Time between two crashes from which on they count as separate failures, even if the request was
@@ -84,6 +85,11 @@
         successive
     }
 
+    /// Returns whether enough servers crashed under the content to quarantine it.
+    pub fn has_quarantining_crashes(&self) -> bool {
+        self.successive_crashes().len() >= CRASHES_TO_QUARANTINE
+    }
+
     /// Adds a crash, or merges it with the known one of the same server. Returns whether that
     /// changed anything.
     pub fn add_crash(&mut self, crash: Crash) -> bool {
--- a/crates/foxwheel-policy/tests/quarantine_trials.rs
+++ b/crates/foxwheel-policy/tests/quarantine_trials.rs
@@ -28,6 +28,17 @@
     server: u64,
     sent_ms: u64,
     cut_off_ms: u64,
+) {
+    record_crash_under(CONTENT, quarantine, start, server, sent_ms, cut_off_ms);
+}
+
+fn record_crash_under(
+    content: &str,
+    quarantine: &mut Quarantine,
+    start: Instant,
+    server: u64,
+    sent_ms: u64,
+    cut_off_ms: u64,
 ) {
     let crash = ObservedCrash {
         server,
@@ -35,7 +46,7 @@
         sent_at: millis_after(start, sent_ms),
         cut_off_at: millis_after(start, cut_off_ms),
     };
-    quarantine.record_crash(CONTENT, crash, millis_after(start, cut_off_ms));
+    quarantine.record_crash(content, crash, millis_after(start, cut_off_ms));
 }
 
 /// Records crashes of as many servers as quarantine the content, 60 ms apart. Returns when the
@@ -130,6 +141,87 @@
     );
 }
 
+fn doubt_about(quarantine: &mut Quarantine, content: &str, now: Instant) -> Option<Doubt> {
+    let evidence = quarantine.take_new_evidence(now);
+    let evidence = evidence.iter().find(|about| about.content == content);
+    evidence.expect("a quarantined content").doubt
+}
+
+/// Guards against a refusal for ten minutes of a content that only one caller sends, after a restart
+/// of all servers of the service cut it off three times.
+#[test]
+fn content_beside_crashes_without_it_is_tried_again_within_the_recovery_time() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    record_crash_under("another", &mut quarantine, start, 100, 0, 3);
+    let last_crash = record_restart_of_service(&mut quarantine, start);
+    let time_left = refused_for(&mut quarantine, last_crash);
+    assert!(time_left < RECOVERY_TIMEOUT, "refused for {time_left:?}");
+    let doubt = doubt_about(&mut quarantine, CONTENT, last_crash);
+    assert_eq!(doubt, Some(Doubt::OtherServersCrashed));
+}
+
+/// Each of two requests that crash servers is refused although servers also crash under the other.
+#[test]
+fn two_contents_that_crash_servers_do_not_excuse_each_other() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for server in 0..3 {
+        record_crash(
+            &mut quarantine,
+            start,
+            server,
+            60 * server,
+            60 * server + 50,
+        );
+        let (sent_ms, cut_off_ms) = (60 * server + 20, 60 * server + 70);
+        record_crash_under(
+            "second",
+            &mut quarantine,
+            start,
+            100 + server,
+            sent_ms,
+            cut_off_ms,
+        );
+    }
+    let last_crash = millis_after(start, 190);
+    for content in [CONTENT, "second"] {
+        let status = quarantine.status(content, last_crash);
+        let refused_long = |left: Duration| left > Duration::from_secs(60);
+        assert!(
+            matches!(status, ContentStatus::Quarantined(left) if refused_long(left)),
+            "{content}: {status:?}"
+        );
+    }
+}
+
+/// At a service with one server, each request in flight is at each crash.
+#[test]
+fn contents_that_share_all_crashes_are_tried_until_one_of_them_is_found() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    for server in 0..3 {
+        for content in [CONTENT, "bystander"] {
+            let (sent_ms, cut_off_ms) = (500 * server, 500 * server + 40);
+            record_crash_under(content, &mut quarantine, start, server, sent_ms, cut_off_ms);
+        }
+    }
+    let last_crash = millis_after(start, 1_040);
+    let time_left = refused_for(&mut quarantine, last_crash);
+    assert!(time_left < RECOVERY_TIMEOUT, "refused for {time_left:?}");
+    let doubt = doubt_about(&mut quarantine, CONTENT, last_crash);
+    assert_eq!(doubt, Some(Doubt::SharedCrashes));
+    // Their trials tell them apart.
+    quarantine.record_success("bystander", SERVICE);
+    record_crash(&mut quarantine, start, 3, 3_100, 3_140);
+    let after_trials = millis_after(start, 3_140);
+    assert!(refused_for(&mut quarantine, after_trials) > Duration::from_secs(60));
+    assert_eq!(
+        quarantine.begin_run("bystander", after_trials),
+        RunPermission::Unrestricted
+    );
+}
+
 #[test]
 fn requests_on_trial_share_its_server_until_that_is_lost() {
     let start = Instant::now();
@@ -163,6 +255,25 @@
     assert!(matches!(second, RunPermission::Refused(_)), "{second:?}");
 }
 
+/// An item whose content crashes no server was given up after two trials that other crashes cut off.
+#[test]
+fn item_that_may_not_be_at_fault_is_tried_as_long_as_its_job_waits() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(CONTENT, SERVICE);
+    let mut now = record_restart_of_service(&mut quarantine, start);
+    for trial in 0..4 {
+        let RunPermission::Refused(delay) = quarantine.begin_item_run(CONTENT, now) else {
+            panic!("trial {trial} starts too early");
+        };
+        now += delay;
+        assert_eq!(quarantine.begin_item_run(CONTENT, now), FIRST_TRIAL);
+        let now_ms = now.duration_since(start).as_millis() as u64;
+        record_crash(&mut quarantine, start, 100 + trial, now_ms, now_ms + 20);
+        quarantine.end_trial(CONTENT, TrialEnd::Over, now);
+    }
+}
+
 #[test]
 fn processes_try_a_content_at_the_same_server_and_contents_at_different_ones() {
     let server = |number: u64| ServerInstance {
