Quarantine: a crash after a quarantine began does not excuse its content

Change: only crashes within the time that separates two failures (250 ms) of the first and the last crash belong to the same event.

Test: policy::quarantine_trials crash_after_a_quarantine_began_does_not_excuse_its_content failed with the margin of one second.

--- a/crates/foxwheel-policy/src/quarantine/doubt.rs
+++ b/crates/foxwheel-policy/src/quarantine/doubt.rs
@@ -1,15 +1,11 @@
 //! What speaks against a content being the cause of the crashes that count against it.
 
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use foxwheel_core::ids::ServiceName;
 
 use crate::quarantine::completions::RecentCompletions;
-use crate::quarantine::suspected_content::{Crash, SuspectedContent};
-
-/// Time before the first and after the last crash of a content in which a crash of another server
-/// belongs to the same event, such as a restart of all servers of a service.
-const SAME_EVENT_MARGIN: Duration = Duration::from_secs(1);
+use crate::quarantine::suspected_content::{Crash, SuspectedContent, MIN_CRASH_SEPARATION};
 
 /// What speaks against a quarantined content being the cause of the crashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -19,8 +15,8 @@
     CompletedBefore,
     /// Another content that was not completed before ran at each of the crashed servers.
     SharedCrashes,
-    /// Another server of the same service crashed at about the same time without running the
-    /// content, and no other quarantined content explains that.
+    /// Another server of the same service crashed during these crashes without running the content,
+    /// and no other quarantined content explains that.
     OtherServersCrashed,
 }
 
@@ -76,7 +72,7 @@
             return false;
         };
         let is_in_same_event =
-            |at: Instant| at + SAME_EVENT_MARGIN >= first && at <= last + SAME_EVENT_MARGIN;
+            |at: Instant| at + MIN_CRASH_SEPARATION >= first && at <= last + MIN_CRASH_SEPARATION;
         let is_same_service = |service: &ServiceName| {
             let mut counted = about.counted_crashes();
             counted.any(|crash| crash.service == *service)
--- a/crates/foxwheel-policy/src/quarantine/suspected_content.rs
+++ b/crates/foxwheel-policy/src/quarantine/suspected_content.rs
@@ -10,7 +10,7 @@
 /// Time between two crashes from which on they count as separate failures, even if the request was
 /// sent to both servers before the first one crashed. The simultaneous loss of many servers is
 /// observed by all processes within tens of milliseconds.
-const MIN_CRASH_SEPARATION: Duration = Duration::from_millis(250);
+pub const MIN_CRASH_SEPARATION: Duration = Duration::from_millis(250);
 
 /// Maximum number of crashes kept per content.
 const MAX_CRASHES: usize = 8;
--- a/crates/foxwheel-policy/tests/quarantine_trials.rs
+++ b/crates/foxwheel-policy/tests/quarantine_trials.rs
@@ -195,6 +195,17 @@
     }
 }
 
+/// A second request that crashes servers began to do so just after the first one was quarantined,
+/// which was then tried again and took down one server more.
+#[test]
+fn crash_after_a_quarantine_began_does_not_excuse_its_content() {
+    let start = Instant::now();
+    let mut quarantine = Quarantine::default();
+    let last_crash = record_restart_of_service(&mut quarantine, start);
+    record_crash_under("second", &mut quarantine, start, 100, 400, 500);
+    assert!(refused_for(&mut quarantine, last_crash) > Duration::from_secs(60));
+}
+
 /// At a service with one server, each request in flight is at each crash.
 #[test]
 fn contents_that_share_all_crashes_are_tried_until_one_of_them_is_found() {
