--- a/crates/foxwheel-node/tests/soak.rs
+++ b/crates/foxwheel-node/tests/soak.rs
@@ -1,42 +1,82 @@
-//! Runs the fault soak on the programs of this build with three short seeds. These seeds guard
-//! against a stopping front that closes connections which callers have just opened, without a
-//! response.
+//! Runs the fault soak on the programs of this build with short seeds and one plan. Seeds 3, 7 and 8
+//! guard against a stopping front that closes connections which callers have just opened, without a
+//! response. Seed 2 and the plan guard against the quarantine of a content that many callers send
+//! and that crashed no server.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use foxwheel_soak::args;
-use foxwheel_soak::plan::{FleetSize, Plan};
+use foxwheel_soak::plan::{Fault, FleetSize, Plan, ServerFault, Step};
 use foxwheel_soak::run::{self, Folders};
 
-async fn run_soak(seed: u64) {
+async fn run_seed(seed: u64) {
     let size = FleetSize {
         callers: 4,
         injection_duration: Duration::from_secs(8),
         ..args::default_size()
     };
+    run_plan(&format!("soak-{seed}"), &Plan::draw(seed, size)).await;
+}
+
+async fn run_plan(name: &str, plan: &Plan) {
     let program = Path::new(env!("CARGO_BIN_EXE_foxwheel-front"));
     let folders = Folders {
         programs: program.parent().expect("a folder").to_owned(),
-        run: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{seed}")),
+        run: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name),
     };
-    let outcome = run::run(&Plan::draw(seed, size), &folders).await;
+    let outcome = run::run(plan, &folders).await;
     let outcome = outcome.expect("the soak run completes");
     assert!(outcome.breaches.is_empty(), "{:#?}", outcome.breaches);
     println!("{}", outcome.summary);
 }
 
+/// Three times, all servers of the service restart one after the other.
+fn restarts_of_all_servers() -> Plan {
+    const ROUND_INTERVAL: Duration = Duration::from_millis(2_440);
+    const SERVER_INTERVAL: Duration = Duration::from_millis(60);
+    const RESTART_TIME: Duration = Duration::from_millis(1_200);
+    let size = FleetSize {
+        callers: 12,
+        ..args::default_size()
+    };
+    let rounds = (0..3).flat_map(|round| (0..size.servers).map(move |at| (round, at)));
+    let steps = rounds.map(|(round, at)| Step {
+        start_after: ROUND_INTERVAL * round + SERVER_INTERVAL * at as u32,
+        duration: RESTART_TIME,
+        fault: Fault::Server {
+            at,
+            fault: ServerFault::Restarts,
+        },
+    });
+    Plan {
+        seed: 2,
+        steps: steps.collect(),
+        size,
+    }
+}
+
+#[actix_web::test]
+async fn all_checks_pass_on_seed_2() {
+    run_plan("soak-2", &Plan::draw(2, args::default_size())).await;
+}
+
+#[actix_web::test]
+async fn popular_contents_are_served_after_restarts_of_all_servers() {
+    run_plan("soak-restarts", &restarts_of_all_servers()).await;
+}
+
 #[actix_web::test]
 async fn all_checks_pass_on_seed_3() {
-    run_soak(3).await;
+    run_seed(3).await;
 }
 
 #[actix_web::test]
 async fn all_checks_pass_on_seed_7() {
-    run_soak(7).await;
+    run_seed(7).await;
 }
 
 #[actix_web::test]
 async fn all_checks_pass_on_seed_8() {
-    run_soak(8).await;
+    run_seed(8).await;
 }
