Zone summaries are forwarded to subscribers of both ranks

Each rank has its own flag now.

Test: node::peers a_summary_is_forwarded_to_subscribers_of_both_ranks failed before (0 of 1 for the secondary rank); the other 20 tests pass before and after.

--- a/crates/foxwheel-node/src/other_zones.rs
+++ b/crates/foxwheel-node/src/other_zones.rs
@@ -17,9 +17,12 @@
     summary: ZoneSummary,
     /// When the zone's representative sent the summary, as computed from the reported age.
     sent_at: Instant,
-    /// Whether the summary came directly from its zone and was not forwarded within this zone
-    /// yet.
-    needs_forwarding: bool,
+    /// Whether the summary came directly from its zone and was not forwarded yet as the primary
+    /// representative.
+    needs_primary_forwarding: bool,
+    /// The same as another representative: a process can be the primary one of some processes of
+    /// its zone and the secondary one of others.
+    needs_secondary_forwarding: bool,
     source: SummarySource,
     /// When another process of this zone last forwarded a summary of that zone to this process.
     last_forwarded_at: Option<Instant>,
@@ -69,7 +72,8 @@
         let zone = OtherZone {
             summary,
             sent_at,
-            needs_forwarding: source == SummarySource::Direct,
+            needs_primary_forwarding: source == SummarySource::Direct,
+            needs_secondary_forwarding: source == SummarySource::Direct,
             source,
             last_forwarded_at,
         };
@@ -153,7 +157,8 @@
         other.map_or(&[], |other| &other.summary.representatives)
     }
 
-    /// Returns the summaries that this process forwards to its zone.
+    /// Returns the summaries that this process forwards to the processes of its zone of which it is
+    /// the primary representative, or to those of which it is another one.
     ///
     /// The primary representative forwards all recent summaries if at least one arrived
     /// directly since the last call. Any other representative forwards only those that arrived
@@ -162,7 +167,10 @@
         let mut any_new = false;
         let mut summaries = Vec::new();
         for other in &mut self.zones {
-            let is_new = std::mem::take(&mut other.needs_forwarding);
+            let is_new = std::mem::take(match is_primary {
+                true => &mut other.needs_primary_forwarding,
+                false => &mut other.needs_secondary_forwarding,
+            });
             any_new |= is_new;
             let is_not_forwarded = other
                 .last_forwarded_at
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -557,6 +557,24 @@
     );
 }
 
+/// While the processes of a zone select different representatives, one process may be the primary
+/// one of some and the secondary one of others. The latter received no summaries from it.
+#[test]
+fn a_summary_is_forwarded_to_subscribers_of_both_ranks() {
+    let (peers, now) = (worker_peers(), Instant::now());
+    peers.apply_summary(
+        aged_summary(0, yard_summary(5, 1, 1, 4)),
+        SummarySource::Direct,
+        now,
+    );
+    for is_primary in [true, false] {
+        let forwarded = peers.summaries_to_forward(is_primary, now);
+        assert_eq!(forwarded.len(), 1, "primary: {is_primary}");
+        let again = peers.summaries_to_forward(is_primary, now);
+        assert!(again.is_empty(), "primary: {is_primary}");
+    }
+}
+
 /// A process without a recent summary of a zone asks the processes of that zone, and only of such
 /// zones.
 #[test]
