--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -8,6 +8,7 @@
 #![allow(dead_code, unused_imports)]
 
 pub mod crashing_servers;
+pub mod peer_messages;
 
 pub use foxwheel_soak::front_client::{self, ReceivedResponse};
 pub use foxwheel_soak::front_client::{
