--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -20,11 +20,18 @@
         Counter::StreamResumed,
         Counter::StreamCutOff,
         Counter::ServerConnection,
+        Counter::CrashRecorded,
+        Counter::TrialStarted,
         Counter::JobAccepted,
         Counter::JobOverQuota,
         Counter::RunCompleted,
         Counter::RunPreempted,
+        Counter::RunQuarantined,
         Counter::RunFailed,
+        Counter::PeerMessageSent,
+        Counter::PeerBytesSent,
+        Counter::PeerMessageReceived,
+        Counter::PeerBytesReceived,
         Counter::HeartbeatDecodeFailed,
         Counter::HeartbeatEncodeFailed,
     ];
@@ -38,6 +45,7 @@
         RefusalReason::ServersFull,
         RefusalReason::NoServer,
         RefusalReason::Rejected,
+        RefusalReason::Quarantined,
     ];
     counters.extend(reasons.map(Counter::Refused));
     for store_call in [
@@ -45,6 +53,7 @@
         StoreCall::Watch,
         StoreCall::Get,
         StoreCall::Write,
+        StoreCall::Probe,
     ] {
         counters.push(Counter::StoreCallSucceeded(store_call));
         counters.push(Counter::StoreCallFailed(store_call));
--- a/crates/foxwheel-node/tests/zones.rs
+++ b/crates/foxwheel-node/tests/zones.rs
@@ -113,7 +113,12 @@
 #[actix_web::test]
 async fn a_job_is_run_by_the_worker_of_another_zone() {
     let fleet = start_two_zones().await;
-    let front = fleet.fronts[0];
+    let front = fleet.fronts[1];
+    assert_ne!(
+        fleet.processes[1].settings.availability_zone,
+        fleet.processes[2].settings.availability_zone,
+        "the worker is in the zone of the front"
+    );
     let accepted = common::submit_job(front, "job-from-afar", 3).await;
     assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
     let results = common::wait_for_results(front, "job-from-afar", 3).await;
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -174,6 +174,8 @@
             }
             let index = u.choose_index(workers.len())?;
             step(u, &mut workers[index], &mut parts, items, now)?;
+            let failures = workers[index].items.iter().map(|item| item.failures);
+            assert!(failures.max() <= Some(MAX_FAILURES));
             let stored_ids = parts.stored_ids();
             assert!(stored_ids.len() >= ids_before.len());
             assert!(ids_before
@@ -357,6 +359,8 @@
                 "an ended job runs {next_item:?}"
             );
             step(u, &mut workers[index], &mut parts, items, now)?;
+            let failures = workers[index].items.iter().map(|item| item.failures);
+            assert!(failures.max() <= Some(MAX_FAILURES));
             assert!(
                 parts.stored_ids().len() >= stored_before,
                 "a stored result is missing"
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -107,6 +107,7 @@
         let count = u.int_in_range(1..=6)?;
         let (mut stored_parts, mut checkpoints): (Vec<_>, Vec<JobCheckpoint>) =
             (Vec::new(), Vec::new());
+        let mut saved_events = vec![0; count];
         loop {
             let now = Instant::now();
             let mut progress = JobProgress::new(common::job_with_items(count));
@@ -116,6 +117,12 @@
             for checkpoint in &checkpoints {
                 checkpoint.restore(&mut progress, now);
             }
+            for (item, saved) in progress.items.iter().zip(&saved_events) {
+                if matches!(item.state, ItemState::Waiting { .. }) {
+                    let resumed_after = item.partial_output.event_count();
+                    assert!(resumed_after >= *saved, "{resumed_after} of {saved} saved");
+                }
+            }
             for _ in 0..u.int_in_range(1..=12)? {
                 let index = u.choose_index(count)?;
                 if matches!(progress.items[index].state, ItemState::Waiting { .. }) {
@@ -128,7 +135,12 @@
                     run_item(&mut progress, index, end, events.min(10));
                 }
                 match u.int_in_range(0..=3)? {
-                    0 => checkpoints.extend(JobCheckpoint::from_progress(&progress)),
+                    0 => {
+                        checkpoints.extend(JobCheckpoint::from_progress(&progress));
+                        for (item, saved) in progress.items.iter().zip(&mut saved_events) {
+                            *saved = item.partial_output.event_count().max(*saved);
+                        }
+                    }
                     1 => {
                         let part = progress.next_part(10_000);
                         if !part.is_empty() {
--- a/crates/foxwheel-policy/tests/representatives.rs
+++ b/crates/foxwheel-policy/tests/representatives.rs
@@ -61,7 +61,6 @@
 fn every_process_selects_a_store_watcher() {
     arbtest::arbtest(|u| {
         let hosts = ["front-1", "front-2", "front-3", "worker-1"];
-        let mut selections: Vec<Vec<String>> = Vec::new();
         for own in hosts {
             let mut processes = Vec::new();
             for host in hosts {
@@ -81,7 +80,6 @@
             if all_silent {
                 assert_eq!(selected, [own], "no other process is alive");
             }
-            selections.push(selected);
         }
         Ok(())
     });
