Quarantine: an item of a cleared content does not wait for a trial that still runs

Cause (read anew): the item check refused on any running trial, also after the content was cleared; such an item waited two seconds for nothing. Test: one_item_of_a_quarantined_content_is_tried_at_a_time asks for that as well now and failed before.

--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -86,26 +86,26 @@
         content: &RequestContent,
         now: Instant,
     ) -> Option<Candidate> {
-        let mut servers = self.servers_of_service(service);
         let content = content.fingerprint();
         let crashed = {
             let quarantine = self.quarantine.lock().expect("quarantine lock");
             quarantine.crashed_servers(content)
         };
+        let mut servers = self.servers_of_service(service);
         servers.sort_by_cached_key(|server| {
             let fingerprint = zone_loads::fingerprint(server);
             let has_crashed = crashed.binary_search(&fingerprint).is_ok();
-            let rank = quarantine::trial_rank(content, server);
-            (has_crashed, Reverse(rank))
+            (
+                has_crashed,
+                Reverse(quarantine::trial_rank(content, server)),
+            )
         });
-        let candidates = servers
-            .iter()
-            .filter_map(|server| self.candidate(server, now));
-        let mut candidates = candidates.peekable();
-        let first = candidates.peek().cloned();
-        candidates
-            .find(|candidate| !candidate.is_suspected)
-            .or(first)
+        let usable = || {
+            let servers = servers.iter();
+            servers.filter_map(|server| self.candidate(server, now))
+        };
+        let responding = usable().find(|candidate| !candidate.is_suspected);
+        responding.or_else(|| usable().next())
     }
 
     /// Records that a server crashed while it ran a request with this content. The next heartbeat
@@ -204,7 +204,8 @@
         let time_left_ms = time_left.as_millis() as u64;
         let crashes: Vec<String> = crashes.iter().map(describe_crash).collect();
         let (crashes, other_contents) = (crashes.join(", "), other_contents.join(", "));
-        log::warn!(content, source, time_left_ms, doubt:?, crashes, other_contents; "request quarantined");
+        let doubt = doubt.map(|doubt| format!("{doubt:?}"));
+        log::warn!(content, source, time_left_ms, doubt, crashes, other_contents; "request quarantined");
     }
 }
 
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -244,9 +244,10 @@
     /// Returns how an online request with that content may run.
     pub fn begin_run(&mut self, content: &str, now: Instant) -> RunPermission {
         match self.status(content, now) {
-            ContentStatus::Clear => RunPermission::Unrestricted,
             ContentStatus::Quarantined(left) => RunPermission::Refused(left),
-            ContentStatus::Suspect => self.begin_trial_if_needed(content, now),
+            ContentStatus::Clear | ContentStatus::Suspect => {
+                self.begin_trial_if_needed(content, now)
+            }
         }
     }
 
@@ -257,7 +258,9 @@
             ContentStatus::Quarantined(left) if !self.may_run_item(content, now) => {
                 RunPermission::Refused(left)
             }
-            _ if self.trials.running(content) > 0 => RunPermission::Refused(ITEM_TRIAL_DELAY),
+            _ if self.needs_trial(content) && self.trials.running(content) > 0 => {
+                RunPermission::Refused(ITEM_TRIAL_DELAY)
+            }
             _ => self.begin_trial_if_needed(content, now),
         }
     }
@@ -267,9 +270,13 @@
         self.trials.end(content, end, now);
     }
 
-    fn begin_trial_if_needed(&mut self, content: &str, now: Instant) -> RunPermission {
+    fn needs_trial(&self, content: &str) -> bool {
         let found = self.position(content).ok();
-        if !found.is_some_and(|at| self.suspected[at].has_quarantining_crashes()) {
+        found.is_some_and(|at| self.suspected[at].has_quarantining_crashes())
+    }
+
+    fn begin_trial_if_needed(&mut self, content: &str, now: Instant) -> RunPermission {
+        if !self.needs_trial(content) {
             return RunPermission::Unrestricted;
         }
         let delay = self.trials.delay(content, now);
--- a/crates/foxwheel-policy/tests/quarantine_trials.rs
+++ b/crates/foxwheel-policy/tests/quarantine_trials.rs
@@ -264,6 +264,12 @@
     assert_eq!(quarantine.begin_item_run(CONTENT, now), FIRST_TRIAL);
     let second = quarantine.begin_item_run(CONTENT, now);
     assert!(matches!(second, RunPermission::Refused(_)), "{second:?}");
+    // Another process saw the content completed.
+    quarantine.record_success(CONTENT, SERVICE);
+    assert_eq!(
+        quarantine.begin_item_run(CONTENT, now),
+        RunPermission::Unrestricted
+    );
 }
 
 /// An item whose content crashes no server was given up after two trials that other crashes cut off.
