--- a/crates/foxwheel-node/src/ledger_poll.rs
+++ b/crates/foxwheel-node/src/ledger_poll.rs
@@ -119,8 +119,8 @@
             Ok(removed) => log::info!(removed; "removed expired checkpoints"),
             Err(e) => log::warn!(error:% = e; "could not remove expired checkpoints"),
         }
-        if let Err(e) = quarantine_store::delete_expired(node).await {
-            log::warn!(error:% = e; "could not remove expired quarantines");
+        if let Err(e) = quarantine_store::delete_obsolete(node).await {
+            log::warn!(error:% = e; "could not remove obsolete quarantines");
         }
     }
 }
--- a/crates/foxwheel-node/src/quarantine_store.rs
+++ b/crates/foxwheel-node/src/quarantine_store.rs
@@ -185,18 +185,25 @@
     store_relay::write(node, &delete).await.map(|_| ())
 }
 
-/// Deletes the objects whose crashes are all older than the retention time, or that cannot be
-/// decoded. Returns the number of deleted objects, or an error if a store call fails.
-pub async fn delete_expired(node: &Node) -> Result<usize, StoreError> {
+/// Deletes the objects whose crashes are all older than the retention time, whose content is
+/// cleared, or that cannot be decoded. Returns the number of deleted objects, or an error if a store
+/// call fails.
+pub async fn delete_obsolete(node: &Node) -> Result<usize, StoreError> {
     let listing = node.store.list(OBJECT_KIND).await?;
     let now_unix = Duration::from_millis(time::unix_ms());
-    let is_expired = |object: &&Object| {
+    let is_expired = |object: &Object| {
         let crashes = decode_crashes(object, now_unix).unwrap_or_default();
         let mut ages = crashes.iter().map(|crash| crash.age);
         ages.all(|age| age >= quarantine::CRASH_RETENTION)
     };
-    let expired: Vec<&Object> = listing.objects.iter().filter(is_expired).collect();
-    for object in &expired {
+    let obsolete: Vec<&Object> = {
+        let quarantine = node.quarantine.lock().expect("quarantine lock");
+        let objects = listing.objects.iter();
+        objects
+            .filter(|object| is_expired(object) || quarantine.is_cleared(&object.name))
+            .collect()
+    };
+    for object in &obsolete {
         let delete = Write::Delete {
             kind: OBJECT_KIND.to_owned(),
             name: object.name.clone(),
@@ -204,5 +211,5 @@
         };
         node.store.write(&delete).await?;
     }
-    Ok(expired.len())
+    Ok(obsolete.len())
 }
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -425,6 +425,13 @@
         }
     }
 
+    /// Returns whether servers crashed under a content, and a complete response cleared it of all these
+    /// crashes.
+    pub fn is_cleared(&self, content: &str) -> bool {
+        let found = self.position(content).ok();
+        found.is_some_and(|at| self.suspected[at].counted_crashes().next().is_none())
+    }
+
     /// Returns the servers that crashed under a content, sorted. Their list entries may remain for a
     /// while.
     pub fn crashed_servers(&self, content: &str) -> Vec<ServerFingerprint> {
