--- a/crates/foxwheel-core/src/ids.rs
+++ b/crates/foxwheel-core/src/ids.rs
@@ -31,6 +31,8 @@
 /// Distinguishes successive instances of a process or backend server with the same id: its start
 /// time in milliseconds since the Unix epoch, or 0 if unknown.
 pub type Incarnation = u64;
+/// The version of a backend server's software, as the server reports it; opaque.
+pub type SoftwareVersion = String;
 /// The name of a service to which routes send requests, for example the deployment of a model.
 pub type ServiceName = String;
 /// The name of a front or worker process, which is the name of its host.
--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -78,6 +78,8 @@
     AttemptFailed,
     /// Streams that were resumed at another server after an interruption.
     StreamResumed,
+    /// Requests whose callers resume a stream that an earlier request began.
+    StreamResumedByCaller,
     /// Streams that were cut off and could not be resumed.
     StreamCutOff,
     /// Responses of backend servers whose end is marked only by the end of the connection.
@@ -210,6 +212,7 @@
             Self::StoreCallFailed(call) => return format!("store.{}.failed", call.name()).into(),
             Self::AttemptFailed => "online.attempts_failed",
             Self::StreamResumed => "stream.resumed",
+            Self::StreamResumedByCaller => "stream.resumed_by_caller",
             Self::StreamCutOff => "stream.broken",
             Self::ResponseUntilClose => "server.responses_until_close",
             Self::ServerConnection => "server.connections",
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::RequestId;
+use foxwheel_core::ids::{RequestId, SoftwareVersion};
 use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::body::{ExpectedEvents, Framing, ResponseBody};
 use foxwheel_http1::connection::{Connection, ExchangeError, RequestBody};
@@ -85,6 +85,8 @@
     pub decoded_head: ResponseHead,
     /// The server instance that sent the response.
     pub server: ServerInstance,
+    /// The version of that server's software.
+    pub version: SoftwareVersion,
     node: Arc<Node>,
     request_id: RequestId,
     content: Arc<RequestContent>,
@@ -120,7 +122,7 @@
     request: Request<RequestBody>,
 ) -> Result<OpenResponse, Failure> {
     let server = params.slot.server();
-    let Some(addr) = node.usable_addr(server, Instant::now()) else {
+    let Some((addr, version)) = node.usable_server(server, Instant::now()) else {
         return Err(Failure::no_new_work());
     };
     let sent_at = Instant::now();
@@ -132,7 +134,7 @@
             node.metrics.incr(Counter::ServerConnection);
         }
         // The server may have started to drain while the connection was opened.
-        if node.usable_addr(server, Instant::now()).is_none() {
+        if node.usable_server(server, Instant::now()).is_none() {
             return Ok(None);
         }
         let response = pooled.connection.send(request).await?;
@@ -208,6 +210,7 @@
         head,
         decoded_head,
         server: server.clone(),
+        version,
         node: Arc::clone(node),
         request_id: params.request_id,
         content: params.content,
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, Zone};
+use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, SoftwareVersion, Zone};
 use foxwheel_core::time;
 use foxwheel_http1::connection::{AbandonAction, ConnectOptions};
 use foxwheel_http1::pool::Pool;
@@ -245,12 +245,17 @@
         (!is_dead).then(|| self.build_candidate(entry, instance.clone(), now))
     }
 
-    /// Returns the address of the server instance, or None if it must not be given work.
-    pub fn usable_addr(&self, instance: &ServerInstance, now: Instant) -> Option<SocketAddr> {
+    /// Returns the address of the server instance and the version of its software, or None if it
+    /// must not be given work.
+    pub fn usable_server(
+        &self,
+        instance: &ServerInstance,
+        now: Instant,
+    ) -> Option<(SocketAddr, SoftwareVersion)> {
         let directory = self.directory.lock().expect("directory lock");
         let entry = directory.usable_entry(instance, now)?;
         let is_dead = self.peers.is_reported_dead(instance, now);
-        (!is_dead).then_some(entry.server.addr)
+        (!is_dead).then(|| (entry.server.addr, entry.server.version.clone()))
     }
 
     fn build_candidate(
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -32,6 +32,7 @@
         service: "model".to_owned(),
         addr,
         zone: common::zone_name(0),
+        version: "v1".to_owned(),
         slots: 8,
         state,
     };
--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -18,6 +18,7 @@
     let mut counters = vec![
         Counter::AttemptFailed,
         Counter::StreamResumed,
+        Counter::StreamResumedByCaller,
         Counter::StreamCutOff,
         Counter::ResponseUntilClose,
         Counter::ServerConnection,
--- a/crates/foxwheel-policy/src/backend_server.rs
+++ b/crates/foxwheel-policy/src/backend_server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, Zone};
+use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, SoftwareVersion, Zone};
 use serde::{Deserialize, Serialize};
 
 /// One instance of a backend server: a server that restarts is a new instance under the same
@@ -43,6 +43,8 @@
     pub addr: SocketAddr,
     /// The server's availability zone.
     pub zone: Zone,
+    /// The version of the server's software. It never changes within an instance.
+    pub version: SoftwareVersion,
     /// Number of requests that the server runs concurrently.
     pub slots: u32,
     /// Whether the server accepts new work.
--- a/crates/foxwheel-policy/tests/membership.rs
+++ b/crates/foxwheel-policy/tests/membership.rs
@@ -12,6 +12,7 @@
         service: "model".to_owned(),
         addr: "10.0.0.1:80".parse().expect("an address"),
         zone: "zone-a".to_owned(),
+        version: "v1".to_owned(),
         slots: 8,
         state,
     }
--- a/crates/foxwheel-policy/tests/server_index.rs
+++ b/crates/foxwheel-policy/tests/server_index.rs
@@ -17,6 +17,7 @@
             service: "model".to_owned(),
             addr: ([10, 0, 0, 1], 80).into(),
             zone: "zone-a".to_owned(),
+            version: "v1".to_owned(),
             slots: SLOTS,
             state: match at % 10 {
                 9 => ServerState::Draining,
