--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -184,11 +184,16 @@
     /// Starts a backend server of a service and registers it.
     pub async fn add_server_of_service(&mut self, service: &str, shape: ServerConfig) {
         let id = shape.id.clone();
+        let version = shape.version.clone();
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let started = server::start(ip, shape, self.cancel.clone()).await;
         let server = started.expect("server starts");
-        self.register_server_of_service(service, &id, server.addr, "ready")
-            .await;
+        let mut entry = server_entry(server.addr, "ready");
+        entry["service"] = json!(service);
+        if let Some(version) = version {
+            entry["version"] = json!(version);
+        }
+        self.write_server_entry(&id, &entry).await;
         self.servers.push(server);
     }
 
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -61,6 +61,8 @@
     pub step_time: Duration,
     /// Each response of this number has neither a length nor chunks; `None` for no such response.
     pub unframed_interval: Option<u64>,
+    /// Version of the server's software. If set, the data of each event ends with it.
+    pub version: Option<String>,
     /// Body of a request that crashes the server after its first step; `None` for no such request.
     pub crashing_body: Option<String>,
 }
@@ -74,6 +76,7 @@
             events_per_stream: 5,
             step_time: Duration::from_millis(2),
             unframed_interval: None,
+            version: None,
             crashing_body: None,
         }
     }
@@ -296,7 +299,7 @@
         let is_stream = self.config.events_per_stream > 0 && unframed.status.is_success();
         let body = match is_stream {
             true => (first_event..=self.config.events_per_stream)
-                .map(|event| event_text(request_id, event))
+                .map(|event| self.event_text(request_id, event))
                 .collect(),
             false => vec![plain_body(request_id)],
         };
@@ -330,7 +333,7 @@
     }
 
     async fn respond(
-        &self,
+        self: &Arc<Self>,
         fault: Fault,
         request_id: &str,
         resumed_after: Option<u64>,
@@ -359,6 +362,13 @@
         }
     }
 
+    fn event_text(&self, request_id: &str, event: u64) -> String {
+        match &self.config.version {
+            Some(version) => versioned_event_text(request_id, event, version),
+            None => event_text(request_id, event),
+        }
+    }
+
     fn should_crash_on(&self, body: &[u8]) -> bool {
         let crashing_body = self.config.crashing_body.as_ref();
         crashing_body.is_some_and(|crashing_body| crashing_body.as_bytes() == body)
@@ -411,7 +421,7 @@
     }
 
     fn streamed_response(
-        &self,
+        self: &Arc<Self>,
         fault: Fault,
         request_id: &str,
         resumed_after: Option<u64>,
@@ -420,9 +430,10 @@
         let first_event = resumed_after.unwrap_or(0) + 1;
         let last_event = self.config.events_per_stream;
         let step_time = self.config.step_time;
+        let state = Arc::clone(self);
         let id = request_id.to_owned();
         let frames = stream::unfold((first_event, resources), move |(event, mut resources)| {
-            let text = event_text(&id, event);
+            let text = state.event_text(&id, event);
             async move {
                 if event > last_event {
                     resources.mark_completed();
@@ -465,6 +476,12 @@
     format!("id: {event}\ndata: {}\n\n", event_data(request_id, event))
 }
 
+/// Returns one event of a streamed response of a server with a version, as it is sent.
+pub fn versioned_event_text(request_id: &str, event: u64, version: &str) -> String {
+    let data = event_data(request_id, event);
+    format!("id: {event}\ndata: {data} by {version}\n\n")
+}
+
 fn full_body(body: String) -> Body {
     Full::new(Bytes::from(body))
         .map_err(|never: Infallible| match never {})
