A stream goes on only at the software version that began it

Cause: the choice of a server knew the service only. The adapter dropped the version of a server's entry, and nothing read Resumes, so every resumption drew its server from all versions, as did a front that its caller came back to. Class: state of a request that only the process knows which began it, taken for unneeded because the replacements were assumed to be equal.

Change: the version of a stream is that of the server whose first event goes to the caller. The front records it under the id of the request and tells two holders, computed from the id: a process of its zone and a worker of another one (one datagram each, some 40 bytes, sent with the first event, which does not wait). A front that does not know the stream a caller names asks at most four processes, among them one that was told, and refuses as not run, with when to come back, if none knows. Servers are chosen among those of that version and service, and the version is checked again on the established connection. A caller that names no stream is served while only one version serves and served in the last minute.

Ruled out: asking all processes (grows with the fleet, and what a dead front knew is gone); the version from a hash of the id (load no longer follows capacity, views differ during a release); the store (a write for each stream, or a record of versions that must be written before a new version may be used); a guess by the versions that are listed now, where the caller names its stream (a view may be old). Telling at the choice of the server was ruled out as well: a second attempt may go to another version, and a lost datagram would leave the first one at a holder.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -50,6 +50,8 @@
     Rejected,
     /// The request content is quarantined because servers crashed while they ran it.
     Quarantined,
+    /// The request resumes a stream that is not known, or whose service is not on the route.
+    NotResumable,
 }
 
 /// The kind of a call to the platform's store.
@@ -170,6 +172,7 @@
             Self::NoServer => "no_server",
             Self::Rejected => "rejected",
             Self::Quarantined => "quarantined",
+            Self::NotResumable => "not_resumable",
         }
     }
 
@@ -183,6 +186,7 @@
             Self::NoServer => "no server",
             Self::Rejected => "all tried servers rejected it",
             Self::Quarantined => "servers crashed under it",
+            Self::NotResumable => "the stream that it resumes is not known",
         }
     }
 }
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -38,6 +38,8 @@
     /// The server's slot. It is reserved when the server is chosen, so that concurrent choices
     /// already count this request in the server's load.
     pub slot: InFlight,
+    /// The version that the server must have; `None` if it may have any.
+    pub required_version: Option<SoftwareVersion>,
     /// The request's id; a response that carries another id is discarded.
     pub request_id: RequestId,
     /// The request's content, under which a crash of the server is recorded.
@@ -122,7 +124,7 @@
     request: Request<RequestBody>,
 ) -> Result<OpenResponse, Failure> {
     let server = params.slot.server();
-    let Some((addr, version)) = node.usable_server(server, Instant::now()) else {
+    let Some((addr, _)) = node.usable_server(server, Instant::now()) else {
         return Err(Failure::no_new_work());
     };
     let sent_at = Instant::now();
@@ -133,12 +135,15 @@
         if is_new {
             node.metrics.incr(Counter::ServerConnection);
         }
-        // The server may have started to drain while the connection was opened.
-        if node.usable_server(server, Instant::now()).is_none() {
+        // The server may have started to drain, or may be a new instance, since it was chosen.
+        let required = params.required_version.as_ref();
+        let usable = node.usable_server(server, Instant::now());
+        let usable = usable.filter(|(_, version)| required.is_none_or(|it| it == version));
+        let Some((_, version)) = usable else {
             return Ok(None);
-        }
+        };
         let response = pooled.connection.send(request).await?;
-        Ok::<_, ExchangeError>(Some((pooled.connection, response)))
+        Ok::<_, ExchangeError>(Some((pooled.connection, version, response)))
     };
     let wait_until = params
         .head_deadline
@@ -150,7 +155,7 @@
         let waited_ms = sent_at.elapsed().as_millis() as u64;
         log::info!(request_id = params.request_id, server = server.id, is_new, waited_ms; "attempt ended without a response head");
     }
-    let (connection, response) = match exchange_result {
+    let (connection, version, response) = match exchange_result {
         Some(Ok(Some(exchanged))) => exchanged,
         Some(Ok(None)) => return Err(Failure::no_new_work()),
         Some(Err(e)) => {
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -25,7 +25,7 @@
 use crate::peer_messages::{
     AgedSummary, CrossZoneLoads, Heartbeat, Introduction, LoadChanges, PeerEndpoint, PeerMessage,
 };
-use crate::zone_representative;
+use crate::{stream_origins, zone_representative};
 
 /// Size of the receive buffer: the largest possible datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -45,6 +45,7 @@
     let sequence = Arc::new(AtomicU64::new(0));
     let datagrams = DatagramSender::new(Arc::clone(&node), Arc::clone(&socket));
     let receiving = receive_messages(datagrams.clone(), socket, Arc::clone(&sequence));
+    let reporting_origins = stream_origins::report_origins(datagrams.clone());
     let reporter = Reporter {
         datagrams,
         node,
@@ -58,6 +59,7 @@
     tokio::select! {
         () = cancel.cancelled() => {}
         () = receiving => {}
+        () = reporting_origins => {}
         () = reporter.run() => {}
     }
 }
@@ -126,6 +128,7 @@
         PeerMessage::Introduction(received) => {
             node.peers.apply_introduction(&received, own_addr, now)
         }
+        PeerMessage::StreamOrigins(reports) => return node.apply_origin_reports(&reports),
     }
     node.peers_changed.notify_waiters();
 }
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -114,6 +114,7 @@
     }
     let params = AttemptParams {
         slot,
+        required_version: None,
         request_id: item.id.clone(),
         content: Arc::new(content),
         expected_events: Some(ExpectedEvents::after(last_event_id(output))),
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod store_access;
 pub mod store_relay;
 pub mod store_watch;
+pub mod stream_origins;
 pub mod unframed_body;
 pub mod worker;
 pub mod worker_jobs;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -18,6 +18,7 @@
 use foxwheel_policy::representatives::{self, Rank, ZoneProcess};
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_index::{self, ServerGroup, ServerIndex};
+use foxwheel_policy::stream_origin::StreamOrigin;
 use foxwheel_policy::watcher_selection::{self, WatchState};
 use foxwheel_policy::zone_loads::RequestCounts;
 use tokio::sync::Notify;
@@ -31,6 +32,7 @@
 use crate::service_hold_times::ServiceHoldTimes;
 use crate::settings::{NodeSettings, Role};
 use crate::store_access::StoreAccess;
+use crate::stream_origins::OriginTable;
 
 /// Connection timeouts towards backend servers.
 const SERVER_CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
@@ -81,6 +83,8 @@
     pub other_crashes_reported: Notify,
     /// Notified when this process learns of more server crashes.
     pub crashes_changed: Notify,
+    /// Where the streams of this process began, and those for which it is a holder.
+    pub stream_origins: OriginTable,
     /// Notified after every received message that may change the view of the other processes.
     pub peers_changed: Notify,
     /// Client for calls to the other processes.
@@ -124,6 +128,7 @@
             quarantine: Mutex::default(),
             other_crashes_reported: Notify::new(),
             crashes_changed: Notify::new(),
+            stream_origins: OriginTable::default(),
             peers_changed: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
@@ -172,34 +177,57 @@
     }
 
     /// Returns a sample of the servers of `service` that may accept work, except those in `tried`:
-    /// some of the own zone, and for each other zone some of the servers in its summary.
+    /// some of the own zone, and for each other zone some of the servers in its summary. If `version`
+    /// is given, only servers of that version.
     pub fn online_candidates(
         &self,
         service: &str,
+        version: Option<&str>,
         tried: &[ServerInstance],
         now: Instant,
     ) -> Vec<Candidate> {
-        self.sample_servers(service, server_index::MAX_LOCAL_SAMPLE, now)
+        self.sample_servers(service, version, server_index::MAX_LOCAL_SAMPLE, now)
             .iter()
             .filter(|instance| !tried.contains(instance))
             .filter_map(|instance| self.candidate(instance, now))
             .collect()
     }
 
-    /// Returns a larger sample of the servers of `service`, for the placement of batch items.
-    pub fn batch_candidates(&self, service: &str, now: Instant) -> Vec<Candidate> {
-        self.sample_servers(service, server_index::MAX_BATCH_SAMPLE, now)
+    /// Returns a larger sample of the servers of `service`, for the placement of batch items. If
+    /// `version` is given, only servers of that version.
+    pub fn batch_candidates(
+        &self,
+        service: &str,
+        version: Option<&str>,
+        now: Instant,
+    ) -> Vec<Candidate> {
+        self.sample_servers(service, version, server_index::MAX_BATCH_SAMPLE, now)
             .iter()
             .filter_map(|instance| self.candidate(instance, now))
             .collect()
     }
 
     /// Samples at most `max_local` servers of the own zone and a fixed number of each other zone.
-    fn sample_servers(&self, service: &str, max_local: usize, now: Instant) -> Vec<ServerInstance> {
+    fn sample_servers(
+        &self,
+        service: &str,
+        version: Option<&str>,
+        max_local: usize,
+        now: Instant,
+    ) -> Vec<ServerInstance> {
         let index = self.server_index();
         let random = rand::random::<u32>() as usize;
         let mut sampled = Vec::new();
         for group in index.groups_of_service(service) {
+            if let Some(version) = version {
+                let is_local = group.zone == self.settings.availability_zone;
+                let max_count = match is_local {
+                    true => max_local,
+                    false => server_index::MAX_REMOTE_SAMPLE,
+                };
+                sampled.extend(group.sample_of_version(version, max_count, random).cloned());
+                continue;
+            }
             if group.zone == self.settings.availability_zone {
                 sampled.extend(group.sample(max_local, random).cloned());
                 continue;
@@ -219,11 +247,24 @@
         sampled
     }
 
-    /// Returns all ready servers of `service`.
-    pub fn servers_of_service(&self, service: &str) -> Vec<ServerInstance> {
+    /// Returns all ready servers of `service`, or those of `version` if it is given.
+    pub fn servers_of_service(&self, service: &str, version: Option<&str>) -> Vec<ServerInstance> {
         let index = self.server_index();
         let groups = index.groups_of_service(service);
-        groups.flat_map(ServerGroup::servers).cloned().collect()
+        match version {
+            Some(version) => groups
+                .flat_map(|group| group.sample_of_version(version, usize::MAX, 0))
+                .cloned()
+                .collect(),
+            None => groups.flat_map(ServerGroup::servers).cloned().collect(),
+        }
+    }
+
+    /// Returns the origin of all streams that servers of `service` may have begun as far as this
+    /// process knows, or `None` if there may be several.
+    pub fn sole_origin(&self, service: &str) -> Option<StreamOrigin> {
+        let directory = self.directory.lock().expect("directory lock");
+        directory.sole_origin(service)
     }
 
     /// Returns the index of the directory's servers, rebuilt if the directory has changed.
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -20,11 +20,10 @@
 /// Serves a request and returns the response to its caller. The body of a stream is relayed after
 /// this returns.
 pub async fn serve(node: Arc<Node>, mut request: OnlineRequest) -> CallerResponse {
-    if request.route.kind == RouteKind::Stream && request.last_event_id.is_some() {
-        log::info!(request_id = request.caller.id, resumes = request.caller.resumes, after = request.last_event_id; "stream resumed by its caller");
-        node.metrics.incr(Counter::StreamResumedByCaller);
-    }
-    let opened = request.open_response(&node).await;
+    let opened = match request.find_origin(&node).await {
+        Ok(()) => request.open_response(&node).await,
+        Err(refusal) => Err(refusal),
+    };
     let result = match opened {
         Ok(response) if request.route.kind == RouteKind::Stream => {
             return stream_response(node, request, response)
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -13,6 +13,7 @@
 use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{Route, RouteKind};
+use foxwheel_policy::stream_origin::{self, StreamOrigin};
 use hyper::http::request;
 
 use crate::attempt::{self, AttemptParams, Failure, FullResponse, OpenResponse};
@@ -20,6 +21,7 @@
 use crate::node::Node;
 use crate::request_content::RequestContent;
 use crate::request_quarantine::TrialRun;
+use crate::stream_origins::OriginSource;
 
 /// How long a repeatable request waits for a response head before it is sent to another server:
 /// many times the usual response time, and a third of the time that a caller usually waits.
@@ -52,6 +54,9 @@
     pub attempts: Attempts,
     /// Id of the last event that the caller had received before this request or was sent since.
     pub last_event_id: Option<u64>,
+    /// Where the stream began, once its first event is known to have reached the caller. Only servers
+    /// of that origin may go on with it.
+    origin: Option<StreamOrigin>,
     /// When the caller stops waiting: the time limit that it sent, else that of the route.
     pub caller_deadline: Instant,
     /// When the response must be complete, or for a stream its head must be received: the earlier
@@ -108,6 +113,7 @@
         Self {
             attempts: Attempts::new(route.is_repeatable(), route.max_attempts),
             last_event_id: caller.last_event_id,
+            origin: None,
             caller_deadline: received_at + time_limit,
             response_deadline: received_at + time_limit.min(route.timeout),
             tried_servers: Vec::new(),
@@ -123,6 +129,65 @@
         }
     }
 
+    /// Returns whether the caller resumes a stream of which it has events.
+    fn resumes_stream(&self) -> bool {
+        let has_events = self.caller.last_event_id.is_some_and(|last| last > 0);
+        self.route.kind == RouteKind::Stream && has_events
+    }
+
+    /// If the caller resumes a stream, finds out where it began, and selects that service. Returns a
+    /// refusal if that is not known: any server could be of another version.
+    pub async fn find_origin(&mut self, node: &Node) -> Result<(), Refusal> {
+        if !self.resumes_stream() {
+            return Ok(());
+        }
+        node.metrics.incr(Counter::StreamResumedByCaller);
+        let found = match &self.caller.resumes {
+            Some(began) => {
+                let stream = stream_origin::stream_key(&self.caller.host, began);
+                node.find_origin(stream).await
+            }
+            // The caller does not name its stream.
+            None => {
+                let sole = node.sole_origin(&self.service);
+                sole.map(|origin| (origin, OriginSource::SoleVersion))
+            }
+        };
+        let (origin, source) = found.unzip();
+        let service = origin.as_ref().map(|origin| &origin.service);
+        let version = origin.as_ref().map(|origin| &origin.version);
+        let age_ms = self.received_at.elapsed().as_millis() as u64;
+        log::info!(request_id = self.caller.id, resumes = self.caller.resumes, after = self.last_event_id, service, version, source:? = source, age_ms; "stream resumed by its caller");
+        self.origin = origin.filter(|origin| self.route.has_service(&origin.service));
+        match &self.origin {
+            Some(origin) => {
+                self.service.clone_from(&origin.service);
+                Ok(())
+            }
+            None => Err(self.build_refusal(RefusalReason::NotResumable, NO_SERVER_RETRY_AFTER)),
+        }
+    }
+
+    /// Records that the first event of the stream goes to the caller, unless earlier ones did.
+    pub fn record_origin(&mut self, node: &Node, response: &OpenResponse) {
+        if self.origin.is_some() {
+            return;
+        }
+        let origin = StreamOrigin {
+            service: self.service.clone(),
+            version: response.version.clone(),
+        };
+        let stream = stream_origin::stream_key(&self.caller.host, &self.caller.id);
+        node.record_origin(stream, origin.clone());
+        self.origin = Some(origin);
+    }
+
+    /// Returns the version of the servers that may run the request; `None` if any may.
+    fn required_version(&self) -> Option<&str> {
+        let origin = self.origin.as_ref();
+        origin.map(|origin| origin.version.as_str())
+    }
+
     /// Records that the stream was cut off. Returns whether it may be resumed at another server.
     pub fn record_cut_off_stream(&mut self) -> bool {
         self.attempts.record(AttemptOutcome::Unknown) == NextStep::TryAnother
@@ -209,10 +274,12 @@
         let wait_until = (Instant::now() + SLOT_WAIT_TIMEOUT).min(self.response_deadline);
         loop {
             let now = Instant::now();
-            let mut candidates = node.online_candidates(&self.service, &self.tried_servers, now);
+            let version = self.required_version();
+            let mut candidates =
+                node.online_candidates(&self.service, version, &self.tried_servers, now);
             if candidates.is_empty() && self.attempts.count() > 0 {
                 // Every server was tried. The least loaded one may succeed now.
-                candidates = node.online_candidates(&self.service, &[], now);
+                candidates = node.online_candidates(&self.service, version, &[], now);
             }
             if candidates.is_empty() {
                 return Placement::NoServer;
@@ -242,8 +309,9 @@
     /// Reserves a slot at the server of the trial. If that is full, only one request of this process
     /// with the same content is queued there.
     fn reserve_trial_slot(&mut self, node: &Node, is_shared: bool) -> Placement {
-        let Some(server) = node.trial_candidate(&self.service, &self.content, Instant::now())
-        else {
+        let version = self.required_version();
+        let now = Instant::now();
+        let Some(server) = node.trial_candidate(&self.service, version, &self.content, now) else {
             return Placement::NoServer;
         };
         let candidates = [server];
@@ -294,6 +362,7 @@
             self.route.is_repeatable() && self.route.max_attempts > self.attempts.count() + 1;
         let params = AttemptParams {
             slot,
+            required_version: self.required_version().map(str::to_owned),
             request_id: self.caller.id.clone(),
             content: Arc::clone(&self.content),
             expected_events: self.expected_events(),
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -13,6 +13,7 @@
 use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_changes::ServerUpdate;
+use foxwheel_policy::stream_origin::{StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 use tarpc::tokio_serde::formats::Bincode;
@@ -182,6 +183,8 @@
     async fn store_write(write: Write) -> RelayedResult<WriteOutcome>;
     /// Reads an object for a process whose calls the store rejects.
     async fn store_get(kind: String, name: String) -> RelayedResult<Option<Object>>;
+    /// Returns where a stream began, if the peer knows it.
+    async fn stream_origin(stream: StreamKey) -> Option<StreamOrigin>;
 }
 
 /// Error of a call to a peer that got no response.
@@ -306,6 +309,19 @@
         self.check_response("fetch server crashes", addr, response)
     }
 
+    /// Fetches where a stream began from the peer at `addr`, or `None` if the peer does not know.
+    pub async fn fetch_origin(
+        &self,
+        addr: SocketAddr,
+        stream: StreamKey,
+    ) -> Result<Option<StreamOrigin>, PeerError> {
+        let client = self.client(addr).await?;
+        let response = client
+            .stream_origin(context_with_timeout(CALL_TIMEOUT), stream)
+            .await;
+        self.check_response("fetch origin of a stream", addr, response)
+    }
+
     /// Performs a write to the store through the peer at `addr`.
     pub async fn store_write(
         &self,
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -13,6 +13,7 @@
 use crate::load_table::ServerLoad;
 use crate::peer_calls::StoreStateVersion;
 use crate::settings::Role;
+use crate::stream_origins::StreamOriginReport;
 
 /// State that a process sends to its zone several times a second. Workers also send it, without
 /// the loads, to the workers of other zones.
@@ -202,4 +203,6 @@
     SummaryRequest(PeerEndpoint),
     /// The response to a heartbeat from another zone.
     Introduction(Introduction),
+    /// Where streams of the sender began, for which the recipient is a holder.
+    StreamOrigins(Vec<StreamOriginReport>),
 }
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -10,6 +10,7 @@
 use foxwheel_policy::batch::ledger::{LedgerChange, LedgerResponse};
 use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
+use foxwheel_policy::stream_origin::{StreamKey, StreamOrigin};
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -103,6 +104,10 @@
     ) -> RelayedResult<Option<Object>> {
         to_relayed(self.node.store.get(&kind, &name).await)
     }
+
+    async fn stream_origin(self, _: context::Context, stream: StreamKey) -> Option<StreamOrigin> {
+        self.node.known_origin(stream)
+    }
 }
 
 fn to_relayed<T>(result: Result<T, StoreError>) -> RelayedResult<T> {
--- a/crates/foxwheel-node/src/peers/views.rs
+++ b/crates/foxwheel-node/src/peers/views.rs
@@ -7,6 +7,7 @@
 use foxwheel_policy::batch::ownership::Worker;
 use foxwheel_policy::quarantine::QuarantineDigest;
 use foxwheel_policy::representatives::ZoneProcess;
+use foxwheel_policy::stream_origin::HolderCandidates;
 
 use crate::peer_calls::StoreStateVersion;
 use crate::peer_messages::{AgedSummary, Heartbeat, WorkerSummary};
@@ -210,6 +211,28 @@
         live
     }
 
+    /// Returns the live processes that may hold the origins of streams.
+    pub fn holder_candidates(&self, now: Instant) -> HolderCandidates {
+        let state = self.lock();
+        let mut candidates = HolderCandidates::default();
+        for heartbeat in state.live_heartbeats(now) {
+            if heartbeat.zone == self.own_zone {
+                candidates.own_zone.push(heartbeat.addr);
+            }
+            if heartbeat.role == Role::Worker {
+                let worker = (heartbeat.zone.clone(), heartbeat.addr);
+                candidates.workers.push(worker);
+            }
+        }
+        for (zone, worker) in state.other_zones.live_workers(now) {
+            let worker = (zone.clone(), worker.addr);
+            if !candidates.workers.contains(&worker) {
+                candidates.workers.push(worker);
+            }
+        }
+        candidates
+    }
+
     /// Returns the number of live fronts in all zones, without this process.
     pub fn other_front_count(&self, now: Instant) -> usize {
         let state = self.lock();
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -75,6 +75,7 @@
                     }
                     let complete = complete?;
                     if !complete.is_empty() {
+                        request.record_origin(&node, &response);
                         yield Frame::data(complete);
                     }
                 }
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -79,10 +79,11 @@
     }
 
     /// Returns the server of `service` at which every process tries this content, or `None` if no
-    /// server can be used.
+    /// server can be used. If `version` is given, only servers of that version can.
     pub fn trial_candidate(
         &self,
         service: &str,
+        version: Option<&str>,
         content: &RequestContent,
         now: Instant,
     ) -> Option<Candidate> {
@@ -91,7 +92,7 @@
             let quarantine = self.quarantine.lock().expect("quarantine lock");
             quarantine.crashed_servers(content)
         };
-        let mut servers = self.servers_of_service(service);
+        let mut servers = self.servers_of_service(service, version);
         servers.sort_by_cached_key(|server| {
             let fingerprint = zone_loads::fingerprint(server);
             let has_crashed = crashed.binary_search(&fingerprint).is_ok();
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -109,7 +109,7 @@
     fn batch_candidates(&self, service: &str, now: Instant) -> Vec<Candidate> {
         let workers = self.all_workers(now);
         let own = &self.node.settings.host;
-        let mut candidates = self.node.batch_candidates(service, now);
+        let mut candidates = self.node.batch_candidates(service, None, now);
         for candidate in &mut candidates {
             let manager = ownership::slot_manager(&candidate.id, &candidate.zone, &workers);
             candidate.is_slot_manager = manager.is_some_and(|manager| manager.host == *own);
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -55,6 +55,7 @@
         slot: node
             .loads
             .begin_request(&server.instance(), WorkClass::Online),
+        required_version: None,
         request_id: "request".to_owned(),
         expected_events: None,
         content: Arc::new(RequestContent::new("POST", "h", "/a", Default::default())),
--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -48,6 +48,7 @@
         RefusalReason::NoServer,
         RefusalReason::Rejected,
         RefusalReason::Quarantined,
+        RefusalReason::NotResumable,
     ];
     counters.extend(reasons.map(Counter::Refused));
     for store_call in [
--- a/crates/foxwheel-policy/src/backend_server.rs
+++ b/crates/foxwheel-policy/src/backend_server.rs
@@ -5,6 +5,8 @@
 use foxwheel_core::ids::{Incarnation, ServerId, ServiceName, SoftwareVersion, Zone};
 use serde::{Deserialize, Serialize};
 
+use crate::stream_origin::StreamOrigin;
+
 /// One instance of a backend server: a server that restarts is a new instance under the same
 /// id. Loads, failures and connections are tracked per instance.
 #[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -59,4 +61,12 @@
             incarnation: self.incarnation,
         }
     }
+
+    /// Returns the origin of the streams that begin at the server.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+        }
+    }
 }
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -20,6 +20,8 @@
 pub mod server_changes;
 pub mod server_index;
 pub mod stopping;
+pub mod stream_origin;
+pub mod version_history;
 pub mod watcher_selection;
 pub mod zone_loads;
 
@@ -28,6 +30,6 @@
     pub use crate::{
         admission, batch, config_in_force, drain_timing, health, load_reports, membership,
         placement, quarantine, representatives, retry, routes, server_changes, server_index,
-        stopping, watcher_selection, zone_loads,
+        stopping, stream_origin, version_history, watcher_selection, zone_loads,
     };
 }
--- a/crates/foxwheel-policy/src/membership.rs
+++ b/crates/foxwheel-policy/src/membership.rs
@@ -11,6 +11,8 @@
 
 pub use crate::backend_server::{BackendServer, ServerInstance, ServerState};
 use crate::server_changes::{ChangeLog, ServerChange, ServerUpdate};
+use crate::stream_origin::StreamOrigin;
+use crate::version_history::VersionHistory;
 
 /// How long a server without an entry stays usable as a last resort while the source of the list
 /// is reachable. Less than half of the shortest drain bound (2 s), so that no request reaches a
@@ -64,6 +66,8 @@
     /// Instances that this process found dead, and until when they stay out of use; sorted by
     /// instance.
     dead_instances: Vec<(ServerInstance, Instant)>,
+    /// The versions of servers that are not among the entries any more.
+    version_history: VersionHistory,
 }
 
 impl ServerDirectory {
@@ -82,7 +86,12 @@
         };
         match self.position(&entry.server.id) {
             Ok(at) if self.entries[at].supersedes(&entry.server) => {}
-            Ok(at) => self.entries[at] = entry,
+            Ok(at) => {
+                let replaced = std::mem::replace(&mut self.entries[at], entry);
+                if replaced.server.origin() != self.entries[at].server.origin() {
+                    self.version_history.record_gone(&replaced.server);
+                }
+            }
             Err(at) => self.entries.insert(at, entry),
         }
     }
@@ -92,7 +101,7 @@
     pub fn record_corrupted_entry(&mut self, id: &str) {
         self.generation += 1;
         if let Ok(at) = self.position(id) {
-            self.entries.remove(at);
+            self.remove_at(at);
         }
         if let Err(at) = self
             .corrupted
@@ -145,12 +154,17 @@
         let grace_until = self.grace_end(now);
         let entry = &mut self.entries[at];
         if entry.server.state == ServerState::Draining {
-            self.entries.remove(at);
+            self.remove_at(at);
         } else {
             entry.grace_until.get_or_insert(grace_until);
         }
     }
 
+    fn remove_at(&mut self, at: usize) {
+        let removed = self.entries.remove(at);
+        self.version_history.record_gone(&removed.server);
+    }
+
     /// Applies a complete list; servers that are missing from it count as removed.
     fn replace_all(&mut self, listed: Vec<BackendServer>, now: Instant) {
         let missing: Vec<ServerId> = self
@@ -279,10 +293,12 @@
             let keep = entry.grace_until.is_none_or(|until| now < until);
             if !keep {
                 self.generation += 1;
+                self.version_history.record_gone(&entry.server);
                 removed.push(entry.server.id.clone());
             }
             keep
         });
+        self.version_history.expire(now);
         removed
     }
 
@@ -319,6 +335,18 @@
         (server.incarnation == instance.incarnation).then_some(server)
     }
 
+    /// Returns the origin of all streams that servers of `service` may have begun, or `None` if there
+    /// are several: servers of another version serve as well, or did until recently.
+    pub fn sole_origin(&self, service: &str) -> Option<StreamOrigin> {
+        let listed = self.entries.iter().map(|entry| &entry.server);
+        let mut listed = listed.filter(|server| server.service == service);
+        let origin = listed.next()?.origin();
+        let is_sole = listed.all(|server| server.version == origin.version);
+        let mut gone = self.version_history.origins();
+        let is_other = |gone: &StreamOrigin| gone.service == service && *gone != origin;
+        (is_sole && !gone.any(is_other)).then_some(origin)
+    }
+
     /// Returns a number that increases with each change of the entries.
     pub fn generation(&self) -> u64 {
         self.generation
--- a/crates/foxwheel-policy/src/routes.rs
+++ b/crates/foxwheel-policy/src/routes.rs
@@ -123,6 +123,12 @@
 }
 
 impl Route {
+    /// Returns whether requests of the route may go to `service`.
+    pub fn has_service(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| target.service == service)
+    }
+
     /// Returns the service for a request, chosen by weight. The same `draw`, which may be any
     /// number, always selects the same service.
     pub fn pick_service(&self, draw: u64) -> &ServiceName {
--- a/crates/foxwheel-policy/src/server_index.rs
+++ b/crates/foxwheel-policy/src/server_index.rs
@@ -6,7 +6,7 @@
 //! least loaded server of a random sample of a few dozen is nearly as free as the least loaded
 //! of all, and fronts with different samples do not all fill the same server.
 
-use foxwheel_core::ids::{ServiceName, Zone};
+use foxwheel_core::ids::{ServiceName, SoftwareVersion, Zone};
 
 use crate::backend_server::{ServerInstance, ServerState};
 use crate::membership::DirectoryEntry;
@@ -33,6 +33,8 @@
     pub zone: Zone,
     /// Sorted by instance.
     servers: Vec<ServerInstance>,
+    /// The software version of each server, at the same positions as `servers`.
+    versions: Vec<SoftwareVersion>,
     /// Fingerprint and position in `servers` of each server; sorted by fingerprint.
     by_fingerprint: Vec<(ServerFingerprint, usize)>,
     /// Number of requests that the servers of the group run concurrently in total.
@@ -57,6 +59,7 @@
             let server = &entry.server;
             let group = index.group_mut(&server.service, &server.zone);
             group.servers.push(server.instance());
+            group.versions.push(server.version.clone());
             group.slots += server.slots;
         }
         for group in &mut index.groups {
@@ -103,6 +106,19 @@
         sampled.map(|at| &self.servers[at])
     }
 
+    /// Returns a sample as [`Self::sample`] does, but only of servers of that software version.
+    pub fn sample_of_version<'a>(
+        &'a self,
+        version: &'a str,
+        max_count: usize,
+        draw: usize,
+    ) -> impl Iterator<Item = &'a ServerInstance> + 'a {
+        let count = self.servers.len();
+        let positions = (0..count).map(move |step| (draw % count + step) % count);
+        let of_version = positions.filter(move |at| self.versions[*at] == version);
+        of_version.take(max_count).map(|at| &self.servers[at])
+    }
+
     /// Returns all servers, sorted by instance.
     pub fn servers(&self) -> &[ServerInstance] {
         &self.servers
--- a/crates/foxwheel-policy/tests/membership.rs
+++ b/crates/foxwheel-policy/tests/membership.rs
@@ -239,3 +239,58 @@
     assert_eq!(usable_ids_at(&directory, later), ["a"]);
     assert!(directory.dead_instances(later).is_empty());
 }
+
+fn server_of_version(id: &str, version: &str) -> BackendServer {
+    BackendServer {
+        version: version.to_owned(),
+        ..server(id, ServerState::Ready)
+    }
+}
+
+fn sole_version(directory: &ServerDirectory) -> Option<String> {
+    directory.sole_origin("model").map(|origin| origin.version)
+}
+
+/// A stream may have begun at any version that serves or served until recently.
+#[test]
+fn the_version_of_a_service_is_unknown_while_another_one_may_have_begun_streams() {
+    let mut directory = ServerDirectory::default();
+    let now = Instant::now();
+    assert_eq!(sole_version(&directory), None);
+    directory.upsert(server_of_version("a", "v1"));
+    directory.upsert(server_of_version("b", "v1"));
+    assert_eq!(sole_version(&directory).as_deref(), Some("v1"));
+    directory.upsert(BackendServer {
+        service: "other".to_owned(),
+        ..server_of_version("c", "v7")
+    });
+    assert_eq!(sole_version(&directory).as_deref(), Some("v1"));
+    directory.upsert(server_of_version("d", "v1.1"));
+    assert_eq!(sole_version(&directory), None);
+    directory.remove_entry("d", now);
+    assert_eq!(sole_version(&directory), None, "within the grace");
+    let gone_at = now + Duration::from_secs(5);
+    directory.remove_expired(gone_at);
+    assert_eq!(sole_version(&directory), None, "recently gone");
+    directory.remove_expired(gone_at + Duration::from_secs(59));
+    assert_eq!(sole_version(&directory), None);
+    directory.remove_expired(gone_at + Duration::from_secs(60));
+    assert_eq!(sole_version(&directory).as_deref(), Some("v1"));
+}
+
+/// The same after a server came back under its id with another version, and after its entry was
+/// corrupted.
+#[test]
+fn a_replaced_or_corrupted_entry_leaves_its_version_behind() {
+    let mut directory = ServerDirectory::default();
+    let now = Instant::now();
+    directory.upsert(server_of_version("a", "v1"));
+    directory.upsert(server_of_version("a", "v1.1"));
+    assert_eq!(sole_version(&directory), None);
+    directory.remove_expired(now);
+    directory.remove_expired(now + Duration::from_secs(60));
+    assert_eq!(sole_version(&directory).as_deref(), Some("v1.1"));
+    directory.upsert(server_of_version("b", "v1"));
+    directory.record_corrupted_entry("b");
+    assert_eq!(sole_version(&directory), None);
+}
--- a/crates/foxwheel-policy/tests/server_index.rs
+++ b/crates/foxwheel-policy/tests/server_index.rs
@@ -8,6 +8,9 @@
 
 const SLOTS: u32 = 7;
 
+/// Every fortieth server has another version than the others.
+const RARE_VERSION_INTERVAL: usize = 40;
+
 fn index_of_servers(count: usize) -> ServerIndex {
     let mut directory = ServerDirectory::default();
     for at in 0..count {
@@ -17,7 +20,10 @@
             service: "model".to_owned(),
             addr: ([10, 0, 0, 1], 80).into(),
             zone: "zone-a".to_owned(),
-            version: "v1".to_owned(),
+            version: match at % RARE_VERSION_INTERVAL {
+                0 => "v1.1".to_owned(),
+                _ => "v1".to_owned(),
+            },
             slots: SLOTS,
             state: match at % 10 {
                 9 => ServerState::Draining,
@@ -85,3 +91,20 @@
         );
     }
 }
+
+/// At the end of a release few servers of the old version are left, which a random sample would miss.
+#[test]
+fn a_sample_of_a_version_finds_its_few_servers() {
+    let index = index_of_servers(1_000);
+    let group = index.groups_of_service("model").next().expect("a group");
+    for draw in 0..group.len() {
+        let sample = group.sample_of_version("v1.1", 8, draw);
+        let mut ids: Vec<&str> = sample.map(|server| server.id.as_str()).collect();
+        ids.sort_unstable();
+        ids.dedup();
+        assert_eq!(ids.len(), 8);
+        let number = |id: &str| id["server-".len()..].parse::<usize>().expect("a number");
+        assert!(ids.iter().all(|id| number(id) % RARE_VERSION_INTERVAL == 0));
+    }
+    assert_eq!(group.sample_of_version("v2", 8, 0).count(), 0);
+}
