The text of a batch item comes from one software version

Change: the output of an item knows what wrote it, in memory and in checkpoints. Its next run goes to a server of that version and service. The item starts over if no ready server of it is left, if its route no longer has the service, if the checkpoint does not say (saved by an earlier build), or after 2 s without a slot there while another version has one: an item may run again, and the last servers of a version may stay full.

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -11,6 +11,7 @@
 use foxwheel_platform::online::{self, ResponseHead};
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::retry::AttemptOutcome;
+use foxwheel_policy::stream_origin::StreamOrigin;
 use hyper::http::response;
 use hyper::{Request, StatusCode};
 use tokio::time::Instant as TokioInstant;
@@ -87,8 +88,8 @@
     pub decoded_head: ResponseHead,
     /// The server instance that sent the response.
     pub server: ServerInstance,
-    /// The version of that server's software.
-    pub version: SoftwareVersion,
+    /// The software of that server.
+    pub origin: StreamOrigin,
     node: Arc<Node>,
     request_id: RequestId,
     content: Arc<RequestContent>,
@@ -138,12 +139,12 @@
         // The server may have started to drain, or may be a new instance, since it was chosen.
         let required = params.required_version.as_ref();
         let usable = node.usable_server(server, Instant::now());
-        let usable = usable.filter(|(_, version)| required.is_none_or(|it| it == version));
-        let Some((_, version)) = usable else {
+        let usable = usable.filter(|(_, origin)| required.is_none_or(|it| *it == origin.version));
+        let Some((_, origin)) = usable else {
             return Ok(None);
         };
         let response = pooled.connection.send(request).await?;
-        Ok::<_, ExchangeError>(Some((pooled.connection, version, response)))
+        Ok::<_, ExchangeError>(Some((pooled.connection, origin, response)))
     };
     let wait_until = params
         .head_deadline
@@ -155,7 +156,7 @@
         let waited_ms = sent_at.elapsed().as_millis() as u64;
         log::info!(request_id = params.request_id, server = server.id, is_new, waited_ms; "attempt ended without a response head");
     }
-    let (connection, version, response) = match exchange_result {
+    let (connection, origin, response) = match exchange_result {
         Some(Ok(Some(exchanged))) => exchanged,
         Some(Ok(None)) => return Err(Failure::no_new_work()),
         Some(Err(e)) => {
@@ -215,7 +216,7 @@
         head,
         decoded_head,
         server: server.clone(),
-        version,
+        origin,
         node: Arc::clone(node),
         request_id: params.request_id,
         content: params.content,
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::JobId;
+use foxwheel_core::ids::{JobId, SoftwareVersion};
 use foxwheel_core::metric_names::Counter;
 use foxwheel_event_stream::splitter::EventSplitter;
 use foxwheel_http1::body::ExpectedEvents;
@@ -86,6 +86,13 @@
     output.lock().expect("output lock").last_event_id
 }
 
+/// Returns the version of the servers that may resume after the last event.
+fn resumed_version(output: &SharedOutput) -> Option<SoftwareVersion> {
+    let output = output.lock().expect("output lock");
+    let origin = output.resumable_origin();
+    origin.map(|origin| origin.version.clone())
+}
+
 async fn send_and_read(
     node: &Arc<Node>,
     host: &str,
@@ -114,7 +121,7 @@
     }
     let params = AttemptParams {
         slot,
-        required_version: None,
+        required_version: resumed_version(output),
         request_id: item.id.clone(),
         content: Arc::new(content),
         expected_events: Some(ExpectedEvents::after(last_event_id(output))),
@@ -143,6 +150,7 @@
 async fn read_response(response: OpenResponse, output: &SharedOutput) -> (RunEnd, String) {
     let status = response.decoded_head.status;
     if status.is_success() && !response.decoded_head.not_run {
+        output.lock().expect("output lock").begin(&response.origin);
         return read_events(response, output).await;
     }
     let end = match status {
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, SoftwareVersion, Zone};
+use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, Zone};
 use foxwheel_core::time;
 use foxwheel_http1::connection::{AbandonAction, ConnectOptions};
 use foxwheel_http1::pool::Pool;
@@ -260,6 +260,16 @@
         }
     }
 
+    /// Returns whether a ready server can go on with what began there.
+    pub fn has_server_of(&self, origin: &StreamOrigin) -> bool {
+        let index = self.server_index();
+        let mut groups = index.groups_of_service(&origin.service);
+        groups.any(|group| {
+            let mut servers = group.sample_of_version(&origin.version, 1, 0);
+            servers.next().is_some()
+        })
+    }
+
     /// Returns the origin of all streams that servers of `service` may have begun as far as this
     /// process knows, or `None` if there may be several.
     pub fn sole_origin(&self, service: &str) -> Option<StreamOrigin> {
@@ -286,17 +296,17 @@
         (!is_dead).then(|| self.build_candidate(entry, instance.clone(), now))
     }
 
-    /// Returns the address of the server instance and the version of its software, or None if it
-    /// must not be given work.
+    /// Returns the address of the server instance and its software, or None if it must not be given
+    /// work.
     pub fn usable_server(
         &self,
         instance: &ServerInstance,
         now: Instant,
-    ) -> Option<(SocketAddr, SoftwareVersion)> {
+    ) -> Option<(SocketAddr, StreamOrigin)> {
         let directory = self.directory.lock().expect("directory lock");
         let entry = directory.usable_entry(instance, now)?;
         let is_dead = self.peers.is_reported_dead(instance, now);
-        (!is_dead).then(|| (entry.server.addr, entry.server.version.clone()))
+        (!is_dead).then(|| (entry.server.addr, entry.server.origin()))
     }
 
     fn build_candidate(
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -173,10 +173,7 @@
         if self.origin.is_some() {
             return;
         }
-        let origin = StreamOrigin {
-            service: self.service.clone(),
-            version: response.version.clone(),
-        };
+        let origin = response.origin.clone();
         let stream = stream_origin::stream_key(&self.caller.host, &self.caller.id);
         node.record_origin(stream, origin.clone());
         self.origin = Some(origin);
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -118,7 +118,7 @@
     node.hold_times.record_hold_time(&request.service, took);
     let (in_flight, slots) = request.chosen_server_load();
     let framing = response.body().framing();
-    log::info!(request_id = request.caller.id, server = response.server.id, version = response.version, in_flight, slots, events = progress.event_count, framing:? = framing, on_time, first_ms = first_age.as_millis() as u64, took_ms = took.as_millis() as u64; "stream complete");
+    log::info!(request_id = request.caller.id, server = response.server.id, version = response.origin.version, in_flight, slots, events = progress.event_count, framing:? = framing, on_time, first_ms = first_age.as_millis() as u64, took_ms = took.as_millis() as u64; "stream complete");
     response.finish();
 }
 
@@ -170,7 +170,7 @@
     reason: &str,
 ) -> Result<OpenResponse, RelayError> {
     let server = cut_off.server.clone();
-    let version = cut_off.version.clone();
+    let version = cut_off.origin.version.clone();
     // Closes the connection first, so that two servers never run the request at the same time.
     drop(cut_off);
     let resumed = match request.record_cut_off_stream() && can_resume {
@@ -180,7 +180,7 @@
     let last_event_id = request.last_event_id;
     match resumed {
         Some(response) => {
-            log::warn!(request_id = request.caller.id, server = server.id, version, reason, after = last_event_id, resumed_at = response.server.id, resumed_version = response.version; "stream resumed");
+            log::warn!(request_id = request.caller.id, server = server.id, version, reason, after = last_event_id, resumed_at = response.server.id, resumed_version = response.origin.version; "stream resumed");
             node.metrics.incr(Counter::StreamResumed);
             Ok(response)
         }
--- a/crates/foxwheel-node/tests/stream_versions.rs
+++ b/crates/foxwheel-node/tests/stream_versions.rs
@@ -8,10 +8,11 @@
 
 use common::{Fleet, FleetPlan, ReceivedResponse};
 use foxwheel_server_emu::faults::Fault;
+use foxwheel_server_emu::runs::Run;
 use foxwheel_server_emu::server::{versioned_event_text, ServerConfig};
 use foxwheel_soak::front_client;
 use hyper::{Method, StatusCode};
-use serde_json::json;
+use serde_json::{json, Value};
 
 const VERSIONS: [&str; 2] = ["v1", "v1.1"];
 
@@ -233,16 +234,56 @@
     let accepted = common::submit_job(fleet.fronts[0], "job", ITEMS).await;
     assert_eq!(accepted.expect("accepted").status, StatusCode::ACCEPTED);
     let results = common::wait_for_results(fleet.fronts[0], "job", ITEMS).await;
-    for result in results {
-        let id = result["id"].as_str().expect("an id");
-        let output = result["output"].as_str().expect("an output");
-        let lines: Vec<&str> = output.lines().collect();
-        assert_eq!(lines.len() as u64, EVENTS, "{id}: {output}");
-        let is_of = |version: &&str| {
-            let ending = format!(" by {version}");
-            lines.iter().all(|line| line.ends_with(&ending))
-        };
-        assert!(VERSIONS.iter().any(is_of), "{output}");
-    }
+    results.iter().for_each(|result| {
+        version_of_result(result);
+    });
+    fleet.cancel.cancel();
+}
+
+/// Returns the version that wrote the complete text of an item. Panics unless it is the same one for
+/// all events.
+fn version_of_result(result: &Value) -> &'static str {
+    let output = result["output"].as_str().expect("an output");
+    let lines: Vec<&str> = output.lines().collect();
+    assert_eq!(lines.len() as u64, EVENTS, "{result}");
+    let is_of = |version: &&str| {
+        let ending = format!(" by {version}");
+        lines.iter().all(|line| line.ends_with(&ending))
+    };
+    let version = VERSIONS.into_iter().find(is_of);
+    version.unwrap_or_else(|| panic!("events of two versions: {output}"))
+}
+
+/// The last server of a version leaves while items have output of that version.
+#[actix_web::test]
+async fn items_of_a_version_without_servers_never_complete() {
+    const ITEMS: usize = 4;
+    let mut shapes = shapes_of_two_versions();
+    let new_shape = shapes.remove(1);
+    shapes.truncate(1);
+    let mut fleet = Fleet::start(FleetPlan {
+        servers: shapes,
+        ..FleetPlan::default()
+    })
+    .await;
+    let old = &fleet.servers[0];
+    old.fault_script.extend([Fault::CutAfter(2); 400]);
+    let accepted = common::submit_job(fleet.fronts[0], "job", ITEMS).await;
+    assert_eq!(accepted.expect("accepted").status, StatusCode::ACCEPTED);
+    let resumed = async {
+        let is_resumed = |run: &Run| run.resumed_after.is_some();
+        while !old.run_log.all_runs().iter().any(is_resumed) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let waited = tokio::time::timeout(common::WAIT_TIMEOUT, resumed).await;
+    waited.expect("an item is resumed");
+    let old_id = common::server_shapes(1)[0].id.clone();
+    fleet.add_server(new_shape).await;
+    let removed = fleet.store.delete(&format!("servers/{old_id}"), None).await;
+    removed.expect("removed");
+    let results = common::wait_for_results(fleet.fronts[0], "job", ITEMS).await;
+    let is_new = |result: &Value| version_of_result(result) == VERSIONS[1];
+    assert!(results.iter().all(is_new), "{results:?}");
     fleet.cancel.cancel();
 }
--- a/crates/foxwheel-policy/src/batch/checkpoint.rs
+++ b/crates/foxwheel-policy/src/batch/checkpoint.rs
@@ -76,6 +76,9 @@
             item.failures = item.failures.max(saved.failures);
             if saved.output.last_event_id > item.partial_output.last_event_id {
                 item.partial_output = saved.output.clone();
+                item.state = ItemState::Waiting {
+                    not_before: Some(now),
+                };
             }
             if let Some(outcome) = saved.outcome {
                 item.partial_output = saved.output.clone();
@@ -91,6 +94,7 @@
         ItemState::Finished(result) => (
             PartialOutput {
                 last_event_id: item.partial_output.last_event_id,
+                origin: item.partial_output.origin.clone(),
                 text: result.output.clone(),
             },
             Some(result.outcome),
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -1,10 +1,12 @@
 //! One item of a batch job: its request, its state, and the output received so far.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::ItemId;
 use serde::{Deserialize, Serialize};
 
+use crate::stream_origin::StreamOrigin;
+
 /// An item as its client submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemSpec {
@@ -42,12 +44,21 @@
     pub output: String,
 }
 
+/// How long an item with events waits for a slot at a server of the version that wrote them while
+/// servers of other versions have free slots. After that, it starts over there: at the end of a
+/// release, the last servers of a version may stay full.
+pub const MAX_VERSION_WAIT: Duration = Duration::from_secs(2);
+
 /// The events received so far from the runs of an item. They are kept when a run ends early,
 /// so that the next run can resume after the last event.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PartialOutput {
     /// Id of the last complete event; `None` before the first one.
     pub last_event_id: Option<u64>,
+    /// The software that wrote the events. `None` before the first one, and in progress that was saved
+    /// without it.
+    #[serde(default)]
+    pub origin: Option<StreamOrigin>,
     /// Data of the events up to `last_event_id`, joined by line feeds.
     pub text: String,
 }
@@ -58,6 +69,24 @@
         self.last_event_id.unwrap_or(0)
     }
 
+    /// Returns whether a run resumes after these events; otherwise it starts from the beginning.
+    pub fn has_events(&self) -> bool {
+        self.last_event_id.is_some()
+    }
+
+    /// Returns the software that wrote the events, which alone may go on with them. `None` if there
+    /// are none, or if it is unknown.
+    pub fn resumable_origin(&self) -> Option<&StreamOrigin> {
+        self.origin.as_ref().filter(|_| self.has_events())
+    }
+
+    /// Records which software writes the events that follow, unless there are events already.
+    pub fn begin(&mut self, origin: &StreamOrigin) {
+        if !self.has_events() {
+            self.origin = Some(origin.clone());
+        }
+    }
+
     /// Appends an event. Returns false and changes nothing if the event's id does not follow
     /// the last one; the first event may have any id.
     pub fn push_event(&mut self, event_id: u64, data: &str) -> bool {
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -89,6 +89,18 @@
     pub partial_output: PartialOutput,
 }
 
+impl ItemProgress {
+    /// Returns for how long the item could have run already; zero if it may not run yet.
+    pub fn waited(&self, now: Instant) -> Duration {
+        match self.state {
+            ItemState::Waiting {
+                not_before: Some(since),
+            } => now.saturating_duration_since(since),
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// Progress of a job.
 #[derive(Debug, Clone)]
 pub struct JobProgress {
@@ -163,6 +175,11 @@
         self.waiting_items(now).next()
     }
 
+    /// Discards the output of the item at `index`, so that its next run starts from the beginning.
+    pub fn discard_output(&mut self, index: usize) {
+        self.items[index].partial_output = PartialOutput::default();
+    }
+
     /// Marks the item at `index` as running.
     pub fn start_item(&mut self, index: usize) {
         self.items[index].state = ItemState::Running;
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -8,6 +8,7 @@
 use foxwheel_policy::batch::checkpoint::{CheckpointTimer, JobCheckpoint};
 use foxwheel_policy::batch::item::{ItemOutcome, ItemState, PartialOutput, RunEnd};
 use foxwheel_policy::batch::job::JobProgress;
+use foxwheel_policy::stream_origin::StreamOrigin;
 
 /// Returns the output of an item up to event `last`.
 fn output_up_to(last: u64) -> PartialOutput {
@@ -185,3 +186,45 @@
     assert!(!timer.is_due(now + Duration::from_millis(9_900)));
     assert!(timer.is_due(now + Duration::from_secs(10)));
 }
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "model".to_owned(),
+        version: version.to_owned(),
+    }
+}
+
+/// A worker that takes a job over must know which version wrote the saved events.
+#[test]
+fn saved_output_keeps_the_version_that_wrote_it() {
+    let now = Instant::now();
+    let mut output = PartialOutput::default();
+    output.begin(&origin("v1"));
+    assert_eq!(output.resumable_origin(), None, "no event yet");
+    assert!(output.push_event(1, "event 1"));
+    output.begin(&origin("v1.1"));
+    assert_eq!(output.resumable_origin(), Some(&origin("v1")));
+    let mut progress = JobProgress::new(common::job_with_items(2));
+    progress.start_item(0);
+    progress.record_output(0, &output);
+    let saved = JobCheckpoint::from_progress(&progress).expect("progress");
+    let saved = serde_json::to_value(&saved).expect("encoded");
+    let loaded: JobCheckpoint = serde_json::from_value(saved.clone()).expect("decoded");
+    let mut restored = JobProgress::new(common::job_with_items(2));
+    loaded.restore(&mut restored, now);
+    let item = &restored.items[0];
+    assert_eq!(item.partial_output, output);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(item.waited(later), Duration::from_secs(1));
+
+    let mut without_origin = saved;
+    let output = &mut without_origin["items"][0]["output"];
+    output.as_object_mut().expect("an object").remove("origin");
+    let loaded: JobCheckpoint = serde_json::from_value(without_origin).expect("decoded");
+    let mut restored = JobProgress::new(common::job_with_items(2));
+    loaded.restore(&mut restored, now);
+    let output = &restored.items[0].partial_output;
+    assert!(output.has_events() && output.resumable_origin().is_none());
+    restored.discard_output(0);
+    assert!(!restored.items[0].partial_output.has_events());
+}
