The origin of a stream is reported before its first event is forwarded

Cause: the report was queued for a task that sent it after the event, so that on loopback the caller and its next front were faster than the datagram.

Change: the report is sent before the event is forwarded (a datagram, without waiting for a response), and a front whose holders do not know the stream asks them once more after 25 ms. Needs no queue and no task.

--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -25,7 +25,7 @@
 use crate::peer_messages::{
     AgedSummary, CrossZoneLoads, Heartbeat, Introduction, LoadChanges, PeerEndpoint, PeerMessage,
 };
-use crate::{stream_origins, zone_representative};
+use crate::zone_representative;
 
 /// Size of the receive buffer: the largest possible datagram.
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -42,10 +42,10 @@
 /// Sends and receives datagrams until cancelled.
 pub async fn run(node: Arc<Node>, socket: UdpSocket, cancel: CancellationToken) {
     let socket = Arc::new(socket);
+    let socket = Arc::clone(node.peer_socket.get_or_init(|| socket));
     let sequence = Arc::new(AtomicU64::new(0));
     let datagrams = DatagramSender::new(Arc::clone(&node), Arc::clone(&socket));
     let receiving = receive_messages(datagrams.clone(), socket, Arc::clone(&sequence));
-    let reporting_origins = stream_origins::report_origins(datagrams.clone());
     let reporter = Reporter {
         datagrams,
         node,
@@ -59,7 +59,6 @@
     tokio::select! {
         () = cancel.cancelled() => {}
         () = receiving => {}
-        () = reporting_origins => {}
         () = reporter.run() => {}
     }
 }
@@ -128,7 +127,7 @@
         PeerMessage::Introduction(received) => {
             node.peers.apply_introduction(&received, own_addr, now)
         }
-        PeerMessage::StreamOrigins(reports) => return node.apply_origin_reports(&reports),
+        PeerMessage::StreamOrigin(report) => return node.apply_origin_report(&report),
     }
     node.peers_changed.notify_waiters();
 }
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::{Incarnation, NodeId, ServiceName, Zone};
@@ -21,6 +21,7 @@
 use foxwheel_policy::stream_origin::StreamOrigin;
 use foxwheel_policy::watcher_selection::{self, WatchState};
 use foxwheel_policy::zone_loads::RequestCounts;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -83,6 +84,8 @@
     pub other_crashes_reported: Notify,
     /// Notified when this process learns of more server crashes.
     pub crashes_changed: Notify,
+    /// The socket for datagrams to the other processes, once the process has opened it.
+    pub peer_socket: OnceLock<Arc<UdpSocket>>,
     /// Where the streams of this process began, and those for which it is a holder.
     pub stream_origins: OriginTable,
     /// Notified after every received message that may change the view of the other processes.
@@ -128,6 +131,7 @@
             quarantine: Mutex::default(),
             other_crashes_reported: Notify::new(),
             crashes_changed: Notify::new(),
+            peer_socket: OnceLock::new(),
             stream_origins: OriginTable::default(),
             peers_changed: Notify::new(),
             peer_calls: PeerCalls::default(),
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -169,13 +169,13 @@
     }
 
     /// Records that the first event of the stream goes to the caller, unless earlier ones did.
-    pub fn record_origin(&mut self, node: &Node, response: &OpenResponse) {
+    pub async fn record_origin(&mut self, node: &Arc<Node>, response: &OpenResponse) {
         if self.origin.is_some() {
             return;
         }
         let origin = response.origin.clone();
         let stream = stream_origin::stream_key(&self.caller.host, &self.caller.id);
-        node.record_origin(stream, origin.clone());
+        node.record_origin(stream, origin.clone()).await;
         self.origin = Some(origin);
     }
 
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -203,6 +203,6 @@
     SummaryRequest(PeerEndpoint),
     /// The response to a heartbeat from another zone.
     Introduction(Introduction),
-    /// Where streams of the sender began, for which the recipient is a holder.
-    StreamOrigins(Vec<StreamOriginReport>),
+    /// Where a stream of the sender began, for which the recipient is a holder.
+    StreamOrigin(StreamOriginReport),
 }
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -75,7 +75,7 @@
                     }
                     let complete = complete?;
                     if !complete.is_empty() {
-                        request.record_origin(&node, &response);
+                        request.record_origin(&node, &response).await;
                         yield Frame::data(complete);
                     }
                 }
--- a/crates/foxwheel-node/src/stream_origins.rs
+++ b/crates/foxwheel-node/src/stream_origins.rs
@@ -1,5 +1,5 @@
-//! Records where streams began, tells the holders, and finds the origin of a stream that a caller
-//! resumes.
+//! Records where streams began, reports it to the holders, and finds the origin of a stream that a
+//! caller resumes.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -8,7 +8,6 @@
 use foxwheel_policy::stream_origin::{HolderCandidates, StreamKey, StreamOrigin, StreamOrigins};
 use futures::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
-use tokio::sync::Notify;
 
 use crate::datagram_sender::DatagramSender;
 use crate::node::Node;
@@ -17,11 +16,12 @@
 /// How long the holders may take to respond. Many round trips, and short for a caller.
 const LOOKUP_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// How long the processes that may be holders are remembered. They are looked up for each stream.
+/// How long the processes that may be holders are remembered, for the streams that begin meanwhile.
 const CANDIDATES_TTL: Duration = Duration::from_millis(200);
 
-/// Maximum number of origins in one datagram, some 1,300 bytes.
-const MAX_REPORTS_PER_DATAGRAM: usize = 32;
+/// Delay before the holders are asked once more if none knows the stream: the report may still be on
+/// its way.
+const SECOND_LOOKUP_DELAY: Duration = Duration::from_millis(25);
 
 /// Where a stream began, as reported to a holder.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,32 +43,30 @@
     SoleVersion,
 }
 
-/// The origins that this process knows, and those that it has not reported yet.
+/// The origins that this process knows.
 #[derive(Debug, Default)]
 pub struct OriginTable {
     origins: Mutex<StreamOrigins>,
-    unreported: Mutex<Vec<StreamOriginReport>>,
-    /// Notified when there is an unreported origin.
-    began: Notify,
     candidates: Mutex<Option<(Instant, Arc<HolderCandidates>)>>,
 }
 
 impl Node {
-    /// Records that this process forwards the first event of a stream, and reports it to the
-    /// holders in the background.
-    pub fn record_origin(&self, stream: StreamKey, origin: StreamOrigin) {
+    /// Records where a stream of this process began, and reports it to the holders.
+    pub async fn record_origin(self: &Arc<Self>, stream: StreamKey, origin: StreamOrigin) {
         self.add_origin(stream, &origin);
-        let table = &self.stream_origins;
-        let mut unreported = table.unreported.lock().expect("unreported origins lock");
-        unreported.push(StreamOriginReport { stream, origin });
-        table.began.notify_one();
+        let Some(socket) = self.peer_socket.get() else {
+            return;
+        };
+        let zone = &self.settings.availability_zone;
+        let holders = self.holder_candidates().to_tell(stream, zone);
+        let report = PeerMessage::StreamOrigin(StreamOriginReport { stream, origin });
+        let datagrams = DatagramSender::new(Arc::clone(self), Arc::clone(socket));
+        datagrams.send(&report, &holders).await;
     }
 
-    /// Records the origins that another process reported to this one as a holder.
-    pub fn apply_origin_reports(&self, reports: &[StreamOriginReport]) {
-        for report in reports {
-            self.add_origin(report.stream, &report.origin);
-        }
+    /// Records an origin that another process reported to this one as a holder.
+    pub fn apply_origin_report(&self, report: &StreamOriginReport) {
+        self.add_origin(report.stream, &report.origin);
     }
 
     fn add_origin(&self, stream: StreamKey, origin: &StreamOrigin) {
@@ -88,30 +86,37 @@
         if let Some(origin) = self.known_origin(stream) {
             return Some((origin, OriginSource::Own));
         }
-        let holders = self.holder_candidates().to_ask(stream);
-        let calls = holders.into_iter().map(|addr| async move {
-            let response = self.peer_calls.fetch_origin(addr, stream).await;
-            let found = response.inspect_err(|e| {
-                log::info!(peer:% = addr, error:% = e; "origin of a stream not received from peer");
-            });
-            Some((found.ok()??, OriginSource::Holder(addr)))
-        });
-        let mut responses: FuturesUnordered<_> = calls.collect();
-        let first_found = async {
-            while let Some(found) = responses.next().await {
-                if found.is_some() {
-                    return found;
-                }
+        let asking = async {
+            if let Some(found) = self.ask_holders(stream).await {
+                return Some(found);
             }
-            None
+            tokio::time::sleep(SECOND_LOOKUP_DELAY).await;
+            self.ask_holders(stream).await
         };
-        let found = tokio::time::timeout(LOOKUP_TIMEOUT, first_found).await;
+        let found = tokio::time::timeout(LOOKUP_TIMEOUT, asking).await;
         let (origin, source) = found.ok().flatten()?;
         // The caller may come back once more.
         self.add_origin(stream, &origin);
         Some((origin, source))
     }
 
+    /// Asks the holders at the same time and returns the first origin that one of them knows.
+    async fn ask_holders(&self, stream: StreamKey) -> Option<(StreamOrigin, OriginSource)> {
+        let candidates = self.peers.holder_candidates(Instant::now());
+        let holders = candidates.to_ask(stream).into_iter();
+        let calls = holders.map(|addr| async move {
+            let response = self.peer_calls.fetch_origin(addr, stream).await;
+            let response = response.inspect_err(|e| {
+                log::info!(peer:% = addr, error:% = e; "origin of a stream not received from peer");
+            });
+            Some((response.ok()??, OriginSource::Holder(addr)))
+        });
+        let responses = calls.collect::<FuturesUnordered<_>>();
+        let mut found = std::pin::pin!(responses.filter_map(std::future::ready));
+        found.next().await
+    }
+
+    /// Returns the processes that may be holders, as they were at most [`CANDIDATES_TTL`] ago.
     fn holder_candidates(&self) -> Arc<HolderCandidates> {
         let now = Instant::now();
         let table = &self.stream_origins;
@@ -128,34 +133,3 @@
         }
     }
 }
-
-/// Reports the origins of this process's streams to their holders. Never returns.
-pub async fn report_origins(datagrams: DatagramSender) {
-    let node = Arc::clone(datagrams.node());
-    let table = &node.stream_origins;
-    loop {
-        table.began.notified().await;
-        let unreported = {
-            let mut unreported = table.unreported.lock().expect("unreported origins lock");
-            std::mem::take(&mut *unreported)
-        };
-        let candidates = node.holder_candidates();
-        // Sorted by address.
-        let mut by_holder: Vec<(SocketAddr, Vec<StreamOriginReport>)> = Vec::new();
-        for report in unreported {
-            let zone = &node.settings.availability_zone;
-            for addr in candidates.to_tell(report.stream, zone) {
-                match by_holder.binary_search_by_key(&addr, |(known, _)| *known) {
-                    Ok(at) => by_holder[at].1.push(report.clone()),
-                    Err(at) => by_holder.insert(at, (addr, vec![report.clone()])),
-                }
-            }
-        }
-        for (addr, reports) in by_holder {
-            for reports in reports.chunks(MAX_REPORTS_PER_DATAGRAM) {
-                let message = PeerMessage::StreamOrigins(reports.to_vec());
-                datagrams.send(&message, &[addr]).await;
-            }
-        }
-    }
-}
