Soak: servers of two versions, and callers that resume their streams elsewhere

Servers with successive ids have different versions, each event names its own, and a fifth of the streams is left after the first event and resumed at a random front. New checks: OneVersion, StreamsGoOn (at least half, from 12 on, while no fault is active), each with a test in which it fails. Responses are compared as strictly as before, for each version.

--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -3,12 +3,13 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use foxwheel_server_emu::server::{event_data, event_text};
+use foxwheel_server_emu::server::{event_data, versioned_event_text};
 use serde_json::Value;
 
 use crate::evidence::{Call, CallEnd, Evidence, Job, RequestKind, ServerRun};
 use crate::front_client;
 use crate::process::ProcessExit;
+use crate::store_entries;
 
 /// Time after the end of the last fault in which all calls must be served again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(5);
@@ -32,6 +33,9 @@
 /// Time in which every process must know of a request that crashed three servers.
 pub const CRASH_PROPAGATION_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Number of resumed streams from which on it shows whether they go on.
+const MIN_RESUMED_STREAMS: usize = 12;
+
 /// Number of servers that a request may crash before it is refused, and number of runs that are
 /// still allowed after that.
 const MAX_CRASHES: usize = 3;
@@ -48,6 +52,11 @@
 pub enum Promise {
     /// A response belongs to its own request, and is complete and in order.
     OwnAnswer,
+    /// A stream, over all requests that resume it, and the output of an item come from one version of
+    /// the servers.
+    OneVersion,
+    /// Most streams that callers resume go on.
+    StreamsGoOn,
     /// A request that a response declares as not run was not run.
     NotRunIsTrue,
     /// A request runs at most as often as its route allows.
@@ -114,6 +123,7 @@
         check_outputs_and_job_end(evidence, job, &mut findings);
         check_quota(evidence, job, &mut findings);
     }
+    check_resumed_streams(evidence, &mut findings);
     check_leaving_servers(evidence, &mut findings);
     check_crashes(evidence, &mut findings);
     check_configurations(evidence, &mut findings);
@@ -134,29 +144,76 @@
     }
 }
 
-/// Returns the body of a complete response to `request`.
-pub fn expected_body(request: &str, events: u64) -> Vec<u8> {
-    let events = (1..=events).map(|event| event_text(request, event));
+/// Returns the events `first` to `last` of the response to `request` by servers of `version`.
+pub fn expected_events(request: &str, first: u64, last: u64, version: &str) -> Vec<u8> {
+    let events = (first..=last).map(|event| versioned_event_text(request, event, version));
     events.collect::<String>().into_bytes()
 }
 
 /// Returns the output of a completed item.
-fn expected_output(item: &str, events: u64) -> String {
-    let events: Vec<String> = (1..=events).map(|event| event_data(item, event)).collect();
+fn expected_output(item: &str, events: u64, version: &str) -> String {
+    let data = |event| format!("{} by {version}", event_data(item, event));
+    let events: Vec<String> = (1..=events).map(data).collect();
     events.join("\n")
 }
 
+/// Returns the promise that `received` breaks; `None` if it is what servers of one version write.
+/// `expected` returns that, and `is_right` compares it with what was received.
+fn broken_by(
+    received: &[u8],
+    expected: impl Fn(&str) -> Vec<u8>,
+    is_right: impl Fn(&[u8], &[u8]) -> bool,
+) -> Option<Promise> {
+    let versions = store_entries::VERSIONS;
+    if versions.iter().any(|it| is_right(&expected(it), received)) {
+        return None;
+    }
+    let as_one_version = |bytes: &[u8]| {
+        let text = String::from_utf8_lossy(bytes).into_owned();
+        let [first, second] = versions.map(|version| format!(" by {version}\n"));
+        text.replace(&second, &first).into_bytes()
+    };
+    let expected = as_one_version(&expected(versions[0]));
+    match is_right(&expected, &as_one_version(received)) {
+        true => Some(Promise::OneVersion),
+        false => Some(Promise::OwnAnswer),
+    }
+}
+
 fn check_response(evidence: &Evidence, call: &Call, findings: &mut Findings) {
-    let expected = expected_body(&call.id, evidence.event_count);
-    let is_wrong = match &call.end {
+    let first = call.resumed.as_ref().map_or(1, |it| it.last_event + 1);
+    let version = call.resumed.as_ref().map(|it| it.version);
+    let expected = |it: &str| {
+        let version = version.unwrap_or(it);
+        expected_events(&call.id, first, evidence.event_count, version)
+    };
+    let broken = match &call.end {
         CallEnd::Whole {
             status: 200, body, ..
-        } => *body != expected,
-        CallEnd::Broken { body, .. } => !expected.starts_with(body),
-        _ => false,
+        } => broken_by(body, expected, |expected, received| expected == received),
+        CallEnd::Broken { body, .. } => broken_by(body, expected, |expected, received| {
+            expected.starts_with(received)
+        }),
+        _ => None,
     };
-    if is_wrong {
-        findings.add(Promise::OwnAnswer, &call.id, format!("{:?}", call.end));
+    if let Some(promise) = broken {
+        let seen = format!("{:?} of {:?}", call.end, call.resumed);
+        findings.add(promise, &call.id, seen);
+    }
+}
+
+fn check_resumed_streams(evidence: &Evidence, findings: &mut Findings) {
+    let resumed = evidence.calls.iter().filter(|call| {
+        let from = call.sent_at.checked_sub(RECOVERY_TIMEOUT);
+        let is_calm = from.is_some_and(|from| evidence.is_fault_free(from, call.ended_at));
+        call.resumed.is_some() && is_calm
+    });
+    let resumed: Vec<&Call> = resumed.collect();
+    let goes_on = |call: &&&Call| matches!(call.end, CallEnd::Whole { status: 200, .. });
+    let going_on = resumed.iter().filter(goes_on).count();
+    if resumed.len() >= MIN_RESUMED_STREAMS && 2 * going_on < resumed.len() {
+        let seen = format!("{going_on} of {} resumed streams went on", resumed.len());
+        findings.add(Promise::StreamsGoOn, &resumed[0].id, seen);
     }
 }
 
@@ -246,7 +303,8 @@
         call.end,
         CallEnd::Whole { status: 200, .. } | CallEnd::Left { meant_to: true }
     );
-    if has_recovered && !is_served && call.kind != RequestKind::Crashing {
+    let is_exempt = call.kind == RequestKind::Crashing || call.resumed.is_some();
+    if has_recovered && !is_served && !is_exempt {
         let seen = format!("not served though nothing is wrong: {:?}", call.end);
         findings.add(Promise::Served, &call.id, seen);
     }
@@ -279,8 +337,17 @@
     for result in &job.results {
         let id = result["id"].as_str().unwrap_or_default();
         let is_completed = result["state"] == "completed";
-        if is_completed && result["output"] != expected_output(id, evidence.event_count) {
-            findings.add(Promise::OwnAnswer, id, format!("its output is {result}"));
+        // The last line has no line feed, unlike an event.
+        let output = format!("{}\n", result["output"].as_str().unwrap_or_default());
+        let expected = |version: &str| {
+            let output = expected_output(id, evidence.event_count, version);
+            format!("{output}\n").into_bytes()
+        };
+        let broken = broken_by(output.as_bytes(), expected, |expected, received| {
+            expected == received
+        });
+        if let Some(promise) = broken.filter(|_| is_completed) {
+            findings.add(promise, id, format!("its output is {result}"));
         }
     }
     let Some(ended_at) = job.ended_at else { return };
--- a/crates/foxwheel-soak/src/evidence.rs
+++ b/crates/foxwheel-soak/src/evidence.rs
@@ -63,6 +63,17 @@
     },
 }
 
+/// The stream that a call resumes, as far as its caller received it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// Id of the request that began the stream.
+    pub began: String,
+    /// Number of the last event that was received.
+    pub last_event: u64,
+    /// Version of the servers that wrote the events.
+    pub version: &'static str,
+}
+
 /// A call of an online caller.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -70,6 +81,8 @@
     pub id: String,
     /// Kind of the request.
     pub kind: RequestKind,
+    /// The stream that the call resumes; `None` if it starts a new one.
+    pub resumed: Option<ResumedStream>,
     /// Index of the front.
     pub front: usize,
     /// When the caller started to connect, or started to use the connection that it had kept.
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -24,6 +24,9 @@
 /// Every server sends each response of this number without a length and without chunks.
 const UNFRAMED_INTERVAL: u64 = 4;
 
+/// The ids of servers consist of this and a number.
+const SERVER_ID_PREFIX: &str = "server-";
+
 /// Request body on which backend servers crash.
 pub const CRASHING_BODY: &str = "crash";
 
@@ -169,6 +172,7 @@
             events_per_stream: EVENT_COUNT,
             crashing_body: Some(CRASHING_BODY.to_owned()),
             unframed_interval: Some(UNFRAMED_INTERVAL),
+            version: Some(version_of_server(&id).to_owned()),
             ..ServerConfig::default()
         };
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
@@ -199,7 +203,8 @@
         addr: SocketAddr,
         state: &str,
     ) -> Result<(), SoakError> {
-        let entry = store_entries::server_entry(addr, state);
+        let mut entry = store_entries::server_entry(addr, state);
+        entry["version"] = version_of_server(id).into();
         self.write_object("list a server", &server_key(id), &entry)
             .await
     }
@@ -328,7 +333,7 @@
     /// Returns the id for the next server to start.
     pub fn next_server_id(&mut self) -> String {
         self.servers_started += 1;
-        format!("server-{}", self.servers_started)
+        format!("{SERVER_ID_PREFIX}{}", self.servers_started)
     }
 
     /// Replaces the server with this id by `replacement`, or adds `replacement` if that server was already
@@ -481,6 +486,15 @@
     format!("version-{version}")
 }
 
+/// Returns the software version of a server. Servers with successive ids have different ones, and a
+/// server that starts again under its id has the same one.
+pub fn version_of_server(id: &str) -> &'static str {
+    let number = id.trim_start_matches(SERVER_ID_PREFIX);
+    // An id without a number is that of an entry that no server wrote.
+    let number: usize = number.parse().unwrap_or_default();
+    store_entries::VERSIONS[number % store_entries::VERSIONS.len()]
+}
+
 fn server_key(id: &str) -> String {
     format!("servers/{id}")
 }
--- a/crates/foxwheel-soak/src/online_caller.rs
+++ b/crates/foxwheel-soak/src/online_caller.rs
@@ -6,14 +6,16 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_http1::connection::Connection;
-use hyper::Method;
+use foxwheel_platform::online as names;
+use hyper::header::HeaderValue;
+use hyper::{Method, StatusCode};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 use tokio_util::sync::CancellationToken;
 
-use crate::evidence::{Call, CallEnd, Recorder, RequestKind};
+use crate::evidence::{Call, CallEnd, Recorder, RequestKind, ResumedStream};
 use crate::fleet::CRASHING_BODY;
-use crate::front_client;
+use crate::{front_client, store_entries};
 
 /// Time limit for a complete response. It is longer than the timeout of the routes.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -36,6 +38,9 @@
     pub recorder: Arc<Recorder>,
 }
 
+/// Probability that a caller leaves a stream after its first event and resumes it elsewhere.
+const RESUME_SHARE: f64 = 0.2;
+
 /// A connection to the front with index `front`.
 struct KeptConnection {
     front: usize,
@@ -43,6 +48,36 @@
     reused: bool,
 }
 
+/// When a caller disconnects before its response is complete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Disconnect {
+    Never,
+    AfterTime(Duration),
+    AfterFirstEvent,
+}
+
+/// A call to make.
+struct PlannedCall {
+    id: String,
+    kind: RequestKind,
+    resumed: Option<ResumedStream>,
+    front: usize,
+    disconnect: Disconnect,
+}
+
+impl PlannedCall {
+    /// Returns a call without a stream to resume whose caller stays to the end.
+    fn new(id: String, kind: RequestKind, front: usize) -> Self {
+        Self {
+            id,
+            kind,
+            resumed: None,
+            front,
+            disconnect: Disconnect::Never,
+        }
+    }
+}
+
 impl OnlineCaller {
     /// Makes calls until `stop` is cancelled.
     pub async fn run(self, seed: u64, stop: CancellationToken) {
@@ -52,15 +87,18 @@
         while !stop.is_cancelled() {
             number += 1;
             let id = format!("{}-{number}", self.name);
-            let kind = draw_kind(&mut rng);
             let front = rng.random_range(0..self.fronts.len());
-            let disconnect_after = rng.random_bool(DISCONNECT_SHARE);
-            let disconnect_after_ms = rng.random_range(DISCONNECT_DELAY_MS);
-            let disconnect_after =
-                disconnect_after.then(|| Duration::from_millis(disconnect_after_ms));
-            kept_connection = self
-                .make_call(id, kind, front, disconnect_after, kept_connection)
-                .await;
+            let mut call = PlannedCall::new(id.clone(), draw_kind(&mut rng), front);
+            call.disconnect = draw_disconnect(&mut rng, call.kind);
+            let is_resumable = call.kind == RequestKind::Stream;
+            let received;
+            (kept_connection, received) = self.make_call(call, kept_connection).await;
+            if let Some(resumed) = received_part(&id, &received).filter(|_| is_resumable) {
+                let front = rng.random_range(0..self.fronts.len());
+                let mut again = PlannedCall::new(format!("{id}-again"), RequestKind::Stream, front);
+                again.resumed = Some(resumed);
+                self.make_call(again, None).await;
+            }
             let pause = Duration::from_millis(rng.random_range(CALL_INTERVAL_MS));
             tokio::time::sleep(pause).await;
         }
@@ -74,28 +112,25 @@
             let front = number % self.fronts.len();
             number += 1;
             let id = format!("{}-{number}", self.name);
-            self.make_call(id, RequestKind::Crashing, front, None, None)
-                .await;
+            let call = PlannedCall::new(id, RequestKind::Crashing, front);
+            self.make_call(call, None).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
 
     /// Makes one call, on the kept connection if that is still open. Returns the connection if the
-    /// next call can use it.
+    /// next call can use it, and what was received of a response that is not complete.
     async fn make_call(
         &self,
-        id: String,
-        kind: RequestKind,
-        front: usize,
-        disconnect_after: Option<Duration>,
+        planned: PlannedCall,
         kept: Option<KeptConnection>,
-    ) -> Option<KeptConnection> {
+    ) -> (Option<KeptConnection>, Vec<u8>) {
         let connected_at = Instant::now();
         let mut kept = kept.filter(|kept| kept.connection.is_ready());
         if kept.is_none() {
-            let opened = front_client::connect(self.fronts[front]).await;
+            let opened = front_client::connect(self.fronts[planned.front]).await;
             kept = opened.ok().map(|connection| KeptConnection {
-                front,
+                front: planned.front,
                 connection,
                 reused: false,
             });
@@ -103,8 +138,9 @@
         let sent_at = Instant::now();
         let record_call = |front, end| {
             let call = Call {
-                id: id.clone(),
-                kind,
+                id: planned.id.clone(),
+                kind: planned.kind,
+                resumed: planned.resumed.clone(),
                 front,
                 connected_at,
                 sent_at,
@@ -114,57 +150,105 @@
             self.recorder.lock().calls.push(call);
         };
         let Some(mut kept_connection) = kept else {
-            record_call(front, CallEnd::NotSent);
-            return None;
+            record_call(planned.front, CallEnd::NotSent);
+            return (None, Vec::new());
+        };
+        let timeout = match planned.disconnect {
+            Disconnect::AfterTime(timeout) => timeout,
+            Disconnect::Never | Disconnect::AfterFirstEvent => RESPONSE_TIMEOUT,
         };
-        let timeout = disconnect_after.unwrap_or(RESPONSE_TIMEOUT);
-        let sending = send_request(&mut kept_connection, &id, kind);
-        let end = match tokio::time::timeout(timeout, sending).await {
-            Ok(end) => end,
-            Err(_) => CallEnd::Left {
-                meant_to: disconnect_after.is_some(),
-            },
+        let sending = send_request(&mut kept_connection, &planned);
+        let (end, received) = match tokio::time::timeout(timeout, sending).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                let meant_to = planned.disconnect != Disconnect::Never;
+                (CallEnd::Left { meant_to }, Vec::new())
+            }
         };
         let keeps_connection = matches!(end, CallEnd::Whole { .. });
         record_call(kept_connection.front, end);
         kept_connection.reused = true;
-        keeps_connection.then_some(kept_connection)
+        (keeps_connection.then_some(kept_connection), received)
     }
 }
 
+/// Sends a request. Returns how the call ended, and what was received of a response that is not
+/// complete.
 async fn send_request(
     kept_connection: &mut KeptConnection,
-    id: &str,
-    kind: RequestKind,
-) -> CallEnd {
-    let (method, path, body) = match kind {
+    planned: &PlannedCall,
+) -> (CallEnd, Vec<u8>) {
+    let (method, path, body) = match planned.kind {
         RequestKind::Plain => (Method::GET, "/plain/a", ""),
         RequestKind::Once => (Method::POST, "/once/a", "once"),
         RequestKind::Stream => (Method::POST, "/stream/a", "stream"),
         RequestKind::StreamOnce => (Method::POST, "/stream-once/a", "stream"),
         RequestKind::Crashing => (Method::POST, "/plain/crash", CRASHING_BODY),
     };
-    let request = front_client::build_request(method, path, id, &[], body);
+    let mut request = front_client::build_request(method, path, &planned.id, &[], body);
+    if let Some(resumed) = &planned.resumed {
+        let began = HeaderValue::from_str(&resumed.began).expect("a valid id");
+        let headers = request.headers_mut();
+        headers.insert(names::LAST_EVENT_ID, resumed.last_event.into());
+        headers.insert(names::RESUMES, began);
+    }
     let reused = kept_connection.reused;
     let head = match kept_connection.connection.send(request).await {
         Ok(head) => head,
-        Err(e) if e.is_not_sent() => return CallEnd::NotSent,
+        Err(e) if e.is_not_sent() => return (CallEnd::NotSent, Vec::new()),
         Err(_) => {
-            return CallEnd::Broken {
-                body: Vec::new(),
-                reused,
-            }
+            let body = Vec::new();
+            return (CallEnd::Broken { body, reused }, Vec::new());
         }
     };
+    if planned.disconnect == Disconnect::AfterFirstEvent && head.status() == StatusCode::OK {
+        let first = head.into_body().next_data().await.ok().flatten();
+        let received = first.unwrap_or_default().to_vec();
+        return (CallEnd::Left { meant_to: true }, received);
+    }
     let response = front_client::read_response(head).await;
     let body = response.body.to_vec();
     match response.is_complete {
-        true => CallEnd::Whole {
-            status: response.status.as_u16(),
-            not_run: response.says_not_run(),
-            body,
-        },
-        false => CallEnd::Broken { body, reused },
+        true => {
+            let end = CallEnd::Whole {
+                status: response.status.as_u16(),
+                not_run: response.says_not_run(),
+                body,
+            };
+            (end, Vec::new())
+        }
+        false => {
+            let received = body.clone();
+            (CallEnd::Broken { body, reused }, received)
+        }
+    }
+}
+
+/// Returns the stream that request `began` began, up to the last complete event in `received`, or
+/// `None` if there is none.
+fn received_part(began: &str, received: &[u8]) -> Option<ResumedStream> {
+    let text = String::from_utf8_lossy(received);
+    let complete = &text[..text.rfind("\n\n")?];
+    let last = complete.rsplit("\n\n").next()?;
+    let (id, data) = last.split_once('\n')?;
+    let last_event = id.strip_prefix("id: ")?.parse().ok()?;
+    let is_of = |version: &&str| data.ends_with(&format!(" by {version}"));
+    let version = store_entries::VERSIONS.into_iter().find(is_of)?;
+    Some(ResumedStream {
+        began: began.to_owned(),
+        last_event,
+        version,
+    })
+}
+
+fn draw_disconnect(rng: &mut StdRng, kind: RequestKind) -> Disconnect {
+    if kind == RequestKind::Stream && rng.random_bool(RESUME_SHARE) {
+        return Disconnect::AfterFirstEvent;
+    }
+    let delay = Duration::from_millis(rng.random_range(DISCONNECT_DELAY_MS));
+    match rng.random_bool(DISCONNECT_SHARE) {
+        true => Disconnect::AfterTime(delay),
+        false => Disconnect::Never,
     }
 }
 
--- a/crates/foxwheel-soak/src/store_entries.rs
+++ b/crates/foxwheel-soak/src/store_entries.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// Software versions of the servers that serve side by side.
+pub const VERSIONS: [&str; 2] = ["v1", "v1.1"];
+
 /// Returns the entry of a backend server of [`SERVICE`] in the first zone.
 pub fn server_entry(addr: SocketAddr, state: &str) -> Value {
     json!({
--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -7,9 +7,12 @@
 use foxwheel_server_emu::server::event_data;
 use foxwheel_soak::checks::{self, Promise};
 use foxwheel_soak::evidence::{Call, CallEnd, ConfigProbe, ConfigWrite, CutScope, FaultPeriod};
-use foxwheel_soak::evidence::{Evidence, Job, ProcessStop, RequestKind, ServerArrival, ServerRun};
+use foxwheel_soak::evidence::{
+    Evidence, Job, ProcessStop, RequestKind, ResumedStream, ServerArrival, ServerRun,
+};
 use foxwheel_soak::front_client;
 use foxwheel_soak::process::{ProcessExit, Resources};
+use foxwheel_soak::store_entries::VERSIONS;
 use serde_json::{json, Value};
 
 const EVENT_COUNT: u64 = 3;
@@ -43,6 +46,7 @@
         self.evidence.calls.push(Call {
             id: id.to_owned(),
             kind,
+            resumed: None,
             front: 0,
             connected_at: sent_at,
             sent_at,
@@ -104,7 +108,7 @@
     CallEnd::Whole {
         status: 200,
         not_run: false,
-        body: checks::expected_body(id, EVENT_COUNT),
+        body: checks::expected_events(id, 1, EVENT_COUNT, VERSIONS[0]),
     }
 }
 
@@ -130,7 +134,7 @@
 
 #[test]
 fn a_response_of_another_request_is_a_breach() {
-    let part = |id: &str| checks::expected_body(id, EVENT_COUNT)[..28].to_vec();
+    let part = |id: &str| checks::expected_events(id, 1, EVENT_COUNT, VERSIONS[0])[..28].to_vec();
     let cases = [
         ("response of another request", complete_response("b")),
         (
@@ -155,6 +159,80 @@
     assert_eq!(case.broken_promises(), []);
 }
 
+/// Returns the events of request `id` from the one with the given number on.
+fn events(id: &str, first: u64, last: u64, version: &str) -> Vec<u8> {
+    checks::expected_events(id, first, last, version)
+}
+
+#[test]
+fn a_stream_or_output_of_two_versions_is_a_breach() {
+    let joined = || [events("a", 1, 1, "v1"), events("a", 2, EVENT_COUNT, "v1.1")].concat();
+    let whole = |body| CallEnd::Whole {
+        status: 200,
+        not_run: false,
+        body,
+    };
+    let cases = [
+        ("first version", events("a", 1, EVENT_COUNT, "v1"), vec![]),
+        ("other version", events("a", 1, EVENT_COUNT, "v1.1"), vec![]),
+        ("both versions", joined(), vec![Promise::OneVersion]),
+    ];
+    for (name, body, expected) in cases {
+        let mut case = Case::new();
+        case.add_call("a", RequestKind::Stream, 10_000, whole(body));
+        assert_eq!(case.broken_promises(), expected, "{name}");
+    }
+    for (version, expected) in [("v1", vec![]), ("v1.1", vec![Promise::OneVersion])] {
+        let mut case = Case::new();
+        let rest = events("a", 2, EVENT_COUNT, version);
+        case.add_call("a", RequestKind::Stream, 10_000, whole(rest));
+        case.evidence.calls[0].resumed = Some(ResumedStream {
+            began: "b".to_owned(),
+            last_event: 1,
+            version: "v1",
+        });
+        assert_eq!(case.broken_promises(), expected, "rest of {version}");
+    }
+    let mut result = completed_result("j", 0);
+    let output = result["output"].as_str().expect("an output");
+    result["output"] = output.replacen("v1", "v1.1", 1).into();
+    let mut case = Case::new();
+    let job = job_with_results(&case, "j", vec![result, completed_result("j", 1)]);
+    case.evidence.jobs.push(job);
+    assert_eq!(case.broken_promises(), [Promise::OneVersion]);
+}
+
+#[test]
+fn a_minority_of_resumed_streams_that_go_on_is_a_breach() {
+    for (going_on, fault_until_ms, expected) in [
+        (6, 0, vec![]),
+        (5, 0, vec![Promise::StreamsGoOn]),
+        (5, 9_000, vec![]),
+    ] {
+        let mut case = Case::new();
+        case.add_fault_period(0, fault_until_ms, CutScope::Nothing);
+        for number in 0..12 {
+            let id = format!("call-{number}");
+            let end = match number < going_on {
+                true => CallEnd::Whole {
+                    status: 200,
+                    not_run: false,
+                    body: events(&id, 2, EVENT_COUNT, "v1"),
+                },
+                false => refused_as_not_run(),
+            };
+            case.add_call(&id, RequestKind::Stream, 10_000, end);
+            let call = case.evidence.calls.last_mut().expect("a call");
+            call.resumed = Some(ResumedStream {
+                began: "b".to_owned(),
+                last_event: 1,
+                version: "v1",
+            });
+        }
+        assert_eq!(case.broken_promises(), expected, "{going_on} go on");
+    }
+}
+
 #[test]
 fn a_run_of_a_request_refused_as_not_run_is_a_breach() {
     let mut case = Case::new();
@@ -292,7 +370,7 @@
 fn completed_result(job: &str, at: usize) -> Value {
     let id = front_client::item_id(job, at);
     let output: Vec<String> = (1..=EVENT_COUNT)
-        .map(|event| event_data(&id, event))
+        .map(|event| format!("{} by {}", event_data(&id, event), VERSIONS[0]))
         .collect();
     json!({"id": id, "state": "completed", "output": output.join("\n")})
 }
