Logs: the parts of a prompt that a request shares, when its response breaks off

The line 'answer broke' named a request by its whole content only, so that the logs could not show what requests that crash servers have in common. No decision reads them.

--- a/crates/foxwheel-core/src/ids.rs
+++ b/crates/foxwheel-core/src/ids.rs
@@ -20,6 +20,8 @@
 /// A fingerprint of the content of a request, which is the same when the request is sent again
 /// under another id; see [`crate::fingerprint`].
 pub type ContentFingerprint = String;
+/// The id of a part of a prompt. Requests whose prompts share a part name it by the same id.
+pub type PromptPartId = String;
 /// The version of an object in the platform's store, a revision number of the whole store.
 pub type Version = u64;
 /// A fencing number issued with a lease. A holder with a smaller number than the newest has lost
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -110,7 +110,8 @@
         Err(e) => return (RunEnd::Impossible, format!("not a valid request: {e}")),
     };
     let body = Bytes::from(item.body.clone());
-    let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body);
+    let shared_parts = online::shared_prompt_parts(request.headers());
+    let content = RequestContent::new(Method::POST.as_str(), host, &item.path, body, shared_parts);
     let Ok(mut trial) = node.begin_item_run(&content, Instant::now()) else {
         // The item waits until it may be tried again, or until its route allows giving it up.
         return (RunEnd::Quarantined, "servers crashed under it".to_owned());
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -109,6 +109,7 @@
             &caller.host,
             online::request_target(&head),
             body.clone(),
+            online::shared_prompt_parts(&head.headers),
         );
         Self {
             attempts: Attempts::new(route.is_repeatable(), route.max_attempts),
--- a/crates/foxwheel-node/src/request_content.rs
+++ b/crates/foxwheel-node/src/request_content.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use foxwheel_core::fingerprint;
-use foxwheel_core::ids::ContentFingerprint;
+use foxwheel_core::ids::{ContentFingerprint, PromptPartId};
 
 /// A request without the headers that differ between attempts: request id, time limit and the
 /// event to resume after.
@@ -14,18 +14,28 @@
     host: String,
     target: String,
     body: Bytes,
+    /// The parts of the prompt that other requests may share, in their order.
+    pub shared_parts: Vec<PromptPartId>,
     /// Computed on first use: most requests never need it.
     fingerprint: OnceLock<ContentFingerprint>,
 }
 
 impl RequestContent {
-    /// Creates the content of a request to `target` (path and query) at `host`.
-    pub fn new(method: &str, host: &str, target: &str, body: Bytes) -> Self {
+    /// Creates the content of a request to `target` (path and query) at `host`. Other requests may
+    /// share the parts `shared_parts` of its prompt.
+    pub fn new(
+        method: &str,
+        host: &str,
+        target: &str,
+        body: Bytes,
+        shared_parts: Vec<PromptPartId>,
+    ) -> Self {
         Self {
             method: method.to_owned(),
             host: host.to_owned(),
             target: target.to_owned(),
             body,
+            shared_parts,
             fingerprint: OnceLock::new(),
         }
     }
--- a/crates/foxwheel-node/src/server_probe.rs
+++ b/crates/foxwheel-node/src/server_probe.rs
@@ -87,7 +87,7 @@
     let content = request.content.fingerprint();
     let fingerprint = zone_loads::fingerprint(&request.server);
     let ran_for = request.cut_off_at.duration_since(request.sent_at);
-    log::info!(request_id = request.request_id, content, server = request.server.id, incarnation = request.server.incarnation, fingerprint = format!("{fingerprint:016x}"), ran_for_ms = ran_for.as_millis() as u64, framing:? = request.framing, fate:? = liveness; "answer broke");
+    log::info!(request_id = request.request_id, content, shared_parts:? = request.content.shared_parts, server = request.server.id, incarnation = request.server.incarnation, fingerprint = format!("{fingerprint:016x}"), ran_for_ms = ran_for.as_millis() as u64, framing:? = request.framing, fate:? = liveness; "answer broke");
     if let Some(server) = ready.filter(|_| liveness == ServerLiveness::Ended) {
         let crash = ObservedCrash {
             server: fingerprint,
