Known red: requests that share one part of their prompt crash one server after the other

The emulated server can crash on a part after its first event; servers of a test can be replaced when they have ended.

--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -9,6 +9,7 @@
 
 pub mod crashing_servers;
 pub mod peer_messages;
+pub mod restarting_servers;
 
 pub use foxwheel_soak::front_client::{self, ReceivedResponse};
 pub use foxwheel_soak::front_client::{
--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -28,6 +28,8 @@
     /// The request runs and the stream sends nothing after this number of events, while the
     /// connection stays open.
     StallAfter(u64),
+    /// The request runs and the server crashes after it sent this number of events.
+    CrashAfter(u64),
     /// The response carries the id of another request.
     ForeignId,
     /// The response has no signature.
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, OwnedSemaphorePermit, Semaphore};
@@ -65,6 +65,9 @@
     pub version: Option<String>,
     /// Body of a request that crashes the server after its first step; `None` for no such request.
     pub crashing_body: Option<String>,
+    /// Part of a prompt on which the server crashes one step after it began to respond, whatever else
+    /// the request holds; `None` for no such part.
+    pub crashing_part: Option<String>,
 }
 
 impl Default for ServerConfig {
@@ -78,6 +81,7 @@
             unframed_interval: None,
             version: None,
             crashing_body: None,
+            crashing_part: None,
         }
     }
 }
@@ -227,7 +231,10 @@
         if header(names::EXPECT_INSTANCE).is_some_and(|id| id != self.config.id) {
             return Ok(self.not_run_response(StatusCode::MISDIRECTED_REQUEST, &request_id));
         }
-        let fault = self.next_fault();
+        let fault = match self.has_crashing_part(&head.headers) {
+            true => Fault::CrashAfter(1),
+            false => self.next_fault(),
+        };
         let Ok(admission_permit) = Arc::clone(&self.admission).try_acquire_owned() else {
             return Ok(self.not_run_response(StatusCode::SERVICE_UNAVAILABLE, &request_id));
         };
@@ -354,6 +361,10 @@
                 Ok(response)
             }
             Fault::Truncate => Ok(self.truncated_response(request_id)),
+            Fault::CrashAfter(_) if self.config.events_per_stream == 0 => {
+                self.terminated.cancel();
+                Err(reset())
+            }
             _ if self.config.events_per_stream == 0 => {
                 resources.mark_completed();
                 Ok(self.full_response(StatusCode::OK, request_id))
@@ -369,6 +380,11 @@
         }
     }
 
+    fn has_crashing_part(&self, headers: &HeaderMap) -> bool {
+        let crashing = self.config.crashing_part.as_ref();
+        crashing.is_some_and(|part| names::shared_prompt_parts(headers).contains(part))
+    }
+
     fn should_crash_on(&self, body: &[u8]) -> bool {
         let crashing_body = self.config.crashing_body.as_ref();
         crashing_body.is_some_and(|crashing_body| crashing_body.as_bytes() == body)
@@ -434,6 +450,7 @@
         let id = request_id.to_owned();
         let frames = stream::unfold((first_event, resources), move |(event, mut resources)| {
             let text = state.event_text(&id, event);
+            let terminated = state.terminated.clone();
             async move {
                 if event > last_event {
                     resources.mark_completed();
@@ -448,6 +465,10 @@
                         Ok(Frame::data(Bytes::from(text[..text.len() / 2].to_owned())))
                     }
                     Fault::StallAfter(count) if event > count => std::future::pending().await,
+                    Fault::CrashAfter(count) if event > first_event + count - 1 => {
+                        terminated.cancel();
+                        Err(reset)
+                    }
                     _ => Ok(Frame::data(Bytes::from(text))),
                 };
                 Some((frame, (event + 1, resources)))
