Quarantine of prompt parts: a response that goes on for a second clears its parts

Cause: only a complete response cleared a part. Items take five seconds and are preempted before, so that their parts had not been cleared when the first servers crashed.

Change: a successful response clears the parts of its prompt one second after its first data.

Test: node::attempt::long_response_clears_its_parts_before_its_end failed without the change (no part cleared at the end of its data) and passes; policy::part_quarantine passed.

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -30,6 +30,10 @@
 /// crashed server refuses connections within one round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// A server that crashes on a part of a prompt does so within a fraction of this time from the first data
+/// of its response. A response that goes on for so long clears the parts.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// Reason for the log when no data arrived before the deadline.
 pub const DEADLINE_PASSED: &str = "no more data before the deadline";
 
@@ -97,10 +101,20 @@
     body: ResponseBody,
     connection: Connection,
     slot: InFlight,
+    progress: ResponseProgress,
     /// The state of the server after the end of the body, if that had to be found out.
     liveness_at_end: Option<ServerLiveness>,
 }
 
+/// How long the data of a response has been arriving.
+#[derive(Debug, Clone, Copy)]
+enum ResponseProgress {
+    NoData,
+    Since(Instant),
+    /// For [`SURVIVAL_TIME`] or longer.
+    Survived,
+}
+
 /// The result of waiting for the next frame of a response body.
 #[derive(Debug)]
 pub enum BodyFrame {
@@ -224,6 +238,7 @@
         body,
         connection,
         slot: params.slot,
+        progress: ResponseProgress::NoData,
         liveness_at_end: None,
     })
 }
@@ -238,9 +253,7 @@
         match next_data {
             Some(Ok(None)) => self.confirm_end().await,
             Some(Ok(Some(data))) => {
-                self.node
-                    .loads
-                    .record_progress(&self.server, Instant::now());
+                self.record_progress(Instant::now());
                 BodyFrame::Data(data)
             }
             Some(Err(e)) => {
@@ -252,6 +265,21 @@
         }
     }
 
+    fn record_progress(&mut self, now: Instant) {
+        self.node.loads.record_progress(&self.server, now);
+        self.progress = match self.progress {
+            ResponseProgress::NoData => ResponseProgress::Since(now),
+            ResponseProgress::Since(since) if now >= since + SURVIVAL_TIME => {
+                if self.decoded_head.status.is_success() {
+                    let service = &self.origin.service;
+                    self.node.record_part_success(&self.content, service);
+                }
+                ResponseProgress::Survived
+            }
+            unchanged => unchanged,
+        };
+    }
+
     /// Decides whether a body without a known error is complete. The kernel closes the connections
     /// of an ended process in order, so that a body whose end is marked only by that of its
     /// connection is not complete if its server has ended.
--- a/crates/foxwheel-node/src/part_quarantine.rs
+++ b/crates/foxwheel-node/src/part_quarantine.rs
@@ -132,18 +132,19 @@
         self.log_verdicts(&changes, "observed");
     }
 
-    /// Records that a server of `service` sent a complete response to a request with this content.
-    pub fn record_part_completion(&self, content: &RequestContent, service: &str) {
+    /// Records that a server of `service` responded to a request with this content, completely or for
+    /// longer than it could if a part of the prompt crashed it.
+    pub fn record_part_success(&self, content: &RequestContent, service: &str) {
         if content.shared_parts.is_empty() {
             return;
         }
         let mut quarantine = self.lock_part_quarantine();
         let parts = &content.shared_parts;
-        let cleared = quarantine.record_completion(parts, service, Instant::now());
+        let cleared = quarantine.record_success(parts, service, Instant::now());
         let changes = quarantine.take_changes();
         drop(quarantine);
         if cleared {
-            self.log_verdicts(&changes, "completed");
+            self.log_verdicts(&changes, "response");
             self.report_crashes();
         }
     }
@@ -178,7 +179,7 @@
                 part,
                 crashes,
                 is_certain,
-                completed_before,
+                succeeded_before,
                 ..
             } = blamed;
             let time_left_ms = blamed.duration().as_millis() as u64;
@@ -188,7 +189,7 @@
                 .map(|server| format!("{server:016x}"))
                 .collect();
             let servers = servers.join(", ");
-            log::warn!(part, service, source, crashes, is_certain, completed_before, time_left_ms, servers; "prompt part quarantined");
+            log::warn!(part, service, source, crashes, is_certain, succeeded_before, time_left_ms, servers; "prompt part quarantined");
             self.metrics.incr(Counter::PartQuarantined);
         }
         for lifted in &changes.lifted {
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -168,7 +168,7 @@
         let Some(server) = self.listed_server(server) else {
             return;
         };
-        self.record_part_completion(content, &server.service);
+        self.record_part_success(content, &server.service);
         let content = content.fingerprint();
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
         let had_crashes = quarantine.record_success(content, &server.service);
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_http1::body::ExpectedEvents;
-use foxwheel_node::attempt::{self, AttemptParams};
+use foxwheel_node::attempt::{self, AttemptParams, BodyFrame};
 use foxwheel_node::load_table::WorkClass;
 use foxwheel_node::node::Node;
 use foxwheel_node::request_content::RequestContent;
@@ -146,6 +146,52 @@
     }
 }
 
+/// Parts of batch items were suspected of each crash until their long responses were complete.
+#[actix_web::test]
+async fn long_response_clears_its_parts_before_its_end() {
+    let cancel = CancellationToken::new();
+    let shape = ServerConfig {
+        events_per_stream: 30,
+        step_time: Duration::from_millis(100),
+        ..ServerConfig::default()
+    };
+    let started = server::start(LOCALHOST, shape, cancel.clone()).await;
+    let server = started.expect("server starts");
+    let unused_address = SocketAddr::new(LOCALHOST, 9);
+    let settings = common::single_process_settings(Role::Front, unused_address);
+    let node = Node::new(settings, cancel.clone());
+    let listed = register_server(&node, server.addr, ServerState::Ready);
+    let parts = vec!["part".to_owned()];
+    let content = RequestContent::new("POST", "h", "/a", Default::default(), parts);
+    let params = AttemptParams {
+        content: Arc::new(content),
+        ..attempt_params(&node, &listed)
+    };
+    let crash = ObservedCrash {
+        server: CRASHED_SERVER,
+        service: listed.service.clone(),
+        sent_at: Instant::now(),
+        cut_off_at: Instant::now(),
+    };
+    node.record_crash(&params.content, &params.request_id, crash);
+    let cleared = || {
+        let evidence = node.lock_part_quarantine().evidence(Instant::now());
+        evidence.crashes[0].cleared.clone()
+    };
+    let deadline = params.deadline;
+    let request = front_client::build_request(Method::POST, "/stream/a", "request", &[], "");
+    let mut response = attempt::send(&node, params, request).await.expect("sent");
+    let first = response.next_frame(deadline).await;
+    assert!(matches!(first, BodyFrame::Data(_)));
+    assert_eq!(cleared(), [""; 0]);
+    while cleared().is_empty() {
+        let next = response.next_frame(deadline).await;
+        assert!(matches!(next, BodyFrame::Data(_)), "{next:?}");
+    }
+    assert_eq!(cleared(), ["part"]);
+    cancel.cancel();
+}
+
 #[actix_web::test]
 async fn server_that_ends_with_its_response_is_recorded_as_crashed() {
     let end = ConnectionEnd::ProcessEnd;
--- a/crates/foxwheel-policy/src/part_quarantine.rs
+++ b/crates/foxwheel-policy/src/part_quarantine.rs
@@ -7,8 +7,8 @@
 //!
 //! Every process keeps the crashes that any process saw, each with the parts of the requests that ran
 //! at the server; merging them is commutative and idempotent. The parts that explain the crashes are
-//! blamed ([`blame`]), and requests with a blamed part are refused. A complete response clears the
-//! parts of its prompt of the crashes so far.
+//! blamed ([`blame`]), and requests with a blamed part are refused. A response that is
+//! complete, or goes on for a while, clears the parts of its prompt of the crashes so far.
 //!
 //! A part may be blamed wrongly, so after a while one request with it is tried ([`trials`]).
 
@@ -70,10 +70,10 @@
 pub struct PartQuarantine {
     /// Sorted by server; at most [`MAX_CRASHES`].
     crashes: Vec<CrashedServer>,
-    /// Parts in `crashes` that a server of the service completed before its crash; sorted.
-    completed_before: Vec<(ServiceName, PromptPartId)>,
-    /// The parts that this process saw completed, which are not reported to other processes.
-    completions: RecentCompletions,
+    /// Parts in `crashes` that a server of the service responded to before; sorted.
+    succeeded_before: Vec<(ServiceName, PromptPartId)>,
+    /// The parts that this process saw responses to, which are not reported to other processes.
+    successes: RecentCompletions,
     /// The parts that explain `crashes`; sorted by service and part.
     blamed: Vec<BlamedPart>,
     /// `blamed` as of the last call of [`Self::take_changes`].
@@ -156,14 +156,14 @@
         self.running_items.remove(service, parts);
     }
 
-    /// Returns whether a server crashed under a part that was never completed.
+    /// Returns whether a server crashed under a part that no server responded to.
     fn is_suspect(&self, service: &str, part: &str) -> bool {
         let entry = (service, part);
-        let completed = self
-            .completed_before
+        let succeeded = self
+            .succeeded_before
             .binary_search_by(|(known, of)| (known.as_str(), of.as_str()).cmp(&entry));
         let mut crashes = self.crashes.iter();
-        completed.is_err()
+        succeeded.is_err()
             && crashes.any(|crash| {
                 crash.service == service && crash.has_part(part) && !crash.is_cleared(part)
             })
@@ -187,17 +187,13 @@
         self.evaluate(now);
     }
 
-    /// Records that a server of `service` sent a complete response to a request with these parts.
+    /// Records that a server of `service` responded to a request with these parts, completely or for
+    /// longer than it could if one of them crashed it.
     /// Returns whether that cleared a part of a crash.
-    pub fn record_completion(
-        &mut self,
-        parts: &[PromptPartId],
-        service: &str,
-        now: Instant,
-    ) -> bool {
+    pub fn record_success(&mut self, parts: &[PromptPartId], service: &str, now: Instant) -> bool {
         let mut cleared_any = false;
         for part in parts {
-            self.completions.record(part, service);
+            self.successes.record(part, service);
             let crashes = self.crashes.iter_mut();
             for crash in crashes.filter(|crash| crash.service == service) {
                 cleared_any |= crash.clear(part);
@@ -217,8 +213,8 @@
                 self.add_crash(crash);
             }
         }
-        for (service, part) in &evidence.completed_before {
-            self.mark_completed_before(service, part);
+        for (service, part) in &evidence.succeeded_before {
+            self.mark_succeeded_before(service, part);
         }
         for report in &evidence.trials {
             self.trials.apply_report(report, now);
@@ -231,7 +227,7 @@
     pub fn evidence(&self, now: Instant) -> PartEvidence {
         PartEvidence {
             crashes: self.crashes.iter().map(|it| it.report(now)).collect(),
-            completed_before: self.completed_before.clone(),
+            succeeded_before: self.succeeded_before.clone(),
             trials: self.trials.reports(now),
         }
     }
@@ -295,9 +291,9 @@
 
     fn add_crash(&mut self, crash: CrashedServer) {
         for part in crash.parts() {
-            if self.completions.contains(part, &crash.service) {
+            if self.successes.contains(part, &crash.service) {
                 let part = part.clone();
-                self.mark_completed_before(&crash.service.clone(), &part);
+                self.mark_succeeded_before(&crash.service.clone(), &part);
             }
         }
         match self
@@ -309,16 +305,16 @@
         }
     }
 
-    fn mark_completed_before(&mut self, service: &str, part: &str) {
+    fn mark_succeeded_before(&mut self, service: &str, part: &str) {
         let entry = (service.to_owned(), part.to_owned());
-        if let Err(at) = self.completed_before.binary_search(&entry) {
-            self.completed_before.insert(at, entry);
+        if let Err(at) = self.succeeded_before.binary_search(&entry) {
+            self.succeeded_before.insert(at, entry);
         }
     }
 
     /// Finds the parts to blame, and drops what is too old or too much.
     fn evaluate(&mut self, now: Instant) {
-        self.blamed = blame::blamed_parts(&self.crashes, &self.completed_before);
+        self.blamed = blame::blamed_parts(&self.crashes, &self.succeeded_before);
         let explained = self.explained_servers();
         let is_explained = |crash: &CrashedServer| explained.binary_search(&crash.server).is_ok();
         let expiry = |crash: &CrashedServer| match is_explained(crash) {
@@ -335,10 +331,10 @@
         }
         self.next_expiry = self.crashes.iter().map(expiry).min();
         if self.crashes.len() < kept_before {
-            self.blamed = blame::blamed_parts(&self.crashes, &self.completed_before);
+            self.blamed = blame::blamed_parts(&self.crashes, &self.succeeded_before);
         }
         let crashes = &self.crashes;
-        self.completed_before.retain(|(service, part)| {
+        self.succeeded_before.retain(|(service, part)| {
             let mut of_service = crashes.iter().filter(|crash| crash.service == *service);
             of_service.any(|crash| crash.has_part(part))
         });
@@ -350,6 +346,6 @@
 
     fn update_digest(&mut self) {
         self.digest =
-            reports::digest_of(&self.crashes, &self.completed_before, self.trials.starts());
+            reports::digest_of(&self.crashes, &self.succeeded_before, self.trials.starts());
     }
 }
--- a/crates/foxwheel-policy/src/part_quarantine/blame.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/blame.rs
@@ -12,12 +12,12 @@
 use crate::part_quarantine::crashes::CrashedServer;
 use crate::zone_loads::ServerFingerprint;
 
-/// Number of successive crashes after which a part is blamed that was never completed.
+/// Number of successive crashes after which a part is blamed that no server responded to.
 const CRASHES_TO_BLAME: usize = 3;
 
-/// The same for a part that was completed before the crashes. Such a part did not crash every server,
+/// The same for a part that a server responded to before the crashes. Such a part did not crash every server,
 /// and refusing it may refuse a whole route.
-const CRASHES_TO_BLAME_COMPLETED: usize = 6;
+const CRASHES_TO_BLAME_AFTER_SUCCESS: usize = 6;
 
 /// Time between two crashes from which on they count as separate failures. The simultaneous loss of
 /// many servers is observed by all processes within tens of milliseconds.
@@ -34,8 +34,8 @@
 /// The longest time for which a part is refused that may not be the cause.
 const MAX_DOUBTFUL_DURATION: Duration = Duration::from_secs(120);
 
-/// The same for a part that was completed before the crashes.
-const MAX_COMPLETED_DURATION: Duration = Duration::from_secs(6);
+/// The same for a part that a server responded to before the crashes.
+const MAX_DURATION_AFTER_SUCCESS: Duration = Duration::from_secs(6);
 
 /// A part that explains crashes.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -50,11 +50,11 @@
     pub last_crash_at: Instant,
     /// The servers whose crashes the part explains, sorted.
     pub servers: Vec<ServerFingerprint>,
-    /// Other requests of the service were completed meanwhile, the part never was, and no server
+    /// Other parts were responded to meanwhile, this one never was, and no server
     /// crashed without it.
     pub is_certain: bool,
-    /// A server completed the part before the crashes.
-    pub completed_before: bool,
+    /// A server responded to the part before the crashes.
+    pub succeeded_before: bool,
 }
 
 impl BlamedPart {
@@ -73,8 +73,8 @@
         if self.is_certain {
             return QUARANTINE_DURATION;
         }
-        let (needed, longest) = match self.completed_before {
-            true => (CRASHES_TO_BLAME_COMPLETED, MAX_COMPLETED_DURATION),
+        let (needed, longest) = match self.succeeded_before {
+            true => (CRASHES_TO_BLAME_AFTER_SUCCESS, MAX_DURATION_AFTER_SUCCESS),
             false => (CRASHES_TO_BLAME, MAX_DOUBTFUL_DURATION),
         };
         let further_crashes = self.crashes.saturating_sub(needed) as u32;
@@ -90,7 +90,7 @@
     crashes: usize,
     first_crash_at: Instant,
     last_crash_at: Instant,
-    completed_before: bool,
+    succeeded_before: bool,
     /// Number of crashes that count against the part, successive or not.
     all_crashes: usize,
     /// Number of runs with the part that were cut off.
@@ -103,7 +103,7 @@
     fn of(
         part: &'a PromptPartId,
         crashes: &[&'a CrashedServer],
-        completed_before: bool,
+        succeeded_before: bool,
     ) -> Option<Self> {
         let counted = crashes
             .iter()
@@ -115,7 +115,7 @@
             runs += crash.runs_with(part).count();
             let was_sent_after = |last: Instant| {
                 let mut sent = crash.runs_with(part).map(|run| run.sent_at);
-                !completed_before && sent.any(|sent_at| sent_at >= last)
+                !succeeded_before && sent.any(|sent_at| sent_at >= last)
             };
             let is_next = successive.last().is_none_or(|last| {
                 crash.at >= *last + MIN_CRASH_SEPARATION || was_sent_after(*last)
@@ -124,8 +124,8 @@
                 successive.push(crash.at);
             }
         }
-        let needed = match completed_before {
-            true => CRASHES_TO_BLAME_COMPLETED,
+        let needed = match succeeded_before {
+            true => CRASHES_TO_BLAME_AFTER_SUCCESS,
             false => CRASHES_TO_BLAME,
         };
         (successive.len() >= needed).then(|| Self {
@@ -133,7 +133,7 @@
             crashes: successive.len(),
             first_crash_at: successive[0],
             last_crash_at: successive[successive.len() - 1],
-            completed_before,
+            succeeded_before,
             all_crashes,
             runs,
         })
@@ -143,7 +143,7 @@
     /// crashes, the one in more of the runs is more likely there whatever the cause.
     fn rank(&self) -> impl Ord + use<'a> {
         (
-            self.completed_before,
+            self.succeeded_before,
             Reverse(self.crashes),
             Reverse(self.all_crashes),
             self.runs,
@@ -152,11 +152,11 @@
     }
 }
 
-/// Returns the parts that explain `crashes`, sorted by service and part. `completed_before` lists the
-/// parts that a server of the service completed before; sorted.
+/// Returns the parts that explain `crashes`, sorted by service and part. `succeeded_before` lists the
+/// parts that a server of the service responded to before; sorted.
 pub fn blamed_parts(
     crashes: &[CrashedServer],
-    completed_before: &[(ServiceName, PromptPartId)],
+    succeeded_before: &[(ServiceName, PromptPartId)],
 ) -> Vec<BlamedPart> {
     let mut services: Vec<&ServiceName> = crashes.iter().map(|crash| &crash.service).collect();
     services.sort_unstable();
@@ -165,13 +165,13 @@
         let of_service = crashes.iter().filter(|crash| crash.service == *service);
         let mut of_service: Vec<&CrashedServer> = of_service.collect();
         of_service.sort_unstable_by_key(|crash| (crash.at, crash.server));
-        let was_completed = |part: &PromptPartId| {
-            let found = completed_before.binary_search_by(|(known_service, known)| {
+        let has_succeeded = |part: &PromptPartId| {
+            let found = succeeded_before.binary_search_by(|(known_service, known)| {
                 (known_service, known).cmp(&(service, part))
             });
             found.is_ok()
         };
-        blamed_in_service(service, of_service, was_completed)
+        blamed_in_service(service, of_service, has_succeeded)
     });
     let mut blamed: Vec<BlamedPart> = blamed.collect();
     blamed.sort_unstable_by(|a, b| (&a.service, &a.part).cmp(&(&b.service, &b.part)));
@@ -188,9 +188,9 @@
 fn blamed_in_service(
     service: &ServiceName,
     crashes: Vec<&CrashedServer>,
-    was_completed: impl Fn(&PromptPartId) -> bool,
+    has_succeeded: impl Fn(&PromptPartId) -> bool,
 ) -> Vec<BlamedPart> {
-    let found = explain(&crashes, &was_completed);
+    let found = explain(&crashes, &has_succeeded);
     let has_blamed_part =
         |crash: &&CrashedServer| found.iter().any(|it| crash.has_part(it.suspicion.part));
     let unexplained: Vec<&CrashedServer> = crashes
@@ -202,8 +202,8 @@
         let mut servers: Vec<ServerFingerprint> =
             crashes.iter().map(|crash| crash.server).collect();
         servers.sort_unstable();
-        let is_certain = !suspicion.completed_before
-            && others_were_completed(suspicion, crashes)
+        let is_certain = !suspicion.succeeded_before
+            && others_succeeded(suspicion, crashes)
             && !has_crash_within(suspicion, &unexplained);
         BlamedPart {
             service: service.clone(),
@@ -212,7 +212,7 @@
             last_crash_at: suspicion.last_crash_at,
             servers,
             is_certain,
-            completed_before: suspicion.completed_before,
+            succeeded_before: suspicion.succeeded_before,
         }
     });
     blamed.collect()
@@ -221,7 +221,7 @@
 /// Returns the fewest parts that explain `crashes`, as far as parts explain them.
 fn explain<'a>(
     crashes: &[&'a CrashedServer],
-    was_completed: impl Fn(&PromptPartId) -> bool,
+    has_succeeded: impl Fn(&PromptPartId) -> bool,
 ) -> Vec<Explanation<'a>> {
     let mut found: Vec<Explanation<'_>> = Vec::new();
     let mut unexplained = crashes.to_vec();
@@ -229,7 +229,7 @@
         let suspects = frequent_parts(&unexplained);
         let suspicions = suspects
             .into_iter()
-            .filter_map(|part| Suspicion::of(part, &unexplained, was_completed(part)));
+            .filter_map(|part| Suspicion::of(part, &unexplained, has_succeeded(part)));
         let Some(suspicion) = suspicions.min_by(|a, b| a.rank().cmp(&b.rank())) else {
             break;
         };
@@ -253,7 +253,7 @@
             .copied()
             .filter(|crash| others().all(|(_, it)| !crash.has_part(it.suspicion.part)))
             .collect();
-        match Suspicion::of(part, &own, was_completed(part)) {
+        match Suspicion::of(part, &own, has_succeeded(part)) {
             Some(_) => at += 1,
             None => {
                 found.remove(at);
@@ -276,8 +276,8 @@
     frequent.map(|mentions| mentions[0].0).collect()
 }
 
-/// Returns whether another part that was suspected with this one was completed after a crash.
-fn others_were_completed(suspicion: &Suspicion<'_>, explained: &[&CrashedServer]) -> bool {
+/// Returns whether another part that was suspected with this one was responded to after a crash.
+fn others_succeeded(suspicion: &Suspicion<'_>, explained: &[&CrashedServer]) -> bool {
     let mut cleared = explained.iter().flat_map(|crash| &crash.cleared);
     cleared.any(|part| part != suspicion.part)
 }
--- a/crates/foxwheel-policy/src/part_quarantine/crashes.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/crashes.rs
@@ -58,7 +58,7 @@
     /// The runs with shared parts that it cut off, of all processes. Sorted by request; at most
     /// [`MAX_PARTS`] parts in all.
     pub runs: Vec<CutOffRun>,
-    /// Parts of the runs that were completed after the crash, sorted.
+    /// Parts of the runs that a server responded to after the crash, sorted.
     pub cleared: Vec<PromptPartId>,
 }
 
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Records that a part was completed after the crash. Returns whether a run has the part and this
+    /// Records that a server responded to a part after the crash. Returns whether a run has the part and this
     /// was not known.
     pub fn clear(&mut self, part: &str) -> bool {
         if !self.has_part(part) {
@@ -151,7 +151,7 @@
         }
     }
 
-    /// Returns whether a part was completed after the crash.
+    /// Returns whether a server responded to a part after the crash.
     pub fn is_cleared(&self, part: &str) -> bool {
         let found = self
             .cleared
--- a/crates/foxwheel-policy/src/part_quarantine/reports.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/reports.rs
@@ -41,7 +41,7 @@
     pub age: Duration,
     /// The runs that were cut off.
     pub runs: Vec<RunReport>,
-    /// Parts of the runs that were completed after the crash.
+    /// Parts of the runs that a server responded to after the crash.
     pub cleared: Vec<PromptPartId>,
 }
 
@@ -68,8 +68,8 @@
 pub struct PartEvidence {
     /// The crashes.
     pub crashes: Vec<PartCrashReport>,
-    /// Parts in `crashes` that a server of the service completed before.
-    pub completed_before: Vec<(ServiceName, PromptPartId)>,
+    /// Parts in `crashes` that a server of the service responded to before.
+    pub succeeded_before: Vec<(ServiceName, PromptPartId)>,
     /// The trials that began last.
     pub trials: Vec<PartTrialReport>,
 }
@@ -78,7 +78,7 @@
 /// nothing.
 pub fn digest_of<'a>(
     crashes: &[CrashedServer],
-    completed_before: &[(ServiceName, PromptPartId)],
+    succeeded_before: &[(ServiceName, PromptPartId)],
     trials: impl Iterator<Item = &'a PartTrial>,
 ) -> QuarantineDigest {
     if crashes.is_empty() {
@@ -92,7 +92,7 @@
             run.request.hash(&mut hasher);
         }
     }
-    completed_before.hash(&mut hasher);
+    succeeded_before.hash(&mut hasher);
     for trial in trials {
         (&trial.service, &trial.part, trial.sequence, &trial.process).hash(&mut hasher);
     }
