Logs: who cut a response off, the silence before, and requests that their callers abandoned

'stream resumed' and 'stream broken' now say whether the server or the front ended the response, how long it had been silent, the state of the server's entry, and the configuration by which the request was routed beside the one in force. The end of a server's silence has a line. A request that is dropped before its outcome was counted leaves the line 'request abandoned': until now a caller's connection that ended left none at all.

No decision changed. Ruled out: a line per event or per silent request, as their number has no bound.

--- a/crates/foxwheel-ctl/src/explain/timeline.rs
+++ b/crates/foxwheel-ctl/src/explain/timeline.rs
@@ -28,8 +28,9 @@
 ];
 
 /// Messages about a backend server. They are shown if the request was sent to that server.
-const SERVER_MESSAGES: [&str; 4] = [
+const SERVER_MESSAGES: [&str; 5] = [
     "backend server suspected",
+    "backend server sends again",
     "backend server changed",
     "backend server delisted",
     "backend servers gone",
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -102,6 +102,8 @@
     connection: Connection,
     slot: InFlight,
     progress: ResponseProgress,
+    /// When the head or the last data arrived.
+    last_data_at: Instant,
     /// The state of the server after the end of the body, if that had to be found out.
     liveness_at_end: Option<ServerLiveness>,
 }
@@ -218,7 +220,7 @@
         ));
     }
     let now = Instant::now();
-    node.loads.record_progress(server, now);
+    record_progress(node, server, now);
     if decoded_head.from_another_instance {
         node.record_dead_instance(server);
     }
@@ -239,6 +241,7 @@
         connection,
         slot: params.slot,
         progress: ResponseProgress::NoData,
+        last_data_at: now,
         liveness_at_end: None,
     })
 }
@@ -266,7 +269,8 @@
     }
 
     fn record_progress(&mut self, now: Instant) {
-        self.node.loads.record_progress(&self.server, now);
+        record_progress(&self.node, &self.server, now);
+        self.last_data_at = now;
         self.progress = match self.progress {
             ResponseProgress::NoData => ResponseProgress::Since(now),
             ResponseProgress::Since(since) if now >= since + SURVIVAL_TIME => {
@@ -301,6 +305,11 @@
         }
     }
 
+    /// Returns for how long neither the head nor any data arrived.
+    pub fn silent_for(&self) -> Duration {
+        self.last_data_at.elapsed()
+    }
+
     /// Records that the server failed this request.
     pub fn record_failure(&self) {
         self.node
@@ -465,6 +474,13 @@
     }
 }
 
+fn record_progress(node: &Node, server: &ServerInstance, now: Instant) {
+    if let Some(silence) = node.loads.record_progress(server, now) {
+        let silent_ms = silence.as_millis() as u64;
+        log::info!(server = server.id, silent_ms; "backend server sends again");
+    }
+}
+
 fn mark_suspected(node: &Node, server: &ServerInstance, reason: &str) {
     if node.loads.mark_suspected(server, Instant::now()) {
         log::info!(server = server.id, reason; "backend server suspected");
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -255,7 +255,7 @@
             }
             return self.batch.submit(&caller, &route, body).await;
         }
-        let request = OnlineRequest::new(caller, route, head, body, received_at);
+        let request = OnlineRequest::new(caller, route, config.version, head, body, received_at);
         online::serve(Arc::clone(&self.node), request).await
     }
 }
--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -186,12 +186,15 @@
         self.with_entry(server, |entry| entry.outcomes.record(failed, now));
     }
 
-    /// Records that `server` sent something, and stops avoiding it.
-    pub fn record_progress(&self, server: &ServerInstance, now: Instant) {
+    /// Records that `server` sent something, and stops avoiding it. If it was avoided, returns how long
+    /// it had sent nothing.
+    pub fn record_progress(&self, server: &ServerInstance, now: Instant) -> Option<Duration> {
         self.with_entry(server, |entry| {
-            entry.suspected_until = None;
-            entry.last_progress_at = Some(now);
-        });
+            let last = entry.last_progress_at.replace(now);
+            let suspected_until = entry.suspected_until.take()?;
+            let silence = last.map(|at| now.saturating_duration_since(at));
+            silence.filter(|_| now < suspected_until)
+        })
     }
 
     /// Returns whether `server` has sent nothing for any request of this process for `silence`.
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use foxwheel_core::ids::ServiceName;
+use foxwheel_core::ids::{ServerId, ServiceName};
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_http1::body::ExpectedEvents;
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
@@ -66,6 +66,10 @@
     pub response_deadline: Instant,
     /// When the request head was read.
     pub received_at: Instant,
+    /// Version of the configuration that `route` is from.
+    pub config_version: u64,
+    /// Whether the outcome was counted. A request that is dropped before was abandoned by its caller.
+    has_ended: bool,
     /// The load of the server that was chosen last, as known when it was chosen.
     pub chosen_server: Option<ChosenServer>,
     head: request::Parts,
@@ -78,8 +82,10 @@
 }
 
 /// The known load of a server at the time it was chosen.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct ChosenServer {
+    /// The server's id.
+    pub id: ServerId,
     /// Requests in flight at the server, including those last reported by peers.
     pub in_flight: u32,
     /// Number of requests that the server runs at the same time.
@@ -99,6 +105,7 @@
     pub fn new(
         caller: CallerRequest,
         route: Route,
+        config_version: u64,
         head: request::Parts,
         body: Bytes,
         received_at: Instant,
@@ -125,6 +132,8 @@
             route,
             service,
             received_at,
+            config_version,
+            has_ended: false,
             head,
             body,
             content: Arc::new(content),
@@ -330,6 +339,7 @@
     fn reserve(&mut self, node: &Node, pick: &Candidate) -> Placement {
         let hold_time = node.hold_times.hold_time(&self.service);
         self.chosen_server = Some(ChosenServer {
+            id: pick.id.clone(),
             in_flight: pick.in_flight,
             slots: pick.slots,
             expected_wait: placement::expected_wait(pick, hold_time),
@@ -370,6 +380,7 @@
             expected_events: self.expected_events(),
             expected_wait: self
                 .chosen_server
+                .as_ref()
                 .map_or(Duration::ZERO, |server| server.expected_wait),
             deadline: self.response_deadline,
             head_deadline: may_retry.then(|| now + RESPONSE_HEAD_TIMEOUT),
@@ -436,7 +447,8 @@
     }
 
     /// Counts the outcome of the request in the metrics.
-    pub fn count_outcome(&self, node: &Node, outcome: RequestOutcome) {
+    pub fn count_outcome(&mut self, node: &Node, outcome: RequestOutcome) {
+        self.has_ended = true;
         let kind = match self.route.kind {
             RouteKind::Idempotent | RouteKind::Batch => RequestKind::Idempotent,
             RouteKind::NonIdempotent => RequestKind::NonIdempotent,
@@ -446,7 +458,7 @@
     }
 
     /// Counts a request whose response was complete.
-    pub fn count_served(&self, node: &Node, on_time: bool) {
+    pub fn count_served(&mut self, node: &Node, on_time: bool) {
         let outcome = match on_time {
             true => RequestOutcome::OnTime,
             false => RequestOutcome::Late,
@@ -457,7 +469,7 @@
     /// Returns the requests in flight and the slots of the server that was chosen last, as known
     /// when it was chosen.
     pub fn chosen_server_load(&self) -> (Option<u32>, Option<u32>) {
-        let chosen = self.chosen_server;
+        let chosen = self.chosen_server.as_ref();
         (
             chosen.map(|server| server.in_flight),
             chosen.map(|server| server.slots),
@@ -474,6 +486,17 @@
     }
 }
 
+impl Drop for OnlineRequest {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        let age_ms = self.received_at.elapsed().as_millis() as u64;
+        let server = self.chosen_server.as_ref().map(|chosen| &chosen.id);
+        log::info!(request_id = self.caller.id, route = self.route.name, server, after = self.last_event_id, age_ms, attempts = self.attempts.count(), config_version = self.config_version; "request abandoned: the connection of its caller ended");
+    }
+}
+
 /// Why a caller gets no success response.
 #[derive(Debug)]
 pub enum Refusal {
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -47,6 +47,22 @@
     }
 }
 
+/// Who ended the response of a server before it was complete.
+#[derive(Debug, Clone, Copy)]
+enum CutBy {
+    /// The server, or the network.
+    Server,
+    /// This process gave it up.
+    Front,
+}
+
+/// How a response was cut off.
+#[derive(Debug)]
+struct CutOff {
+    by: CutBy,
+    reason: String,
+}
+
 /// Returns the caller's stream: the body frames of `response`, and after a resumption those of
 /// the next server. The stream ends with an error if it is cut off and cannot be resumed.
 pub fn relay_stream(
@@ -87,18 +103,20 @@
                     if !is_resumable {
                         progress.event_count = response.body().event_count();
                     }
-                    finish_stream(&node, &request, response, &progress);
+                    finish_stream(&node, &mut request, response, &progress);
                     break;
                 }
                 BodyFrame::CutOff(reason) => {
                     splitter.discard_partial_event();
-                    response = resume_stream(&node, &mut request, response, can_resume, &reason).await?;
+                    let cut = CutOff { by: CutBy::Server, reason };
+                    response = resume_stream(&node, &mut request, response, can_resume, cut).await?;
                 }
                 BodyFrame::TimedOut => {
                     response.record_failure();
                     splitter.discard_partial_event();
-                    let reason = attempt::DEADLINE_PASSED;
-                    response = resume_stream(&node, &mut request, response, can_resume, reason).await?;
+                    let reason = attempt::DEADLINE_PASSED.to_owned();
+                    let cut = CutOff { by: CutBy::Front, reason };
+                    response = resume_stream(&node, &mut request, response, can_resume, cut).await?;
                 }
             }
         }
@@ -108,7 +126,7 @@
 /// Counts and logs a complete stream, and ends its exchange.
 fn finish_stream(
     node: &Node,
-    request: &OnlineRequest,
+    request: &mut OnlineRequest,
     response: OpenResponse,
     progress: &Progress,
 ) {
@@ -167,10 +185,15 @@
     request: &mut OnlineRequest,
     cut_off: OpenResponse,
     can_resume: bool,
-    reason: &str,
+    cut: CutOff,
 ) -> Result<OpenResponse, RelayError> {
     let server = cut_off.server.clone();
     let version = cut_off.origin.version.clone();
+    let silent_ms = cut_off.silent_for().as_millis() as u64;
+    let (cut_by, reason) = (cut.by, cut.reason);
+    let state = node.listed_server(&server).map(|listed| listed.state);
+    let config_version = request.config_version;
+    let config_in_force = node.config().map(|config| config.version);
     // Closes the connection first, so that two servers never run the request at the same time.
     drop(cut_off);
     let resumed = match request.record_cut_off_stream() && can_resume {
@@ -180,17 +203,17 @@
     let last_event_id = request.last_event_id;
     match resumed {
         Some(response) => {
-            log::warn!(request_id = request.caller.id, server = server.id, version, reason, after = last_event_id, resumed_at = response.server.id, resumed_version = response.origin.version; "stream resumed");
+            log::warn!(request_id = request.caller.id, server = server.id, version, reason, cut_by:? = cut_by, silent_ms, state:? = state, config_version, config_in_force, after = last_event_id, resumed_at = response.server.id, resumed_version = response.origin.version; "stream resumed");
             node.metrics.incr(Counter::StreamResumed);
             Ok(response)
         }
         None => {
-            log::warn!(request_id = request.caller.id, server = server.id, version, reason, after = last_event_id; "stream broken");
+            log::warn!(request_id = request.caller.id, server = server.id, version, reason, cut_by:? = cut_by, silent_ms, state:? = state, config_version, config_in_force, after = last_event_id; "stream broken");
             request.count_outcome(node, RequestOutcome::Failed);
             node.metrics.incr(Counter::StreamCutOff);
             Err(RelayError {
                 request_id: request.caller.id.clone(),
-                reason: reason.to_owned(),
+                reason,
             })
         }
     }
--- a/crates/foxwheel-node/tests/explain_failures.rs
+++ b/crates/foxwheel-node/tests/explain_failures.rs
@@ -154,6 +154,26 @@
     assert!(!response.expect("a response").is_complete);
     let explanation = wait_for_explanation("broken", &processes, "cause: stream broken").await;
     assert!(explanation.contains("(server server-0)"), "{explanation}");
+    assert!(explanation.contains("cut_by=Server"), "{explanation}");
+    assert!(explanation.contains("silent_ms="), "{explanation}");
+    fleet.cancel.cancel();
+}
+
+/// Without its line, a request whose caller's connection ended looks like one that was lost.
+#[actix_web::test]
+async fn explains_a_request_that_its_caller_abandoned() {
+    let (fleet, processes) = spawn_fleet("abandoned", common::server_shapes(1), 0).await;
+    fleet.servers[0].fault_script.extend([Fault::StallAfter(2)]);
+    let front = processes[0].caller_address();
+    let mut connection = common::connect(front).await.expect("connected");
+    let request = common::build_request(Method::POST, "/stream-once/a", "left", &[], "");
+    let response = connection.send(request).await.expect("a response");
+    drop(response);
+    drop(connection);
+    let expected = "request abandoned: the connection of its caller ended";
+    let explanation = wait_for_explanation("left", &processes, expected).await;
+    assert!(explanation.contains("config_version=1"), "{explanation}");
+    assert!(explanation.contains("server=server-0"), "{explanation}");
     fleet.cancel.cancel();
 }
 
--- a/crates/foxwheel-node/tests/load_table.rs
+++ b/crates/foxwheel-node/tests/load_table.rs
@@ -63,6 +63,20 @@
     assert!(!table.own_load(&server, start).is_suspected);
 }
 
+#[test]
+fn the_silence_of_a_suspected_server_is_known_when_it_ends() {
+    let (table, start) = (LoadTable::default(), Instant::now());
+    let server = server(1);
+    assert_eq!(table.record_progress(&server, start), None);
+    let end = start + Duration::from_millis(900);
+    assert_eq!(table.record_progress(&server, end), None, "not suspected");
+    table.mark_suspected(&server, end);
+    let end = end + Duration::from_millis(700);
+    let silence = table.record_progress(&server, end);
+    assert_eq!(silence, Some(Duration::from_millis(700)));
+    assert_eq!(table.record_progress(&server, end), None, "reported once");
+}
+
 /// A server restarts with the same id. Failures of its earlier instance, and requests that are
 /// still in flight there, must not count for the new instance.
 #[test]
