--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -185,12 +185,13 @@
     /// Starts a backend server of a service and registers it.
     pub async fn add_server_of_service(&mut self, service: &str, shape: ServerConfig) {
         let id = shape.id.clone();
-        let version = shape.version.clone();
+        let (version, slots) = (shape.version.clone(), shape.slots);
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let started = server::start(ip, shape, self.cancel.clone()).await;
         let server = started.expect("server starts");
         let mut entry = server_entry(server.addr, "ready");
         entry["service"] = json!(service);
+        entry["slots"] = json!(slots);
         if let Some(version) = version {
             entry["version"] = json!(version);
         }
--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use crate::unframed::UnframedResponse;
 
@@ -28,6 +29,9 @@
     /// The request runs and the stream sends nothing after this number of events, while the
     /// connection stays open.
     StallAfter(u64),
+    /// The request runs and the stream sends nothing for a while after this number of events. Then it
+    /// goes on.
+    PauseAfter(u64, Duration),
     /// The request runs and the server crashes after it sent this number of events.
     CrashAfter(u64),
     /// The response carries the id of another request.
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderValue, CONTENT_TYPE};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
@@ -65,6 +66,8 @@
     pub version: Option<String>,
     /// Body of a request that crashes the server after its first step; `None` for no such request.
     pub crashing_body: Option<String>,
+    /// Content type of streamed responses; `None` for none.
+    pub content_type: Option<String>,
     /// Part of a prompt on which the server crashes one step after it began to respond, whatever else
     /// the request holds; `None` for no such part.
     pub crashing_part: Option<String>,
@@ -80,6 +83,7 @@
             step_time: Duration::from_millis(2),
             unframed_interval: None,
             version: None,
+            content_type: None,
             crashing_body: None,
             crashing_part: None,
         }
@@ -95,10 +99,34 @@
     pub fault_script: Arc<FaultScript>,
     /// The requests that the server received and ran.
     pub run_log: Arc<RunLog>,
+    silence: Arc<Silence>,
     /// Cancelled when the server crashes or is terminated.
     terminated: CancellationToken,
 }
 
+/// A time during which the server sends nothing.
+#[derive(Debug, Default)]
+struct Silence {
+    until: Mutex<Option<Instant>>,
+}
+
+impl Silence {
+    fn extend_until(&self, end: Instant) {
+        let mut until = self.until.lock().expect("silence lock");
+        *until = (*until).max(Some(end));
+    }
+
+    async fn wait_for_end(&self) {
+        loop {
+            let until = *self.until.lock().expect("silence lock");
+            match until.filter(|until| Instant::now() < *until) {
+                Some(until) => tokio::time::sleep_until(until.into()).await,
+                None => return,
+            }
+        }
+    }
+}
+
 impl Server {
     /// Returns whether the server crashed or was terminated, so that nothing listens at its
     /// address.
@@ -111,6 +139,11 @@
         self.terminated.cancel();
     }
 
+    /// Makes the server send nothing on any connection for `duration`. Then it goes on with all requests.
+    pub fn be_silent_for(&self, duration: Duration) {
+        self.silence.extend_until(Instant::now() + duration);
+    }
+
     /// Returns a token that is cancelled when the server crashes or is terminated. Cancelling it
     /// terminates the server.
     pub fn termination_token(&self) -> CancellationToken {
@@ -123,6 +156,7 @@
     config: ServerConfig,
     fault_script: Arc<FaultScript>,
     run_log: Arc<RunLog>,
+    silence: Arc<Silence>,
     /// Number of requests received, except those for another instance.
     request_count: AtomicU64,
     slots: Arc<Semaphore>,
@@ -146,6 +180,7 @@
         addr: listener.local_addr()?,
         fault_script: Arc::default(),
         run_log: Arc::default(),
+        silence: Arc::default(),
         terminated: terminated.clone(),
     };
     let state = Arc::new(ServerState {
@@ -153,6 +188,7 @@
         admission: Arc::new(Semaphore::new(config.slots + config.max_queued)),
         fault_script: Arc::clone(&server.fault_script),
         run_log: Arc::clone(&server.run_log),
+        silence: Arc::clone(&server.silence),
         request_count: AtomicU64::default(),
         terminated: terminated.clone(),
         config,
@@ -228,6 +264,7 @@
             .await
             .map_err(std::io::Error::other)?
             .to_bytes();
+        self.silence.wait_for_end().await;
         if header(names::EXPECT_INSTANCE).is_some_and(|id| id != self.config.id) {
             return Ok(self.not_run_response(StatusCode::MISDIRECTED_REQUEST, &request_id));
         }
@@ -450,13 +487,14 @@
         let id = request_id.to_owned();
         let frames = stream::unfold((first_event, resources), move |(event, mut resources)| {
             let text = state.event_text(&id, event);
-            let terminated = state.terminated.clone();
+            let (silence, terminated) = (Arc::clone(&state.silence), state.terminated.clone());
             async move {
                 if event > last_event {
                     resources.mark_completed();
                     return None;
                 }
                 tokio::time::sleep(step_time).await;
+                silence.wait_for_end().await;
                 let reset = std::io::Error::from(std::io::ErrorKind::ConnectionReset);
                 let frame = match fault {
                     Fault::CutAfter(count) if event > count => Err(reset),
@@ -464,6 +502,10 @@
                     Fault::CutWithin(count) if event == count + 1 => {
                         Ok(Frame::data(Bytes::from(text[..text.len() / 2].to_owned())))
                     }
+                    Fault::PauseAfter(count, pause) if event == count + 1 => {
+                        tokio::time::sleep(pause).await;
+                        Ok(Frame::data(Bytes::from(text)))
+                    }
                     Fault::StallAfter(count) if event > count => std::future::pending().await,
                     Fault::CrashAfter(count) if event > first_event + count - 1 => {
                         terminated.cancel();
@@ -474,11 +516,13 @@
                 Some((frame, (event + 1, resources)))
             }
         });
-        self.signed_response(
-            StatusCode::OK,
-            request_id,
-            StreamBody::new(frames).boxed_unsync(),
-        )
+        let body = StreamBody::new(frames).boxed_unsync();
+        let mut response = self.signed_response(StatusCode::OK, request_id, body);
+        let content_type = self.config.content_type.as_deref();
+        if let Some(content_type) = content_type.and_then(|it| HeaderValue::from_str(it).ok()) {
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+        }
+        response
     }
 }
 
