A silent server is kept until another one has responded

Callers saw: a resumable stream of a sound server that sent nothing for 0.9 s ended without an answer or a refusal, and a request without a head for 1.2 s got a 502, whenever no other server went on with it.

Cause: a front took the silence of a server for a proof that its response would not go on. It closed the connection first and looked for another server afterwards, which might have no slot, reject the request, not exist or be silent as well. The run that was opened last had the limit too, as had bodies that could not be resumed: the limit asked for another attempt without counting the run in progress, and for the route without the body.

Change: policy::hedging says when a second server is tried beside a silent one (after 0.9 s within a body, 1.2 s before a head; again after 0.1, 0.2, 0.4 s ...), node::hedging does it. The first server is left when the second one has responded, and never if no run is left. A second server needs a free slot, not a place in a queue. If the first one goes on while the second one may have begun (200 ms at most), the second one is taken, so that two servers never keep working on one request. Attempts counts runs in progress. Each wait, for a head and for data, goes the same way.

Ruled out: a longer limit (a hung server would be left only after callers have gone); leaving the first server once a slot is reserved (it is lost if the second one rejects the request).

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -78,6 +78,10 @@
     Refused(RefusalReason),
     /// Attempts at a server that did not succeed.
     AttemptFailed,
+    /// Requests that were sent to a second server because the first one was silent.
+    HedgeStarted,
+    /// Requests that the second server went on with, and the first one was given up.
+    HedgeWon,
     /// Streams that were resumed at another server after an interruption.
     StreamResumed,
     /// Requests whose callers resume a stream that an earlier request began.
@@ -217,6 +221,8 @@
             Self::StoreCallSucceeded(call) => return format!("store.{}.ok", call.name()).into(),
             Self::StoreCallFailed(call) => return format!("store.{}.failed", call.name()).into(),
             Self::AttemptFailed => "online.attempts_failed",
+            Self::HedgeStarted => "online.second_servers",
+            Self::HedgeWon => "online.second_servers_won",
             Self::StreamResumed => "stream.resumed",
             Self::StreamResumedByCaller => "stream.resumed_by_caller",
             Self::StreamCutOff => "stream.broken",
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -57,9 +57,6 @@
     pub expected_wait: Duration,
     /// When to stop waiting for the response head and fail the attempt.
     pub deadline: Instant,
-    /// An earlier deadline for the response head, after which another server is tried; `None` if
-    /// only `deadline` applies.
-    pub head_deadline: Option<Instant>,
 }
 
 /// Why an attempt produced no usable response.
@@ -162,12 +159,9 @@
         let response = pooled.connection.send(request).await?;
         Ok::<_, ExchangeError>(Some((pooled.connection, origin, response)))
     };
-    let wait_until = params
-        .head_deadline
-        .map_or(params.deadline, |at| at.min(params.deadline));
     let suspect_timeout = SUSPECT_TIMEOUT + params.expected_wait;
     let exchange_result =
-        suspect_while_silent(node, server, suspect_timeout, wait_until, exchange).await;
+        suspect_while_silent(node, server, suspect_timeout, params.deadline, exchange).await;
     if !matches!(exchange_result, Some(Ok(_))) {
         let waited_ms = sent_at.elapsed().as_millis() as u64;
         log::info!(request_id = params.request_id, server = server.id, is_new, waited_ms; "attempt ended without a response head");
--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -137,7 +137,6 @@
         expected_events: Some(ExpectedEvents::after(last_event_id(output))),
         expected_wait: EXPECTED_WAIT,
         deadline: Instant::now() + FIRST_EVENT_TIMEOUT,
-        head_deadline: None,
     };
     match attempt::send(node, params, request).await {
         Ok(response) => read_response(response, output).await,
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod discovery;
 pub mod front;
 pub mod heartbeat;
+pub mod hedging;
 pub mod item_run;
 pub mod job_store;
 pub mod ledger_poll;
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -101,7 +101,7 @@
                 drop(response);
                 let next = request.attempts.record(AttemptOutcome::Unknown);
                 log::info!(request_id = request.caller.id, server = server.id, reason, next:? = next; "response cut off");
-                request.tried_servers.push(server);
+                request.mark_tried(&server);
                 if next != NextStep::TryAnother {
                     return Err(Refusal::Failed {
                         reason,
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -1,6 +1,7 @@
 //! An online request: sends attempts to backend servers until one of them responds with a
 //! success or no further attempt is allowed.
 
+use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -8,15 +9,20 @@
 use foxwheel_core::ids::{ServerId, ServiceName};
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_http1::body::ExpectedEvents;
+use foxwheel_http1::connection::RequestBody;
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
+use foxwheel_policy::hedging::AwaitedPart;
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{Route, RouteKind};
 use foxwheel_policy::stream_origin::{self, StreamOrigin};
+use futures::future::BoxFuture;
 use hyper::http::request;
+use hyper::Request;
 
 use crate::attempt::{self, AttemptParams, Failure, FullResponse, OpenResponse};
+use crate::hedging::Hedged;
 use crate::load_table::{InFlight, WorkClass};
 use crate::node::Node;
 use crate::part_quarantine::RunRefusal;
@@ -24,10 +30,6 @@
 use crate::request_quarantine::TrialRun;
 use crate::stream_origins::OriginSource;
 
-/// How long a repeatable request waits for a response head before it is sent to another server:
-/// many times the usual response time, and a third of the time that a caller usually waits.
-const RESPONSE_HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 /// How long a request waits at the front for a slot when every server is full: a quarter of a
 /// usual target latency, so that a refused caller can still be served in time elsewhere.
 const SLOT_WAIT_TIMEOUT: Duration = Duration::from_millis(60);
@@ -208,13 +210,43 @@
         node: &Arc<Node>,
         failed_server: &ServerInstance,
     ) -> Option<OpenResponse> {
-        self.tried_servers.push(failed_server.clone());
-        // The route's time limit applies until the first event, the caller's to the whole stream.
-        self.response_deadline = self.caller_deadline;
+        self.mark_tried(failed_server);
+        self.extend_to_caller_deadline();
         let opened = self.open_response(node).await;
         opened.inspect_err(|refusal| self.log_refusal(refusal)).ok()
     }
 
+    /// Gives the rest of a stream until the end of the caller's time limit. That of the route applies
+    /// until the first event.
+    pub(crate) fn extend_to_caller_deadline(&mut self) {
+        self.response_deadline = self.caller_deadline;
+    }
+
+    /// Records that an attempt was sent to `server`. Others are preferred from now on.
+    pub(crate) fn mark_tried(&mut self, server: &ServerInstance) {
+        if !self.tried_servers.contains(server) {
+            self.tried_servers.push(server.clone());
+        }
+    }
+
+    /// Returns whether the current attempt is a trial.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Ends the trial of the current attempt, if it is one.
+    pub(crate) fn end_trial(&mut self) {
+        self.trial = None;
+    }
+
+    /// Calls [`Self::open_response`], which can call this in turn.
+    pub(crate) fn open_response_boxed<'a>(
+        &'a mut self,
+        node: &'a Arc<Node>,
+    ) -> BoxFuture<'a, Result<OpenResponse, Refusal>> {
+        Box::pin(self.open_response(node))
+    }
+
     /// Sends attempts until a server responds with a success whose body may be forwarded. Returns
     /// a refusal if the request may not be sent again, or there is no time or server for it.
     pub async fn open_response(&mut self, node: &Arc<Node>) -> Result<OpenResponse, Refusal> {
@@ -249,9 +281,19 @@
                 }
             };
             let server = slot.server().clone();
-            let failure = match self.send_attempt(node, slot).await {
-                Ok(response) => return Ok(response),
-                Err(failure) => failure,
+            let sending = self.begin_attempt(node, slot);
+            let hedged = self.hedge(node, &server, AwaitedPart::Head, sending).await;
+            let failure = match hedged {
+                Hedged::First(Ok(response)) => return Ok(response),
+                Hedged::First(Err(failure)) => failure,
+                Hedged::Second { response, first } => {
+                    let outcome = match first {
+                        Some(Err(failure)) => failure.outcome,
+                        Some(Ok(_)) | None => AttemptOutcome::Unknown,
+                    };
+                    self.attempts.record(outcome);
+                    return Ok(*response);
+                }
             };
             let next = self.attempts.record(failure.outcome);
             if let Some(trial) = &mut self.trial {
@@ -261,7 +303,7 @@
             let (in_flight, slots) = self.chosen_server_load();
             log::info!(request_id = self.caller.id, server = server.id, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
             node.metrics.incr(Counter::AttemptFailed);
-            self.tried_servers.push(server);
+            self.mark_tried(&server);
             match next {
                 NextStep::TryAnother => {}
                 NextStep::PassOn | NextStep::FailUnknown => {
@@ -296,9 +338,12 @@
                 return Placement::NoServer;
             }
             let zone = &node.settings.availability_zone;
-            if let Some(pick) =
-                placement::pick_online(&candidates, zone, rand::random::<u32>() as usize)
-            {
+            let draw = rand::random::<u32>() as usize;
+            let pick = match self.attempts.in_progress() {
+                0 => placement::pick_online(&candidates, zone, draw),
+                _ => placement::pick_second(&candidates, zone, draw),
+            };
+            if let Some(pick) = pick {
                 return self.reserve(node, pick);
             }
             let capacity_changed = async {
@@ -354,11 +399,13 @@
         streams.then(|| ExpectedEvents::after(self.last_event_id))
     }
 
-    async fn send_attempt(
-        &self,
+    /// Begins an attempt at the server of `slot` and returns its result.
+    fn begin_attempt(
+        &mut self,
         node: &Arc<Node>,
         slot: InFlight,
-    ) -> Result<OpenResponse, Failure> {
+    ) -> impl Future<Output = Result<OpenResponse, Failure>> + use<> {
+        self.attempts.begin();
         let now = Instant::now();
         let deadline = match self.route.kind {
             RouteKind::Stream => self.caller_deadline,
@@ -370,8 +417,6 @@
             last_event_id: self.last_event_id,
         };
         let request = online::forwarded_request(&self.head, self.body.clone(), attempt);
-        let may_retry =
-            self.route.is_repeatable() && self.route.max_attempts > self.attempts.count() + 1;
         let params = AttemptParams {
             slot,
             required_version: self.required_version().map(str::to_owned),
@@ -383,46 +428,8 @@
                 .as_ref()
                 .map_or(Duration::ZERO, |server| server.expected_wait),
             deadline: self.response_deadline,
-            head_deadline: may_retry.then(|| now + RESPONSE_HEAD_TIMEOUT),
         };
-        let response = attempt::send(node, params, request).await?;
-        if response.decoded_head.status.is_success() && !response.decoded_head.not_run {
-            if response.decoded_head.is_signed {
-                return Ok(response);
-            }
-            return Err(Failure::new(
-                AttemptOutcome::Unknown,
-                "success without a signature",
-            ));
-        }
-        if response.decoded_head.not_run {
-            let reason = format!("rejected with {}", response.decoded_head.status.as_u16());
-            let outcome = match response.decoded_head.from_another_instance {
-                true => AttemptOutcome::Gone,
-                false => AttemptOutcome::Rejected,
-            };
-            response.discard_body(self.response_deadline).await;
-            return Err(Failure::new(outcome, reason));
-        }
-        Err(self.read_server_error(response).await)
-    }
-
-    /// Reads an error response. A signed and complete one is the server's own and is kept for the
-    /// caller; any other leaves the outcome unknown.
-    async fn read_server_error(&self, mut response: OpenResponse) -> Failure {
-        let reason = format!("server answered {}", response.decoded_head.status.as_u16());
-        match response.read_full_body(self.response_deadline).await {
-            Ok(body) if response.decoded_head.is_signed => {
-                let head = response.head.clone();
-                response.finish();
-                Failure {
-                    outcome: AttemptOutcome::Failed,
-                    reason,
-                    response: Some(FullResponse { head, body }),
-                }
-            }
-            _ => Failure::new(AttemptOutcome::Unknown, reason),
-        }
+        send_attempt(Arc::clone(node), params, request)
     }
 
     /// Builds the refusal of a request that gets no further attempt. It is "not run" only if no
@@ -486,6 +493,53 @@
     }
 }
 
+/// Sends one attempt. Returns the response if it is a success whose body may be forwarded.
+async fn send_attempt(
+    node: Arc<Node>,
+    params: AttemptParams,
+    request: Request<RequestBody>,
+) -> Result<OpenResponse, Failure> {
+    let deadline = params.deadline;
+    let response = attempt::send(&node, params, request).await?;
+    if response.decoded_head.status.is_success() && !response.decoded_head.not_run {
+        if response.decoded_head.is_signed {
+            return Ok(response);
+        }
+        return Err(Failure::new(
+            AttemptOutcome::Unknown,
+            "success without a signature",
+        ));
+    }
+    if response.decoded_head.not_run {
+        let reason = format!("rejected with {}", response.decoded_head.status.as_u16());
+        let outcome = match response.decoded_head.from_another_instance {
+            true => AttemptOutcome::Gone,
+            false => AttemptOutcome::Rejected,
+        };
+        response.discard_body(deadline).await;
+        return Err(Failure::new(outcome, reason));
+    }
+    Err(read_server_error(response, deadline).await)
+}
+
+/// Reads an error response until `deadline`. A signed and complete one is the server's own and is kept
+/// for the caller; any other leaves the outcome unknown.
+async fn read_server_error(mut response: OpenResponse, deadline: Instant) -> Failure {
+    let reason = format!("server answered {}", response.decoded_head.status.as_u16());
+    match response.read_full_body(deadline).await {
+        Ok(body) if response.decoded_head.is_signed => {
+            let head = response.head.clone();
+            response.finish();
+            Failure {
+                outcome: AttemptOutcome::Failed,
+                reason,
+                response: Some(FullResponse { head, body }),
+            }
+        }
+        _ => Failure::new(AttemptOutcome::Unknown, reason),
+    }
+}
+
 impl Drop for OnlineRequest {
     fn drop(&mut self) {
         if self.has_ended {
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -4,21 +4,20 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_core::ids::SoftwareVersion;
 use foxwheel_core::metric_names::{Counter, RequestOutcome, Timer};
 use foxwheel_event_stream::splitter::EventSplitter;
+use foxwheel_policy::hedging::AwaitedPart;
+use foxwheel_policy::membership::{ServerInstance, ServerState};
 use futures::Stream;
 use hyper::body::Frame;
 
 use crate::attempt::{self, BodyFrame, OpenResponse};
+use crate::hedging::Hedged;
 use crate::node::Node;
 use crate::online_request::OnlineRequest;
 use crate::responses::RelayError;
 
-/// A resumable stream without an event for this long is resumed at another server. The time is
-/// several times the longest pause that callers count as on time, and far below the time after
-/// which they give up.
-const STREAM_SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
-
 /// What was relayed of a stream.
 #[derive(Debug)]
 struct Progress {
@@ -56,11 +55,46 @@
     Front,
 }
 
-/// How a response was cut off.
+/// A response that was cut off, as the log describes it.
 #[derive(Debug)]
 struct CutOff {
     by: CutBy,
     reason: String,
+    server: ServerInstance,
+    version: SoftwareVersion,
+    /// For how long the server had sent nothing.
+    silence: Duration,
+    /// What the entry of the server says; `None` if it is not listed.
+    state: Option<ServerState>,
+    config_in_force: Option<u64>,
+}
+
+impl CutOff {
+    fn new(node: &Node, response: &OpenResponse, by: CutBy, reason: impl Into<String>) -> Self {
+        let listed = node.listed_server(&response.server);
+        Self {
+            by,
+            reason: reason.into(),
+            server: response.server.clone(),
+            version: response.origin.version.clone(),
+            silence: response.silent_for(),
+            state: listed.map(|listed| listed.state),
+            config_in_force: node.config().map(|config| config.version),
+        }
+    }
+
+    fn record_resumed(&self, node: &Node, request: &OnlineRequest, resumed: &OpenResponse) {
+        let silent_ms = self.silence.as_millis() as u64;
+        log::warn!(request_id = request.caller.id, server = self.server.id, version = self.version, reason = self.reason, cut_by:? = self.by, silent_ms, state:? = self.state, config_version = request.config_version, config_in_force = self.config_in_force, after = request.last_event_id, resumed_at = resumed.server.id, resumed_version = resumed.origin.version; "stream resumed");
+        node.metrics.incr(Counter::StreamResumed);
+    }
+
+    fn record_broken(&self, node: &Node, request: &mut OnlineRequest) {
+        let silent_ms = self.silence.as_millis() as u64;
+        log::warn!(request_id = request.caller.id, server = self.server.id, version = self.version, reason = self.reason, cut_by:? = self.by, silent_ms, state:? = self.state, config_version = request.config_version, config_in_force = self.config_in_force, after = request.last_event_id; "stream broken");
+        request.count_outcome(node, RequestOutcome::Failed);
+        node.metrics.incr(Counter::StreamCutOff);
+    }
 }
 
 /// Returns the caller's stream: the body frames of `response`, and after a resumption those of
@@ -76,8 +110,22 @@
         loop {
             let is_resumable = request.route.is_repeatable() && response.body().is_event_stream();
             let can_resume = is_resumable || progress.first_data.is_none();
-            let deadline = next_frame_deadline(&request);
-            match response.next_frame(deadline).await {
+            let (server, deadline) = (response.server.clone(), request.caller_deadline);
+            let next_frame = response.next_frame(deadline);
+            let hedged = match can_resume {
+                true => request.hedge(&node, &server, AwaitedPart::Data, next_frame).await,
+                false => Hedged::First(next_frame.await),
+            };
+            let frame = match hedged {
+                Hedged::First(frame) => frame,
+                Hedged::Second { response: second, first } => {
+                    splitter.discard_partial_event();
+                    let silent = std::mem::replace(&mut response, *second);
+                    leave_silent_server(&node, &mut request, silent, first, &response);
+                    continue;
+                }
+            };
+            match frame {
                 BodyFrame::Data(data) if !is_resumable => {
                     progress.record_data(&node, &request);
                     yield Frame::data(data);
@@ -108,15 +156,15 @@
                 }
                 BodyFrame::CutOff(reason) => {
                     splitter.discard_partial_event();
-                    let cut = CutOff { by: CutBy::Server, reason };
-                    response = resume_stream(&node, &mut request, response, can_resume, cut).await?;
+                    let cut_off = CutOff::new(&node, &response, CutBy::Server, reason);
+                    response = resume_stream(&node, &mut request, response, can_resume, cut_off).await?;
                 }
                 BodyFrame::TimedOut => {
                     response.record_failure();
                     splitter.discard_partial_event();
-                    let reason = attempt::DEADLINE_PASSED.to_owned();
-                    let cut = CutOff { by: CutBy::Front, reason };
-                    response = resume_stream(&node, &mut request, response, can_resume, cut).await?;
+                    let reason = attempt::DEADLINE_PASSED;
+                    let cut_off = CutOff::new(&node, &response, CutBy::Front, reason);
+                    response = resume_stream(&node, &mut request, response, can_resume, cut_off).await?;
                 }
             }
         }
@@ -140,18 +188,6 @@
     response.finish();
 }
 
-/// Returns until when to wait for the next body frame.
-fn next_frame_deadline(request: &OnlineRequest) -> Instant {
-    let can_resume = request.route.is_repeatable() && request.attempts.may_run_again();
-    if can_resume {
-        request
-            .caller_deadline
-            .min(Instant::now() + STREAM_SILENCE_TIMEOUT)
-    } else {
-        request.caller_deadline
-    }
-}
-
 /// Removes the complete events from `splitter` and returns their bytes. Returns an error for an
 /// event whose id is not the successor of the id before it.
 fn complete_events(
@@ -177,43 +213,54 @@
     Ok(bytes.freeze())
 }
 
+/// Gives up a response that was silent until another server responded, for the response of that
+/// server. `last_frame` is what arrived meanwhile and was not forwarded.
+fn leave_silent_server(
+    node: &Node,
+    request: &mut OnlineRequest,
+    silent: OpenResponse,
+    last_frame: Option<BodyFrame>,
+    second: &OpenResponse,
+) {
+    let cut_off = match last_frame {
+        Some(BodyFrame::CutOff(reason)) => CutOff::new(node, &silent, CutBy::Server, reason),
+        _ => {
+            silent.record_failure();
+            CutOff::new(node, &silent, CutBy::Front, "silent")
+        }
+    };
+    // Closes the connection, so that the server stops working on the request.
+    drop(silent);
+    request.record_cut_off_stream();
+    cut_off.record_resumed(node, request, second);
+}
+
 /// Resumes a stream that was cut off at another server, after the last complete event. Returns
 /// an error if the request may not be run again, if what was sent to the caller cannot be continued,
 /// or if no other server sends the rest.
 async fn resume_stream(
     node: &Arc<Node>,
     request: &mut OnlineRequest,
-    cut_off: OpenResponse,
+    response: OpenResponse,
     can_resume: bool,
-    cut: CutOff,
+    cut_off: CutOff,
 ) -> Result<OpenResponse, RelayError> {
-    let server = cut_off.server.clone();
-    let version = cut_off.origin.version.clone();
-    let silent_ms = cut_off.silent_for().as_millis() as u64;
-    let (cut_by, reason) = (cut.by, cut.reason);
-    let state = node.listed_server(&server).map(|listed| listed.state);
-    let config_version = request.config_version;
-    let config_in_force = node.config().map(|config| config.version);
     // Closes the connection first, so that two servers never run the request at the same time.
-    drop(cut_off);
+    drop(response);
     let resumed = match request.record_cut_off_stream() && can_resume {
-        true => request.open_at_another_server(node, &server).await,
+        true => request.open_at_another_server(node, &cut_off.server).await,
         false => None,
     };
-    let last_event_id = request.last_event_id;
     match resumed {
-        Some(response) => {
-            log::warn!(request_id = request.caller.id, server = server.id, version, reason, cut_by:? = cut_by, silent_ms, state:? = state, config_version, config_in_force, after = last_event_id, resumed_at = response.server.id, resumed_version = response.origin.version; "stream resumed");
-            node.metrics.incr(Counter::StreamResumed);
-            Ok(response)
+        Some(resumed) => {
+            cut_off.record_resumed(node, request, &resumed);
+            Ok(resumed)
         }
         None => {
-            log::warn!(request_id = request.caller.id, server = server.id, version, reason, cut_by:? = cut_by, silent_ms, state:? = state, config_version, config_in_force, after = last_event_id; "stream broken");
-            request.count_outcome(node, RequestOutcome::Failed);
-            node.metrics.incr(Counter::StreamCutOff);
+            cut_off.record_broken(node, request);
             Err(RelayError {
                 request_id: request.caller.id.clone(),
-                reason,
+                reason: cut_off.reason,
             })
         }
     }
--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -17,6 +17,8 @@
 fn all_counters() -> Vec<Counter> {
     let mut counters = vec![
         Counter::AttemptFailed,
+        Counter::HedgeStarted,
+        Counter::HedgeWon,
         Counter::StreamResumed,
         Counter::StreamResumedByCaller,
         Counter::StreamCutOff,
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod config_in_force;
 pub mod drain_timing;
 pub mod health;
+pub mod hedging;
 pub mod load_reports;
 pub mod membership;
 pub mod moving_average;
@@ -29,7 +30,7 @@
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        admission, batch, config_in_force, drain_timing, health, load_reports, membership,
+        admission, batch, config_in_force, drain_timing, health, hedging, load_reports, membership,
         part_quarantine, placement, quarantine, representatives, retry, routes, server_changes,
         server_index, stopping, stream_origin, version_history, watcher_selection, zone_loads,
     };
--- a/crates/foxwheel-policy/src/placement.rs
+++ b/crates/foxwheel-policy/src/placement.rs
@@ -178,6 +178,21 @@
     }
 }
 
+/// Returns the server for an online request that also runs at another server, which is silent. Returns
+/// `None` unless a slot is free: in a queue, the request would help its caller late, if at all, and
+/// hold up the requests behind it.
+pub fn pick_second<'a>(
+    candidates: &'a [Candidate],
+    own_zone: &str,
+    draw: usize,
+) -> Option<&'a Candidate> {
+    let limits = FillLimits {
+        online_queue_share: 0.0,
+        ..FillLimits::default()
+    };
+    limits.pick_online(candidates, own_zone, draw)
+}
+
 /// Calls [`FillLimits::pick_online`] with the default limits.
 pub fn pick_online<'a>(
     candidates: &'a [Candidate],
--- a/crates/foxwheel-policy/src/retry.rs
+++ b/crates/foxwheel-policy/src/retry.rs
@@ -49,7 +49,10 @@
     repeatable: bool,
     /// Maximum number of runs that the route allows; at least 1.
     max_runs: u32,
-    /// Attempts that ran or may have run; at most `max_runs`.
+    /// Attempts that were begun and have no outcome yet.
+    in_progress: u32,
+    /// Attempts that have an outcome and ran or may have run; at most `max_runs` together with those
+    /// in progress.
     possible_runs: u32,
     /// Attempts known not to have run, except those that found another server at the address.
     not_run: u32,
@@ -63,29 +66,43 @@
         Self {
             repeatable,
             max_runs: max_runs.max(1),
+            in_progress: 0,
             possible_runs: 0,
             not_run: 0,
             dead_instance: 0,
         }
     }
 
+    /// Records that an attempt is begun. Until its outcome is recorded it counts as a run.
+    pub fn begin(&mut self) {
+        self.in_progress += 1;
+    }
+
+    /// Returns the number of attempts that were begun and have no outcome yet.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
     /// Returns whether the request may have run.
     pub fn may_have_run(&self) -> bool {
-        self.possible_runs > 0
+        self.in_progress + self.possible_runs > 0
     }
 
     /// Returns the number of attempts made so far.
     pub fn count(&self) -> u32 {
-        self.possible_runs + self.not_run + self.dead_instance
+        self.in_progress + self.possible_runs + self.not_run + self.dead_instance
     }
 
-    /// Returns whether the request may run again after it has possibly run.
+    /// Returns whether the request may run once more after it has possibly run, or beside the
+    /// attempts in progress.
     pub fn may_run_again(&self) -> bool {
-        self.repeatable && self.possible_runs < self.max_runs
+        self.repeatable && self.in_progress + self.possible_runs < self.max_runs
     }
 
-    /// Records the outcome of an attempt and returns what to do next.
+    /// Records the outcome of an attempt and returns what to do next. If several are in progress, they
+    /// are not told apart.
     pub fn record(&mut self, outcome: AttemptOutcome) -> NextStep {
+        self.in_progress = self.in_progress.saturating_sub(1);
         match outcome {
             AttemptOutcome::Gone => {
                 self.dead_instance += 1;
--- a/crates/foxwheel-policy/tests/placement.rs
+++ b/crates/foxwheel-policy/tests/placement.rs
@@ -38,6 +38,19 @@
     assert_eq!(picked(&servers), Some("c"));
 }
 
+/// A request that already runs at a silent server would only hold up others in a queue.
+#[test]
+fn a_second_server_beside_a_silent_one_has_a_free_slot() {
+    let second = |in_flight| {
+        let servers = [candidate("a", "local", in_flight)];
+        placement::pick_second(&servers, "local", 0).is_some()
+    };
+    assert!(second(7));
+    assert!(!second(8));
+    let full = [candidate("a", "local", 8)];
+    assert_eq!(picked(&full), Some("a"), "the queue of others");
+}
+
 #[test]
 fn suspected_servers_and_expired_entries_are_last_resorts() {
     let mut servers = [
--- a/crates/foxwheel-policy/tests/retry.rs
+++ b/crates/foxwheel-policy/tests/retry.rs
@@ -59,6 +59,11 @@
         let mut attempts = Attempts::new(repeatable, max_runs);
         let mut runs = 0;
         loop {
+            // Some callers record only outcomes.
+            if u.arbitrary()? {
+                attempts.begin();
+                assert!(attempts.may_have_run());
+            }
             let outcome = *u.choose(&ALL_OUTCOMES)?;
             let ran = matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Unknown);
             runs += u32::from(ran);
