--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -107,11 +107,14 @@
     async_stream::try_stream! {
         let mut splitter = EventSplitter::default();
         let mut progress = Progress::start();
+        let mut server = response.server.clone();
         loop {
             let is_resumable = request.route.is_repeatable() && response.body().is_event_stream();
             let can_resume = is_resumable || progress.first_data.is_none();
-            let (server, deadline) = (response.server.clone(), request.caller_deadline);
-            let next_frame = response.next_frame(deadline);
+            if server != response.server {
+                server = response.server.clone();
+            }
+            let next_frame = response.next_frame(request.caller_deadline);
             let hedged = match can_resume {
                 true => request.hedge(&node, &server, AwaitedPart::Data, next_frame).await,
                 false => Hedged::First(next_frame.await),
