--- a/crates/foxwheel-node/src/hedging.rs
+++ b/crates/foxwheel-node/src/hedging.rs
@@ -17,7 +17,8 @@
 
 use crate::attempt::{BodyFrame, Failure, OpenResponse};
 use crate::node::Node;
-use crate::online_request::{OnlineRequest, Refusal};
+use crate::online_request::OnlineRequest;
+use crate::refusal::Refusal;
 
 /// Whether a server goes on with a request after some output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod peers;
 pub mod process;
 pub mod quarantine_store;
+pub mod refusal;
 pub mod relay;
 pub mod reported_loads;
 pub mod request_content;
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -13,7 +13,8 @@
 
 use crate::attempt::{FullResponse, OpenResponse};
 use crate::node::Node;
-use crate::online_request::{OnlineRequest, Refusal, MIN_TIME_LEFT};
+use crate::online_request::{OnlineRequest, MIN_TIME_LEFT};
+use crate::refusal::Refusal;
 use crate::relay;
 use crate::responses::{self, CallerResponse};
 
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -26,6 +26,7 @@
 use crate::load_table::{InFlight, WorkClass};
 use crate::node::Node;
 use crate::part_quarantine::RunRefusal;
+use crate::refusal::Refusal;
 use crate::request_content::RequestContent;
 use crate::request_quarantine::TrialRun;
 use crate::stream_origins::OriginSource;
@@ -550,40 +551,3 @@
         log::info!(request_id = self.caller.id, route = self.route.name, server, after = self.last_event_id, age_ms, attempts = self.attempts.count(), config_version = self.config_version; "request abandoned: the connection of its caller ended");
     }
 }
-
-/// Why a caller gets no success response.
-#[derive(Debug)]
-pub enum Refusal {
-    /// The request has not run and never will.
-    NotRun {
-        /// Why it was not run.
-        reason: RefusalReason,
-        /// After how long the caller should retry.
-        retry_after: Duration,
-    },
-    /// The request may have run.
-    Failed {
-        /// The cause, for the log.
-        reason: String,
-        /// The error response of the server, if it sent a complete one.
-        response: Option<FullResponse>,
-    },
-}
-
-impl Refusal {
-    /// Returns after how long the caller is told to retry; `None` if the request may have run.
-    pub fn retry_after(&self) -> Option<Duration> {
-        match self {
-            Self::NotRun { retry_after, .. } => Some(*retry_after),
-            Self::Failed { .. } => None,
-        }
-    }
-
-    /// Returns the cause, for the log.
-    pub fn reason(&self) -> &str {
-        match self {
-            Self::NotRun { reason, .. } => reason.text(),
-            Self::Failed { reason, .. } => reason,
-        }
-    }
-}
