--- a/crates/foxwheel-node/tests/silent_servers.rs
+++ b/crates/foxwheel-node/tests/silent_servers.rs
@@ -242,6 +242,71 @@
     fleet.cancel.cancel();
 }
 
+/// Requests keep the route by which they arrived, and connections with a request are not idle.
+#[actix_web::test]
+async fn streams_are_cut_off_when_the_configuration_changes_under_them() {
+    let changes: [fn(&mut Value); 7] = [
+        add_route,
+        |config| config["routes"] = json!([config["routes"][0]]),
+        |config| config["routes"][2]["timeout_ms"] = json!(200),
+        |config| config["routes"][2]["resumable"] = json!(false),
+        |config| config["routes"][2]["kind"] = json!("idempotent"),
+        |config| config["limits"]["idle_timeout_ms"] = json!(100),
+        |config| config["limits"]["max_body_bytes"] = json!(0),
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let shapes = (0..2).map(|number| ServerConfig {
+            step_time: Duration::from_millis(100),
+            ..shape(number)
+        });
+        let fleet = start_fleet(shapes.collect()).await;
+        let front = fleet.fronts[0];
+        let calls = (0..CALLS).map(|number| async move {
+            let id = format!("call-{number}");
+            tokio::time::sleep(CALL_INTERVAL * number as u32).await;
+            // Without it, the time limit of the route would apply to the whole stream.
+            let headers = [("x-deadline-ms", "5000")];
+            let response = call(front, Method::POST, "/stream/a", &id, &headers, "x").await;
+            (id, response.expect("a response"))
+        });
+        let configure = async {
+            tokio::time::sleep(CONFIGURED_AFTER).await;
+            fleet.configure(2, change).await;
+        };
+        let (responses, ()) = tokio::join!(futures::future::join_all(calls), configure);
+        let begun_before = CALLS / 2;
+        check_served(&responses[..begun_before]);
+        let cut_off = responses.iter().find(|(id, response)| {
+            let is_whole = response.is_complete && response.text() == complete_stream(id);
+            response.status == StatusCode::OK && !is_whole
+        });
+        assert!(cut_off.is_none(), "change {index}: {cut_off:?}");
+        fleet.cancel.cancel();
+    }
+}
+
+#[actix_web::test]
+async fn streams_are_cut_off_when_the_entry_of_their_silent_server_lapses() {
+    let fleet = start_fleet(vec![shape(0)]).await;
+    pause_every_run(&fleet);
+    let lapse = async {
+        tokio::time::sleep(CONFIGURED_AFTER).await;
+        let deleted = fleet.store.delete("servers/server-0", None).await;
+        deleted.expect("deleted");
+        tokio::time::sleep(PAUSE).await;
+        let addr = fleet.servers[0].addr;
+        fleet.register_server("server-0", addr, "ready").await;
+    };
+    let front = fleet.fronts[0];
+    let calls = (0..CALLS).map(|number| {
+        let id = format!("call-{number}");
+        call_after(Duration::ZERO, front, "/stream/a", id)
+    });
+    let (responses, ()) = tokio::join!(futures::future::join_all(calls), lapse);
+    check_served(&responses);
+    fleet.cancel.cancel();
+}
+
 /// A request without a response yet may have run, so that it cannot be refused as not run.
 #[actix_web::test]
 async fn requests_fail_when_their_server_is_silent_and_the_other_one_rejects_them() {
