Tests: names of headers come from the adapter, and one way to record a crash

Left by earlier work: a test spelled a header of the users' platform, and two tests recorded the crash of another server with the same seven lines. No check changed.

--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -91,6 +91,17 @@
 /// Fingerprint of another server that crashed before.
 const CRASHED_SERVER: ServerFingerprint = 1;
 
+/// Records that another server of the same service crashed while it ran the content of `params`.
+fn record_crash_elsewhere(node: &Node, listed: &BackendServer, params: &AttemptParams) {
+    let crash = ObservedCrash {
+        server: CRASHED_SERVER,
+        service: listed.service.clone(),
+        sent_at: Instant::now(),
+        cut_off_at: Instant::now(),
+    };
+    node.record_crash(&params.content, &params.request_id, crash);
+}
+
 /// Runs a request whose content was running when another server crashed. Returns whether its response
 /// was received completely, and whether what is known about crashes has changed. The server is in state `at_end`
 /// when the response ends.
@@ -103,13 +114,7 @@
         expected_events: Some(ExpectedEvents::AtLeastOne),
         ..attempt_params(&node, &listed)
     };
-    let crash = ObservedCrash {
-        server: CRASHED_SERVER,
-        service: listed.service.clone(),
-        sent_at: Instant::now(),
-        cut_off_at: Instant::now(),
-    };
-    node.record_crash(&params.content, &params.request_id, crash);
+    record_crash_elsewhere(&node, &listed, &params);
     let digest = node.quarantine_digest();
     let deadline = params.deadline;
     let request = front_client::build_request(Method::POST, "/stream/a", "request", &[], "");
@@ -166,13 +171,7 @@
         content: Arc::new(content),
         ..attempt_params(&node, &listed)
     };
-    let crash = ObservedCrash {
-        server: CRASHED_SERVER,
-        service: listed.service.clone(),
-        sent_at: Instant::now(),
-        cut_off_at: Instant::now(),
-    };
-    node.record_crash(&params.content, &params.request_id, crash);
+    record_crash_elsewhere(&node, &listed, &params);
     let cleared = || {
         let evidence = node.lock_part_quarantine().evidence(Instant::now());
         evidence.crashes[0].cleared.clone()
--- a/crates/foxwheel-node/tests/cut_off_responses.rs
+++ b/crates/foxwheel-node/tests/cut_off_responses.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::Ordering;
 
 use common::{call, Fleet, FleetPlan, ReceivedResponse};
+use foxwheel_platform::online;
 use foxwheel_server_emu::faults::Fault;
 use foxwheel_server_emu::server::{event_text, plain_body, ServerConfig};
 use foxwheel_server_emu::unframed::{BodyPart, ConnectionEnd, UnframedResponse};
@@ -286,7 +287,8 @@
 #[actix_web::test]
 async fn unframed_rejection_does_not_wait_for_the_end_of_its_connection() {
     let fleet = start_fleet(0).await;
-    let rejection = "HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\n\r\nbusy";
+    let not_run = online::NOT_EXECUTED;
+    let rejection = format!("HTTP/1.1 503 Service Unavailable\r\n{not_run}: 1\r\n\r\nbusy");
     let rejecting = scripted::start(rejection, AfterResponse::KeepOpen).await;
     let rejecting = rejecting.expect("server starts");
     fleet
--- a/crates/foxwheel-service-emu/src/scripted.rs
+++ b/crates/foxwheel-service-emu/src/scripted.rs
@@ -30,9 +30,10 @@
 /// Starts a server on loopback that writes `response` to every request. Returns an error if no port
 /// can be bound.
 pub async fn start(
-    response: &'static str,
+    response: impl Into<Arc<str>>,
     after_response: AfterResponse,
 ) -> std::io::Result<ScriptedServer> {
+    let response = response.into();
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let server = ScriptedServer {
         addr: listener.local_addr()?,
@@ -44,6 +45,7 @@
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let mut stream = BufReader::new(stream);
+            let response = Arc::clone(&response);
             let request_count = Arc::clone(&request_count);
             let connection_count = Arc::clone(&connection_count);
             tokio::spawn(async move {
