Second servers: a request is at two servers for 300 ms at most, and not twice at one

Cause: the first server was kept until the head of the second one, however long that took, and the server that was silent counted as its own second server once there was no other.

Change: after 300 ms one of the two is given up: the first one if it is still silent, because the second one did not reject the request and was silent for a shorter time, else the second one. A rejection arrives at once, so the first server is still kept if the second one rejects the request. The same server gets the request once more only after twice the patience, when a pause is unlikely. An attempt that was sent is a value (PendingAttempt), so that the wait for the second server goes on like that for a first one; the recursion is gone.

Ruled out: giving up the second server after that time (a request of a hung first server would be lost while the second one is slow). Known limit, not changed: a front that stops (grace 6 s) cuts a stream off that began 2.7 s after the signal and takes 3.7 s.

--- a/crates/foxwheel-node/src/hedging.rs
+++ b/crates/foxwheel-node/src/hedging.rs
@@ -1,8 +1,8 @@
 //! Waits for a backend server, and sends the request to a second one while the first is silent.
 //!
-//! The first server is given up only when the second one has responded: nobody knows whether it is
-//! about to go on, and whether the second one can run the request. From then on only the second one
-//! counts, because two servers must not keep working on one request.
+//! The first server is given up only when the second one has accepted the request: nobody knows
+//! whether the first is about to go on, and whether a second one can run the request. Both have it for
+//! a short time only, because two servers must not keep working on one request.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -13,16 +13,15 @@
 use foxwheel_policy::hedging::{self, AwaitedPart, HedgePlan};
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::retry::AttemptOutcome;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use crate::attempt::{BodyFrame, Failure, OpenResponse};
 use crate::node::Node;
-use crate::online_request::OnlineRequest;
-use crate::refusal::Refusal;
+use crate::online_request::{OnlineRequest, PendingAttempt};
 
 /// Whether a server goes on with a request after some output.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OutputState {
+pub(crate) enum OutputState {
     /// It goes on.
     GoesOn,
     /// The output is the end of a complete response.
@@ -32,7 +31,7 @@
 }
 
 /// What a request waits for at a server.
-pub trait ServerOutput {
+pub(crate) trait ServerOutput {
     /// Returns whether the server goes on.
     fn state(&self) -> OutputState;
 }
@@ -57,24 +56,30 @@
 }
 
 /// Which server a request goes on with.
-pub enum Hedged<T> {
+pub(crate) enum Hedged<T> {
     /// The server that it waited for. Holds what that server sent, or how it failed.
     First(T),
     /// A second one, and the first one has to be given up.
     Second {
-        /// The response of the second server.
-        response: Box<OpenResponse>,
+        /// The attempt at the second server.
+        second: PendingAttempt,
         /// What the first server sent meanwhile, or how it failed; `None` if it is still silent.
         first: Option<T>,
     },
 }
 
+/// What ended the time during which two servers had the request.
+enum Overlap<T> {
+    First(T),
+    Second(Box<Result<OpenResponse, Failure>>),
+    TimedOut,
+}
+
 impl OnlineRequest {
-    /// Waits for `output` of `server`. As long as the server is silent, tries to open the request at
-    /// a second one from time to time, and waits for both. The attempt at the server that the
-    /// request does not go on with is over when this returns, and only a first one that is given up
-    /// has yet to be recorded.
-    pub async fn hedge<T: ServerOutput>(
+    /// Waits for `output` of `server`. While the server is silent, tries to send the request to a
+    /// second one from time to time. The attempt at a second server that the request does not go on
+    /// with is recorded when this returns; a first one that is given up is not.
+    pub(crate) async fn hedge<T: ServerOutput>(
         &mut self,
         node: &Arc<Node>,
         server: &ServerInstance,
@@ -102,8 +107,19 @@
                 is_hedged = true;
                 self.record_hedge(node, server, awaited, waits_since);
             }
-            let output = output.as_mut();
-            match self.try_second_server(node, server, awaited, output).await {
+            if awaited == AwaitedPart::Data {
+                self.extend_to_caller_deadline();
+            }
+            let may_use_same = plan.may_use_same_server(Instant::now());
+            self.set_silent_server((!may_use_same).then(|| server.clone()));
+            let chosen_server = self.chosen_server.clone();
+            let hedged = self.try_second_server(node, server, output.as_mut()).await;
+            self.set_silent_server(None);
+            if !matches!(hedged, Some(Hedged::Second { .. })) {
+                self.chosen_server = chosen_server;
+                self.end_trial();
+            }
+            match hedged {
                 Some(hedged) => {
                     self.record_hedge_result(node, server, &hedged, waits_since);
                     return hedged;
@@ -113,49 +129,73 @@
         }
     }
 
-    /// Tries to open the request at a second server. Returns `None` if the first one is still silent,
-    /// and no second one runs the request.
+    /// Sends the request to a second server and decides which one it goes on with. Returns `None` if
+    /// the first one is still silent, and no second one accepted the request.
     async fn try_second_server<T: ServerOutput>(
         &mut self,
         node: &Arc<Node>,
         server: &ServerInstance,
-        awaited: AwaitedPart,
         mut output: Pin<&mut impl Future<Output = T>>,
     ) -> Option<Hedged<T>> {
-        let in_progress = self.attempts.in_progress();
-        let chosen_server = self.chosen_server.clone();
-        if awaited == AwaitedPart::Data {
-            self.extend_to_caller_deadline();
-        }
         self.mark_tried(server);
-        let (first, opened) = {
-            let mut opening = self.open_response_boxed(node);
-            tokio::select! {
-                biased;
-                opened = &mut opening => (None, Some(opened)),
-                output = output.as_mut() => {
-                    let opened = match output.state() {
-                        OutputState::GoesOn => timeout(hedging::GOES_ON_GRACE, opening).await.ok(),
-                        OutputState::Failed => Some(opening.await),
-                        OutputState::Complete => None,
+        let started = tokio::select! {
+            biased;
+            output = output.as_mut() => return Some(Hedged::First(output)),
+            started = self.start_attempt(node) => started,
+        };
+        let mut second = match started {
+            Ok(second) => second,
+            Err(refusal) => {
+                log::info!(request_id = self.caller.id, reason = refusal.reason(); "no second server for a silent one");
+                return None;
+            }
+        };
+        let overlap_ends_at = Instant::now() + hedging::MAX_OVERLAP;
+        let overlap = tokio::select! {
+            biased;
+            response = &mut second.response => Overlap::Second(Box::new(response)),
+            output = output.as_mut() => Overlap::First(output),
+            () = tokio::time::sleep_until(overlap_ends_at.into()) => Overlap::TimedOut,
+        };
+        let (first, response) = match overlap {
+            Overlap::Second(response) => (None, *response),
+            // The second server did not reject the request, and was silent for a shorter time.
+            Overlap::TimedOut => {
+                return Some(Hedged::Second {
+                    second,
+                    first: None,
+                })
+            }
+            Overlap::First(output) => match output.state() {
+                OutputState::Failed => {
+                    let first = Some(output);
+                    return Some(Hedged::Second { second, first });
+                }
+                OutputState::Complete => {
+                    self.attempts.record(AttemptOutcome::Unknown);
+                    return Some(Hedged::First(output));
+                }
+                // The second server may have begun to run the request, so that it comes first.
+                OutputState::GoesOn => {
+                    let deadline = overlap_ends_at.into();
+                    let Ok(response) = timeout_at(deadline, &mut second.response).await else {
+                        self.attempts.record(AttemptOutcome::Unknown);
+                        return Some(Hedged::First(output));
                     };
-                    (Some(output), opened)
+                    (Some(output), response)
                 }
-            }
+            },
         };
-        let second = opened.and_then(|opened| {
-            let log_reason = |refusal: &Refusal| {
-                log::info!(request_id = self.caller.id, reason = refusal.reason(); "no second server for a silent one");
-            };
-            opened.inspect_err(log_reason).ok()
-        });
-        if let Some(response) = second {
-            let response = Box::new(response);
-            return Some(Hedged::Second { response, first });
+        match response {
+            Ok(response) => {
+                let second = PendingAttempt::responded(response);
+                Some(Hedged::Second { second, first })
+            }
+            Err(failure) => {
+                self.record_failed_attempt(node, &second.server, &failure);
+                first.map(Hedged::First)
+            }
         }
-        self.abandon_attempts(in_progress);
-        self.chosen_server = chosen_server;
-        first.map(Hedged::First)
     }
 
     fn record_hedge(
@@ -186,19 +226,19 @@
             Hedged::First(_) => {
                 log::info!(request_id = self.caller.id, server = server.id, silent_ms; "silent server responded before a second one");
             }
-            Hedged::Second { response, .. } => {
-                log::info!(request_id = self.caller.id, server = server.id, silent_ms, second = response.server.id; "silent server given up for a second one");
+            Hedged::Second { second, .. } => {
+                log::info!(request_id = self.caller.id, server = server.id, silent_ms, second = second.server.id; "silent server given up for a second one");
                 node.metrics.incr(Counter::HedgeWon);
             }
         }
     }
+}
 
-    /// Ends the attempts that were begun beyond the first `in_progress` ones and whose responses were
-    /// dropped.
-    fn abandon_attempts(&mut self, in_progress: u32) {
-        while self.attempts.in_progress() > in_progress {
-            self.attempts.record(AttemptOutcome::Unknown);
+impl PendingAttempt {
+    fn responded(response: OpenResponse) -> Self {
+        Self {
+            server: response.server.clone(),
+            response: Box::pin(std::future::ready(Ok(response))),
         }
-        self.end_trial();
     }
 }
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -1,7 +1,6 @@
 //! An online request: sends attempts to backend servers until one of them responds with a
 //! success or no further attempt is allowed.
 
-use std::future::Future;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -82,6 +81,8 @@
     pub tried_servers: Vec<ServerInstance>,
     /// The trial that the current attempt is, until its response is complete.
     trial: Option<TrialRun>,
+    /// A server that is silent and still has the request. It does not get it once more.
+    silent_server: Option<ServerInstance>,
 }
 
 /// The known load of a server at the time it was chosen.
@@ -97,6 +98,15 @@
     pub expected_wait: Duration,
 }
 
+/// An attempt that was sent and whose response has not arrived. Dropping it withdraws the attempt, as
+/// far as its server has not received it.
+pub(crate) struct PendingAttempt {
+    /// The server that it was sent to.
+    pub server: ServerInstance,
+    /// The response, if it is a success whose body may be forwarded.
+    pub response: BoxFuture<'static, Result<OpenResponse, Failure>>,
+}
+
 enum Placement {
     Reserved(InFlight),
     ServersFull,
@@ -131,6 +141,7 @@
             tried_servers: Vec::new(),
             chosen_server: None,
             trial: None,
+            silent_server: None,
             caller,
             route,
             service,
@@ -230,6 +241,11 @@
         }
     }
 
+    /// Sets the server that must not get the request once more; `None` if each may.
+    pub(crate) fn set_silent_server(&mut self, server: Option<ServerInstance>) {
+        self.silent_server = server;
+    }
+
     /// Returns whether the current attempt is a trial.
     pub(crate) fn is_trial(&self) -> bool {
         self.trial.is_some()
@@ -240,71 +256,37 @@
         self.trial = None;
     }
 
-    /// Calls [`Self::open_response`], which can call this in turn.
-    pub(crate) fn open_response_boxed<'a>(
-        &'a mut self,
-        node: &'a Arc<Node>,
-    ) -> BoxFuture<'a, Result<OpenResponse, Refusal>> {
-        Box::pin(self.open_response(node))
-    }
-
     /// Sends attempts until a server responds with a success whose body may be forwarded. Returns
     /// a refusal if the request may not be sent again, or there is no time or server for it.
     pub async fn open_response(&mut self, node: &Arc<Node>) -> Result<OpenResponse, Refusal> {
+        let attempt = self.start_attempt(node).await?;
+        self.complete_attempt(node, attempt).await
+    }
+
+    /// Waits for the response of `attempt`. If it fails, sends further ones as [`Self::open_response`]
+    /// does.
+    pub(crate) async fn complete_attempt(
+        &mut self,
+        node: &Arc<Node>,
+        mut attempt: PendingAttempt,
+    ) -> Result<OpenResponse, Refusal> {
         loop {
-            let now = Instant::now();
-            // The trial of the attempt before has ended.
-            self.trial = None;
-            match node.begin_run(&self.content, &self.service, now) {
-                Ok(trial) => self.trial = trial,
-                // Each further run could crash another server and cut off other callers' requests.
-                Err(RunRefusal { part, time_left }) => {
-                    let time_left = time_left.unwrap_or(NO_SERVER_RETRY_AFTER);
-                    let time_left_ms = time_left.as_millis() as u64;
-                    log::info!(request_id = self.caller.id, part, service = self.service, time_left_ms; "run refused: quarantined");
-                    return Err(self.build_refusal(RefusalReason::Quarantined, time_left));
-                }
-            }
-            if now + MIN_TIME_LEFT >= self.response_deadline {
-                return Err(self.build_refusal(
-                    RefusalReason::DeadlineExceeded,
-                    DEADLINE_EXCEEDED_RETRY_AFTER,
-                ));
-            }
-            let slot = match self.reserve_slot(node).await {
-                Placement::Reserved(slot) => slot,
-                Placement::ServersFull => {
-                    let retry_after = node.retry_after_full(&self.service, now);
-                    return Err(self.build_refusal(RefusalReason::ServersFull, retry_after));
-                }
-                Placement::NoServer => {
-                    return Err(self.build_refusal(RefusalReason::NoServer, NO_SERVER_RETRY_AFTER))
-                }
-            };
-            let server = slot.server().clone();
-            let sending = self.begin_attempt(node, slot);
-            let hedged = self.hedge(node, &server, AwaitedPart::Head, sending).await;
+            let PendingAttempt { server, response } = attempt;
+            let hedged = self.hedge(node, &server, AwaitedPart::Head, response).await;
             let failure = match hedged {
                 Hedged::First(Ok(response)) => return Ok(response),
                 Hedged::First(Err(failure)) => failure,
-                Hedged::Second { response, first } => {
+                Hedged::Second { second, first } => {
                     let outcome = match first {
                         Some(Err(failure)) => failure.outcome,
                         Some(Ok(_)) | None => AttemptOutcome::Unknown,
                     };
                     self.attempts.record(outcome);
-                    return Ok(*response);
+                    attempt = second;
+                    continue;
                 }
             };
-            let next = self.attempts.record(failure.outcome);
-            if let Some(trial) = &mut self.trial {
-                trial.record_failure(failure.outcome);
-            }
-            let age_ms = self.received_at.elapsed().as_millis() as u64;
-            let (in_flight, slots) = self.chosen_server_load();
-            log::info!(request_id = self.caller.id, server = server.id, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
-            node.metrics.incr(Counter::AttemptFailed);
-            self.mark_tried(&server);
+            let next = self.record_failed_attempt(node, &server, &failure);
             match next {
                 NextStep::TryAnother => {}
                 NextStep::PassOn | NextStep::FailUnknown => {
@@ -314,10 +296,67 @@
                     })
                 }
                 NextStep::RefuseNotRun => {
-                    let retry_after = node.retry_after_full(&self.service, now);
+                    let retry_after = node.retry_after_full(&self.service, Instant::now());
                     return Err(self.build_refusal(RefusalReason::Rejected, retry_after));
                 }
             }
+            attempt = self.start_attempt(node).await?;
+        }
+    }
+
+    /// Records and logs an attempt that failed. Returns what to do next.
+    pub(crate) fn record_failed_attempt(
+        &mut self,
+        node: &Node,
+        server: &ServerInstance,
+        failure: &Failure,
+    ) -> NextStep {
+        let next = self.attempts.record(failure.outcome);
+        if let Some(trial) = &mut self.trial {
+            trial.record_failure(failure.outcome);
+        }
+        let age_ms = self.received_at.elapsed().as_millis() as u64;
+        let (in_flight, slots) = self.chosen_server_load();
+        log::info!(request_id = self.caller.id, server = server.id, in_flight, slots, outcome:? = failure.outcome, reason = failure.reason, age_ms, next:? = next; "attempt failed");
+        node.metrics.incr(Counter::AttemptFailed);
+        self.mark_tried(server);
+        next
+    }
+
+    /// Chooses a server and sends an attempt to it. Returns a refusal if there is no time or server
+    /// for it.
+    pub(crate) async fn start_attempt(
+        &mut self,
+        node: &Arc<Node>,
+    ) -> Result<PendingAttempt, Refusal> {
+        let now = Instant::now();
+        // The trial of the attempt before has ended.
+        self.trial = None;
+        match node.begin_run(&self.content, &self.service, now) {
+            Ok(trial) => self.trial = trial,
+            // Each further run could crash another server and cut off other callers' requests.
+            Err(RunRefusal { part, time_left }) => {
+                let time_left = time_left.unwrap_or(NO_SERVER_RETRY_AFTER);
+                let time_left_ms = time_left.as_millis() as u64;
+                log::info!(request_id = self.caller.id, part, service = self.service, time_left_ms; "run refused: quarantined");
+                return Err(self.build_refusal(RefusalReason::Quarantined, time_left));
+            }
+        }
+        if now + MIN_TIME_LEFT >= self.response_deadline {
+            return Err(self.build_refusal(
+                RefusalReason::DeadlineExceeded,
+                DEADLINE_EXCEEDED_RETRY_AFTER,
+            ));
+        }
+        match self.reserve_slot(node).await {
+            Placement::Reserved(slot) => Ok(self.begin_attempt(node, slot)),
+            Placement::ServersFull => {
+                let retry_after = node.retry_after_full(&self.service, now);
+                Err(self.build_refusal(RefusalReason::ServersFull, retry_after))
+            }
+            Placement::NoServer => {
+                Err(self.build_refusal(RefusalReason::NoServer, NO_SERVER_RETRY_AFTER))
+            }
         }
     }
 
@@ -333,7 +372,8 @@
                 node.online_candidates(&self.service, version, &self.tried_servers, now);
             if candidates.is_empty() && self.attempts.count() > 0 {
                 // Every server was tried. The least loaded one may succeed now.
-                candidates = node.online_candidates(&self.service, version, &[], now);
+                let excluded = self.silent_server.as_slice();
+                candidates = node.online_candidates(&self.service, version, excluded, now);
             }
             if candidates.is_empty() {
                 return Placement::NoServer;
@@ -400,12 +440,8 @@
         streams.then(|| ExpectedEvents::after(self.last_event_id))
     }
 
-    /// Begins an attempt at the server of `slot` and returns its result.
-    fn begin_attempt(
-        &mut self,
-        node: &Arc<Node>,
-        slot: InFlight,
-    ) -> impl Future<Output = Result<OpenResponse, Failure>> + use<> {
+    /// Begins an attempt at the server of `slot`.
+    fn begin_attempt(&mut self, node: &Arc<Node>, slot: InFlight) -> PendingAttempt {
         self.attempts.begin();
         let now = Instant::now();
         let deadline = match self.route.kind {
@@ -430,7 +466,10 @@
                 .map_or(Duration::ZERO, |server| server.expected_wait),
             deadline: self.response_deadline,
         };
-        send_attempt(Arc::clone(node), params, request)
+        PendingAttempt {
+            server: params.slot.server().clone(),
+            response: Box::pin(send_attempt(Arc::clone(node), params, request)),
+        }
     }
 
     /// Builds the refusal of a request that gets no further attempt. It is "not run" only if no
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::attempt::{self, BodyFrame, OpenResponse};
 use crate::hedging::Hedged;
 use crate::node::Node;
-use crate::online_request::OnlineRequest;
+use crate::online_request::{OnlineRequest, PendingAttempt};
 use crate::responses::RelayError;
 
 /// What was relayed of a stream.
@@ -121,10 +121,9 @@
             };
             let frame = match hedged {
                 Hedged::First(frame) => frame,
-                Hedged::Second { response: second, first } => {
+                Hedged::Second { second, first } => {
                     splitter.discard_partial_event();
-                    let silent = std::mem::replace(&mut response, *second);
-                    leave_silent_server(&node, &mut request, silent, first, &response);
+                    response = leave_silent_server(&node, &mut request, response, first, second).await?;
                     continue;
                 }
             };
@@ -216,15 +215,16 @@
     Ok(bytes.freeze())
 }
 
-/// Gives up a response that was silent until another server responded, for the response of that
-/// server. `last_frame` is what arrived meanwhile and was not forwarded.
-fn leave_silent_server(
-    node: &Node,
+/// Gives up a response that was silent until another server had accepted the request, and waits for
+/// the response of that server. `last_frame` is what arrived meanwhile and was not forwarded. Returns
+/// an error if no server sends the rest.
+async fn leave_silent_server(
+    node: &Arc<Node>,
     request: &mut OnlineRequest,
     silent: OpenResponse,
     last_frame: Option<BodyFrame>,
-    second: &OpenResponse,
-) {
+    second: PendingAttempt,
+) -> Result<OpenResponse, RelayError> {
     let cut_off = match last_frame {
         Some(BodyFrame::CutOff(reason)) => CutOff::new(node, &silent, CutBy::Server, reason),
         _ => {
@@ -235,7 +235,9 @@
     // Closes the connection, so that the server stops working on the request.
     drop(silent);
     request.record_cut_off_stream();
-    cut_off.record_resumed(node, request, second);
+    let resumed = request.complete_attempt(node, second).await;
+    let resumed = resumed.inspect_err(|refusal| request.log_refusal(refusal));
+    finish_resumption(node, request, cut_off, resumed.ok())
 }
 
 /// Resumes a stream that was cut off at another server, after the last complete event. Returns
@@ -254,6 +256,16 @@
         true => request.open_at_another_server(node, &cut_off.server).await,
         false => None,
     };
+    finish_resumption(node, request, cut_off, resumed)
+}
+
+/// Records whether a stream that was cut off is resumed.
+fn finish_resumption(
+    node: &Node,
+    request: &mut OnlineRequest,
+    cut_off: CutOff,
+    resumed: Option<OpenResponse>,
+) -> Result<OpenResponse, RelayError> {
     match resumed {
         Some(resumed) => {
             cut_off.record_resumed(node, request, &resumed);
--- a/crates/foxwheel-node/tests/silent_servers.rs
+++ b/crates/foxwheel-node/tests/silent_servers.rs
@@ -6,7 +6,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::{call, Fleet, FleetPlan, ReceivedResponse};
+use common::pausing_servers::{
+    shape, start_fleet, EVENTS, EVENTS_BEFORE_PAUSE, MAX_OVERLAP, PAUSE,
+};
+use common::{call, Fleet, ReceivedResponse};
 use foxwheel_server_emu::faults::Fault;
 use foxwheel_server_emu::server::{event_text, plain_body, versioned_event_text, ServerConfig};
 use foxwheel_soak::front_client;
@@ -21,37 +24,6 @@
 /// When the configuration changes, after the first call.
 const CONFIGURED_AFTER: Duration = Duration::from_millis(300);
 
-const EVENTS: u64 = 8;
-const STEP_TIME: Duration = Duration::from_millis(25);
-
-/// Longer than any silence after which a front tries another server.
-const PAUSE: Duration = Duration::from_millis(1_300);
-
-/// A stream pauses after this number of events.
-const EVENTS_BEFORE_PAUSE: u64 = 2;
-
-/// A server that is given up must have stopped working on a request so soon after another one began.
-const MAX_OVERLAP: Duration = Duration::from_millis(400);
-
-fn shape(number: usize) -> ServerConfig {
-    ServerConfig {
-        id: format!("server-{number}"),
-        slots: 64,
-        events_per_stream: EVENTS,
-        step_time: STEP_TIME,
-        ..ServerConfig::default()
-    }
-}
-
-async fn start_fleet(shapes: Vec<ServerConfig>) -> Fleet {
-    Fleet::start(FleetPlan {
-        servers: shapes,
-        workers: 0,
-        ..FleetPlan::default()
-    })
-    .await
-}
-
 fn complete_stream(id: &str) -> String {
     (1..=EVENTS).map(|event| event_text(id, event)).collect()
 }
--- a/crates/foxwheel-policy/src/hedging.rs
+++ b/crates/foxwheel-policy/src/hedging.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a sound server sends nothing for a second or so and goes on, or a hung one never
 //! does. The two cannot be told apart while they are silent. The second server may have no free slot,
 //! reject the request, or be silent as well. The first one is therefore kept until the second has
-//! responded, and to the end if no second one may run the request.
+//! accepted the request, and to the end if no second one may run it.
 
 use std::time::{Duration, Instant};
 
@@ -30,9 +30,13 @@
 /// further one.
 const FIRST_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// How long a first server that goes on is kept waiting for the response of a second one, which may
-/// have begun to run the request: many times the usual response time.
-pub const GOES_ON_GRACE: Duration = Duration::from_millis(200);
+/// How long two servers may have one request: many times the usual response time, and long enough for
+/// a rejection. After it, the first server is given up if it is still silent, else the second one.
+pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
+
+/// Patience, in multiples of the usual one, before the request is sent once more to a server that still
+/// has it. Such a run helps only if the server lost the first one and not if it is silent itself.
+const SAME_SERVER_PATIENCE: u32 = 2;
 
 impl AwaitedPart {
     /// Returns how long a server may be silent before a second one is tried.
@@ -48,6 +52,7 @@
 #[derive(Debug, Clone)]
 pub struct HedgePlan {
     next_attempt_at: Instant,
+    same_server_from: Instant,
     retry_delay: Duration,
 }
 
@@ -56,6 +61,7 @@
     pub fn new(awaited: AwaitedPart, waits_since: Instant) -> Self {
         Self {
             next_attempt_at: waits_since + awaited.patience(),
+            same_server_from: waits_since + awaited.patience() * SAME_SERVER_PATIENCE,
             retry_delay: FIRST_RETRY_DELAY,
         }
     }
@@ -66,6 +72,11 @@
         attempts.may_run_again().then_some(self.next_attempt_at)
     }
 
+    /// Returns whether the second run may be at the first server, if there is no other.
+    pub fn may_use_same_server(&self, now: Instant) -> bool {
+        now >= self.same_server_from
+    }
+
     /// Records that no second server ran the request.
     pub fn record_refusal(&mut self, now: Instant) {
         self.next_attempt_at = now + self.retry_delay;
--- a/crates/foxwheel-policy/tests/hedging.rs
+++ b/crates/foxwheel-policy/tests/hedging.rs
@@ -94,6 +94,17 @@
     assert_eq!(replay(1, NEVER, ms(0)), (Outcome::TimedOut, 0));
 }
 
+/// A server that is silent to everyone has the request already. One that lost it never responds.
+#[test]
+fn a_server_that_pauses_gets_no_request_twice_and_one_that_hangs_does() {
+    for awaited in [AwaitedPart::Head, AwaitedPart::Data] {
+        let start = Instant::now();
+        let plan = HedgePlan::new(awaited, start);
+        assert!(!plan.may_use_same_server(start + ms(1_600)), "{awaited:?}");
+        assert!(plan.may_use_same_server(start + ms(2_400)), "{awaited:?}");
+    }
+}
+
 /// A second server that was given up may have run the request. No third one is tried beyond the
 /// route's limit, and the first one may still fail.
 #[test]
