Second servers: silent ones come last, and what a first server sent is not blamed

Change: until twice the patience, a silent (suspected) server is no second one, the first included. An attempt that is 100 ms late is postponed once by 100 ms. A second server needs a slot that is free now. While a server is chosen, output of the first one ends the attempt. The log has the silence measured by the wait, and 'went on too late' where that is the reason; only silence counts as a failure.

--- a/crates/foxwheel-node/src/hedging.rs
+++ b/crates/foxwheel-node/src/hedging.rs
@@ -7,7 +7,7 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::metric_names::Counter;
 use foxwheel_policy::hedging::{self, AwaitedPart, HedgePlan};
@@ -65,9 +65,24 @@
         second: PendingAttempt,
         /// What the first server sent meanwhile, or how it failed; `None` if it is still silent.
         first: Option<T>,
+        /// For how long the first server was silent.
+        silence: Duration,
     },
 }
 
+/// How an attempt at a second server ended.
+enum SecondAttempt<T> {
+    /// The request goes on with the second server.
+    Accepted {
+        second: PendingAttempt,
+        first: Option<T>,
+    },
+    /// The request goes on with the first server, which sent this, or has failed like this.
+    NotNeeded(T),
+    /// The first server is still silent, and no second one accepted the request.
+    Refused,
+}
+
 /// What ended the time during which two servers had the request.
 enum Overlap<T> {
     First(T),
@@ -77,8 +92,8 @@
 
 impl OnlineRequest {
     /// Waits for `output` of `server`. While the server is silent, tries to send the request to a
-    /// second one from time to time. The attempt at a second server that the request does not go on
-    /// with is recorded when this returns; a first one that is given up is not.
+    /// second one from time to time. An attempt at a second server that the request does not go on
+    /// with is recorded when this returns. The outcome of the first one is left to the caller.
     pub(crate) async fn hedge<T: ServerOutput>(
         &mut self,
         node: &Arc<Node>,
@@ -103,6 +118,9 @@
                 output = output.as_mut() => return Hedged::First(output),
                 () = tokio::time::sleep_until(next_attempt_at.into()) => {}
             }
+            if plan.postpone_late_attempt(Instant::now()) {
+                continue;
+            }
             if !is_hedged {
                 is_hedged = true;
                 self.record_hedge(node, server, awaited, waits_since);
@@ -110,46 +128,53 @@
             if awaited == AwaitedPart::Data {
                 self.extend_to_caller_deadline();
             }
-            let may_use_same = plan.may_use_same_server(Instant::now());
-            self.set_silent_server((!may_use_same).then(|| server.clone()));
+            self.allow_silent_servers(plan.may_use_silent_servers(Instant::now()));
             let chosen_server = self.chosen_server.clone();
-            let hedged = self.try_second_server(node, server, output.as_mut()).await;
-            self.set_silent_server(None);
-            if !matches!(hedged, Some(Hedged::Second { .. })) {
-                self.chosen_server = chosen_server;
-                self.end_trial();
+            let attempt = self.try_second_server(node, server, output.as_mut()).await;
+            self.allow_silent_servers(true);
+            let silence = waits_since.elapsed();
+            if let SecondAttempt::Accepted { second, first } = attempt {
+                self.record_hedge_won(node, server, &second, silence);
+                return Hedged::Second {
+                    second,
+                    first,
+                    silence,
+                };
             }
-            match hedged {
-                Some(hedged) => {
-                    self.record_hedge_result(node, server, &hedged, waits_since);
-                    return hedged;
+            self.chosen_server = chosen_server;
+            self.end_trial();
+            match attempt {
+                SecondAttempt::NotNeeded(output) => {
+                    let silent_ms = silence.as_millis() as u64;
+                    log::info!(request_id = self.caller.id, server = server.id, silent_ms; "silent server responded or failed before a second one");
+                    return Hedged::First(output);
                 }
-                None => plan.record_refusal(Instant::now()),
+                _ => plan.record_refusal(Instant::now()),
             }
         }
     }
 
-    /// Sends the request to a second server and decides which one it goes on with. Returns `None` if
-    /// the first one is still silent, and no second one accepted the request.
+    /// Sends the request to a second server and decides which one it goes on with.
     async fn try_second_server<T: ServerOutput>(
         &mut self,
         node: &Arc<Node>,
         server: &ServerInstance,
         mut output: Pin<&mut impl Future<Output = T>>,
-    ) -> Option<Hedged<T>> {
+    ) -> SecondAttempt<T> {
         self.mark_tried(server);
         let started = tokio::select! {
             biased;
-            output = output.as_mut() => return Some(Hedged::First(output)),
+            output = output.as_mut() => return SecondAttempt::NotNeeded(output),
             started = self.start_attempt(node) => started,
         };
         let mut second = match started {
             Ok(second) => second,
             Err(refusal) => {
                 log::info!(request_id = self.caller.id, reason = refusal.reason(); "no second server for a silent one");
-                return None;
+                return SecondAttempt::Refused;
             }
         };
+        node.metrics.incr(Counter::HedgeStarted);
         let overlap_ends_at = Instant::now() + hedging::MAX_OVERLAP;
         let overlap = tokio::select! {
             biased;
@@ -161,43 +186,43 @@
             Overlap::Second(response) => (None, *response),
             // The second server did not reject the request, and was silent for a shorter time.
             Overlap::TimedOut => {
-                return Some(Hedged::Second {
-                    second,
-                    first: None,
-                })
+                let first = None;
+                return SecondAttempt::Accepted { second, first };
             }
             Overlap::First(output) => match output.state() {
                 OutputState::Failed => {
                     let first = Some(output);
-                    return Some(Hedged::Second { second, first });
-                }
-                OutputState::Complete => {
-                    self.attempts.record(AttemptOutcome::Unknown);
-                    return Some(Hedged::First(output));
+                    return SecondAttempt::Accepted { second, first };
                 }
+                OutputState::Complete => return self.abandon_second(output),
                 // The second server may have begun to run the request, so that it comes first.
                 OutputState::GoesOn => {
                     let deadline = overlap_ends_at.into();
                     let Ok(response) = timeout_at(deadline, &mut second.response).await else {
-                        self.attempts.record(AttemptOutcome::Unknown);
-                        return Some(Hedged::First(output));
+                        return self.abandon_second(output);
                     };
                     (Some(output), response)
                 }
             },
         };
         match response {
-            Ok(response) => {
-                let second = PendingAttempt::responded(response);
-                Some(Hedged::Second { second, first })
-            }
+            Ok(response) => SecondAttempt::Accepted {
+                second: PendingAttempt::responded(response),
+                first,
+            },
             Err(failure) => {
                 self.record_failed_attempt(node, &second.server, &failure);
-                first.map(Hedged::First)
+                first.map_or(SecondAttempt::Refused, SecondAttempt::NotNeeded)
             }
         }
     }
 
+    /// Records that the second server is given up for the first one, which sent `output`.
+    fn abandon_second<T>(&mut self, output: T) -> SecondAttempt<T> {
+        self.attempts.record(AttemptOutcome::Unknown);
+        SecondAttempt::NotNeeded(output)
+    }
+
     fn record_hedge(
         &self,
         node: &Node,
@@ -211,26 +236,18 @@
         let silent_ms = now.duration_since(waits_since).as_millis() as u64;
         let state = node.listed_server(server).map(|listed| listed.state);
         log::info!(request_id = self.caller.id, server = server.id, awaited:? = awaited, silent_ms, is_server_silent, state:? = state, config_version = self.config_version, attempts = self.attempts.count(); "second server is tried beside a silent one");
-        node.metrics.incr(Counter::HedgeStarted);
     }
 
-    fn record_hedge_result<T>(
+    fn record_hedge_won(
         &self,
         node: &Node,
         server: &ServerInstance,
-        hedged: &Hedged<T>,
-        waits_since: Instant,
+        second: &PendingAttempt,
+        silence: Duration,
     ) {
-        let silent_ms = waits_since.elapsed().as_millis() as u64;
-        match hedged {
-            Hedged::First(_) => {
-                log::info!(request_id = self.caller.id, server = server.id, silent_ms; "silent server responded before a second one");
-            }
-            Hedged::Second { second, .. } => {
-                log::info!(request_id = self.caller.id, server = server.id, silent_ms, second = second.server.id; "silent server given up for a second one");
-                node.metrics.incr(Counter::HedgeWon);
-            }
-        }
+        let silent_ms = silence.as_millis() as u64;
+        log::info!(request_id = self.caller.id, server = server.id, silent_ms, second = second.server.id; "silent server given up for a second one");
+        node.metrics.incr(Counter::HedgeWon);
     }
 }
 
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -81,8 +81,8 @@
     pub tried_servers: Vec<ServerInstance>,
     /// The trial that the current attempt is, until its response is complete.
     trial: Option<TrialRun>,
-    /// A server that is silent and still has the request. It does not get it once more.
-    silent_server: Option<ServerInstance>,
+    /// Whether the request may be sent to a silent server while another one has it.
+    may_use_silent_servers: bool,
 }
 
 /// The known load of a server at the time it was chosen.
@@ -141,7 +141,7 @@
             tried_servers: Vec::new(),
             chosen_server: None,
             trial: None,
-            silent_server: None,
+            may_use_silent_servers: true,
             caller,
             route,
             service,
@@ -228,8 +228,8 @@
         opened.inspect_err(|refusal| self.log_refusal(refusal)).ok()
     }
 
-    /// Gives the rest of a stream until the end of the caller's time limit. That of the route applies
-    /// until the first event.
+    /// Gives the rest of a response until the end of the caller's time limit. That of the route applies
+    /// until the head has arrived.
     pub(crate) fn extend_to_caller_deadline(&mut self) {
         self.response_deadline = self.caller_deadline;
     }
@@ -241,9 +241,9 @@
         }
     }
 
-    /// Sets the server that must not get the request once more; `None` if each may.
-    pub(crate) fn set_silent_server(&mut self, server: Option<ServerInstance>) {
-        self.silent_server = server;
+    /// Sets whether the request may be sent to a silent server while another one has it.
+    pub(crate) fn allow_silent_servers(&mut self, is_allowed: bool) {
+        self.may_use_silent_servers = is_allowed;
     }
 
     /// Returns whether the current attempt is a trial.
@@ -276,7 +276,7 @@
             let failure = match hedged {
                 Hedged::First(Ok(response)) => return Ok(response),
                 Hedged::First(Err(failure)) => failure,
-                Hedged::Second { second, first } => {
+                Hedged::Second { second, first, .. } => {
                     let outcome = match first {
                         Some(Err(failure)) => failure.outcome,
                         Some(Ok(_)) | None => AttemptOutcome::Unknown,
@@ -372,21 +372,28 @@
                 node.online_candidates(&self.service, version, &self.tried_servers, now);
             if candidates.is_empty() && self.attempts.count() > 0 {
                 // Every server was tried. The least loaded one may succeed now.
-                let excluded = self.silent_server.as_slice();
-                candidates = node.online_candidates(&self.service, version, excluded, now);
+                candidates = node.online_candidates(&self.service, version, &[], now);
+            }
+            let is_second = self.attempts.in_progress() > 0;
+            if is_second && !self.may_use_silent_servers {
+                candidates.retain(|candidate| !candidate.is_suspected);
             }
             if candidates.is_empty() {
                 return Placement::NoServer;
             }
             let zone = &node.settings.availability_zone;
             let draw = rand::random::<u32>() as usize;
-            let pick = match self.attempts.in_progress() {
-                0 => placement::pick_online(&candidates, zone, draw),
-                _ => placement::pick_second(&candidates, zone, draw),
+            let pick = match is_second {
+                false => placement::pick_online(&candidates, zone, draw),
+                true => placement::pick_second(&candidates, zone, draw),
             };
             if let Some(pick) = pick {
                 return self.reserve(node, pick);
             }
+            // It would take the slots that requests without a server wait for.
+            if is_second {
+                return Placement::ServersFull;
+            }
             let capacity_changed = async {
                 tokio::select! {
                     () = node.loads.slot_freed.notified() => {}
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -121,9 +121,10 @@
             };
             let frame = match hedged {
                 Hedged::First(frame) => frame,
-                Hedged::Second { second, first } => {
+                Hedged::Second { second, first, silence } => {
                     splitter.discard_partial_event();
-                    response = leave_silent_server(&node, &mut request, response, first, second).await?;
+                    let cut_off = record_given_up(&node, &response, first, silence);
+                    response = move_stream(&node, &mut request, response, cut_off, second).await?;
                     continue;
                 }
             };
@@ -215,29 +216,41 @@
     Ok(bytes.freeze())
 }
 
-/// Gives up a response that was silent until another server had accepted the request, and waits for
-/// the response of that server. `last_frame` is what arrived meanwhile and was not forwarded. Returns
-/// an error if no server sends the rest.
-async fn leave_silent_server(
+/// Records that `response` is given up for that of a second server, after it was silent for `silence`.
+/// `last_frame` is what arrived meanwhile and was not forwarded.
+fn record_given_up(
+    node: &Node,
+    response: &OpenResponse,
+    last_frame: Option<BodyFrame>,
+    silence: Duration,
+) -> CutOff {
+    let (by, reason) = match last_frame {
+        Some(BodyFrame::CutOff(reason)) => (CutBy::Server, reason),
+        Some(BodyFrame::Data(_) | BodyFrame::End) => (CutBy::Front, "went on too late".to_owned()),
+        Some(BodyFrame::TimedOut) | None => {
+            response.record_failure();
+            (CutBy::Front, "silent".to_owned())
+        }
+    };
+    let cut_off = CutOff::new(node, response, by, reason);
+    CutOff { silence, ..cut_off }
+}
+
+/// Moves a stream to a second server that has accepted the request. Returns an error if neither that
+/// one nor another one sends the rest.
+async fn move_stream(
     node: &Arc<Node>,
     request: &mut OnlineRequest,
-    silent: OpenResponse,
-    last_frame: Option<BodyFrame>,
+    response: OpenResponse,
+    cut_off: CutOff,
     second: PendingAttempt,
 ) -> Result<OpenResponse, RelayError> {
-    let cut_off = match last_frame {
-        Some(BodyFrame::CutOff(reason)) => CutOff::new(node, &silent, CutBy::Server, reason),
-        _ => {
-            silent.record_failure();
-            CutOff::new(node, &silent, CutBy::Front, "silent")
-        }
-    };
     // Closes the connection, so that the server stops working on the request.
-    drop(silent);
+    drop(response);
     request.record_cut_off_stream();
-    let resumed = request.complete_attempt(node, second).await;
-    let resumed = resumed.inspect_err(|refusal| request.log_refusal(refusal));
-    finish_resumption(node, request, cut_off, resumed.ok())
+    let moved = request.complete_attempt(node, second).await;
+    let moved = moved.inspect_err(|refusal| request.log_refusal(refusal));
+    finish_resumption(node, request, cut_off, moved.ok())
 }
 
 /// Resumes a stream that was cut off at another server, after the last complete event. Returns
--- a/crates/foxwheel-node/tests/silent_second_servers.rs
+++ b/crates/foxwheel-node/tests/silent_second_servers.rs
@@ -5,24 +5,23 @@
 use std::time::Duration;
 
 use common::pausing_servers::{
-    shape, start_fleet, EVENTS_BEFORE_PAUSE, MAX_OVERLAP, PAUSE, STEP_TIME,
+    check_runs, shape, start_fleet, EVENTS, EVENTS_BEFORE_PAUSE, PAUSE, STEP_TIME,
 };
 use common::{call, Fleet};
 use foxwheel_server_emu::faults::Fault;
-use foxwheel_server_emu::server::{plain_body, ServerConfig};
+use foxwheel_server_emu::server::{event_text, plain_body, ServerConfig};
 use foxwheel_soak::front_client;
 use hyper::{Method, StatusCode};
 
-/// Returns for how long two servers worked on a request.
-fn overlap(fleet: &Fleet, id: &str) -> Duration {
-    let mut runs = fleet.runs_of_request(id);
-    runs.sort_by_key(|run| run.started_at);
-    let overlaps = runs.windows(2).map(|pair| {
-        let ended_at = |at: usize| pair[at].ended_at.expect("the run has ended");
-        let both_until = ended_at(0).min(ended_at(1));
-        both_until.saturating_duration_since(pair[1].started_at)
-    });
-    overlaps.max().unwrap_or_default()
+/// Returns the number of the server that runs a request.
+async fn server_that_runs(fleet: &Fleet, id: &str) -> usize {
+    let is_running = |number: &usize| !fleet.servers[*number].run_log.runs_of(id).is_empty();
+    loop {
+        if let Some(number) = (0..fleet.servers.len()).find(is_running) {
+            return number;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
 }
 
 #[actix_web::test]
@@ -46,8 +45,7 @@
     response.expect("a response");
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(fleet.runs_of_request("call").len(), 2);
-    let both = overlap(&fleet, "call");
-    assert!(both < MAX_OVERLAP, "both worked for {both:?}");
+    check_runs(&fleet, &["call"]);
     fleet.cancel.cancel();
 }
 
@@ -159,3 +157,83 @@
     assert!(runs.iter().all(|run| run.ended_at.is_some()), "{runs:?}");
     fleet.cancel.cancel();
 }
+
+/// Time from the start of a run to its head, in which the first server goes on.
+const SLOW_STEP_TIME: Duration = Duration::from_millis(100);
+
+/// A second server may have begun although its response has not arrived.
+#[actix_web::test]
+async fn first_server_works_on_beside_a_second_one_that_has_begun() {
+    let shapes = (0..2).map(|number| ServerConfig {
+        step_time: SLOW_STEP_TIME,
+        ..shape(number)
+    });
+    let fleet = start_fleet(shapes.collect()).await;
+    let mut second_runs = 0;
+    for pause_ms in (800..=900).step_by(10) {
+        let pause = Fault::PauseAfter(EVENTS_BEFORE_PAUSE, Duration::from_millis(pause_ms));
+        for server in &fleet.servers {
+            server.fault_script.clear();
+            server.fault_script.extend([pause; 2]);
+        }
+        let id = format!("call-{pause_ms}");
+        let response = call(fleet.fronts[0], Method::POST, "/stream/a", &id, &[], "x").await;
+        let complete: String = (1..=EVENTS).map(|event| event_text(&id, event)).collect();
+        assert_eq!(response.expect("a response").text(), complete);
+        check_runs(&fleet, &[&id]);
+        second_runs += fleet.runs_of_request(&id).len() - 1;
+    }
+    assert!(second_runs > 0, "no second server was tried");
+    fleet.cancel.cancel();
+}
+
+/// The bytes of an event that one server began must not be joined with those of another one.
+#[actix_web::test]
+async fn events_of_two_servers_are_joined_when_the_first_one_pauses_within_an_event() {
+    let fleet = start_fleet((0..2).map(shape).collect()).await;
+    let pause = Fault::PauseWithin(EVENTS_BEFORE_PAUSE, PAUSE);
+    for server in &fleet.servers {
+        server.fault_script.extend([pause]);
+    }
+    let front = fleet.fronts[0];
+    let response = call(front, Method::POST, "/stream/a", "call", &[], "x").await;
+    let complete: String = (1..=EVENTS)
+        .map(|event| event_text("call", event))
+        .collect();
+    assert_eq!(response.expect("a response").text(), complete);
+    assert_eq!(fleet.runs_of_request("call").len(), 2);
+    fleet.cancel.cancel();
+}
+
+/// The second server has the request already when the first one fails.
+#[actix_web::test]
+async fn stream_is_cut_off_when_its_silent_server_ends_beside_a_second_one() {
+    let shapes = (0..2).map(|number| ServerConfig {
+        step_time: Duration::from_millis(250),
+        ..shape(number)
+    });
+    let fleet = start_fleet(shapes.collect()).await;
+    let pause = Fault::PauseAfter(EVENTS_BEFORE_PAUSE, 4 * PAUSE);
+    for server in &fleet.servers {
+        server.fault_script.extend([pause]);
+    }
+    let end_first = async {
+        let first = server_that_runs(&fleet, "call").await;
+        let second = &fleet.servers[1 - first];
+        second.fault_script.clear();
+        while second.run_log.runs_of("call").is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        fleet.servers[first].terminate();
+    };
+    let front = fleet.fronts[0];
+    let headers = [("x-deadline-ms", "8000")];
+    let calling = call(front, Method::POST, "/stream/a", "call", &headers, "x");
+    let (response, ()) = tokio::join!(calling, end_first);
+    let complete: String = (1..=EVENTS)
+        .map(|event| event_text("call", event))
+        .collect();
+    assert_eq!(response.expect("a response").text(), complete);
+    assert_eq!(fleet.runs_of_request("call").len(), 2);
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-node/tests/silent_servers.rs
+++ b/crates/foxwheel-node/tests/silent_servers.rs
@@ -6,9 +6,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use common::pausing_servers::{
-    shape, start_fleet, EVENTS, EVENTS_BEFORE_PAUSE, MAX_OVERLAP, PAUSE,
-};
+use common::pausing_servers::{check_runs, shape, start_fleet, EVENTS, EVENTS_BEFORE_PAUSE, PAUSE};
 use common::{call, Fleet, ReceivedResponse};
 use foxwheel_server_emu::faults::Fault;
 use foxwheel_server_emu::server::{event_text, plain_body, versioned_event_text, ServerConfig};
@@ -101,22 +99,10 @@
     }
 }
 
-/// Checks that no two servers worked on one request for longer than is allowed. If `by_start`, the
-/// server that began first must have stopped so soon even if the other one was given up for it.
-fn check_overlaps(fleet: &Fleet, responses: &[(String, ReceivedResponse)], by_start: bool) {
-    for (id, _) in responses {
-        let mut runs = fleet.runs_of_request(id);
-        runs.sort_by_key(|run| run.started_at);
-        for pair in runs.windows(2) {
-            let ended_at = pair[0].ended_at.expect("the earlier run has ended");
-            let both_until = match by_start {
-                true => ended_at,
-                false => ended_at.min(pair[1].ended_at.expect("the later run has ended")),
-            };
-            let overlap = both_until.saturating_duration_since(pair[1].started_at);
-            assert!(overlap < MAX_OVERLAP, "{id}: {overlap:?}");
-        }
-    }
+/// Checks the runs of the requests that got these responses.
+fn check_overlaps(fleet: &Fleet, responses: &[(String, ReceivedResponse)]) {
+    let ids: Vec<&str> = responses.iter().map(|(id, _)| id.as_str()).collect();
+    check_runs(fleet, &ids);
 }
 
 #[actix_web::test]
@@ -134,7 +120,7 @@
     pause_every_run(&fleet);
     let responses = call_beside_configuration(&fleet, "/stream/a", add_route).await;
     check_served(&responses);
-    check_overlaps(&fleet, &responses, true);
+    check_overlaps(&fleet, &responses);
     fleet.cancel.cancel();
 }
 
@@ -151,7 +137,7 @@
     };
     let responses = call_beside_configuration(&fleet, "/stream/a", move_route).await;
     check_whole_or_refused(&responses);
-    check_overlaps(&fleet, &responses, true);
+    check_overlaps(&fleet, &responses);
     fleet.cancel.cancel();
 }
 
@@ -209,8 +195,7 @@
     let calls = call_beside_configuration(&fleet, "/stream/a", add_route);
     let (responses, ()) = tokio::join!(calls, silence);
     check_whole_or_refused(&responses);
-    // A request that waits in the queue of the silent server may begin after its second run.
-    check_overlaps(&fleet, &responses, false);
+    check_overlaps(&fleet, &responses);
     fleet.cancel.cancel();
 }
 
@@ -347,7 +332,7 @@
         });
         let responses = futures::future::join_all(calls).await;
         check_whole_or_refused(&responses);
-        check_overlaps(&fleet, &responses, true);
+        check_overlaps(&fleet, &responses);
     }
     fleet.cancel.cancel();
 }
--- a/crates/foxwheel-policy/src/hedging.rs
+++ b/crates/foxwheel-policy/src/hedging.rs
@@ -34,9 +34,12 @@
 /// a rejection. After it, the first server is given up if it is still silent, else the second one.
 pub const MAX_OVERLAP: Duration = Duration::from_millis(300);
 
-/// Patience, in multiples of the usual one, before the request is sent once more to a server that still
-/// has it. Such a run helps only if the server lost the first one and not if it is silent itself.
-const SAME_SERVER_PATIENCE: u32 = 2;
+/// Patience, in multiples of the usual one, before a silent server is used as the second one, be it
+/// another one or the same. Until then it is more likely to go on with what it has.
+const SILENT_SERVER_PATIENCE: u32 = 2;
+
+/// A timer that fires so late shows that the process itself stood still.
+const LATE_TIMER: Duration = Duration::from_millis(100);
 
 impl AwaitedPart {
     /// Returns how long a server may be silent before a second one is tried.
@@ -52,7 +55,8 @@
 #[derive(Debug, Clone)]
 pub struct HedgePlan {
     next_attempt_at: Instant,
-    same_server_from: Instant,
+    silent_servers_from: Instant,
+    is_postponed: bool,
     retry_delay: Duration,
 }
 
@@ -61,7 +65,8 @@
     pub fn new(awaited: AwaitedPart, waits_since: Instant) -> Self {
         Self {
             next_attempt_at: waits_since + awaited.patience(),
-            same_server_from: waits_since + awaited.patience() * SAME_SERVER_PATIENCE,
+            silent_servers_from: waits_since + awaited.patience() * SILENT_SERVER_PATIENCE,
+            is_postponed: false,
             retry_delay: FIRST_RETRY_DELAY,
         }
     }
@@ -72,9 +77,22 @@
         attempts.may_run_again().then_some(self.next_attempt_at)
     }
 
-    /// Returns whether the second run may be at the first server, if there is no other.
-    pub fn may_use_same_server(&self, now: Instant) -> bool {
-        now >= self.same_server_from
+    /// Postpones an attempt that is late, once. The process stood still, and what the first server sent
+    /// meanwhile may not have been read yet. Returns whether the attempt is postponed.
+    pub fn postpone_late_attempt(&mut self, now: Instant) -> bool {
+        let is_late = now >= self.next_attempt_at + LATE_TIMER;
+        if !is_late || self.is_postponed {
+            return false;
+        }
+        self.is_postponed = true;
+        self.next_attempt_at = now + FIRST_RETRY_DELAY;
+        true
+    }
+
+    /// Returns whether the second run may be at a silent server, the first one included, if there is
+    /// no other.
+    pub fn may_use_silent_servers(&self, now: Instant) -> bool {
+        now >= self.silent_servers_from
     }
 
     /// Records that no second server ran the request.
--- a/crates/foxwheel-policy/tests/hedging.rs
+++ b/crates/foxwheel-policy/tests/hedging.rs
@@ -100,11 +100,36 @@
     for awaited in [AwaitedPart::Head, AwaitedPart::Data] {
         let start = Instant::now();
         let plan = HedgePlan::new(awaited, start);
-        assert!(!plan.may_use_same_server(start + ms(1_600)), "{awaited:?}");
-        assert!(plan.may_use_same_server(start + ms(2_400)), "{awaited:?}");
+        assert!(
+            !plan.may_use_silent_servers(start + ms(1_600)),
+            "{awaited:?}"
+        );
+        assert!(
+            plan.may_use_silent_servers(start + ms(2_400)),
+            "{awaited:?}"
+        );
     }
 }
 
+/// A front that stood still for seconds finds the timers of all its streams expired.
+#[test]
+fn a_process_that_stood_still_reads_before_it_tries_second_servers() {
+    let start = Instant::now();
+    let patience = AwaitedPart::Data.patience();
+    let mut plan = HedgePlan::new(AwaitedPart::Data, start);
+    assert!(
+        !plan.postpone_late_attempt(start + patience + ms(20)),
+        "in time"
+    );
+    let woken_at = start + ms(4_000);
+    assert!(plan.postpone_late_attempt(woken_at));
+    let next = plan
+        .next_attempt_at(&attempts_in_progress(2))
+        .expect("a run is left");
+    assert!(next > woken_at && next <= woken_at + ms(100));
+    assert!(!plan.postpone_late_attempt(next + ms(500)), "only once");
+}
+
 /// A second server that was given up may have run the request. No third one is tried beyond the
 /// route's limit, and the first one may still fail.
 #[test]
--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -32,6 +32,9 @@
     /// The request runs and the stream sends nothing for a while after this number of events. Then it
     /// goes on.
     PauseAfter(u64, Duration),
+    /// The request runs and the stream sends nothing for a while in the middle of the event that follows
+    /// this number of events. Then it goes on.
+    PauseWithin(u64, Duration),
     /// The request runs and the server crashes after it sent this number of events.
     CrashAfter(u64),
     /// The response carries the id of another request.
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -487,6 +487,7 @@
         let id = request_id.to_owned();
         let frames = stream::unfold((first_event, resources), move |(event, mut resources)| {
             let text = state.event_text(&id, event);
+            let previous = state.event_text(&id, event - 1);
             let (silence, terminated) = (Arc::clone(&state.silence), state.terminated.clone());
             async move {
                 if event > last_event {
@@ -506,6 +507,14 @@
                         tokio::time::sleep(pause).await;
                         Ok(Frame::data(Bytes::from(text)))
                     }
+                    Fault::PauseWithin(count, _) if event == count + 1 => {
+                        Ok(Frame::data(Bytes::from(text[..text.len() / 2].to_owned())))
+                    }
+                    Fault::PauseWithin(count, pause) if event == count + 2 => {
+                        tokio::time::sleep(pause).await;
+                        let rest = &previous[previous.len() / 2..];
+                        Ok(Frame::data(Bytes::from(format!("{rest}{text}"))))
+                    }
                     Fault::StallAfter(count) if event > count => std::future::pending().await,
                     Fault::CrashAfter(count) if event > first_event + count - 1 => {
                         terminated.cancel();
