Engine emulator: a response can pause and go on

Change: the fault `Pause` sends nothing for a time after a number of tokens, and then the rest. Streamed responses pause between two events, others within their body. Reason: `Stall` is silent for ever, so no test could tell a host that pauses from one that hangs. Ruled out: a second field of the faults, because each existing test names all fields.

--- a/crates/foxwheel-engine-emu/src/server.rs
+++ b/crates/foxwheel-engine-emu/src/server.rs
@@ -200,8 +200,10 @@
     }
     let mut response_text = String::new();
     let mut token_count = 0;
+    let pauses = matches!(faults.response_fault, Some(ResponseFault::Pause { .. }));
+    let is_truncated = faults.response_fault.is_some() && !pauses;
     while let Some(stream_chunk) = chunk_receiver.recv().await {
-        if faults.response_fault.is_some() && token_count == faults.after_tokens {
+        if is_truncated && token_count == faults.after_tokens {
             let truncated_body =
                 futures::stream::once(async { Ok(Bytes::from_static(b"{\"choices\": [")) });
             return HttpResponse::Ok()
@@ -224,7 +226,24 @@
         completion_tokens: token_count,
         total_tokens: prompt_tokens + token_count,
     };
-    HttpResponse::Ok().json(openai::full_response(&id, &request, &response_text, usage))
+    let response = openai::full_response(&id, &request, &response_text, usage);
+    if pauses && faults.after_tokens < token_count {
+        return full_response_with_pause(response.to_string().into(), faults);
+    }
+    HttpResponse::Ok().json(response)
+}
+
+/// Returns a response that is not streamed, with the pause of `faults` within its body.
+fn full_response_with_pause(body: Bytes, faults: EngineFaults) -> HttpResponse {
+    let middle = body.len() / 2;
+    let parts = [body.slice(..middle), body.slice(middle..)];
+    let faults = EngineFaults {
+        after_tokens: 1,
+        ..faults
+    };
+    HttpResponse::Ok()
+        .content_type("application/json")
+        .streaming(apply_fault(futures::stream::iter(parts.map(Ok)), faults))
 }
 
 /// Applies the response fault of `faults` to a stream of events, after the first
@@ -237,16 +256,29 @@
     let Some(response_fault) = faults.response_fault else {
         return events.boxed_local();
     };
-    let sent_events = events.take(faults.after_tokens);
+    let after_events = faults.after_tokens;
     match response_fault {
-        ResponseFault::EndEarly => sent_events.boxed_local(),
-        ResponseFault::Stall => sent_events.chain(futures::stream::pending()).boxed_local(),
+        ResponseFault::EndEarly => events.take(after_events).boxed_local(),
+        ResponseFault::Stall => events
+            .take(after_events)
+            .chain(futures::stream::pending())
+            .boxed_local(),
         ResponseFault::Abort => {
             let abort = actix_web::error::ErrorInternalServerError("response aborted by fault");
-            sent_events
+            events
+                .take(after_events)
                 .chain(futures::stream::once(async { Err(abort) }))
                 .boxed_local()
         }
+        ResponseFault::Pause { pause_ms } => events
+            .enumerate()
+            .then(move |(index, event)| async move {
+                if index == after_events {
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                }
+                event
+            })
+            .boxed_local(),
     }
 }
 
--- a/crates/foxwheel-engine-emu/src/settings.rs
+++ b/crates/foxwheel-engine-emu/src/settings.rs
@@ -26,13 +26,19 @@
     EndEarly,
     /// Nothing more is sent and the connection stays open.
     Stall,
+    /// Nothing is sent for a time, and then the rest of the response.
+    Pause {
+        /// Time without data, in milliseconds.
+        pause_ms: u64,
+    },
 }
 
 /// Faults of the engine, set in the settings or by `POST /faults`.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct EngineFaults {
-    /// How every response, streamed or not, is broken; no fault if absent.
+    /// How every response, streamed or not, is broken; no fault if absent. A pause is written as
+    /// `{"pause": {"pause_ms": 1500}}`.
     #[serde(default)]
     #[serde(rename = "break_answers")]
     pub response_fault: Option<ResponseFault>,
--- a/crates/foxwheel-engine-emu/tests/engine_contract.rs
+++ b/crates/foxwheel-engine-emu/tests/engine_contract.rs
@@ -1,11 +1,11 @@
 //! Checks the API of the engine emulator, with its faults.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use foxwheel_core::protocol::RESUME_FROM_HEADER;
 use foxwheel_engine_emu::openai;
 use foxwheel_engine_emu::server::{self, EngineLoad, EngineStats};
-use foxwheel_engine_emu::settings::{EngineSettings, FencingMode};
+use foxwheel_engine_emu::settings::{EngineFaults, EngineSettings, FencingMode, ResponseFault};
 use foxwheel_engine_emu::text;
 use tokio_util::sync::CancellationToken;
 
@@ -127,6 +127,35 @@
     }
 }
 
+#[actix_web::test]
+async fn paused_responses_are_complete() {
+    let pause = Duration::from_millis(200);
+    for after_tokens in [0, 4] {
+        let engine = TestEngine::start(EngineSettings {
+            faults: EngineFaults {
+                response_fault: Some(ResponseFault::Pause {
+                    pause_ms: pause.as_millis() as u64,
+                }),
+                after_tokens,
+            },
+            ..EngineSettings::for_test("draftsman")
+        });
+        let started = Instant::now();
+        let streamed = engine.stream_completion("cut sheet", 9, 0).await;
+        assert!(started.elapsed() >= pause, "after {after_tokens} tokens");
+        assert_eq!(streamed, (text::response_text("cut sheet", 9), true));
+        let started = Instant::now();
+        let body =
+            serde_json::json!({"model": "draftsman", "prompt": "cut sheet", "max_tokens": 9});
+        let url = format!("{}/v1/completions", engine.url);
+        let sent = engine.http.post(url).send_json(&body).await;
+        let full: serde_json::Value = sent.expect("response").json().await.expect("json");
+        assert!(started.elapsed() >= pause, "after {after_tokens} tokens");
+        let expected = text::response_text("cut sheet", 9);
+        assert_eq!(openai::extract_text(&full), Some(expected.as_str()));
+    }
+}
+
 #[actix_web::test]
 async fn fencing_mode_decides_about_stale_commands() {
     let load_command = |model: &str| serde_json::json!({"kind": "load_model", "model": model});
