Agent: a request that its gateway left frees its slot while the backend is silent

Cause: the agent's server kept requests of clients that had closed the connection, as if they had closed only their sending side. It noticed them only when there was something to send. A gateway leaves a host that is silent, so the slot, or the place in the queue, was held for as long as the backend was silent: with an engine that hangs, for ever. Each such response took one slot of the agent away. Change: `ServerOptions::allows_half_closed`, which only the agent switches off. The other servers keep the default, since callers may close their sending side and read on. Ruled out: a time limit for silent responses at the agent, which would end sound ones; a probe of the connection in the relay, which does not cover requests without a head or in the queue.

Found while testing the gateway: with one host that pauses and one that hangs, 1 call of 12 waited 30 s for a slot and got 502, since the slots of the host that hangs were held by responses already left.

--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -117,7 +117,11 @@
     let server_cancel = CancellationToken::new();
     let control_cancel = CancellationToken::new();
     let handler_state = web::Data::from(state.clone());
-    let server_options = http::ServerOptions::default();
+    let server_options = http::ServerOptions {
+        // A gateway that leaves a request frees its slot, even if the backend is silent.
+        allows_half_closed: false,
+        ..http::ServerOptions::default()
+    };
     let (addr, server) = http::serve(
         &settings.listen_addr,
         server_options,
--- a/crates/foxwheel-agent/tests/common/mod.rs
+++ b/crates/foxwheel-agent/tests/common/mod.rs
@@ -34,7 +34,7 @@
     pub url: String,
     pub store: StoreClient,
     pub http: awc::Client,
-    backend_url: String,
+    pub backend_url: String,
     cancel: CancellationToken,
 }
 
@@ -128,13 +128,7 @@
             });
         }
         for _ in 0..500 {
-            let mut response = self
-                .http
-                .get(format!("{}/load", self.url))
-                .send()
-                .await
-                .expect("load");
-            let load: serde_json::Value = response.json().await.expect("json");
+            let load = self.load().await;
             if load["running_online"] == 1
                 && load["waiting_online"] == 1
                 && load["waiting_batch"] == 1
@@ -146,6 +140,13 @@
         panic!("the agent's queue did not become full");
     }
 
+    /// Returns the agent's load report.
+    pub async fn load(&self) -> serde_json::Value {
+        let url = format!("{}/load", self.url);
+        let mut response = self.http.get(url).send().await.expect("load");
+        response.json().await.expect("json")
+    }
+
     /// Returns the engine's counters.
     pub async fn engine_stats(&self) -> EngineStats {
         let url = format!("{}/stats", self.backend_url);
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -102,6 +102,10 @@
     pub workers: usize,
     /// How long a graceful stop waits for requests in flight.
     pub shutdown_timeout: Duration,
+    /// Whether a client may close its sending side after a request and still read the response. If it
+    /// may not, a request ends when its client closes the connection, also while there is nothing to
+    /// send to it.
+    pub allows_half_closed: bool,
 }
 
 impl Default for ServerOptions {
@@ -109,6 +113,7 @@
         Self {
             workers: 2,
             shutdown_timeout: Duration::from_secs(30),
+            allows_half_closed: true,
         }
     }
 }
@@ -139,6 +144,7 @@
     let server = actix_web::HttpServer::new(factory)
         .workers(options.workers)
         .keep_alive(SERVER_KEEP_ALIVE)
+        .h1_allow_half_closed(options.allows_half_closed)
         .shutdown_timeout(options.shutdown_timeout.as_secs())
         .disable_signals()
         .bind(listen_addr)?;
