Gateway: a part of a body is not delivered as the whole one because of a pause

Cause: when a response that is not streamed is read, a pause, an error and the end of the body were one and the same, `None`. What had come so far was delivered as the whole body if it was valid JSON: a number of which only the first digits had come, or an object followed by further bytes. A body shorter than its length, or without its last chunk, passed as well. Change: only the end that the framing marks ends a body, and it must still be valid JSON then, because a host can end a body early in order. After a pause or an error the request goes to another host, or fails with 502. Ruled out: a look at the length in the head alone; chunked bodies and those that end with their connection have none.

--- a/crates/foxwheel-gateway/src/response_relay.rs
+++ b/crates/foxwheel-gateway/src/response_relay.rs
@@ -185,12 +185,14 @@
     }
 }
 
-/// Returns the body if it is complete, which means that it is valid JSON from start to end.
-/// Returns `None` if it is not, or if it is larger than `MAX_FULL_RESPONSE_BYTES`.
+/// Returns the body if it is complete, which means that it has the end that its framing marks and is
+/// valid JSON. Returns `None` if it is not, or if it is larger than `MAX_FULL_RESPONSE_BYTES`.
 async fn read_full_body(response: &mut ClientResponse, stall_timeout: Duration) -> Option<Bytes> {
     let mut body = BytesMut::new();
     while body.len() <= MAX_FULL_RESPONSE_BYTES {
-        match next_body_chunk(response, stall_timeout).await {
+        // A body that paused or broke off is not complete, even if it is valid JSON so far.
+        let read = tokio::time::timeout(stall_timeout, response.next_data()).await;
+        match read.ok()?.ok()? {
             Some(chunk) => body.extend_from_slice(&chunk),
             None => {
                 let is_complete = serde_json::from_slice::<serde::de::IgnoredAny>(&body).is_ok();
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -114,13 +115,19 @@
 ) -> ScriptedServer {
     let started = scripted::start(response, AfterResponse::Close).await;
     let server = started.expect("server starts");
+    add_member(store, deployment, host, server.addr).await;
+    server
+}
+
+/// Registers the server at `agent_addr` as a host of `deployment` that reports no load.
+pub async fn add_member(store: &StoreClient, deployment: &str, host: &str, agent_addr: SocketAddr) {
     let control_addr = server::serve("127.0.0.1:0", Arc::new(IdleAgent), CancellationToken::new())
         .await
         .expect("control channel");
     let record = Member {
         host: host.to_owned(),
         deployment: deployment.to_owned(),
-        agent_addr: server.addr.to_string(),
+        agent_addr: agent_addr.to_string(),
         control_addr: control_addr.to_string(),
         zone: "suwon-hall".to_owned(),
         state: MemberState::Ready,
@@ -131,7 +138,6 @@
         .put(&keys::member(deployment, host), &record, None)
         .await
         .expect("member written");
-    server
 }
 
 /// An agent that always reports no load.
