Gateway: a silent host is not left before another one has delivered something

Cause: after `stream_stall_ms` without data a response counted as cut off. Its host was left, and only then another one was looked for. If there was none, or it was full, failed, paused or hung as well, the caller was cut off (502 for a response that is not streamed), although the first host went on soon after. Change: `hedging` reads a response. While its host is silent, the request is also sent to another host, and the hosts are read side by side. The first one that delivers an event, or the whole body of a response that is not streamed, is kept; the others are left, which ends their work. An event comes from one host only, and the next run resumes after it, so none is delivered twice or skipped. Each host, also one whose attempt was abandoned, counts as a run within `max_attempts`, so a request that may not be repeated runs at one host. If no further run is allowed or possible the wait goes on; hosts that rejected the request are asked again after each further `stream_stall_ms`. The wait ends when nothing has come for the deployment's `request_timeout_ms`. An error of another host does not replace a host that runs the request. A host that was left because of its silence is used again if no other is left. `OutboundRequest::send` is made of the same steps as before. `failed.unknown` counts a response that is not streamed once; it was counted twice when no other host was left. Ruled out: leaving the first host when the other one has sent its head. Engines send it before the first token: with a host that pauses and one that hangs after its head, that is the same fault again. Ending a stream at its time limit from the start: it is not enforced for streams that flow, and would cut them off at their first pause.

--- a/crates/foxwheel-gateway/src/forwarding.rs
+++ b/crates/foxwheel-gateway/src/forwarding.rs
@@ -1,9 +1,10 @@
 //! Sends a request to a host of its deployment, and to another one after a failure if that is safe.
 //!
 //! [`foxwheel_policy::retry`] decides whether a request may be sent to another host after a failed
-//! attempt. The same limit of attempts covers those that complete a response that was cut off
-//! ([`crate::response_relay`]).
+//! attempt. The same limit of attempts covers those that complete a response whose host was silent or
+//! broke off ([`crate::hedging`]).
 
+use std::future::Future;
 use std::time::Duration;
 
 use actix_web::http::header::{HeaderMap, HeaderName, HeaderValue};
@@ -17,9 +18,10 @@
 use foxwheel_http_client::client::{ClientResponse, SendError};
 use foxwheel_http_client::forward;
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
+use futures::future::{FutureExt, LocalBoxFuture};
 
 use crate::filters::RequestContext;
-use crate::hosts::InFlightGuard;
+use crate::hosts::{BackendHost, InFlightGuard};
 use crate::state::{GatewayState, WorkerState};
 
 /// Why no backend responded, with the response for the caller.
@@ -61,6 +63,35 @@
     Failed(AttemptOutcome, Option<SendFailure>),
 }
 
+/// An attempt at one host that has ended.
+pub struct Attempted {
+    host: HostId,
+    in_flight: InFlightGuard,
+    result: AttemptResult,
+}
+
+/// An attempt that gave no usable response.
+#[derive(Debug)]
+pub struct FailedAttempt {
+    /// Whether the request may be sent to another host.
+    pub may_try_another: bool,
+    /// Whether the request's timeout has expired.
+    has_timed_out: bool,
+    /// The failure for the caller, if the host may have run the request.
+    failure: Option<SendFailure>,
+}
+
+/// Why a request is not sent to a host again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Exclusion {
+    /// The host failed or did not complete its response.
+    Failed,
+    /// The host did not run the request. It may do so later.
+    Rejected,
+    /// The host was silent and was left for another one. It is used again if no other host is left.
+    Silent,
+}
+
 /// A request that is being forwarded, with the attempts made so far.
 pub struct OutboundRequest {
     method: Method,
@@ -71,12 +102,15 @@
     class: PriorityClass,
     idempotent: bool,
     timeout: Duration,
-    /// Hosts that the request is not sent to again.
-    excluded_hosts: Vec<HostId>,
+    /// Hosts that the request is not sent to again, and why.
+    excluded_hosts: Vec<(HostId, Exclusion)>,
     attempts: Attempts,
     /// Number of tokens that the caller had received before this request; 0 unless it resumes a
     /// stream itself.
     caller_token_count: usize,
+    /// Number of tokens delivered to the caller, which the next attempt resumes after; `None` if it
+    /// requests the response from its start.
+    resume_after: Option<usize>,
 }
 
 impl OutboundRequest {
@@ -106,26 +140,142 @@
             excluded_hosts: Vec::new(),
             attempts: Attempts::new(context.idempotent, state.settings.max_attempts),
             caller_token_count: caller_token_count.unwrap_or(0),
+            resume_after: None,
         }
     }
 
-    /// Records that `host` did not complete its response, so that the request is not sent there
-    /// again.
-    pub fn record_cut_off(&mut self, host: HostId) {
-        self.attempts.record(AttemptOutcome::Unknown);
-        self.exclude(host);
+    /// Returns the limit of the wait for a host.
+    pub fn timeout(&self) -> Duration {
+        self.timeout
+    }
+
+    /// Excludes `host` from further attempts.
+    pub fn exclude(&mut self, host: HostId, exclusion: Exclusion) {
+        self.excluded_hosts.push((host, exclusion));
     }
 
-    fn exclude(&mut self, host: HostId) {
-        self.excluded_hosts.push(host);
+    /// Allows the hosts again that were excluded for this reason.
+    pub fn lift_exclusions(&mut self, lifted: Exclusion) {
+        self.excluded_hosts
+            .retain(|(_, exclusion)| *exclusion != lifted);
     }
 
     /// Makes the next attempt request the rest of the response, after `delivered_tokens` tokens in
     /// addition to those that the caller already had.
     pub fn resume_after(&mut self, delivered_tokens: usize) {
-        let value = HeaderValue::from(self.caller_token_count + delivered_tokens);
-        let name = HeaderName::from_static(RESUME_FROM_HEADER);
-        self.headers.insert(name, value);
+        self.resume_after = Some(delivered_tokens);
+    }
+
+    /// Picks a host and starts an attempt there. Hosts that run the request already are skipped.
+    /// Returns `None` if the request may not run again or no host can take it.
+    ///
+    /// The attempt has to be concluded by [`Self::conclude_attempt`] or recorded by
+    /// [`Self::record_abandoned_attempt`] before the next one is started.
+    pub fn start_attempt(
+        &self,
+        state: &GatewayState,
+        worker: &WorkerState,
+        running_hosts: &[HostId],
+    ) -> Option<LocalBoxFuture<'static, Attempted>> {
+        // If responses that were cut off have used up the attempts, the request is not sent again.
+        if self.attempts.may_have_run() && !self.attempts.may_run_again() {
+            return None;
+        }
+        let backend = self
+            .pick_host(state, running_hosts, |_| true)
+            .or_else(|| self.pick_host(state, running_hosts, |e| e != Exclusion::Silent))?;
+        let in_flight = InFlightGuard::start(&backend);
+        let host = backend.member.host;
+        let result = self.attempt_host(worker, backend.member.agent_addr);
+        let attempted = async move {
+            let result = result.await;
+            Attempted {
+                host,
+                in_flight,
+                result,
+            }
+        };
+        Some(attempted.boxed_local())
+    }
+
+    /// Picks a host that does not run the request and is not excluded for a reason that `applies`.
+    fn pick_host(
+        &self,
+        state: &GatewayState,
+        running_hosts: &[HostId],
+        applies: impl Fn(Exclusion) -> bool,
+    ) -> Option<BackendHost> {
+        let mut skipped = running_hosts.to_vec();
+        let excluded = self.excluded_hosts.iter();
+        skipped.extend(
+            excluded
+                .filter(|(_, exclusion)| applies(*exclusion))
+                .map(|(host, _)| host.clone()),
+        );
+        let zone = &state.settings.zone;
+        state
+            .hosts
+            .pick_host(&self.deployment, self.class, zone, &skipped)
+    }
+
+    /// Records the outcome of an attempt, which counts as a run if the host responded. Returns the
+    /// response, or what the failure means for the request.
+    pub fn conclude_attempt(
+        &mut self,
+        state: &GatewayState,
+        attempted: Attempted,
+    ) -> Result<HostResponse, Box<FailedAttempt>> {
+        let Attempted {
+            host,
+            in_flight,
+            result,
+        } = attempted;
+        let counters = &state.counters;
+        let (outcome, failure) = match result {
+            AttemptResult::Responded(response) => {
+                self.attempts.record(AttemptOutcome::Unknown);
+                return Ok(HostResponse {
+                    response,
+                    host,
+                    in_flight,
+                });
+            }
+            AttemptResult::TimedOut(failure) => {
+                self.attempts.record(AttemptOutcome::Unknown);
+                self.exclude(host, Exclusion::Failed);
+                return Err(Box::new(FailedAttempt {
+                    may_try_another: false,
+                    has_timed_out: true,
+                    failure: Some(failure),
+                }));
+            }
+            AttemptResult::Failed(outcome, failure) => (outcome, failure),
+        };
+        let may_try_another = self.attempts.record(outcome) == NextStep::TryAnother;
+        if may_try_another {
+            counters.incr(match outcome {
+                AttemptOutcome::NotSent => "retried.never_reached",
+                AttemptOutcome::Gone | AttemptOutcome::Rejected => "retried.not_run",
+                AttemptOutcome::Failed | AttemptOutcome::Unknown => "retried.broke_off",
+            });
+        }
+        let exclusion = match outcome {
+            AttemptOutcome::NotSent | AttemptOutcome::Gone | AttemptOutcome::Rejected => {
+                Exclusion::Rejected
+            }
+            AttemptOutcome::Failed | AttemptOutcome::Unknown => Exclusion::Failed,
+        };
+        self.exclude(host, exclusion);
+        Err(Box::new(FailedAttempt {
+            may_try_another,
+            has_timed_out: false,
+            failure,
+        }))
+    }
+
+    /// Records an attempt that was dropped before its host responded. The host may run the request.
+    pub fn record_abandoned_attempt(&mut self) {
+        self.attempts.record(AttemptOutcome::Unknown);
     }
 
     /// Sends the request to hosts of its deployment until one responds or no further attempt is
@@ -136,43 +286,20 @@
         worker: &WorkerState,
     ) -> Result<HostResponse, SendFailure> {
         let counters = &state.counters;
-        // If responses that were cut off have used up the attempts, the request is not sent again.
-        let mut may_try = !self.attempts.may_have_run() || self.attempts.may_run_again();
         let mut last_failure = None;
-        while may_try {
-            let zone = &state.settings.zone;
-            let picked_host =
-                state
-                    .hosts
-                    .pick_host(&self.deployment, self.class, zone, &self.excluded_hosts);
-            let Some(backend) = picked_host else { break };
-            let in_flight = InFlightGuard::start(&backend);
-            let host = backend.member.host;
-            let result = self.attempt_host(worker, &backend.member.agent_addr).await;
-            let (outcome, failure) = match result {
-                AttemptResult::Responded(response) => {
-                    return Ok(HostResponse {
-                        response,
-                        host,
-                        in_flight,
-                    })
-                }
-                AttemptResult::TimedOut(failure) => {
-                    counters.incr("failed.timeout");
-                    return Err(failure);
-                }
-                AttemptResult::Failed(outcome, failure) => (outcome, failure),
+        while let Some(attempt) = self.start_attempt(state, worker, &[]) {
+            let failed = match self.conclude_attempt(state, attempt.await) {
+                Ok(host_response) => return Ok(host_response),
+                Err(failed) => failed,
             };
-            may_try = self.attempts.record(outcome) == NextStep::TryAnother;
-            if may_try {
-                counters.incr(match outcome {
-                    AttemptOutcome::NotSent => "retried.never_reached",
-                    AttemptOutcome::Gone | AttemptOutcome::Rejected => "retried.not_run",
-                    AttemptOutcome::Failed | AttemptOutcome::Unknown => "retried.broke_off",
-                });
+            last_failure = failed.failure.or(last_failure);
+            if failed.has_timed_out {
+                counters.incr("failed.timeout");
+                return Err(last_failure.expect("a timeout is a failure"));
+            }
+            if !failed.may_try_another {
+                break;
             }
-            last_failure = failure.or(last_failure);
-            self.exclude(host);
         }
         if self.attempts.give_up() == NextStep::RefuseNotRun {
             counters.incr("failed.not_run");
@@ -182,28 +309,33 @@
         Err(last_failure.unwrap_or_else(|| forward_failure("", &"its hosts broke off")))
     }
 
-    async fn attempt_host(&self, worker: &WorkerState, agent_addr: &str) -> AttemptResult {
-        match self.send_to(worker, agent_addr).await {
-            Ok(response) => match forward::read_run_state(&response) {
-                Some(RunState::NotRun) => AttemptResult::Failed(AttemptOutcome::Rejected, None),
-                Some(RunState::Unknown) if self.idempotent => {
-                    let failure = forward_failure(agent_addr, &"its backend broke off");
-                    AttemptResult::Failed(AttemptOutcome::Unknown, Some(failure))
-                }
-                Some(RunState::Unknown) | None => AttemptResult::Responded(response),
-            },
-            Err(e) if e.is_not_sent() => AttemptResult::Failed(AttemptOutcome::NotSent, None),
-            Err(e) => {
-                let failure = forward_failure(agent_addr, &e);
-                match e {
-                    // The request's timeout has expired, so no time is left for another attempt.
-                    SendError::Timeout { .. } if self.idempotent => {
-                        AttemptResult::TimedOut(failure)
-                    }
-                    _ => AttemptResult::Failed(AttemptOutcome::Unknown, Some(failure)),
-                }
-            }
+    /// Sends the request to the host at `agent_addr`.
+    fn attempt_host(
+        &self,
+        worker: &WorkerState,
+        agent_addr: String,
+    ) -> impl Future<Output = AttemptResult> + 'static {
+        let http = worker.http.clone();
+        let method = self.method.clone();
+        let url = format!("http://{agent_addr}{}", self.path);
+        let headers = self.headers_to_send();
+        let body = self.body.clone();
+        let timeout = self.timeout;
+        let idempotent = self.idempotent;
+        async move {
+            let sent = forward::forward_request(&http, &method, &url, &headers, body, timeout);
+            attempt_result(sent.await, &agent_addr, idempotent)
+        }
+    }
+
+    /// Returns the headers of the next attempt.
+    fn headers_to_send(&self) -> HeaderMap {
+        let mut headers = self.headers.clone();
+        if let Some(delivered_tokens) = self.resume_after {
+            let value = HeaderValue::from(self.caller_token_count + delivered_tokens);
+            headers.insert(HeaderName::from_static(RESUME_FROM_HEADER), value);
         }
+        headers
     }
 
     fn no_backend_failure(&self, retry_after_s: u64) -> SendFailure {
@@ -214,21 +346,31 @@
             Some(retry_after_s),
         ))
     }
+}
 
-    async fn send_to(
-        &self,
-        worker: &WorkerState,
-        agent_addr: &str,
-    ) -> Result<ClientResponse, SendError> {
-        forward::forward_request(
-            &worker.http,
-            &self.method,
-            &format!("http://{agent_addr}{}", self.path),
-            &self.headers,
-            self.body.clone(),
-            self.timeout,
-        )
-        .await
+fn attempt_result(
+    sent: Result<ClientResponse, SendError>,
+    agent_addr: &str,
+    idempotent: bool,
+) -> AttemptResult {
+    match sent {
+        Ok(response) => match forward::read_run_state(&response) {
+            Some(RunState::NotRun) => AttemptResult::Failed(AttemptOutcome::Rejected, None),
+            Some(RunState::Unknown) if idempotent => {
+                let failure = forward_failure(agent_addr, &"its backend broke off");
+                AttemptResult::Failed(AttemptOutcome::Unknown, Some(failure))
+            }
+            Some(RunState::Unknown) | None => AttemptResult::Responded(response),
+        },
+        Err(e) if e.is_not_sent() => AttemptResult::Failed(AttemptOutcome::NotSent, None),
+        Err(e) => {
+            let failure = forward_failure(agent_addr, &e);
+            match e {
+                // The request's timeout has expired, so no time is left for another attempt.
+                SendError::Timeout { .. } if idempotent => AttemptResult::TimedOut(failure),
+                _ => AttemptResult::Failed(AttemptOutcome::Unknown, Some(failure)),
+            }
+        }
     }
 }
 
--- a/crates/foxwheel-gateway/src/lib.rs
+++ b/crates/foxwheel-gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod control;
 pub mod filters;
 pub mod forwarding;
+pub mod hedging;
 pub mod hosts;
 pub mod idempotency;
 pub mod online;
--- a/crates/foxwheel-gateway/src/response_relay.rs
+++ b/crates/foxwheel-gateway/src/response_relay.rs
@@ -1,25 +1,22 @@
 //! Relays the complete response of a completion to the caller.
 //!
-//! A host can die, hang or end its response early. A streamed response is forwarded in complete
-//! events; if it is cut off before its last event, the request is sent to another host, which
-//! resumes after the tokens already delivered. A response that is not streamed is read to its
-//! end, and the request is sent again if it is incomplete. If no host completes a stream, the
-//! caller's connection is closed without an end of the body, and if no host gives a complete
-//! response without streaming, the caller gets an error, so that a part is never mistaken for
-//! the complete response.
-
-use std::time::Duration;
+//! A host can die, hang, pause or end its response early ([`crate::hedging`]). A streamed response is
+//! forwarded in complete events; another host resumes it after the tokens already delivered. A
+//! response that is not streamed is read to its end, from whichever host completes it. If no host
+//! completes a stream, the caller's connection is closed without an end of the body, and if no host
+//! gives a complete response without streaming, the caller gets an error, so that a part is never
+//! mistaken for the complete response.
 
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use bytes::{Bytes, BytesMut};
 use foxwheel_core::http;
 use foxwheel_event_stream::splitter::EventSplitter;
-use foxwheel_http_client::client::ClientResponse;
 use foxwheel_http_client::forward;
 
 use crate::filters::AdmissionGuard;
 use crate::forwarding::{HostResponse, OutboundRequest};
+use crate::hedging::{self, BodyReader, HostRun, Progress};
 use crate::state::{GatewayState, WorkerState};
 
 /// Data of the last event of a streamed completion.
@@ -34,95 +31,116 @@
     delivered_tokens: usize,
 }
 
-/// Returns the next chunk of a response body, or `None` if the body ended, failed or delivered
-/// nothing for `stall_timeout`.
-async fn next_body_chunk(response: &mut ClientResponse, stall_timeout: Duration) -> Option<Bytes> {
-    let chunk = tokio::time::timeout(stall_timeout, response.next_data()).await;
-    chunk.ok()?.ok()?
+/// Complete events of a stream.
+struct Events {
+    bytes: Bytes,
+    /// Number of tokens that they carry.
+    token_count: usize,
+    /// Whether the last event of the stream is among them.
+    has_last: bool,
 }
 
-/// A streamed response that is being relayed to the caller.
-struct StreamRelay {
-    state: web::Data<GatewayState>,
-    worker: web::Data<WorkerState>,
-    outbound: OutboundRequest,
-    host_response: HostResponse,
-    /// Held until the response ends.
-    _admission_guard: Option<AdmissionGuard>,
-    events: EventSplitter,
-    /// Number of events forwarded, each of which carries one token. The last event is not counted.
-    delivered_tokens: usize,
-    /// Whether no events follow, because the last one was forwarded or the response was cut off for
-    /// good.
-    has_ended: bool,
+/// Splits the stream of one host into events.
+struct EventReader {
+    splitter: EventSplitter,
+    /// Comments that wait for the first event.
+    comments: BytesMut,
+    /// Whether comments are delivered by themselves. A host that has sent nothing else does not
+    /// replace another one.
+    delivers_comments: bool,
 }
 
-impl StreamRelay {
-    /// Returns the next complete events, or `None` after the last one.
-    async fn next_events(&mut self) -> Option<Result<Bytes, ResponseCutOff>> {
-        let stall_timeout = Duration::from_millis(self.state.settings.stream_stall_ms);
-        while !self.has_ended {
-            match next_body_chunk(&mut self.host_response.response, stall_timeout).await {
-                Some(chunk) => {
-                    self.events.push(&chunk);
-                    let events = self.take_complete_events();
-                    if !events.is_empty() {
-                        return Some(Ok(events));
-                    }
-                }
-                None => {
-                    if let Err(cut_off) = self.resume_on_another_host().await {
-                        self.has_ended = true;
-                        return Some(Err(cut_off));
-                    }
-                }
-            }
+impl EventReader {
+    fn new(delivers_comments: bool) -> Self {
+        Self {
+            splitter: EventSplitter::default(),
+            comments: BytesMut::new(),
+            delivers_comments,
         }
-        None
     }
+}
+
+impl BodyReader for EventReader {
+    type Delivery = Events;
 
-    /// Returns the bytes of the complete events received, up to the last one of the stream.
-    fn take_complete_events(&mut self) -> Bytes {
-        let mut bytes = BytesMut::new();
-        while !self.has_ended {
-            let Some(event) = self.events.next_event() else {
+    const ACCEPTS_ERRORS: bool = false;
+
+    fn for_another_host() -> Self {
+        Self::new(false)
+    }
+
+    fn push(&mut self, chunk: &Bytes) -> Progress<Events> {
+        self.splitter.push(chunk);
+        let mut bytes = std::mem::take(&mut self.comments);
+        let mut token_count = 0;
+        let mut has_last = false;
+        while !has_last {
+            let Some(event) = self.splitter.next_event() else {
                 break;
             };
             bytes.extend_from_slice(&event.bytes);
             match event.data().as_str() {
-                LAST_EVENT_DATA => self.has_ended = true,
+                LAST_EVENT_DATA => has_last = true,
                 // A comment carries no token.
                 "" => {}
-                _ => self.delivered_tokens += 1,
+                _ => token_count += 1,
             }
         }
-        bytes.freeze()
+        self.delivers_comments |= has_last || token_count > 0;
+        if bytes.is_empty() || !self.delivers_comments {
+            self.comments = bytes;
+            return Progress::NeedsMore;
+        }
+        Progress::Delivered(Events {
+            bytes: bytes.freeze(),
+            token_count,
+            has_last,
+        })
     }
 
-    /// Sends the request to another host, which resumes after the tokens delivered so far.
-    async fn resume_on_another_host(&mut self) -> Result<(), ResponseCutOff> {
-        self.events.discard_partial_event();
-        let counters = self.state.counters.clone();
-        self.outbound
-            .record_cut_off(self.host_response.host.clone());
+    /// The last event ends the stream; a body that ends before it is not complete.
+    fn finish(&mut self) -> Progress<Events> {
+        Progress::Incomplete
+    }
+}
+
+/// A streamed response that is being relayed to the caller.
+struct StreamRelay {
+    state: web::Data<GatewayState>,
+    worker: web::Data<WorkerState>,
+    outbound: OutboundRequest,
+    /// Host whose events are forwarded; `None` if no events follow, because the last one was
+    /// forwarded or the response was cut off for good.
+    run: Option<HostRun<EventReader>>,
+    /// Held until the response ends.
+    _admission_guard: Option<AdmissionGuard>,
+    /// Number of events forwarded, each of which carries one token. The last event is not counted.
+    delivered_tokens: usize,
+}
+
+impl StreamRelay {
+    /// Returns the next complete events, or `None` after the last one.
+    async fn next_events(&mut self) -> Option<Result<Bytes, ResponseCutOff>> {
+        let run = self.run.take()?;
+        let host = run.host_response.host.clone();
         self.outbound.resume_after(self.delivered_tokens);
-        match self.outbound.send(&self.state, &self.worker).await {
-            Ok(host_response) if host_response.response.status().is_success() => {
-                counters.incr("streams.resumed");
-                self.host_response = host_response;
-                Ok(())
-            }
-            _ => {
-                counters.incr("streams.broken_off");
-                Err(ResponseCutOff {
-                    delivered_tokens: self.delivered_tokens,
-                })
-            }
+        let next = hedging::next_delivery(&self.state, &self.worker, &mut self.outbound, run);
+        let Some((run, events)) = next.await else {
+            self.state.counters.incr("streams.broken_off");
+            return Some(Err(ResponseCutOff {
+                delivered_tokens: self.delivered_tokens,
+            }));
+        };
+        if run.host_response.host != host {
+            self.state.counters.incr("streams.resumed");
         }
+        self.delivered_tokens += events.token_count;
+        self.run = (!events.has_last).then_some(run);
+        Some(Ok(events.bytes))
     }
 }
 
-/// Streams the response to the caller and resumes it on another host if it is cut off. An error
+/// Streams the response to the caller and resumes it on another host if its own breaks off or is silent. An error
 /// of the engine is not a stream of events and is forwarded unchanged.
 pub fn relay_streamed_response(
     state: web::Data<GatewayState>,
@@ -138,15 +156,18 @@
         );
     }
     let mut builder = forward::relayed_response_builder(&host_response.response);
+    let reader = EventReader::new(true);
+    let run = HostRun {
+        host_response,
+        reader,
+    };
     let relay = StreamRelay {
         state,
         worker,
         outbound,
-        host_response,
+        run: Some(run),
         _admission_guard: admission_guard,
-        events: EventSplitter::default(),
         delivered_tokens: 0,
-        has_ended: false,
     };
     let events = futures::stream::unfold(relay, |mut relay| async move {
         let events = relay.next_events().await?;
@@ -155,50 +176,62 @@
     builder.streaming(Box::pin(events))
 }
 
-/// Reads the response to its end, from another host if it is cut off, and returns it to the
-/// caller. If no host gives a complete response, returns an error that leaves open whether the
-/// request ran.
+/// Collects a body that is not streamed.
+#[derive(Default)]
+struct FullBodyReader {
+    body: BytesMut,
+}
+
+impl BodyReader for FullBodyReader {
+    type Delivery = Bytes;
+
+    const ACCEPTS_ERRORS: bool = true;
+
+    fn for_another_host() -> Self {
+        Self::default()
+    }
+
+    fn push(&mut self, chunk: &Bytes) -> Progress<Bytes> {
+        self.body.extend_from_slice(chunk);
+        if self.body.len() > MAX_FULL_RESPONSE_BYTES {
+            return Progress::Incomplete;
+        }
+        Progress::NeedsMore
+    }
+
+    /// A host can end a body early in order, so a complete one is also valid JSON from start to end.
+    fn finish(&mut self) -> Progress<Bytes> {
+        match serde_json::from_slice::<serde::de::IgnoredAny>(&self.body) {
+            Ok(_) => Progress::Delivered(std::mem::take(&mut self.body).freeze()),
+            Err(_) => Progress::Incomplete,
+        }
+    }
+}
+
+/// Reads the response to its end, from another host if its own breaks off or is silent and the other
+/// one completes it, and returns it to the caller. If no host gives a complete response, returns an
+/// error that leaves open whether the request ran.
 pub async fn relay_full_response(
     state: &GatewayState,
     worker: &WorkerState,
     mut outbound: OutboundRequest,
-    mut host_response: HostResponse,
+    host_response: HostResponse,
 ) -> HttpResponse {
-    let stall_timeout = Duration::from_millis(state.settings.stream_stall_ms);
-    loop {
-        if let Some(body) = read_full_body(&mut host_response.response, stall_timeout).await {
-            return forward::relayed_response_builder(&host_response.response).body(body);
+    let run = HostRun {
+        host_response,
+        reader: FullBodyReader::default(),
+    };
+    match hedging::next_delivery(state, worker, &mut outbound, run).await {
+        Some((run, body)) => {
+            forward::relayed_response_builder(&run.host_response.response).body(body)
         }
-        state.counters.incr("retried.broke_off");
-        outbound.record_cut_off(host_response.host);
-        host_response = match outbound.send(state, worker).await {
-            Ok(host_response) => host_response,
-            Err(_) => {
-                state.counters.incr("failed.unknown");
-                return http::unknown_run_state_response(
-                    StatusCode::BAD_GATEWAY,
-                    "backend_failed",
-                    "the answer broke off and no other host gave it whole",
-                );
-            }
-        };
-    }
-}
-
-/// Returns the body if it is complete, which means that it has the end that its framing marks and is
-/// valid JSON. Returns `None` if it is not, or if it is larger than `MAX_FULL_RESPONSE_BYTES`.
-async fn read_full_body(response: &mut ClientResponse, stall_timeout: Duration) -> Option<Bytes> {
-    let mut body = BytesMut::new();
-    while body.len() <= MAX_FULL_RESPONSE_BYTES {
-        // A body that paused or broke off is not complete, even if it is valid JSON so far.
-        let read = tokio::time::timeout(stall_timeout, response.next_data()).await;
-        match read.ok()?.ok()? {
-            Some(chunk) => body.extend_from_slice(&chunk),
-            None => {
-                let is_complete = serde_json::from_slice::<serde::de::IgnoredAny>(&body).is_ok();
-                return is_complete.then(|| body.freeze());
-            }
+        None => {
+            state.counters.incr("failed.unknown");
+            http::unknown_run_state_response(
+                StatusCode::BAD_GATEWAY,
+                "backend_failed",
+                "the answer broke off and no other host gave it whole",
+            )
         }
     }
-    None
 }
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -29,9 +29,10 @@
     /// it are not counted here but have a limit of their own.
     #[serde(default = "default_max_attempts")]
     pub max_attempts: u32,
-    /// Time without new data, in milliseconds, after which a response counts as cut off and is
-    /// resumed or repeated on another host. It must be longer than the longest wait for a first
-    /// token.
+    /// Time without new data of a response, in milliseconds, after which the request is also sent to
+    /// another host. The host that delivers something first is kept and the others are left. If no
+    /// other host can run the request, the wait goes on until the time limit of the deployment has
+    /// passed without new data. It should be longer than the longest wait for a first token.
     #[serde(default = "default_stream_stall_ms")]
     pub stream_stall_ms: u64,
     /// Control channel: delay between two polls of one agent, in milliseconds.
