Soak: sound servers are silent for a while and go on

The soak never made a sound server silent, so it could not find responses that are given up while their server is silent (docs/incidents/silent-servers.md).

Plans get silences of 0.8 to 1.6 s, of one server or all: nothing on any connection, or the runs that start in that time pause. Silences do not add up within a request, as its time limit is reached otherwise. Old plan files are read. The phase after the faults has only silences, configurations and reloads, as a response that is cut beside a fault of a server is excused.

The check of cut-off responses treats a silence as explaining nothing, and a response that is left out until its caller gives up now counts as well. No check became weaker. In the emulated server's script, a fault can be the fallback of all requests without one, so that faults that overlap a silence still occur.

--- a/crates/foxwheel-node/tests/soak.rs
+++ b/crates/foxwheel-node/tests/soak.rs
@@ -2,13 +2,16 @@
 //! guard against a stopping front that closes connections which callers have just opened, without a
 //! response. Seed 2 and the plan guard against the quarantine of a content that many callers send
 //! and that crashed no server. Another plan guards against responses that were cut off and reach
-//! their callers as complete.
+//! their callers as complete, and one against responses that are given up while their servers are
+//! silent.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use foxwheel_soak::args;
-use foxwheel_soak::plan::{Fault, FleetSize, Plan, ServerFault, Step};
+use foxwheel_soak::plan::{
+    Fault, FleetSize, Plan, ProcessFault, ProcessTarget, ServerFault, ServerTarget, Silence, Step,
+};
 use foxwheel_soak::run::{self, Folders};
 
 async fn run_seed(seed: u64) {
@@ -79,6 +82,54 @@
     }
 }
 
+/// Sound servers, one of each version, are silent beside configurations and reloads.
+fn silences_beside_planned_work() -> Plan {
+    const SILENCE: Duration = Duration::from_millis(1_400);
+    const CONFIG_INTERVAL: Duration = Duration::from_millis(300);
+    const RELOAD_INTERVAL: Duration = Duration::from_millis(700);
+    let size = FleetSize {
+        servers: 2,
+        callers: 12,
+        injection_duration: Duration::from_millis(6_500),
+        ..args::default_size()
+    };
+    let silences = [
+        (200, ServerTarget::All, Silence::Connections),
+        (2_000, ServerTarget::All, Silence::Runs),
+        (5_000, ServerTarget::One(0), Silence::Connections),
+    ];
+    let silences = silences.map(|(start_ms, target, act)| Step {
+        start_after: Duration::from_millis(start_ms),
+        duration: SILENCE,
+        fault: Fault::Silence { target, act },
+    });
+    let configs = (0..20).map(|index| Step {
+        start_after: CONFIG_INTERVAL * index,
+        duration: CONFIG_INTERVAL,
+        fault: Fault::Configure,
+    });
+    let reloads = (0..8).map(|index| Step {
+        start_after: RELOAD_INTERVAL * index,
+        duration: RELOAD_INTERVAL / 2,
+        fault: Fault::Process {
+            target: ProcessTarget::All,
+            act: ProcessFault::Reload,
+        },
+    });
+    let mut steps: Vec<Step> = silences.into_iter().chain(configs).chain(reloads).collect();
+    steps.sort_by_key(|step| step.start_after);
+    Plan {
+        seed: 42,
+        size,
+        steps,
+    }
+}
+
+#[actix_web::test]
+async fn responses_are_given_up_beside_silent_servers_and_planned_work() {
+    run_plan("soak-silences", &silences_beside_planned_work()).await;
+}
+
 #[actix_web::test]
 async fn cut_off_responses_never_look_complete() {
     run_plan("soak-cut-off", &cut_off_responses()).await;
--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -44,25 +44,35 @@
     Unframed(UnframedResponse),
 }
 
-/// The faults of the next requests, one each in the order of arrival. Requests are served
-/// without fault once the script is empty.
+/// The faults of the next requests, one each in the order of arrival. Once the script is empty,
+/// requests have its fallback, and are served without fault if it has none.
 #[derive(Debug, Default)]
-pub struct FaultScript(Mutex<VecDeque<Fault>>);
+pub struct FaultScript {
+    faults: Mutex<VecDeque<Fault>>,
+    fallback: Mutex<Option<Fault>>,
+}
 
 impl FaultScript {
     /// Appends faults to the script.
     pub fn extend(&self, faults: impl IntoIterator<Item = Fault>) {
-        self.0.lock().expect("script lock").extend(faults);
+        self.faults.lock().expect("script lock").extend(faults);
     }
 
     /// Removes all faults that no request has used yet.
     pub fn clear(&self) {
-        self.0.lock().expect("script lock").clear();
+        self.faults.lock().expect("script lock").clear();
+    }
+
+    /// Sets or removes the fault of all requests for which the script has none.
+    pub fn set_fallback(&self, fallback: Option<Fault>) {
+        *self.fallback.lock().expect("fallback lock") = fallback;
     }
 
-    /// Removes and returns the next fault, [`Fault::None`] if the script is empty.
+    /// Removes and returns the next fault. Returns the fallback if the script is empty, or
+    /// [`Fault::None`].
     pub fn next_fault(&self) -> Fault {
-        let mut script = self.0.lock().expect("script lock");
-        script.pop_front().unwrap_or(Fault::None)
+        let next = self.faults.lock().expect("script lock").pop_front();
+        let fault = next.or_else(|| *self.fallback.lock().expect("fallback lock"));
+        fault.unwrap_or(Fault::None)
     }
 }
--- a/crates/foxwheel-soak/src/args.rs
+++ b/crates/foxwheel-soak/src/args.rs
@@ -15,7 +15,8 @@
 
   --seed N        the first seed (default 1)
   --seeds N       number of consecutive seeds to run (default 1)
-  --seconds N     time for which faults are injected, for each seed (default 10)
+  --seconds N     time for which faults are injected, for each seed (default 10); then the
+                  same time with only silent servers, new configurations and reloads
   --fronts N, --workers N, --servers N, --callers N, --zones N
                   size of the fleet (default 3, 2, 4, 6, 2)
   --plan FILE     run the plan in this file instead; each run writes its plan to its folder
--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -61,7 +61,7 @@
     NotRunIsTrue,
     /// A request runs at most as often as its route allows.
     RunsAllowed,
-    /// A response is only cut off if a fault can explain it.
+    /// A response is only cut off or left out if a fault can explain it.
     NotCut,
     /// While no fault is active, callers are served.
     Served,
@@ -255,7 +255,12 @@
                 findings.add(Promise::NotCut, &call.id, seen);
             }
         }
-        CallEnd::Left { .. } => {
+        CallEnd::Left { meant_to } => {
+            let is_excused = evidence.may_be_cut_off(call.front, call.sent_at, call.ended_at);
+            if !meant_to && !is_excused {
+                let seen = format!("no complete response from front {} in time", call.front);
+                findings.add(Promise::NotCut, &call.id, seen);
+            }
             let deadline = evidence.deadline_after_faults(call.ended_at, ABANDON_TIMEOUT);
             if let Some(server_run) = runs.find(|server_run| is_running_after(server_run, deadline))
             {
--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_server_emu::faults::Fault as RunFault;
+use foxwheel_server_emu::server::Server;
 use foxwheel_server_emu::unframed::{BodyPart, ConnectionEnd, UnframedResponse};
 use foxwheel_store::api::{Faults, Refusal};
 use hyper::Method;
@@ -19,13 +20,22 @@
 };
 use crate::front_client;
 use crate::online_caller::OnlineCaller;
-use crate::plan::{Fault, NetworkPath, ProcessFault, ProcessTarget, ServerFault, Step, StoreFault};
+use crate::plan::{
+    Fault, NetworkPath, ProcessFault, ProcessTarget, ServerFault, ServerTarget, Silence, Step,
+    StoreFault,
+};
 use crate::process::ProcessExit;
 use crate::proxy::{FaultProxy, PathFault};
 
 /// Number of requests that a single fault of a server affects.
 const FAULTY_REQUESTS: usize = 3;
 
+/// Number of events that a run sends before it pauses.
+const EVENTS_BEFORE_PAUSE: u64 = 2;
+
+/// The silence of a server that goes on does not explain a response that was cut off.
+pub const SILENCE_CUT_SCOPE: CutScope = CutScope::Nothing;
+
 /// Time that a process may take to end beyond its stop grace, because delivering the signal and
 /// noticing the end take time.
 const STOP_GRACE_MARGIN: Duration = Duration::from_millis(500);
@@ -77,6 +87,10 @@
             Fault::Server { at, fault } => {
                 self.apply_server_fault(at, fault, step.duration).await?
             }
+            Fault::Silence { target, act } => {
+                self.silence_servers(target, act, step.duration).await;
+                SILENCE_CUT_SCOPE
+            }
             Fault::Configure => return self.write_next_config().await,
             Fault::CrashingRequest => self.send_crashing_requests(step.duration).await?,
         };
@@ -251,6 +265,35 @@
         Ok(CutScope::Any)
     }
 
+    /// Returns after the last silent server has gone on.
+    async fn silence_servers(&self, target: ServerTarget, act: Silence, duration: Duration) {
+        let emulators: Vec<Server> = {
+            let fleet = self.fleet.borrow();
+            let servers = match target {
+                ServerTarget::One(index) => {
+                    std::slice::from_ref(&fleet.servers[index % fleet.servers.len()])
+                }
+                ServerTarget::All => &fleet.servers[..],
+            };
+            let emulators = servers.iter().map(|server| server.emulator.clone());
+            emulators.collect()
+        };
+        let pause = RunFault::PauseAfter(EVENTS_BEFORE_PAUSE, duration);
+        for emulator in &emulators {
+            match act {
+                Silence::Connections => emulator.be_silent_for(duration),
+                Silence::Runs => emulator.fault_script.set_fallback(Some(pause)),
+            }
+        }
+        tokio::time::sleep(duration).await;
+        if act == Silence::Runs {
+            for emulator in &emulators {
+                emulator.fault_script.set_fallback(None);
+            }
+            tokio::time::sleep(duration).await;
+        }
+    }
+
     async fn replace_server(
         &self,
         index: usize,
--- a/crates/foxwheel-soak/src/main.rs
+++ b/crates/foxwheel-soak/src/main.rs
@@ -53,7 +53,7 @@
     let plans = match &options.plan {
         Some(file) => vec![read_plan(file)?],
         None => (0..options.seeds)
-            .map(|offset| Plan::draw(options.seed + offset, options.size.clone()))
+            .map(|offset| Plan::draw(options.seed + offset, options.size.clone()).with_silences())
             .collect(),
     };
     let mut all_kept = true;
--- a/crates/foxwheel-soak/src/plan.rs
+++ b/crates/foxwheel-soak/src/plan.rs
@@ -130,6 +130,26 @@
     Leaves,
 }
 
+/// Which backend servers fall silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerTarget {
+    /// The server with this index.
+    One(usize),
+    /// All servers of the service at once.
+    All,
+}
+
+/// What a silent server stops sending. It goes on after the duration of the step.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Silence {
+    /// Everything, on all connections.
+    Connections,
+    /// The runs that start during the step, after some of their events.
+    Runs,
+}
+
 /// A fault. Logs write the names of variants and fields.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -157,6 +177,13 @@
         /// How the server misbehaves.
         fault: ServerFault,
     },
+    /// Not a fault: sound servers send nothing for a while.
+    Silence {
+        /// Which servers.
+        target: ServerTarget,
+        /// What they stop sending.
+        act: Silence,
+    },
     /// Not a fault: the operator writes a new version of the configuration.
     Configure,
     /// A caller keeps sending a request that crashes the servers that run it.
@@ -196,6 +223,19 @@
 /// Range of fault durations, in milliseconds.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 150..2_500;
 
+/// Range of the durations for which a sound server is silent, in milliseconds.
+const SILENCE_DURATION_MS: std::ops::Range<u64> = 800..1_600;
+
+/// Range of pauses between two silences, in milliseconds. With them, all silences within one
+/// request are shorter than the timeout of its route.
+const SILENCE_INTERVAL_MS: std::ops::Range<u64> = 300..1_200;
+
+/// Mean time between two configurations or reloads while nothing but silences goes on.
+const MEAN_PLANNED_WORK_INTERVAL: Duration = Duration::from_millis(700);
+
+/// Distinguishes the random numbers of silences from those of faults with the same seed.
+const SILENCE_SEED: u64 = 0x51_1e_4c_e5;
+
 impl Plan {
     /// Draws the plan of `seed` for a fleet of `size`.
     pub fn draw(seed: u64, size: FleetSize) -> Self {
@@ -219,6 +259,68 @@
         }
         Self { seed, size, steps }
     }
+
+    /// Adds silences of sound servers beside the faults, and after the faults a phase of the same
+    /// length with only silences, configurations and reloads. The faults stay as they are.
+    pub fn with_silences(mut self) -> Self {
+        let mut rng = StdRng::seed_from_u64(self.seed ^ SILENCE_SEED);
+        let faults_end = self.size.injection_duration;
+        let end = faults_end * 2;
+        let mut start_after = Duration::ZERO;
+        loop {
+            start_after += Duration::from_millis(rng.random_range(SILENCE_INTERVAL_MS));
+            let duration = Duration::from_millis(rng.random_range(SILENCE_DURATION_MS));
+            let fault = draw_silence(&mut rng, &self.size);
+            let silence = Step {
+                start_after,
+                duration,
+                fault,
+            };
+            start_after = silence.silent_until();
+            if start_after > end {
+                break;
+            }
+            self.steps.push(silence);
+        }
+        let mut start_after = faults_end;
+        loop {
+            start_after += MEAN_PLANNED_WORK_INTERVAL.mul_f64(rng.random_range(0.2..1.8));
+            let duration = Duration::from_millis(rng.random_range(FAULT_DURATION_MS));
+            if start_after + duration > end {
+                break;
+            }
+            let reload = Fault::Process {
+                target: draw_target(&mut rng, &self.size),
+                act: ProcessFault::Reload,
+            };
+            // Plan files store whole milliseconds.
+            start_after = Duration::from_millis(start_after.as_millis() as u64);
+            self.steps.push(Step {
+                start_after,
+                duration,
+                fault: choose(&mut rng, &[Fault::Configure, reload]),
+            });
+        }
+        self.steps.sort_by_key(|step| step.start_after);
+        self.size.injection_duration = end;
+        self
+    }
+}
+
+impl Step {
+    /// Returns when the last server that this step silences has gone on. A run may start to pause
+    /// at the end of the step.
+    pub fn silent_until(&self) -> Duration {
+        let is_of_runs = matches!(
+            self.fault,
+            Fault::Silence {
+                act: Silence::Runs,
+                ..
+            }
+        );
+        let steps = if is_of_runs { 2 } else { 1 };
+        self.start_after + self.duration * steps
+    }
 }
 
 fn choose<T: Copy>(rng: &mut StdRng, choices: &[T]) -> T {
@@ -254,6 +356,15 @@
     }
 }
 
+fn draw_silence(rng: &mut StdRng, size: &FleetSize) -> Fault {
+    let target = match rng.random() {
+        true => ServerTarget::All,
+        false => ServerTarget::One(rng.random_range(0..size.servers)),
+    };
+    let act = choose(rng, &[Silence::Connections, Silence::Runs]);
+    Fault::Silence { target, act }
+}
+
 fn draw_target(rng: &mut StdRng, size: &FleetSize) -> ProcessTarget {
     match rng.random_range(0..10) {
         0 => ProcessTarget::All,
