--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -13,7 +13,8 @@
 
 use crate::attempt::{FullResponse, OpenResponse};
 use crate::node::Node;
-use crate::online_request::{OnlineRequest, Refusal, MIN_TIME_LEFT};
+use crate::online_request::{OnlineRequest, MIN_TIME_LEFT};
+use crate::refusal::Refusal;
 use crate::relay;
 use crate::responses::{self, CallerResponse};
 
@@ -101,7 +102,7 @@
                 drop(response);
                 let next = request.attempts.record(AttemptOutcome::Unknown);
                 log::info!(request_id = request.caller.id, server = server.id, reason, next:? = next; "response cut off");
-                request.tried_servers.push(server);
+                request.mark_tried(&server);
                 if next != NextStep::TryAnother {
                     return Err(Refusal::Failed {
                         reason,
--- a/crates/foxwheel-node/tests/silent_servers.rs
+++ b/crates/foxwheel-node/tests/silent_servers.rs
@@ -30,7 +30,7 @@
 /// A stream pauses after this number of events.
 const EVENTS_BEFORE_PAUSE: u64 = 2;
 
-/// Longest time for which two servers may work on one request.
+/// A server that is given up must have stopped working on a request so soon after another one began.
 const MAX_OVERLAP: Duration = Duration::from_millis(400);
 
 fn shape(number: usize) -> ServerConfig {
@@ -104,8 +104,8 @@
     responses
 }
 
-/// Checks that each stream was delivered whole, or refused as not run where `refused_from` allows it.
-fn check_whole(responses: &[(String, ReceivedResponse)]) {
+/// Checks that each stream was delivered whole, or refused as not run.
+fn check_whole_or_refused(responses: &[(String, ReceivedResponse)]) {
     let is_whole = |(id, response): &&(String, ReceivedResponse)| {
         response.is_complete && response.text() == complete_stream(id)
     };
@@ -116,24 +116,32 @@
         .collect();
     assert!(cut_off.is_empty(), "cut off: {cut_off:?}");
     for (id, response) in responses {
-        let is_whole = response.status == StatusCode::OK;
-        assert!(
-            is_whole || response.says_not_run(),
-            "{id}: {}",
-            response.status
-        );
+        let is_allowed = response.status == StatusCode::OK || response.says_not_run();
+        assert!(is_allowed, "{id}: {}", response.status);
     }
 }
 
-/// Checks that no two servers worked on one request for longer than is allowed.
-fn check_overlaps(fleet: &Fleet) {
-    for number in 0..CALLS {
-        let id = format!("call-{number}");
-        let mut runs = fleet.runs_of_request(&id);
+/// Checks that each stream was delivered whole.
+fn check_served(responses: &[(String, ReceivedResponse)]) {
+    check_whole_or_refused(responses);
+    for (id, response) in responses {
+        assert_eq!(response.status, StatusCode::OK, "{id}");
+    }
+}
+
+/// Checks that no two servers worked on one request for longer than is allowed. If `by_start`, the
+/// server that began first must have stopped so soon even if the other one was given up for it.
+fn check_overlaps(fleet: &Fleet, responses: &[(String, ReceivedResponse)], by_start: bool) {
+    for (id, _) in responses {
+        let mut runs = fleet.runs_of_request(id);
         runs.sort_by_key(|run| run.started_at);
         for pair in runs.windows(2) {
             let ended_at = pair[0].ended_at.expect("the earlier run has ended");
-            let overlap = ended_at.saturating_duration_since(pair[1].started_at);
+            let both_until = match by_start {
+                true => ended_at,
+                false => ended_at.min(pair[1].ended_at.expect("the later run has ended")),
+            };
+            let overlap = both_until.saturating_duration_since(pair[1].started_at);
             assert!(overlap < MAX_OVERLAP, "{id}: {overlap:?}");
         }
     }
@@ -144,8 +152,7 @@
     let fleet = start_fleet(vec![shape(0)]).await;
     pause_every_run(&fleet);
     let responses = call_beside_configuration(&fleet, "/stream/a", add_route).await;
-    check_whole(&responses);
-    assert!(responses.iter().all(|(_, it)| it.status == StatusCode::OK));
+    check_served(&responses);
     fleet.cancel.cancel();
 }
 
@@ -154,9 +161,8 @@
     let fleet = start_fleet((0..3).map(shape).collect()).await;
     pause_every_run(&fleet);
     let responses = call_beside_configuration(&fleet, "/stream/a", add_route).await;
-    check_whole(&responses);
-    assert!(responses.iter().all(|(_, it)| it.status == StatusCode::OK));
-    check_overlaps(&fleet);
+    check_served(&responses);
+    check_overlaps(&fleet, &responses, true);
     fleet.cancel.cancel();
 }
 
@@ -172,8 +178,8 @@
         ]);
     };
     let responses = call_beside_configuration(&fleet, "/stream/a", move_route).await;
-    check_whole(&responses);
-    check_overlaps(&fleet);
+    check_whole_or_refused(&responses);
+    check_overlaps(&fleet, &responses, true);
     fleet.cancel.cancel();
 }
 
@@ -211,8 +217,7 @@
     let fleet = start_fleet(shapes.collect()).await;
     pause_every_run(&fleet);
     let responses = call_beside_configuration(&fleet, "/stream/a", add_route).await;
-    check_whole(&responses);
-    assert!(responses.iter().all(|(_, it)| it.status == StatusCode::OK));
+    check_served(&responses);
     fleet.cancel.cancel();
 }
 
@@ -231,8 +236,74 @@
     };
     let calls = call_beside_configuration(&fleet, "/stream/a", add_route);
     let (responses, ()) = tokio::join!(calls, silence);
-    check_whole(&responses);
-    check_overlaps(&fleet);
+    check_whole_or_refused(&responses);
+    // A request that waits in the queue of the silent server may begin after its second run.
+    check_overlaps(&fleet, &responses, false);
+    fleet.cancel.cancel();
+}
+
+/// Requests keep the route by which they arrived, and connections with a request are not idle.
+#[actix_web::test]
+async fn streams_are_cut_off_when_the_configuration_changes_under_them() {
+    let changes: [fn(&mut Value); 7] = [
+        add_route,
+        |config| config["routes"] = json!([config["routes"][0]]),
+        |config| config["routes"][2]["timeout_ms"] = json!(200),
+        |config| config["routes"][2]["resumable"] = json!(false),
+        |config| config["routes"][2]["kind"] = json!("idempotent"),
+        |config| config["limits"]["idle_timeout_ms"] = json!(100),
+        |config| config["limits"]["max_body_bytes"] = json!(0),
+    ];
+    for (index, change) in changes.into_iter().enumerate() {
+        let shapes = (0..2).map(|number| ServerConfig {
+            step_time: Duration::from_millis(100),
+            ..shape(number)
+        });
+        let fleet = start_fleet(shapes.collect()).await;
+        let front = fleet.fronts[0];
+        let calls = (0..CALLS).map(|number| async move {
+            let id = format!("call-{number}");
+            tokio::time::sleep(CALL_INTERVAL * number as u32).await;
+            // Without it, the time limit of the route would apply to the whole stream.
+            let headers = [("x-deadline-ms", "5000")];
+            let response = call(front, Method::POST, "/stream/a", &id, &headers, "x").await;
+            (id, response.expect("a response"))
+        });
+        let configure = async {
+            tokio::time::sleep(CONFIGURED_AFTER).await;
+            fleet.configure(2, change).await;
+        };
+        let (responses, ()) = tokio::join!(futures::future::join_all(calls), configure);
+        let begun_before = CALLS / 2;
+        check_served(&responses[..begun_before]);
+        let cut_off = responses.iter().find(|(id, response)| {
+            let is_whole = response.is_complete && response.text() == complete_stream(id);
+            response.status == StatusCode::OK && !is_whole
+        });
+        assert!(cut_off.is_none(), "change {index}: {cut_off:?}");
+        fleet.cancel.cancel();
+    }
+}
+
+#[actix_web::test]
+async fn streams_are_cut_off_when_the_entry_of_their_silent_server_lapses() {
+    let fleet = start_fleet(vec![shape(0)]).await;
+    pause_every_run(&fleet);
+    let lapse = async {
+        tokio::time::sleep(CONFIGURED_AFTER).await;
+        let deleted = fleet.store.delete("servers/server-0", None).await;
+        deleted.expect("deleted");
+        tokio::time::sleep(PAUSE).await;
+        let addr = fleet.servers[0].addr;
+        fleet.register_server("server-0", addr, "ready").await;
+    };
+    let front = fleet.fronts[0];
+    let calls = (0..CALLS).map(|number| {
+        let id = format!("call-{number}");
+        call_after(Duration::ZERO, front, "/stream/a", id)
+    });
+    let (responses, ()) = tokio::join!(futures::future::join_all(calls), lapse);
+    check_served(&responses);
     fleet.cancel.cancel();
 }
 
@@ -282,8 +353,7 @@
     let calls = ["call-0", "call-1"]
         .map(|id| call_after(Duration::ZERO, front, "/stream/a", id.to_owned()));
     let responses = futures::future::join_all(calls).await;
-    check_whole(&responses);
-    assert!(responses.iter().all(|(_, it)| it.status == StatusCode::OK));
+    check_served(&responses);
     fleet.cancel.cancel();
 }
 
@@ -303,7 +373,9 @@
             let id = format!("call-{pause_ms}-{number}");
             call_after(CALL_INTERVAL * number, front, "/stream/a", id)
         });
-        check_whole(&futures::future::join_all(calls).await);
+        let responses = futures::future::join_all(calls).await;
+        check_whole_or_refused(&responses);
+        check_overlaps(&fleet, &responses, true);
     }
     fleet.cancel.cancel();
 }
