Soak: settings are written on a thread that may block, one write at a time

The soak's servers, store and paths run on one thread, and the reloads of a plan wrote settings files on it. On a busy disk such a write took seconds, in which the whole fleet was silent: breaches that the front had no part in.

The file is truncated and written, which this file system flushes when it is closed. That the write is what took the time is concluded from the order of the events, not measured.

Now the write runs on a blocking thread; a restart writes before it spawns. So a lock for each process covers a write and the start or the signal after it, and a process that is starting is not told to reload.

No test: the pause needs a busy disk.

--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -12,6 +12,7 @@
 use hyper::Method;
 use nix::sys::signal::Signal;
 use serde_json::json;
+use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
 
 use crate::evidence::{ConfigWrite, CutScope, FaultPeriod, ProcessStop, Recorder};
@@ -457,6 +458,9 @@
         duration: Duration,
     ) -> Result<(), SoakError> {
         tokio::time::sleep(duration).await;
+        let settings_lock = self.settings_lock(index);
+        let _held = settings_lock.lock().await;
+        self.write_settings(index, None).await?;
         let listen_addr = {
             let node = &mut self.fleet.borrow_mut().nodes[index];
             node.process.spawn()?;
@@ -476,17 +480,45 @@
         duration: Duration,
     ) -> Result<(), SoakError> {
         let spoiled = Some("{\"host\": ");
-        self.fleet.borrow().nodes[index]
-            .process
-            .write_settings(spoiled)?;
-        self.send_signal(index, Signal::SIGHUP)?;
+        self.reload_settings(index, spoiled).await?;
         tokio::time::sleep(duration).await;
-        self.fleet.borrow().nodes[index]
-            .process
-            .write_settings(None)?;
+        self.reload_settings(index, None).await
+    }
+
+    /// Does nothing to a process that is starting.
+    async fn reload_settings(
+        &self,
+        index: usize,
+        replacement: Option<&str>,
+    ) -> Result<(), SoakError> {
+        let settings_lock = self.settings_lock(index);
+        let _held = settings_lock.lock().await;
+        if !self.fleet.borrow().nodes[index].process.has_listened() {
+            return Ok(());
+        }
+        self.write_settings(index, replacement).await?;
         self.send_signal(index, Signal::SIGHUP)
     }
 
+    fn settings_lock(&self, index: usize) -> Rc<Mutex<()>> {
+        Rc::clone(&self.fleet.borrow().nodes[index].settings_lock)
+    }
+
+    /// Writes the settings of a process on a thread that may block: servers, store and paths all
+    /// run on the thread of the caller.
+    async fn write_settings(
+        &self,
+        index: usize,
+        replacement: Option<&str>,
+    ) -> Result<(), SoakError> {
+        let write = self.fleet.borrow().nodes[index]
+            .process
+            .settings_write(replacement);
+        let written = tokio::task::spawn_blocking(write).await;
+        written.map_err(task_error("write settings"))??;
+        Ok(())
+    }
+
     fn send_signal(&self, index: usize, signal: Signal) -> Result<(), SoakError> {
         self.fleet.borrow_mut().nodes[index]
             .process
--- a/crates/foxwheel-soak/src/fleet.rs
+++ b/crates/foxwheel-soak/src/fleet.rs
@@ -3,6 +3,7 @@
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path as FilePath;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use foxwheel_platform_emu::server as store_emu;
@@ -11,6 +12,7 @@
 use foxwheel_store::client::{StoreClient, StoreError};
 use hyper::{Method, StatusCode};
 use serde_json::json;
+use tokio::sync::Mutex;
 use tokio_util::sync::CancellationToken;
 
 use crate::evidence::{ServerArrival, ServerRun};
@@ -123,6 +125,9 @@
     /// Whether the process is being stopped, killed or suspended. Only one such fault is injected
     /// into a process at a time.
     pub is_under_fault: bool,
+    /// Held while the settings are written and the process starts with them or is told to reload
+    /// them.
+    pub settings_lock: Rc<Mutex<()>>,
 }
 
 /// A backend server emulator with the proxy on its path.
@@ -452,6 +457,7 @@
             caller_path,
             listen_addr: front_port(network::CALLER_PORT).unwrap_or(metrics_addr),
             is_under_fault: false,
+            settings_lock: Rc::default(),
         })
     }
 }
--- a/crates/foxwheel-soak/src/process.rs
+++ b/crates/foxwheel-soak/src/process.rs
@@ -107,14 +107,14 @@
             child: None,
             has_listened: false,
         };
+        process.settings_write(None)()?;
         process.spawn()?;
         Ok(process)
     }
 
-    /// Starts the process, for the first time or again after it has ended, with its valid
-    /// settings. The log file is continued.
+    /// Starts the process, for the first time or again after it has ended, with the settings
+    /// written last. The log file is continued.
     pub fn spawn(&mut self) -> Result<(), ProcessError> {
-        self.write_settings(None)?;
         let log = std::fs::OpenOptions::new()
             .create(true)
             .append(true)
@@ -134,15 +134,29 @@
         Ok(())
     }
 
+    /// Returns whether the process has listened since its last start. Before that, it may still
+    /// be reading its settings, and a signal may end it.
+    pub fn has_listened(&self) -> bool {
+        self.has_listened
+    }
+
     /// Records that the process listens.
     pub fn mark_listening(&mut self) {
         self.has_listened = true;
     }
 
-    /// Writes the settings file: the settings of the process, or `replacement` instead of them.
-    pub fn write_settings(&self, replacement: Option<&str>) -> Result<(), ProcessError> {
+    /// Returns a function that writes the settings file: the settings of the process, or
+    /// `replacement` instead of them. It may block for seconds while the disk is busy.
+    pub fn settings_write(
+        &self,
+        replacement: Option<&str>,
+    ) -> impl FnOnce() -> Result<(), ProcessError> + Send {
         let text = replacement.map_or_else(|| self.settings.to_string(), str::to_owned);
-        std::fs::write(&self.settings_file, text).map_err(self.error("write the settings of"))
+        let (file, error) = (
+            self.settings_file.clone(),
+            self.error("write the settings of"),
+        );
+        move || std::fs::write(file, text).map_err(error)
     }
 
     /// Sends a signal to the process. Returns false if the process has ended.
