Soak: the path to a server that ends resets its connections

A response without a length ends with its connection, and a reset on the way means that it is cut. The emulated server resets when it ends; its path, which ends at the same moment, closed the caller's side in an orderly way. When the path was first, a cut response reached the front as a complete one, and the check OwnAnswer blamed the front.

Now the path resets both sides. Its new test fails before the change (the read ends without an error) and passes after it. Idle connections to a server that ends are now reset as well; a busy server's ended in either way before.

--- a/crates/foxwheel-soak/src/proxy.rs
+++ b/crates/foxwheel-soak/src/proxy.rs
@@ -57,7 +57,7 @@
 
 impl FaultProxy {
     /// Opens a TCP proxy that listens on `addr`, on a free port if the port is 0, and forwards to
-    /// `target`. Cancelling `cancel` closes its connections and refuses new ones.
+    /// `target`. Cancelling `cancel` resets its connections and refuses new ones.
     pub async fn open(
         addr: SocketAddr,
         target: SocketAddr,
@@ -81,11 +81,10 @@
                 let (fault, cancel) = (fault.clone(), cancel.clone());
                 let refusal_times = Arc::clone(&refusal_times);
                 tokio::spawn(async move {
-                    let forwarded = tokio::select! {
-                        () = cancel.cancelled() => return,
-                        forwarded = forward_connection(client, target, fault) => forwarded,
-                    };
-                    if forwarded.is_err() {
+                    if forward_connection(client, target, fault, cancel)
+                        .await
+                        .is_err()
+                    {
                         refusal_times
                             .lock()
                             .expect("the lock of the refusal times")
@@ -160,6 +159,7 @@
     mut client: TcpStream,
     target: SocketAddr,
     fault: watch::Receiver<PathFault>,
+    cancel: CancellationToken,
 ) -> std::io::Result<()> {
     if *fault.borrow() == PathFault::Reset {
         reset_on_close(&client);
@@ -177,6 +177,8 @@
         forwarded = forwarding => forwarded.is_err(),
         // The wait ends with an error when the proxy is dropped.
         reset = fault_changes.wait_for(|fault| *fault == PathFault::Reset) => reset.is_ok(),
+        // A close would look like the end of a response that has no length.
+        () = cancel.cancelled() => true,
     };
     if is_reset {
         // When one side fails, the other sees a reset as well.
--- a/crates/foxwheel-soak/tests/proxy.rs
+++ b/crates/foxwheel-soak/tests/proxy.rs
@@ -100,6 +100,22 @@
     }
 }
 
+/// A response without a length ends when its connection is closed.
+#[actix_web::test]
+async fn a_cut_response_looks_complete_when_the_path_to_its_server_is_closed() {
+    let cancel = CancellationToken::new();
+    let proxy = proxy_to_echo_server(&cancel).await;
+    let mut stream = TcpStream::connect(proxy.addr).await.expect("connected");
+    assert_eq!(count_echoed_bytes(&mut stream, &[7; 300]).await, 300);
+    cancel.cancel();
+    let mut buffer = [0];
+    let received = tokio::time::timeout(WAIT_TIMEOUT, stream.read(&mut buffer)).await;
+    let error = received
+        .expect("the connection ends in time")
+        .expect_err("reset");
+    assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset);
+}
+
 #[actix_web::test]
 async fn a_closed_proxy_refuses_connections_and_a_refusing_target_is_recorded() {
     let cancel = CancellationToken::new();
