--- a/crates/foxwheel-soak/src/run.rs
+++ b/crates/foxwheel-soak/src/run.rs
@@ -296,8 +296,12 @@
     recorder: Arc<Recorder>,
     stop: CancellationToken,
 ) {
-    while !stop.is_cancelled() {
+    loop {
         tokio::time::sleep(PROBE_INTERVAL).await;
+        // Processes that were stopped at the end of the run have not exited unexpectedly.
+        if stop.is_cancelled() {
+            return;
+        }
         for id in take_crashed_servers(&fleet) {
             let replacement = replace_crashed_server(Rc::clone(&fleet), Arc::clone(&recorder), id);
             actix_web::rt::spawn(async move {
