--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -1,129 +1,20 @@
 //! Tests of the checks, each with evidence in which a promise is kept and evidence in which it is
 //! broken.
 
-use std::time::{Duration, Instant};
+mod common;
 
-use foxwheel_server_emu::runs::{Arrival, Run};
+use std::time::Duration;
+
+use common::{complete_response, cut_off_response, refused_as_not_run, Case, EVENT_COUNT};
 use foxwheel_server_emu::server::event_data;
 use foxwheel_soak::checks::{self, Promise};
-use foxwheel_soak::evidence::{Call, CallEnd, ConfigProbe, ConfigWrite, CutScope, FaultPeriod};
-use foxwheel_soak::evidence::{
-    Evidence, Job, ProcessStop, RequestKind, ResumedStream, ServerArrival, ServerRun,
-};
+use foxwheel_soak::evidence::{CallEnd, ConfigProbe, ConfigWrite, CutScope};
+use foxwheel_soak::evidence::{Job, ProcessStop, RequestKind, ResumedStream};
 use foxwheel_soak::front_client;
 use foxwheel_soak::process::{ProcessExit, Resources};
 use foxwheel_soak::store_entries::VERSIONS;
 use serde_json::{json, Value};
 
-const EVENT_COUNT: u64 = 3;
-
-/// Evidence of a run that started at `started_at`.
-struct Case {
-    started_at: Instant,
-    evidence: Evidence,
-}
-
-impl Case {
-    fn new() -> Self {
-        let started_at = Instant::now();
-        let evidence = Evidence {
-            event_count: EVENT_COUNT,
-            started_at: Some(started_at),
-            ..Evidence::default()
-        };
-        Self {
-            started_at,
-            evidence,
-        }
-    }
-
-    fn time_at(&self, ms: u64) -> Instant {
-        self.started_at + Duration::from_millis(ms)
-    }
-
-    fn add_call(&mut self, id: &str, kind: RequestKind, sent_ms: u64, end: CallEnd) {
-        let sent_at = self.time_at(sent_ms);
-        self.evidence.calls.push(Call {
-            id: id.to_owned(),
-            kind,
-            resumed: None,
-            front: 0,
-            connected_at: sent_at,
-            sent_at,
-            ended_at: sent_at + Duration::from_millis(100),
-            end,
-        });
-    }
-
-    fn add_run(&mut self, request: &str, from_ms: u64, until_ms: Option<u64>) {
-        let run = Run {
-            request_id: request.to_owned(),
-            target: String::new(),
-            body: Vec::new(),
-            deadline_ms: None,
-            resumed_after: None,
-            started_at: self.time_at(from_ms),
-            ended_at: until_ms.map(|ms| self.time_at(ms)),
-            completed: until_ms.map(|_| true),
-        };
-        self.evidence.runs.push(ServerRun {
-            server: "server-1".to_owned(),
-            leaving_since: None,
-            run,
-        });
-    }
-
-    fn add_arrival(&mut self, request: &str, at_ms: u64) {
-        let at = self.time_at(at_ms);
-        let request_id = request.to_owned();
-        self.evidence.arrivals.push(ServerArrival {
-            server: "server-1".to_owned(),
-            arrival: Arrival {
-                request_id,
-                received_at: at,
-            },
-        });
-    }
-
-    fn add_fault_period(&mut self, from_ms: u64, until_ms: u64, cut_scope: CutScope) {
-        let (from, until) = (self.time_at(from_ms), self.time_at(until_ms));
-        let fault_period = FaultPeriod {
-            from,
-            until,
-            cut_scope,
-        };
-        self.evidence.fault_periods.push(fault_period);
-    }
-
-    /// Returns the broken promises without consecutive duplicates.
-    fn broken_promises(&self) -> Vec<Promise> {
-        let breaches = checks::find_breaches(&self.evidence).into_iter();
-        let mut broken: Vec<Promise> = breaches.map(|breach| breach.promise).collect();
-        broken.dedup();
-        broken
-    }
-}
-
-fn complete_response(id: &str) -> CallEnd {
-    CallEnd::Whole {
-        status: 200,
-        not_run: false,
-        body: checks::expected_events(id, 1, EVENT_COUNT, VERSIONS[0]),
-    }
-}
-
-fn refused_as_not_run() -> CallEnd {
-    CallEnd::Whole {
-        status: 503,
-        not_run: true,
-        body: Vec::new(),
-    }
-}
-
-fn cut_off_response(body: Vec<u8>, reused: bool) -> CallEnd {
-    CallEnd::Broken { body, reused }
-}
-
 #[test]
 fn a_run_without_faults_gives_no_breach() {
     let mut case = Case::new();
