--- a/crates/foxwheel-gateway/src/response_relay.rs
+++ b/crates/foxwheel-gateway/src/response_relay.rs
@@ -140,8 +140,8 @@
     }
 }
 
-/// Streams the response to the caller and resumes it on another host if its own breaks off or is silent. An error
-/// of the engine is not a stream of events and is forwarded unchanged.
+/// Streams the response to the caller, and resumes it on another host if its own breaks off or is
+/// silent. An error of the engine is not a stream of events and is forwarded unchanged.
 pub fn relay_streamed_response(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
