Size the parts of results as they are stored

Cause: a part of results was filled up to 0.8 of the store's limit by the raw length of the outputs, and stored as JSON, in which each quote, backslash and line feed takes two bytes. The store refused it with 413. Nothing about the next try differed: JobStore::create repeated the same write for 6 s, and store_results came back with the same results.

Evidence: the record of the case has the refused writes of one part (foxwheel-results/a0-2, over 1,048,576 bytes) until its end. Ruled out: lost writes and a worker that does not notice the store's return (the parts before are stored after the outage), and the outage itself (the new test has none).

Change: what is packed into an object is measured as it is encoded (policy::batch::packing, now also for the items of a job). A value that the store refuses as too large counts as not written, is not written again as it is, neither directly nor through a peer, and is reported at once.

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -19,6 +19,7 @@
 use foxwheel_policy::batch::item::{ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::Ledger;
+use foxwheel_policy::batch::packing;
 use serde::{Deserialize, Serialize};
 
 use crate::node::Node;
@@ -32,8 +33,8 @@
 const LEDGER_KIND: &str = "foxwheel-ledger";
 const LEDGER_NAME: &str = "jobs";
 
-/// Share of the store's maximum value size that the payload of one object may use. The rest
-/// is left for field names and escapes.
+/// Share of the store's maximum object size that the encoded payload of one object may use. The
+/// rest is left for the object's metadata, and for a store whose own encoding is longer.
 const PAYLOAD_SHARE: f64 = 0.8;
 
 /// Time limit for creating a part of results, including retries after lost responses.
@@ -119,10 +120,10 @@
         }
         let record = JobRecord {
             job: JobSpec {
-                items: chunks[0].to_vec(),
+                items: chunks.first().copied().unwrap_or_default().to_vec(),
                 ..job.clone()
             },
-            more_parts: chunks.len() as u32 - 1,
+            more_parts: chunks.len().saturating_sub(1) as u32,
         };
         self.create(JOBS_KIND, job.id.clone(), encode(&record), deadline)
             .await?;
@@ -220,7 +221,7 @@
         let process = format!("{}.{}", self.node.settings.host, self.node.incarnation);
         let saved_unix_ms = time::unix_ms();
         let mut bytes = 0;
-        for (number, group) in group_by_size(&encoded, self.max_part_bytes())
+        for (number, group) in group_by_size(&encoded, self.max_payload_bytes())
             .into_iter()
             .enumerate()
         {
@@ -293,8 +294,8 @@
         Ok(())
     }
 
-    /// Returns the maximum payload of one object in bytes.
-    pub fn max_part_bytes(&self) -> usize {
+    /// Returns the maximum size of one object's encoded payload, in bytes.
+    pub fn max_payload_bytes(&self) -> usize {
         (self.node.settings.store_value_bytes as f64 * PAYLOAD_SHARE) as usize
     }
 
@@ -343,7 +344,9 @@
                     is_fresh = true;
                 }
                 Ok(WriteOutcome::Conflict(_) | WriteOutcome::Missing) => {}
-                Err(e) if Instant::now() >= deadline => return Err(e.into()),
+                Err(e) if !e.may_succeed_later() || Instant::now() >= deadline => {
+                    return Err(e.into())
+                }
                 // The write may have been done; the next read of the ledger shows it.
                 Err(_) => {
                     self.node
@@ -425,6 +428,7 @@
                         return Ok(Some(object));
                     }
                 }
+                Err(e) if !e.may_succeed_later() => return Err(e),
                 Err(e) if Instant::now() >= deadline => return Err(unknown_outcome.unwrap_or(e)),
                 // If the write was done after all, the next try reports a conflict.
                 Err(e) => {
@@ -449,32 +453,18 @@
         store_relay::get_with_retries(&self.node, kind, name, deadline).await
     }
 
-    /// Splits items into chunks that fit into one value each. There is always at least one
-    /// chunk.
+    /// Splits items into chunks that fit into one object each.
     pub fn split_items<'a>(
         &self,
         items: &'a [ItemSpec],
     ) -> Result<Vec<&'a [ItemSpec]>, JobStoreError> {
-        let limit_bytes = self.max_part_bytes();
-        let mut chunks = Vec::new();
-        let mut start = 0;
-        let mut bytes = 0;
-        for (at, item) in items.iter().enumerate() {
-            let size_bytes = encode(item).len();
-            if size_bytes > limit_bytes {
-                return Err(JobStoreError::ItemTooLarge {
-                    item: item.id.clone(),
-                });
-            }
-            if bytes + size_bytes > limit_bytes {
-                chunks.push(&items[start..at]);
-                start = at;
-                bytes = 0;
-            }
-            bytes += size_bytes;
+        let max_bytes = self.max_payload_bytes();
+        if let Some(item) = items.iter().find(|item| encoded_bytes(*item) > max_bytes) {
+            return Err(JobStoreError::ItemTooLarge {
+                item: item.id.clone(),
+            });
         }
-        chunks.push(&items[start..]);
-        Ok(chunks)
+        Ok(packing::split_into_groups(items, max_bytes, encoded_bytes))
     }
 }
 
@@ -505,6 +495,11 @@
     serde_json::to_string(value).expect("values of strings, numbers and lists always encode")
 }
 
+/// Returns the size of a value within a stored list, in bytes: that of its JSON text and a separator.
+pub fn encoded_bytes<T: Serialize>(value: &T) -> usize {
+    encode(value).len() + 1
+}
+
 fn decode<T: for<'de> Deserialize<'de>>(
     what: &str,
     value: serde_json::Value,
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -160,6 +160,8 @@
     NotDone(String),
     /// The store may have executed the call. The text is the error.
     Unknown(String),
+    /// The store did not execute the call because its value is too large.
+    TooLarge,
 }
 
 /// Calls that processes make to each other. All are idempotent except `store_write`, whose
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -119,6 +119,7 @@
 fn to_relayed<T>(result: Result<T, StoreError>) -> RelayedResult<T> {
     match result {
         Ok(response) => RelayedResult::Done(response),
+        Err(StoreError::TooLarge { .. }) => RelayedResult::TooLarge,
         Err(e) if e.is_not_done() => RelayedResult::NotDone(e.to_string()),
         Err(e) => RelayedResult::Unknown(e.to_string()),
     }
--- a/crates/foxwheel-node/src/result_store.rs
+++ b/crates/foxwheel-node/src/result_store.rs
@@ -6,7 +6,7 @@
 use foxwheel_core::ids::JobId;
 use foxwheel_policy::batch::ledger::LedgerChange;
 
-use crate::job_store::{JobStoreError, PartCreation};
+use crate::job_store::{self, JobStoreError, PartCreation};
 use crate::ledger_poll;
 use crate::store_access::Backoff;
 use crate::worker_jobs::WorkerJobs;
@@ -32,12 +32,14 @@
     job: &JobId,
     due_unix: Duration,
 ) -> Result<(), JobStoreError> {
-    let max_bytes = jobs.store.max_part_bytes();
+    let max_bytes = jobs.store.max_payload_bytes();
     loop {
         let next = jobs.with_entry(job, |entry| {
             (
                 entry.progress.stored_parts,
-                entry.progress.next_part(max_bytes),
+                entry
+                    .progress
+                    .next_part(max_bytes, job_store::encoded_bytes),
             )
         });
         let Some((number, results)) = next.filter(|(_, results)| !results.is_empty()) else {
--- a/crates/foxwheel-node/src/store_relay.rs
+++ b/crates/foxwheel-node/src/store_relay.rs
@@ -18,7 +18,8 @@
 const MAX_PEERS: usize = 2;
 
 /// Performs `write`, through a peer if this process's own calls fail and the peer's do not.
-/// Tries the next route only after an error which shows that the write was not executed.
+/// Tries the next route only after an error which shows that the write was not executed, and might
+/// be there.
 pub async fn write(node: &Node, write: &Write) -> Result<WriteOutcome, StoreError> {
     let mut last_error = None;
     for route in routes_to_try(node) {
@@ -30,7 +31,7 @@
             }
         };
         match tried {
-            Err(e) if e.is_not_done() => last_error = Some(e),
+            Err(e) if e.is_not_done() && e.may_succeed_later() => last_error = Some(e),
             settled => return settled,
         }
     }
@@ -126,6 +127,7 @@
             origin: origin(),
             reason,
         }),
+        Ok(RelayedResult::TooLarge) => Err(StoreError::TooLarge { origin: origin() }),
         Ok(RelayedResult::Unknown(reason)) => Err(StoreError::Unknown {
             origin: origin(),
             reason,
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::batch::item::{ItemOutcome, ItemResult, ItemSpec, ItemState, PartialOutput, RunEnd};
+use crate::batch::packing;
 use crate::placement;
 use crate::routes::Route;
 
@@ -272,18 +273,16 @@
             .any(|result| result.outcome == ItemOutcome::GivenUp)
     }
 
-    /// Returns the results for the next part: as many unstored results as fit into about
-    /// `max_bytes`, but at least one if there is any.
-    pub fn next_part(&self, max_bytes: usize) -> Vec<ItemResult> {
-        let mut bytes = 0;
-        self.unstored_results()
-            .take_while(|result| {
-                let is_first = bytes == 0;
-                bytes += result.output.len() + result.id.len() + RESULT_OVERHEAD_BYTES;
-                is_first || bytes <= max_bytes
-            })
-            .cloned()
-            .collect()
+    /// Returns the results for the next part: as many unstored results as fit into `max_bytes`, but
+    /// at least one if there is any. `encoded_bytes` returns the size of a result as it is stored.
+    pub fn next_part(
+        &self,
+        max_bytes: usize,
+        encoded_bytes: impl Fn(&ItemResult) -> usize,
+    ) -> Vec<ItemResult> {
+        let sizes = self.unstored_results().map(encoded_bytes);
+        let count = packing::leading_values_that_fit(sizes, max_bytes);
+        self.unstored_results().take(count).cloned().collect()
     }
 
     /// Returns whether every item is finished, whether or not its result is stored.
@@ -349,6 +348,3 @@
         self.spec.items.iter().position(|item| item.id == id)
     }
 }
-
-/// Approximate number of bytes that field names and escaped characters add to a stored result.
-const RESULT_OVERHEAD_BYTES: usize = 128;
--- a/crates/foxwheel-policy/src/batch/mod.rs
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -6,4 +6,5 @@
 pub mod job;
 pub mod ledger;
 pub mod ownership;
+pub mod packing;
 pub mod schedule;
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -111,9 +111,9 @@
             now,
         );
     }
-    assert_eq!(progress.next_part(10).len(), 1);
-    assert_eq!(progress.next_part(2_500).len(), 2);
-    assert_eq!(progress.next_part(1_000_000).len(), 4);
+    assert_eq!(progress.next_part(10, common::stored_bytes).len(), 1);
+    assert_eq!(progress.next_part(2_500, common::stored_bytes).len(), 2);
+    assert_eq!(progress.next_part(1_000_000, common::stored_bytes).len(), 4);
 }
 
 #[test]
@@ -225,7 +225,7 @@
             }
         }
         5..=7 => {
-            let results = worker.next_part(u.int_in_range(1..=400)?);
+            let results = worker.next_part(u.int_in_range(1..=400)?, common::stored_bytes);
             if !results.is_empty() {
                 let number = worker.stored_parts;
                 let stored = match parts.create(number, results.clone()) {
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -82,7 +82,7 @@
     let older = JobCheckpoint::from_progress(&progress).expect("progress");
     progress.record_output(1, &output_up_to(30));
     let newer = JobCheckpoint::from_progress(&progress).expect("progress");
-    let stored = progress.next_part(10_000);
+    let stored = progress.next_part(10_000, common::stored_bytes);
 
     let mut restored = JobProgress::new(common::job_with_items(3));
     restored.apply_part(0, stored);
@@ -143,7 +143,7 @@
                         }
                     }
                     1 => {
-                        let part = progress.next_part(10_000);
+                        let part = progress.next_part(10_000, common::stored_bytes);
                         if !part.is_empty() {
                             assert!(progress.apply_part(progress.stored_parts, part.clone()));
                             stored_parts.push(part);
--- a/crates/foxwheel-policy/tests/common/mod.rs
+++ b/crates/foxwheel-policy/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use arbtest::arbitrary::{Result, Unstructured};
-use foxwheel_policy::batch::item::ItemSpec;
+use foxwheel_policy::batch::item::{ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::JobSpec;
 
 /// Runs `property` with `cases` fixed seeds of `bytes` random bytes each.
@@ -42,3 +42,8 @@
         items: (0..items).map(item).collect(),
     }
 }
+
+/// Returns the size of a result as one of a stored list.
+pub fn stored_bytes(result: &ItemResult) -> usize {
+    serde_json::to_vec(result).expect("a result encodes").len() + 1
+}
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -64,6 +64,8 @@
     pub unframed_interval: Option<u64>,
     /// Version of the server's software. If set, the data of each event ends with it.
     pub version: Option<String>,
+    /// Text at the end of the data of each event.
+    pub event_suffix: String,
     /// Body of a request that crashes the server after its first step; `None` for no such request.
     pub crashing_body: Option<String>,
     /// Content type of streamed responses; `None` for none.
@@ -83,6 +85,7 @@
             step_time: Duration::from_millis(2),
             unframed_interval: None,
             version: None,
+            event_suffix: String::new(),
             content_type: None,
             crashing_body: None,
             crashing_part: None,
@@ -411,10 +414,12 @@
     }
 
     fn event_text(&self, request_id: &str, event: u64) -> String {
-        match &self.config.version {
+        let mut text = match &self.config.version {
             Some(version) => versioned_event_text(request_id, event, version),
             None => event_text(request_id, event),
-        }
+        };
+        text.insert_str(text.len() - EVENT_END.len(), &self.config.event_suffix);
+        text
     }
 
     fn has_crashing_part(&self, headers: &HeaderMap) -> bool {
@@ -540,6 +545,9 @@
     format!("the whole answer to {request_id}")
 }
 
+/// Ends an event of a streamed response.
+const EVENT_END: &str = "\n\n";
+
 /// Returns the data field of one event of a streamed response.
 pub fn event_data(request_id: &str, event: u64) -> String {
     format!("piece {event} of {request_id}")
@@ -547,13 +555,14 @@
 
 /// Returns one event of a streamed response as it is sent.
 pub fn event_text(request_id: &str, event: u64) -> String {
-    format!("id: {event}\ndata: {}\n\n", event_data(request_id, event))
+    let data = event_data(request_id, event);
+    format!("id: {event}\ndata: {data}{EVENT_END}")
 }
 
 /// Returns one event of a streamed response of a server with a version, as it is sent.
 pub fn versioned_event_text(request_id: &str, event: u64, version: &str) -> String {
     let data = event_data(request_id, event);
-    format!("id: {event}\ndata: {data} by {version}\n\n")
+    format!("id: {event}\ndata: {data} by {version}{EVENT_END}")
 }
 
 fn full_body(body: String) -> Body {
