Store values that are larger than one object in chunks

Seen by callers: an item whose body is larger than about 0.8 of an object of the store is answered 413, although the configuration's limit for bodies is 4 MiB. A completed item whose output is larger than one object is never listed: its write is refused and repeated some 20 times a second.

Cause: one value was one object, and nothing followed a refusal but the same write.

Change: node::chunked_objects creates and reads jobs, items and results of any size. The text of a larger value goes into chunks, each an object under a name that is not used again; the object that lists them is created last, so that a part of results is still created once and by one worker. A value that the store refuses as too large is written in objects of half the size, down to 1 KiB. Results that are refused even so are tried again every 10 s and not every 40 ms.

Ruled out: splitting the text of a result into several results (a position holds one item), and a lower limit for the whole process after one refusal.

The emulator of the store has a limit that tests can lower.

Open: chunks of a process that dies before it creates the object stay in the store, as jobs and results do.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -12,6 +12,7 @@
 use foxwheel_core::time;
 use foxwheel_platform::batch_api::{self, JobCall};
 use foxwheel_platform::online::CallerRequest;
+use foxwheel_platform::store::StoreError;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::{Admission, JobStatus, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership;
@@ -120,8 +121,8 @@
             }
             Err(SubmitError::NotAccepted(e)) => {
                 log::warn!(request_id = job.id, error:% = e, took_ms; "job refused");
-                match e {
-                    JobStoreError::ItemTooLarge { .. } => {
+                match e.store_error() {
+                    Some(StoreError::TooLarge { .. }) => {
                         responses::text(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string())
                     }
                     _ => responses::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER),
@@ -136,9 +137,6 @@
 
     async fn accept_job(&self, job: &JobSpec, route: &Route) -> Result<Admission, SubmitError> {
         let deadline = Instant::now() + SUBMIT_TIMEOUT;
-        self.store
-            .split_items(&job.items)
-            .map_err(SubmitError::NotAccepted)?;
         // Both writes run concurrently: one after the other would exceed the response time
         // target while the store is slow.
         let saving = self.store.save_job(job, deadline);
@@ -153,8 +151,8 @@
                 .admit_to_ledger(job, route, deadline)
                 .await
                 .map_err(SubmitError::MaybeAccepted),
-            (_, Err(JobStoreError::Store(e))) if !e.is_not_done() => {
-                Err(SubmitError::MaybeAccepted(e.into()))
+            (_, Err(e)) if e.store_error().is_some_and(|e| !e.is_not_done()) => {
+                Err(SubmitError::MaybeAccepted(e))
             }
             // A job that is not stored cannot be run by any worker, even if the ledger
             // contains it.
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -21,7 +21,9 @@
 use foxwheel_policy::batch::ledger::Ledger;
 use foxwheel_policy::batch::packing;
 use serde::{Deserialize, Serialize};
+use serde_json::Value;
 
+use crate::chunked_objects::{self, ValueError};
 use crate::node::Node;
 use crate::store_access::Backoff;
 use crate::store_relay;
@@ -81,17 +83,24 @@
         /// The error of the decoder.
         source: serde_json::Error,
     },
-    /// A single item does not fit into one value of the store.
-    #[error("item '{item}' is larger than the store's values may be")]
-    ItemTooLarge {
-        /// Id of the item.
-        item: String,
-    },
+    /// A value that may be stored in chunks could not be read or written.
+    #[error(transparent)]
+    Value(#[from] ValueError),
     /// Other processes kept changing the ledger until the time limit of the update.
     #[error("the ledger was changed by others until the time was up")]
     Contended,
 }
 
+impl JobStoreError {
+    /// Returns the error of the call to the store that failed, if one did.
+    pub fn store_error(&self) -> Option<&StoreError> {
+        match self {
+            Self::Store(e) | Self::Value(ValueError::Store(e)) => Some(e),
+            _ => None,
+        }
+    }
+}
+
 /// Access to the batch jobs in the platform's store.
 #[derive(Debug)]
 pub struct JobStore {
@@ -112,11 +121,11 @@
 
     /// Stores a job. Does nothing if it is stored already.
     pub async fn save_job(&self, job: &JobSpec, deadline: Instant) -> Result<(), JobStoreError> {
-        let chunks = self.split_items(&job.items)?;
+        let chunks = self.split_items(&job.items);
         for (number, chunk) in chunks.iter().enumerate().skip(1) {
             let spec = encode(&chunk);
             let name = numbered_name(&job.id, number as u32);
-            self.create(JOB_PARTS_KIND, name, spec, deadline).await?;
+            self.create(JOB_PARTS_KIND, &name, spec, deadline).await?;
         }
         let record = JobRecord {
             job: JobSpec {
@@ -125,7 +134,7 @@
             },
             more_parts: chunks.len().saturating_sub(1) as u32,
         };
-        self.create(JOBS_KIND, job.id.clone(), encode(&record), deadline)
+        self.create(JOBS_KIND, &job.id, encode(&record), deadline)
             .await?;
         Ok(())
     }
@@ -136,17 +145,17 @@
         id: &JobId,
         deadline: Instant,
     ) -> Result<Option<JobSpec>, JobStoreError> {
-        let Some(object) = self.get(JOBS_KIND, id, deadline).await? else {
+        let Some(record) = self.get(JOBS_KIND, id, deadline).await? else {
             return Ok(None);
         };
-        let record: JobRecord = decode("job", object.spec)?;
+        let record: JobRecord = decode("job", record)?;
         let mut job = record.job;
         for number in 1..=record.more_parts {
             let name = numbered_name(id, number);
             let Some(part) = self.get(JOB_PARTS_KIND, &name, deadline).await? else {
                 return Ok(None);
             };
-            let items: Vec<ItemSpec> = decode("part of a job", part.spec)?;
+            let items: Vec<ItemSpec> = decode("part of a job", part)?;
             job.items.extend(items);
         }
         Ok(Some(job))
@@ -182,7 +191,7 @@
     ) -> Result<Option<Vec<ItemResult>>, JobStoreError> {
         let name = numbered_name(id, number);
         match self.get(RESULTS_KIND, &name, deadline).await? {
-            Some(object) => Ok(Some(decode("part of results", object.spec)?)),
+            Some(part) => Ok(Some(decode("part of results", part)?)),
             None => Ok(None),
         }
     }
@@ -197,12 +206,12 @@
         let deadline = Instant::now() + CREATE_PART_TIMEOUT;
         let name = numbered_name(id, number);
         let existing = self
-            .create(RESULTS_KIND, name, encode(&results), deadline)
+            .create(RESULTS_KIND, &name, encode(&results), deadline)
             .await?;
-        let Some(object) = existing else {
+        let Some(stored) = existing else {
             return Ok(PartCreation::Created);
         };
-        let stored: Vec<ItemResult> = decode("part of results", object.spec)?;
+        let stored: Vec<ItemResult> = decode("part of results", stored)?;
         if stored == results {
             // An earlier write of this process, whose response was lost.
             Ok(PartCreation::Created)
@@ -382,7 +391,8 @@
     }
 
     async fn fetch_ledger(&self, deadline: Instant) -> Result<(u64, Ledger), JobStoreError> {
-        let object = self.get(LEDGER_KIND, LEDGER_NAME, deadline).await?;
+        let object =
+            store_relay::get_with_retries(&self.node, LEDGER_KIND, LEDGER_NAME, deadline).await?;
         let fetched = match object {
             Some(object) => (object.revision, decode("ledger", object.spec)?),
             None => (NO_LEDGER, Ledger::default()),
@@ -398,50 +408,17 @@
         }
     }
 
-    /// Creates an object, retrying after errors and lost responses until `deadline`.
-    ///
-    /// Returns `None` if the last try created the object, otherwise the object that existed
-    /// at that time; an earlier try whose response was lost may have created it.
     async fn create(
         &self,
         kind: &str,
-        name: String,
-        spec: EncodedJson,
+        name: &str,
+        encoded: EncodedJson,
         deadline: Instant,
-    ) -> Result<Option<Object>, StoreError> {
-        let write = Write::Create {
-            kind: kind.to_owned(),
-            name: name.clone(),
-            spec,
-        };
-        let mut backoff = Backoff::default();
-        // Error of an earlier try whose response was lost. The store may still perform it.
-        let mut unknown_outcome = None;
-        loop {
-            match store_relay::write(&self.node, &write).await {
-                Ok(WriteOutcome::Done(_)) => return Ok(None),
-                Ok(WriteOutcome::Conflict(Some(object))) if !object.spec.is_null() => {
-                    return Ok(Some(object))
-                }
-                Ok(WriteOutcome::Conflict(_) | WriteOutcome::Missing) => {
-                    if let Some(object) = self.get(kind, &name, deadline).await? {
-                        return Ok(Some(object));
-                    }
-                }
-                Err(e) if !e.may_succeed_later() => return Err(e),
-                Err(e) if Instant::now() >= deadline => return Err(unknown_outcome.unwrap_or(e)),
-                // If the write was done after all, the next try reports a conflict.
-                Err(e) => {
-                    if !e.is_not_done() {
-                        unknown_outcome = Some(e);
-                    }
-                    self.node
-                        .store
-                        .wait_before_retry(backoff.next_delay())
-                        .await;
-                }
-            }
-        }
+    ) -> Result<Option<Value>, JobStoreError> {
+        let max_bytes = self.max_payload_bytes();
+        let created =
+            chunked_objects::create(&self.node, kind, name, encoded, max_bytes, deadline).await;
+        Ok(created?)
     }
 
     async fn get(
@@ -449,22 +426,13 @@
         kind: &str,
         name: &str,
         deadline: Instant,
-    ) -> Result<Option<Object>, StoreError> {
-        store_relay::get_with_retries(&self.node, kind, name, deadline).await
+    ) -> Result<Option<Value>, JobStoreError> {
+        Ok(chunked_objects::get(&self.node, kind, name, deadline).await?)
     }
 
-    /// Splits items into chunks that fit into one object each.
-    pub fn split_items<'a>(
-        &self,
-        items: &'a [ItemSpec],
-    ) -> Result<Vec<&'a [ItemSpec]>, JobStoreError> {
-        let max_bytes = self.max_payload_bytes();
-        if let Some(item) = items.iter().find(|item| encoded_bytes(*item) > max_bytes) {
-            return Err(JobStoreError::ItemTooLarge {
-                item: item.id.clone(),
-            });
-        }
-        Ok(packing::split_into_groups(items, max_bytes, encoded_bytes))
+    /// Splits items into groups that fit into one object each, if a single item does.
+    fn split_items<'a>(&self, items: &'a [ItemSpec]) -> Vec<&'a [ItemSpec]> {
+        packing::split_into_groups(items, self.max_payload_bytes(), encoded_bytes)
     }
 }
 
@@ -500,10 +468,7 @@
     encode(value).len() + 1
 }
 
-fn decode<T: for<'de> Deserialize<'de>>(
-    what: &str,
-    value: serde_json::Value,
-) -> Result<T, JobStoreError> {
+fn decode<T: for<'de> Deserialize<'de>>(what: &str, value: Value) -> Result<T, JobStoreError> {
     serde_json::from_value(value).map_err(|source| JobStoreError::Format {
         what: what.to_owned(),
         source,
--- a/crates/foxwheel-node/src/result_store.rs
+++ b/crates/foxwheel-node/src/result_store.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
+use foxwheel_platform::store::StoreError;
 use foxwheel_policy::batch::ledger::LedgerChange;
 
 use crate::job_store::{self, JobStoreError, PartCreation};
@@ -11,13 +12,21 @@
 use crate::store_access::Backoff;
 use crate::worker_jobs::WorkerJobs;
 
+/// Delay before results are stored again that the store refused in the smallest chunks.
+const REFUSED_RESULTS_DELAY: Duration = Duration::from_secs(10);
+
 /// Stores the finished results of `job` in parts, and closes the job once all its results
 /// are stored. `due_unix` is the time since the Unix epoch by which the results are due; it
 /// only affects the log.
 pub async fn store_results(jobs: Arc<WorkerJobs>, job: JobId, due_unix: Duration) {
     if let Err(e) = store_parts(&jobs, &job, due_unix).await {
-        log::warn!(job, error:% = e; "could not store the results; retrying");
-        tokio::time::sleep(Backoff::default().next_delay()).await;
+        let may_succeed_later = e.store_error().is_none_or(StoreError::may_succeed_later);
+        let delay = match may_succeed_later {
+            true => Backoff::default().next_delay(),
+            false => REFUSED_RESULTS_DELAY,
+        };
+        log::warn!(job, error:% = e, may_succeed_later; "could not store the results; retrying");
+        tokio::time::sleep(delay).await;
     }
     let all_stored = jobs.with_entry(&job, |entry| entry.progress.is_fully_stored());
     if all_stored == Some(true) {
--- a/crates/foxwheel-node/src/store_relay.rs
+++ b/crates/foxwheel-node/src/store_relay.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use foxwheel_core::error::Origin;
-use foxwheel_platform::store::{Object, StoreError, Write, WriteOutcome};
+use foxwheel_platform::store::{EncodedJson, Object, StoreError, Write, WriteOutcome};
 
 use crate::node::Node;
 use crate::peer_calls::{PeerError, RelayedResult};
@@ -79,6 +79,49 @@
     }
 }
 
+/// Creates an object, retrying after errors and lost responses until `deadline`.
+///
+/// Returns `None` if the last try created the object, otherwise the object that existed at that
+/// time; an earlier try whose response was lost may have created it.
+pub async fn create_with_retries(
+    node: &Node,
+    kind: &str,
+    name: &str,
+    spec: EncodedJson,
+    deadline: Instant,
+) -> Result<Option<Object>, StoreError> {
+    let create = Write::Create {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        spec,
+    };
+    let mut backoff = Backoff::default();
+    // Error of an earlier try whose response was lost. The store may still perform it.
+    let mut unknown_outcome = None;
+    loop {
+        match write(node, &create).await {
+            Ok(WriteOutcome::Done(_)) => return Ok(None),
+            Ok(WriteOutcome::Conflict(Some(object))) if !object.spec.is_null() => {
+                return Ok(Some(object))
+            }
+            Ok(WriteOutcome::Conflict(_) | WriteOutcome::Missing) => {
+                if let Some(object) = get_with_retries(node, kind, name, deadline).await? {
+                    return Ok(Some(object));
+                }
+            }
+            Err(e) if !e.may_succeed_later() => return Err(e),
+            Err(e) if Instant::now() >= deadline => return Err(unknown_outcome.unwrap_or(e)),
+            // If the write was done after all, the next try reports a conflict.
+            Err(e) => {
+                if !e.is_not_done() {
+                    unknown_outcome = Some(e);
+                }
+                node.store.wait_before_retry(backoff.next_delay()).await;
+            }
+        }
+    }
+}
+
 /// A way to reach the store.
 enum Route {
     /// A call from this process.
--- a/crates/foxwheel-platform-emu/src/server.rs
+++ b/crates/foxwheel-platform-emu/src/server.rs
@@ -15,7 +15,7 @@
 
 use crate::data_file;
 use crate::settings::PlatformSettings;
-use crate::state::{Metadata, Object, ObjectStore, RateLimit, StoreError};
+use crate::state::{Metadata, Object, ObjectStore, RateLimit, StoreError, MAX_VALUE_BYTES};
 
 /// Longest time that a watch waits for changes, in milliseconds.
 const MAX_WATCH_WAIT_MS: u64 = 30_000;
@@ -226,7 +226,7 @@
         StoreError::NotFound => HttpResponse::NotFound().finish(),
         StoreError::Conflict(object) => HttpResponse::Conflict().json(object),
         StoreError::HistoryExpired => HttpResponse::Gone().finish(),
-        StoreError::TooLarge => HttpResponse::PayloadTooLarge().body("value larger than 1 MiB"),
+        StoreError::TooLarge => HttpResponse::PayloadTooLarge().body("value too large"),
     }
 }
 
@@ -420,7 +420,13 @@
 async fn set_faults(emulator: web::Data<Emulator>, faults: web::Json<Faults>) -> HttpResponse {
     let faults = faults.into_inner();
     log::info!("faults set: {faults:?}");
-    emulator.lock().faults = faults;
+    let max_value_bytes = match faults.max_value_bytes {
+        0 => MAX_VALUE_BYTES,
+        max_value_bytes => max_value_bytes,
+    };
+    let mut state = emulator.lock();
+    state.store.set_max_value_bytes(max_value_bytes);
+    state.faults = faults;
     HttpResponse::Ok().json(json!({}))
 }
 
--- a/crates/foxwheel-platform-emu/src/state.rs
+++ b/crates/foxwheel-platform-emu/src/state.rs
@@ -18,12 +18,12 @@
     Conflict(Box<Object>),
     /// The watch starts before the oldest change that is kept.
     HistoryExpired,
-    /// The value is larger than 1 MiB.
+    /// The value is larger than the limit.
     TooLarge,
 }
 
 /// Largest size of an object's spec and status together, in bytes of JSON.
-pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+pub const MAX_VALUE_BYTES: u64 = 1024 * 1024;
 
 /// A limit of calls per second, counted in whole seconds since the start of the emulator.
 #[derive(Debug)]
@@ -124,6 +124,7 @@
     max_history_len: usize,
     history_start: Version,
     stored_bytes: u64,
+    max_value_bytes: u64,
 }
 
 impl ObjectStore {
@@ -136,9 +137,15 @@
             max_history_len,
             history_start: 0,
             stored_bytes: 0,
+            max_value_bytes: MAX_VALUE_BYTES,
         }
     }
 
+    /// Sets the largest accepted size of an object's spec and status together, in bytes of JSON.
+    pub fn set_max_value_bytes(&mut self, max_value_bytes: u64) {
+        self.max_value_bytes = max_value_bytes;
+    }
+
     /// Returns a store with the objects and the revision of `saved`. Watches that start before this
     /// revision must list again, because a snapshot does not contain the history.
     pub fn restore(saved: StoreSnapshot, max_history_len: usize) -> Self {
@@ -202,7 +209,7 @@
     /// Creates an object and returns it as stored.
     ///
     /// Returns [`StoreError::Conflict`] if it exists, and [`StoreError::TooLarge`] if it is larger
-    /// than [`MAX_VALUE_BYTES`].
+    /// than the limit.
     pub fn create(&mut self, kind: &str, object: Object) -> Result<Object, StoreError> {
         self.check_size(&object)?;
         let Err(index) = self.find_index(kind, &object.metadata.name) else {
@@ -226,7 +233,7 @@
     ///
     /// Returns [`StoreError::Conflict`] if `revision` is given and is not that of the object,
     /// [`StoreError::NotFound`] if the object does not exist, and [`StoreError::TooLarge`] if it
-    /// would be larger than [`MAX_VALUE_BYTES`].
+    /// would be larger than the limit.
     pub fn update(
         &mut self,
         kind: &str,
@@ -280,7 +287,7 @@
     }
 
     fn check_size(&self, object: &Object) -> Result<(), StoreError> {
-        if value_bytes(object) > MAX_VALUE_BYTES as u64 {
+        if value_bytes(object) > self.max_value_bytes {
             return Err(StoreError::TooLarge);
         }
         Ok(())
--- a/crates/foxwheel-store/src/api.rs
+++ b/crates/foxwheel-store/src/api.rs
@@ -108,4 +108,8 @@
     /// still holds then.
     #[serde(default)]
     pub late_ms: u64,
+    /// Largest size of an object's spec and status together that is accepted, in bytes of JSON; 0 is
+    /// the usual limit.
+    #[serde(default)]
+    pub max_value_bytes: u64,
 }
