Keep a checkpoint until the next one is complete

Cause: a checkpoint that needs several objects replaced the objects of the one before one by one. Jobs move from one object to another as they grow, so that a worker that died, or lost the store, in between left jobs in no object. Objects that a smaller checkpoint did not need stayed, too.

Change: a checkpoint of several objects is written under new names, and those of the one before are deleted afterwards. One that fits into one object still replaces it with one call.

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -108,6 +108,17 @@
     /// The newest known ledger and its revision. It may be outdated: a write based on it
     /// succeeds only if the revision still matches.
     cached_ledger: Mutex<Option<(u64, Ledger)>>,
+    checkpoint_objects: tokio::sync::Mutex<CheckpointObjects>,
+}
+
+/// The objects of this process's checkpoints.
+#[derive(Debug, Default)]
+struct CheckpointObjects {
+    /// Number of checkpoints that were written into new objects, completely or not.
+    saves: u64,
+    /// Names of the objects that may exist: those of the last complete checkpoint and, if a later
+    /// one could not be completed, of that as well.
+    names: Vec<String>,
 }
 
 impl JobStore {
@@ -116,6 +127,7 @@
         Self {
             node,
             cached_ledger: Mutex::default(),
+            checkpoint_objects: tokio::sync::Mutex::default(),
         }
     }
 
@@ -222,27 +234,64 @@
 
     /// Saves the progress of this worker's jobs and returns the number of bytes written.
     ///
-    /// This replaces earlier checkpoints of this process. Checkpoints of a previous process
-    /// on the same host stay, as its jobs may not have been taken over yet. Jobs that do not
-    /// fit into one object go into further objects.
+    /// This replaces earlier checkpoints of this process once it is complete. Checkpoints of a
+    /// previous process on the same host stay, as its jobs may not have been taken over yet. Jobs
+    /// that do not fit into one object go into further objects.
     pub async fn save_checkpoints(&self, jobs: &[JobCheckpoint]) -> Result<usize, StoreError> {
         let encoded: Vec<EncodedJson> = jobs.iter().map(encode).collect();
-        let process = format!("{}.{}", self.node.settings.host, self.node.incarnation);
         let saved_unix_ms = time::unix_ms();
-        let mut bytes = 0;
-        for (number, group) in group_by_size(&encoded, self.max_payload_bytes())
-            .into_iter()
-            .enumerate()
-        {
-            let name = numbered_name(&process, number as u32);
+        let groups = group_by_size(&encoded, self.max_payload_bytes());
+        let specs = groups.into_iter().map(|group| {
             let jobs = group.join(",");
-            let spec = format!("{{\"saved_unix_ms\":{saved_unix_ms},\"jobs\":[{jobs}]}}");
-            bytes += spec.len();
-            self.replace_or_create(CHECKPOINTS_KIND, name, spec).await?;
+            format!("{{\"saved_unix_ms\":{saved_unix_ms},\"jobs\":[{jobs}]}}")
+        });
+        let specs: Vec<EncodedJson> = specs.collect();
+        let bytes = specs.iter().map(EncodedJson::len).sum();
+        let mut objects = self.checkpoint_objects.lock().await;
+        match (specs.as_slice(), objects.names.as_slice()) {
+            ([spec], [name]) => {
+                self.replace_or_create(CHECKPOINTS_KIND, name.clone(), spec.clone())
+                    .await?;
+            }
+            _ => self.write_checkpoint(&specs, &mut objects).await?,
         }
         Ok(bytes)
     }
 
+    /// Writes a checkpoint into new objects, and then deletes those of the earlier ones.
+    async fn write_checkpoint(
+        &self,
+        specs: &[EncodedJson],
+        objects: &mut CheckpointObjects,
+    ) -> Result<(), StoreError> {
+        let process = format!("{}.{}", self.node.settings.host, self.node.incarnation);
+        let earlier = objects.names.len();
+        let save = objects.saves;
+        objects.saves += 1;
+        for (number, spec) in specs.iter().enumerate() {
+            let name = format!("{process}-{save}-{number}");
+            // After an error the object may exist all the same.
+            objects.names.push(name.clone());
+            let create = Write::Create {
+                kind: CHECKPOINTS_KIND.to_owned(),
+                name,
+                spec: spec.clone(),
+            };
+            store_relay::write(&self.node, &create).await?;
+        }
+        for name in objects.names.drain(..earlier) {
+            let delete = Write::Delete {
+                kind: CHECKPOINTS_KIND.to_owned(),
+                name: name.clone(),
+                revision: None,
+            };
+            if let Err(e) = store_relay::write(&self.node, &delete).await {
+                log::info!(name, error:% = e; "could not delete an earlier checkpoint; it expires");
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the progress of all jobs as their workers last saved it. Objects that cannot
     /// be decoded are skipped.
     pub async fn load_checkpoints(&self) -> Result<Vec<JobCheckpoint>, StoreError> {
