Save the progress of a job that does not fit into one object

Cause: a job's saved progress was left out of the checkpoint, without a log line, if its JSON exceeded 0.8 of an object. A job of 200 items of the mean output of the users' sheets is about that large.

Change: such a job is split by items (JobCheckpoint::split); only a single item that does not fit is left out, with a log line. A checkpoint that the store refuses as too large is saved in smaller objects.

--- a/crates/foxwheel-node/src/chunked_objects.rs
+++ b/crates/foxwheel-node/src/chunked_objects.rs
@@ -17,8 +17,8 @@
 /// Kind of the chunks of all values.
 const CHUNKS_KIND: &str = "foxwheel-chunks";
 
-/// The store is not asked to take values in chunks smaller than this.
-const MIN_CHUNK_BYTES: usize = 1_024;
+/// Values are not split into objects smaller than this.
+pub const MIN_OBJECT_BYTES: usize = 1_024;
 
 /// Error of reading or writing a value.
 #[derive(Debug, thiserror::Error)]
@@ -76,7 +76,7 @@
             false => create_in_chunks(node, kind, name, &encoded, max_bytes, deadline).await,
         };
         match created {
-            Err(ValueError::Store(StoreError::TooLarge { .. })) if max_bytes > MIN_CHUNK_BYTES => {
+            Err(ValueError::Store(StoreError::TooLarge { .. })) if max_bytes > MIN_OBJECT_BYTES => {
                 max_bytes = max_bytes.min(encoded.len()) / 2;
                 log::warn!(kind, name, bytes = encoded.len(), max_bytes; "value too large for the store; storing it in smaller objects");
             }
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_core::ids::JobId;
+use foxwheel_core::ids::{ItemId, JobId};
 use foxwheel_core::time;
 use foxwheel_platform::store::{EncodedJson, Object, StoreError, Write, WriteOutcome};
 use foxwheel_policy::batch::checkpoint::JobCheckpoint;
@@ -235,12 +235,32 @@
     /// Saves the progress of this worker's jobs and returns the number of bytes written.
     ///
     /// This replaces earlier checkpoints of this process once it is complete. Checkpoints of a
-    /// previous process on the same host stay, as its jobs may not have been taken over yet. Jobs
-    /// that do not fit into one object go into further objects.
+    /// previous process on the same host stay, as its jobs may not have been taken over yet. What
+    /// does not fit into one object goes into further objects.
     pub async fn save_checkpoints(&self, jobs: &[JobCheckpoint]) -> Result<usize, StoreError> {
-        let encoded: Vec<EncodedJson> = jobs.iter().map(encode).collect();
+        let mut max_bytes = self.max_payload_bytes();
+        loop {
+            match self.save_within(jobs, max_bytes).await {
+                Err(StoreError::TooLarge { .. })
+                    if max_bytes > chunked_objects::MIN_OBJECT_BYTES =>
+                {
+                    max_bytes /= 2;
+                    log::warn!(max_bytes; "checkpoint too large for the store; saving it in smaller objects");
+                }
+                saved => return saved,
+            }
+        }
+    }
+
+    /// Saves a checkpoint in objects of at most `max_bytes`.
+    async fn save_within(
+        &self,
+        jobs: &[JobCheckpoint],
+        max_bytes: usize,
+    ) -> Result<usize, StoreError> {
         let saved_unix_ms = time::unix_ms();
-        let groups = group_by_size(&encoded, self.max_payload_bytes());
+        let encoded = encode_checkpoints(jobs, max_bytes);
+        let groups = packing::split_into_groups(&encoded, max_bytes, |job| job.len() + 1);
         let specs = groups.into_iter().map(|group| {
             let jobs = group.join(",");
             format!("{{\"saved_unix_ms\":{saved_unix_ms},\"jobs\":[{jobs}]}}")
@@ -485,20 +505,28 @@
     }
 }
 
-/// Groups values so that each group has at most `max_bytes`. Values that are larger on their
-/// own are left out.
-fn group_by_size(values: &[EncodedJson], max_bytes: usize) -> Vec<Vec<&str>> {
-    let mut groups: Vec<Vec<&str>> = Vec::new();
-    let mut bytes = max_bytes;
-    for value in values.iter().filter(|value| value.len() <= max_bytes) {
-        if bytes + value.len() > max_bytes {
-            groups.push(Vec::new());
-            bytes = 0;
+/// Encodes checkpoints so that each fits into `max_bytes`. Items that are larger on their own are
+/// left out: they start over if the job changes its owner.
+fn encode_checkpoints(jobs: &[JobCheckpoint], max_bytes: usize) -> Vec<EncodedJson> {
+    let mut encoded = Vec::new();
+    for job in jobs {
+        let whole = encode(job);
+        if whole.len() <= max_bytes {
+            encoded.push(whole);
+            continue;
+        }
+        for part in job.clone().split(max_bytes, encoded_bytes) {
+            let text = encode(&part);
+            match text.len() <= max_bytes {
+                true => encoded.push(text),
+                false => {
+                    let items: Vec<&ItemId> = part.items.iter().map(|item| &item.id).collect();
+                    log::warn!(job = job.job, items:?, bytes = text.len(); "progress too large to be saved");
+                }
+            }
         }
-        bytes += value.len();
-        groups.last_mut().expect("pushed above").push(value);
     }
-    groups
+    encoded
 }
 
 /// Revision of a ledger that does not exist yet. The store counts revisions from 1.
--- a/crates/foxwheel-node/tests/checkpoints.rs
+++ b/crates/foxwheel-node/tests/checkpoints.rs
@@ -26,6 +26,11 @@
 
 /// Starts a fleet in which a separate service, `letters`, runs the batch items.
 async fn start_fleet(workers: u32) -> Fleet {
+    start_fleet_with_suffix(workers, "").await
+}
+
+/// The same with servers that end the data of each event with `suffix`.
+async fn start_fleet_with_suffix(workers: u32, suffix: &str) -> Fleet {
     let mut fleet = Fleet::start(FleetPlan {
         workers,
         ..FleetPlan::default()
@@ -36,6 +41,7 @@
             id: format!("letters-{number}"),
             events_per_stream: EVENTS_PER_ITEM,
             step_time: Duration::from_millis(40),
+            event_suffix: suffix.to_owned(),
             ..ServerConfig::default()
         };
         fleet.add_server_of_service("letters", shape).await;
@@ -49,18 +55,23 @@
     fleet
 }
 
-fn full_output(item: &str) -> String {
-    let events = (1..=EVENTS_PER_ITEM).map(|event| server::event_data(item, event));
+fn full_output(item: &str, suffix: &str) -> String {
+    let data = |event| format!("{}{suffix}", server::event_data(item, event));
+    let events = (1..=EVENTS_PER_ITEM).map(data);
     events.collect::<Vec<_>>().join("\n")
 }
 
 /// Waits for the results of a job. Asserts that they are complete, that all items were
 /// interrupted, and that each of them resumed from its checkpoint instead of starting over.
 async fn assert_resumed(fleet: &Fleet, job: &str, count: usize) {
+    assert_resumed_with_suffix(fleet, job, count, "").await;
+}
+
+async fn assert_resumed_with_suffix(fleet: &Fleet, job: &str, count: usize, suffix: &str) {
     let results = wait_for_results(fleet.fronts[0], job, count).await;
     for result in &results {
         let id = result["id"].as_str().expect("an id");
-        assert_eq!(result["output"], full_output(id), "{id}");
+        assert!(result["output"] == full_output(id, suffix), "{id}");
         let runs: Vec<Run> = fleet.runs_of_request(id);
         assert!(runs.len() > 1, "{id} was not interrupted: {runs:?}");
         let from_start = runs.iter().filter(|run| run.resumed_after.is_none());
@@ -148,7 +159,7 @@
         let results = wait_for_results(fleet.fronts[0], job, 3).await;
         for result in &results {
             let id = result["id"].as_str().expect("an id");
-            assert_eq!(result["output"], full_output(id), "{id}");
+            assert_eq!(result["output"], full_output(id, ""), "{id}");
             let runs = fleet.runs_of_request(id);
             let from_start = runs.iter().filter(|run| run.resumed_after.is_none());
             assert_eq!(from_start.count(), 1, "{id} started over: {runs:?}");
@@ -156,3 +167,43 @@
     }
     fleet.cancel.cancel();
 }
+
+/// Returns the number of items whose saved progress reaches [`MIN_SAVED_EVENT`].
+async fn count_saved_items(fleet: &Fleet) -> usize {
+    let checkpoints = fleet.list_stored("foxwheel-checkpoints/").await;
+    let jobs = checkpoints
+        .iter()
+        .flat_map(|saved| saved["jobs"].as_array().expect("a list"));
+    let items = jobs.flat_map(|job| job["items"].as_array().expect("a list"));
+    let saved = items
+        .filter(|item| item["output"]["last_event_id"].as_u64() >= Some(MIN_SAVED_EVENT))
+        .map(|item| item["id"].as_str().expect("an id"));
+    let mut saved: Vec<&str> = saved.collect();
+    saved.sort_unstable();
+    saved.dedup();
+    saved.len()
+}
+
+/// Guards against a job whose items all start over, because its progress does not fit into one object
+/// of the store and was left out of the checkpoint.
+#[actix_web::test]
+async fn items_of_a_job_with_large_output_resume_from_their_checkpoints() {
+    let suffix = "\"".repeat(1_500);
+    let mut fleet = start_fleet_with_suffix(1, &suffix).await;
+    submit_job(fleet.fronts[0], "a", 9)
+        .await
+        .expect("a response");
+    let saving = async {
+        while count_saved_items(&fleet).await < 9 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let saved = tokio::time::timeout(common::WAIT_TIMEOUT, saving).await;
+    assert!(saved.is_ok(), "the progress was not saved");
+    fleet.processes[1].kill();
+    fleet
+        .add_process(foxwheel_node::settings::Role::Worker)
+        .await;
+    assert_resumed_with_suffix(&fleet, "a", 9, &suffix).await;
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/batch/checkpoint.rs
+++ b/crates/foxwheel-policy/src/batch/checkpoint.rs
@@ -12,6 +12,7 @@
 
 use crate::batch::item::{ItemOutcome, ItemState, PartialOutput};
 use crate::batch::job::{ItemProgress, JobProgress};
+use crate::batch::packing;
 
 /// Shortest time between two checkpoints of a worker. A crash loses half of this time on average
 /// for each running item; each checkpoint costs a call to the platform's store.
@@ -22,6 +23,9 @@
 /// on (600 Mbit/s).
 const MAX_CHECKPOINT_BYTES_PER_S: f64 = 750_000.0;
 
+/// Space for the field names of a saved [`JobCheckpoint`].
+const JOB_OVERHEAD_BYTES: usize = 64;
+
 /// Saved progress of an item.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemCheckpoint {
@@ -61,6 +65,22 @@
         })
     }
 
+    /// Splits the checkpoint so that each one fits into `max_bytes`, except those of a single item that
+    /// does not. `encoded_bytes` returns the size of an item as it is saved.
+    pub fn split(
+        self,
+        max_bytes: usize,
+        encoded_bytes: impl Fn(&ItemCheckpoint) -> usize,
+    ) -> Vec<Self> {
+        let max_items_bytes = max_bytes.saturating_sub(JOB_OVERHEAD_BYTES + self.job.len());
+        let groups = packing::split_into_groups(&self.items, max_items_bytes, encoded_bytes);
+        let checkpoints = groups.into_iter().map(|items| Self {
+            job: self.job.clone(),
+            items: items.to_vec(),
+        });
+        checkpoints.collect()
+    }
+
     /// Applies the saved progress to `progress` where it is ahead of it. Only waiting items
     /// change; results that are finished or stored already stay as they are.
     pub fn restore(&self, progress: &mut JobProgress, now: Instant) {
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -228,3 +228,29 @@
     restored.discard_output(0);
     assert!(!restored.items[0].partial_output.has_events());
 }
+
+/// The parts of a checkpoint restore what the whole one does, and fit as they are encoded.
+#[test]
+fn split_checkpoint_restores_all_items() {
+    const MAX_BYTES: usize = 400;
+    let now = Instant::now();
+    let mut progress = JobProgress::new(common::job_with_items(12));
+    for item in 0..12 {
+        progress.start_item(item);
+        progress.record_output(item, &output_up_to(item as u64 + 1));
+    }
+    let whole = JobCheckpoint::from_progress(&progress).expect("progress");
+    let encoded_len = |value: &JobCheckpoint| serde_json::to_vec(value).expect("encoded").len();
+    assert!(encoded_len(&whole) > MAX_BYTES);
+    let item_bytes = |item: &_| serde_json::to_vec(item).expect("encoded").len() + 1;
+    let parts = whole.split(MAX_BYTES, item_bytes);
+    assert!(parts.len() < 12, "items that fit are saved together");
+    let mut restored = JobProgress::new(common::job_with_items(12));
+    for part in parts {
+        assert!(encoded_len(&part) <= MAX_BYTES);
+        part.restore(&mut restored, now);
+    }
+    for (item, restored) in restored.items.iter().enumerate() {
+        assert_eq!(restored.partial_output, output_up_to(item as u64 + 1));
+    }
+}
