--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -11,6 +11,7 @@
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::{LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership::{self, ClaimStatus, JobClaim};
+use foxwheel_policy::batch::packing;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
@@ -463,16 +464,13 @@
     /// is any, and the notification of new results.
     fn read_results(&mut self, query: ResultsQuery) -> (ResultsResponse, Arc<Notify>) {
         self.used_at = Instant::now();
-        let mut bytes = 0;
-        let available = self.progress.stored_results.iter().skip(query.from);
-        let results = available.take_while(|result| {
-            let is_first = bytes == 0;
-            bytes += result.output.len();
-            is_first || bytes <= query.max_bytes
-        });
+        let available = || self.progress.stored_results.iter().skip(query.from);
+        // The codec between processes leaves text as it is.
+        let sizes = available().map(|result| result.output.len());
+        let count = packing::leading_values_that_fit(sizes, query.max_bytes);
         let response = ResultsResponse::Results {
             item_count: self.progress.spec.items.len(),
-            results: results.cloned().collect(),
+            results: available().take(count).cloned().collect(),
         };
         (response, Arc::clone(&self.new_results))
     }
