Limit relayed changes of the ledger to a term

Cause: a front relays a submission to the worker that writes the ledger, waits 350 ms and then decides by itself. The frozen worker still has the submission in its socket and admits it when it resumes and other jobs have finished. An admission is idempotent, which makes it safe to repeat, and not to apply after its caller was answered otherwise. Nothing in the message says until when it holds; tarpc sends the time that is left, so that it is never late there. Any delay of the path has the same effect (a cut that heals), not only a freeze.

Evidence: the ledger in the record of the case has the refused job, and its items begin within 2 s of the wake-up. Ruled out: a late write of the front (it made none, as it refused), and a worker that runs a job for the stored body alone (workers start from the ledger).

Change (policy::batch::ledger): the ledger has a term and the worker that applies relayed changes in it. A relayed change names the term that its sender knows and is void in any other. A worker begins a term of its own before it applies anything; a process that decides without the writer ends the term in the same conditional update, if it relayed the change before or refuses a job. A sender whose term is over is told the current one and relays again. No clock is involved, and a term needs no retention.

Why this works: a refusal is answered after an update that ended the term, or by the writer itself from a ledger that it read in its own term; each late change and each late conditional write of an older ledger then fails.

Cost: one integer in the ledger and in a relayed change; one call between processes more after a change of the writer, and one write; one write for a refusal without the writer. Of mixed versions: an older process drops the term when it writes the ledger, and calls of the other version fail, after which processes decide by themselves, as before.

Tried and taken out: a new term after a batch of unknown outcome.

Open: a front that dies after it relayed a submission leaves that attempt unanswered; its change is void once another front or worker decides without the writer, but not if the same writer refuses the next attempt.

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -9,6 +9,7 @@
 //! - checkpoints, the progress of each worker's items: replaced by the process that wrote
 //!   them, read by workers that take over a job, and removed some time later.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,7 +19,7 @@
 use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::{ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
-use foxwheel_policy::batch::ledger::Ledger;
+use foxwheel_policy::batch::ledger::{Ledger, LedgerTerm};
 use foxwheel_policy::batch::packing;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -108,6 +109,8 @@
     /// The newest known ledger and its revision. It may be outdated: a write based on it
     /// succeeds only if the revision still matches.
     cached_ledger: Mutex<Option<(u64, Ledger)>>,
+    /// The term of the ledger as last read, written or learned from the ledger writer.
+    known_term: AtomicU64,
     checkpoint_objects: tokio::sync::Mutex<CheckpointObjects>,
 }
 
@@ -127,6 +130,7 @@
         Self {
             node,
             cached_ledger: Mutex::default(),
+            known_term: AtomicU64::new(0),
             checkpoint_objects: tokio::sync::Mutex::default(),
         }
     }
@@ -473,10 +477,21 @@
     fn cache_ledger(&self, revision: u64, ledger: Ledger) {
         let mut cached = self.cached_ledger.lock().expect("ledger lock");
         if cached.as_ref().is_none_or(|(cached, _)| *cached < revision) {
+            self.learn_term(ledger.term);
             *cached = Some((revision, ledger));
         }
     }
 
+    /// Returns the newest term of the ledger that this process knows; 0 if it knows none.
+    pub fn known_term(&self) -> LedgerTerm {
+        self.known_term.load(Ordering::Relaxed)
+    }
+
+    /// Records the current term of the ledger.
+    pub fn learn_term(&self, term: LedgerTerm) {
+        self.known_term.store(term, Ordering::Relaxed);
+    }
+
     async fn create(
         &self,
         kind: &str,
--- a/crates/foxwheel-node/src/ledger_writer.rs
+++ b/crates/foxwheel-node/src/ledger_writer.rs
@@ -9,7 +9,9 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use foxwheel_policy::batch::ledger::{LedgerChange, LedgerResponse};
+use foxwheel_policy::batch::ledger::{
+    LedgerChange, LedgerResponse, LedgerTerm, RelayedChange, RelayedResponse,
+};
 use foxwheel_policy::batch::ownership;
 use tokio::sync::{oneshot, Notify};
 
@@ -19,13 +21,20 @@
 use crate::settings::Role;
 
 /// Key by which the workers are ranked to choose the ledger writer. Jobs use their id.
-const LEDGER_RANK_KEY: &str = "ledger";
+pub const LEDGER_RANK_KEY: &str = "ledger";
 
 /// Time limit for one write of the ledger with all waiting changes.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// Maximum number of times that a change is relayed: in the term that the process knows, in the one
+/// that the ledger writer names, and once more if another one began meanwhile.
+const MAX_RELAYS: u32 = 3;
+
 /// A waiting change and where its result is sent.
-type WaitingChange = (LedgerChange, oneshot::Sender<RelayedResult<LedgerResponse>>);
+type WaitingChange = (
+    RelayedChange,
+    oneshot::Sender<RelayedResult<RelayedResponse>>,
+);
 
 /// The changes that wait at this worker for the next write of the ledger.
 #[derive(Debug, Default)]
@@ -35,9 +44,17 @@
 }
 
 impl LedgerWriter {
-    /// Applies `change` with the next write of the ledger and returns its result, or
-    /// `Unknown` if the write failed.
-    pub async fn submit(&self, change: LedgerChange) -> RelayedResult<LedgerResponse> {
+    /// Applies `change` with the next write of the ledger, if its term is not over, and returns its
+    /// result, or `Unknown` if the write failed.
+    pub async fn submit(
+        &self,
+        store: &JobStore,
+        change: RelayedChange,
+    ) -> RelayedResult<RelayedResponse> {
+        let known_term = store.known_term();
+        if change.term < known_term {
+            return RelayedResult::Done(RelayedResponse::Outdated(known_term));
+        }
         let (sender, receiver) = oneshot::channel();
         {
             let mut waiting = self.waiting.lock().expect("ledger writer lock");
@@ -46,11 +63,11 @@
         self.wake.notify_one();
         receiver
             .await
-            .unwrap_or_else(|_| RelayedResult::Unknown("the keeper stopped".to_owned()))
+            .unwrap_or_else(|_| RelayedResult::Unknown("the ledger writer stopped".to_owned()))
     }
 
-    /// Writes waiting changes. Never returns.
-    pub async fn run(&self, store: &JobStore) {
+    /// Writes waiting changes as the worker `host`. Never returns.
+    pub async fn run(&self, store: &JobStore, host: &str) {
         loop {
             self.wake.notified().await;
             let batch = {
@@ -58,20 +75,32 @@
                 std::mem::take(&mut *waiting)
             };
             if !batch.is_empty() {
-                write_changes(store, batch).await;
+                write_changes(store, host, batch).await;
             }
         }
     }
 }
 
-async fn write_changes(store: &JobStore, batch: Vec<WaitingChange>) {
+/// Writes a batch of changes. Begins a new term if the current one is not that of this worker.
+async fn write_changes(store: &JobStore, host: &str, batch: Vec<WaitingChange>) {
     let deadline = Instant::now() + WRITE_TIMEOUT;
     let written = store.update_ledger(deadline, |ledger| {
-        let changes = batch.iter().map(|(change, _)| ledger.apply(change));
-        changes.collect::<Vec<_>>()
+        let begins_term = ledger.writer.as_deref() != Some(host);
+        if begins_term {
+            ledger.begin_term(host);
+        }
+        let changes = batch.iter();
+        let results = changes.map(|(change, _)| ledger.apply_relayed(change, host));
+        (
+            results.collect::<Vec<_>>(),
+            begins_term.then_some(ledger.term),
+        )
     });
     match written.await {
-        Ok(results) => {
+        Ok((results, new_term)) => {
+            if let Some(term) = new_term {
+                log::info!(term, changes = batch.len(); "term as the ledger writer begun");
+            }
             for ((_, sender), result) in batch.into_iter().zip(results) {
                 // The receiver is dropped if the caller gave up.
                 let _ = sender.send(RelayedResult::Done(result));
@@ -95,34 +124,80 @@
     change: LedgerChange,
     deadline: Instant,
 ) -> Result<LedgerResponse, JobStoreError> {
+    let mut relayed_in = None;
+    for _ in 0..MAX_RELAYS {
+        let relayed = RelayedChange {
+            change: change.clone(),
+            term: store.known_term(),
+        };
+        match relay(node, store, own, relayed).await {
+            Relay::Done(RelayedResponse::Applied(response)) => return Ok(response),
+            Relay::Done(RelayedResponse::Outdated(term)) => store.learn_term(term),
+            Relay::Unknown(term) => {
+                relayed_in = Some(term);
+                break;
+            }
+            Relay::NotSent => break,
+        }
+    }
+    log::info!(change = change.name(), job = change.job(), relayed_in; "changing the ledger without its writer");
+    store
+        .update_ledger(deadline, |ledger| {
+            ledger.apply_directly(&change, relayed_in)
+        })
+        .await
+}
+
+/// The outcome of relaying a change.
+enum Relay {
+    /// The ledger writer responded.
+    Done(RelayedResponse),
+    /// The ledger writer may apply the change in this term.
+    Unknown(LedgerTerm),
+    /// The change was not sent to a ledger writer.
+    NotSent,
+}
+
+async fn relay(
+    node: &Arc<Node>,
+    store: &JobStore,
+    own: Option<&LedgerWriter>,
+    relayed: RelayedChange,
+) -> Relay {
+    let term = relayed.term;
     let now = Instant::now();
     let workers = node.peers.live_workers(now);
     let writer = ownership::preferred_worker(LEDGER_RANK_KEY, &workers);
     let own_host = &node.settings.host;
     // A worker is not among its own peers, so it is the ledger writer if it outranks them.
-    let is_own = own.is_some()
-        && writer.is_none_or(|writer| ownership::outranks(LEDGER_RANK_KEY, own_host, &writer.host));
-    let written = match (own, writer) {
-        (Some(own), _) if is_own => Some(own.submit(change.clone()).await),
-        (_, Some(writer)) => {
+    let is_own =
+        writer.is_none_or(|writer| ownership::outranks(LEDGER_RANK_KEY, own_host, &writer.host));
+    let result = match (own.filter(|_| is_own), writer) {
+        (Some(own), _) => own.submit(store, relayed).await,
+        (None, Some(writer)) => {
             let live = node.peers.live_processes(Role::Worker, now);
             let found = live.iter().find(|(host, _)| *host == writer.host);
-            match found {
-                Some((_, addr)) if !node.peer_calls.has_failed_recently(*addr, now) => {
-                    let result = node.peer_calls.change_ledger(*addr, change.clone()).await;
-                    result
-                        .inspect_err(|e| log::info!(error:% = e; "ledger writer did not respond"))
-                        .ok()
+            let Some((_, addr)) =
+                found.filter(|(_, addr)| !node.peer_calls.has_failed_recently(*addr, now))
+            else {
+                return Relay::NotSent;
+            };
+            match node.peer_calls.change_ledger(*addr, relayed).await {
+                Ok(result) => result,
+                Err(e) => {
+                    log::info!(error:% = e, term; "ledger writer did not respond");
+                    return match e.is_not_sent() {
+                        true => Relay::NotSent,
+                        false => Relay::Unknown(term),
+                    };
                 }
-                Some(_) | None => None,
             }
         }
-        _ => None,
+        (None, None) => return Relay::NotSent,
     };
-    if let Some(RelayedResult::Done(result)) = written {
-        return Ok(result);
+    match result {
+        RelayedResult::Done(response) => Relay::Done(response),
+        RelayedResult::NotDone(_) => Relay::NotSent,
+        RelayedResult::Unknown(_) | RelayedResult::TooLarge => Relay::Unknown(term),
     }
-    store
-        .update_ledger(deadline, |ledger| ledger.apply(&change))
-        .await
 }
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -9,7 +9,7 @@
 use foxwheel_platform::store::{Object, Write, WriteOutcome};
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::JobSpec;
-use foxwheel_policy::batch::ledger::{self, LedgerChange, LedgerResponse};
+use foxwheel_policy::batch::ledger::{self, RelayedChange, RelayedResponse};
 use foxwheel_policy::part_quarantine::PartEvidence;
 use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
@@ -178,8 +178,8 @@
     async fn read(job: JobId, read: ResultsQuery) -> ResultsResponse;
     /// Reads the body of an item of a job.
     async fn body(job: JobId, item: ItemId) -> ItemBodyResponse;
-    /// Applies a change to the job ledger.
-    async fn change_ledger(change: LedgerChange) -> RelayedResult<LedgerResponse>;
+    /// Applies a change to the job ledger, if its term is not over.
+    async fn change_ledger(change: RelayedChange) -> RelayedResult<RelayedResponse>;
     /// Returns the server crashes that the peer knows.
     async fn crashes() -> Vec<CrashReport>;
     /// Performs a write for a process whose calls the store rejects.
@@ -299,8 +299,8 @@
     pub async fn change_ledger(
         &self,
         addr: SocketAddr,
-        change: LedgerChange,
-    ) -> Result<RelayedResult<LedgerResponse>, PeerError> {
+        change: RelayedChange,
+    ) -> Result<RelayedResult<RelayedResponse>, PeerError> {
         let client = self.client(addr).await?;
         let context = context_with_timeout(ledger::LEDGER_WRITER_TIMEOUT);
         let response = client.change_ledger(context, change).await;
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -7,7 +7,7 @@
 use foxwheel_core::ids::{ItemId, JobId};
 use foxwheel_platform::store::{Object, StoreError, Write, WriteOutcome};
 use foxwheel_policy::batch::job::JobSpec;
-use foxwheel_policy::batch::ledger::{LedgerChange, LedgerResponse};
+use foxwheel_policy::batch::ledger::{RelayedChange, RelayedResponse};
 use foxwheel_policy::part_quarantine::PartEvidence;
 use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
@@ -80,10 +80,10 @@
     async fn change_ledger(
         self,
         _: context::Context,
-        change: LedgerChange,
-    ) -> RelayedResult<LedgerResponse> {
+        change: RelayedChange,
+    ) -> RelayedResult<RelayedResponse> {
         match &self.jobs {
-            Some(jobs) => jobs.ledger_writer.submit(change).await,
+            Some(jobs) => jobs.ledger_writer.submit(&jobs.store, change).await,
             None => RelayedResult::NotDone("not a worker".to_owned()),
         }
     }
--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -316,6 +316,6 @@
     tokio::join!(
         ledger_poll::prune_store(&node, &jobs),
         retirement_watch::run(&node),
-        jobs.ledger_writer.run(&jobs.store),
+        jobs.ledger_writer.run(&jobs.store, &node.settings.host),
     );
 }
--- a/crates/foxwheel-policy/src/batch/ledger.rs
+++ b/crates/foxwheel-policy/src/batch/ledger.rs
@@ -4,15 +4,22 @@
 //! object. So two processes cannot both accept a job when the quota has room for only one of
 //! them, and a closed job cannot be accepted again. Closed jobs are removed after some time, so
 //! the ledger's size depends on the jobs of the last few minutes, not on those of a whole day.
+//!
+//! Processes relay their changes to one worker, the ledger writer, and decide by themselves if it
+//! does not respond. It may still have the change then, in its process or on the way to it, for as
+//! long as it is frozen or the network holds the message. A relayed change is therefore valid only
+//! within one term of the ledger, and whoever decides without the writer ends the term in the same
+//! update. Load pattern: bursts of submissions while the writer freezes for seconds, with room in the
+//! quota once it resumes.
 
 use std::time::Duration;
 
-use foxwheel_core::ids::JobId;
+use foxwheel_core::ids::{JobId, NodeId};
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 
 /// How long a process waits for the ledger writer, the worker that writes the ledger for all
-/// processes, before it makes the change itself. This is safe because changes are idempotent.
+/// processes, before it makes the change itself.
 ///
 /// A ledger writer that lost power does not respond. With a timeout as long as that of a store
 /// call, submissions were accepted after 1.2 to 1.8 s (target 400 ms) and their results were
@@ -50,6 +57,9 @@
     pub closed_unix: Duration,
 }
 
+/// Number of a term of the ledger.
+pub type LedgerTerm = u64;
+
 /// The job ledger, with the accepted jobs of all routes.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ledger {
@@ -57,6 +67,32 @@
     pub open: Vec<OpenJob>,
     /// Closed jobs, sorted by id.
     pub closed: Vec<ClosedJob>,
+    /// The current term. Increases whenever `writer` changes.
+    #[serde(default)]
+    pub term: LedgerTerm,
+    /// The worker that applies relayed changes in this term. `None` if nobody may, because a process
+    /// decided without the writer.
+    #[serde(default)]
+    pub writer: Option<NodeId>,
+}
+
+/// A change that a process relays to the ledger writer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedChange {
+    /// The change.
+    pub change: LedgerChange,
+    /// The only term in which the change may be applied.
+    pub term: LedgerTerm,
+}
+
+/// The result of a relayed change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelayedResponse {
+    /// The change was applied.
+    Applied(LedgerResponse),
+    /// The change was not applied and never will be, because its term is over. Holds the current
+    /// term.
+    Outdated(LedgerTerm),
 }
 
 /// The decision on a submission.
@@ -117,6 +153,24 @@
     },
 }
 
+impl LedgerChange {
+    /// Returns the id of the job that the change is about.
+    pub fn job(&self) -> &JobId {
+        match self {
+            Self::Admit { id, .. } | Self::Close { id, .. } | Self::Withdraw { id } => id,
+        }
+    }
+
+    /// Returns the name of the change, for the log.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Admit { .. } => "admit",
+            Self::Close { .. } => "close",
+            Self::Withdraw { .. } => "withdraw",
+        }
+    }
+}
+
 /// The result of a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum LedgerResponse {
@@ -152,6 +206,42 @@
         }
     }
 
+    /// Applies a change that was relayed to the worker `writer`, if it is valid in the current term.
+    pub fn apply_relayed(&mut self, relayed: &RelayedChange, writer: &str) -> RelayedResponse {
+        let is_valid = self.term == relayed.term && self.writer.as_deref() == Some(writer);
+        match is_valid {
+            true => RelayedResponse::Applied(self.apply(&relayed.change)),
+            false => RelayedResponse::Outdated(self.term),
+        }
+    }
+
+    /// Applies a change of a process that decides without the ledger writer, because it does not
+    /// respond. `relayed_in` is the term in which the process relayed the same change, if it did.
+    ///
+    /// Ends the term if the writer may still have that change, or if a job is refused: another
+    /// process may have relayed its submission and died.
+    pub fn apply_directly(
+        &mut self,
+        change: &LedgerChange,
+        relayed_in: Option<LedgerTerm>,
+    ) -> LedgerResponse {
+        let response = self.apply(change);
+        let is_refused = response == LedgerResponse::Admission(Admission::OverQuota);
+        let may_be_applied_later = relayed_in == Some(self.term);
+        if self.writer.is_some() && (is_refused || may_be_applied_later) {
+            self.term += 1;
+            self.writer = None;
+        }
+        response
+    }
+
+    /// Begins a term of the worker `writer`, so that no change relayed before, to any worker, is
+    /// applied any more.
+    pub fn begin_term(&mut self, writer: &str) {
+        self.term += 1;
+        self.writer = Some(writer.to_owned());
+    }
+
     /// Accepts the job `id` with `tokens` tokens on `route`, unless it is in the ledger already or
     /// the unfinished tokens of the route would exceed `quota_tokens` (0 is no limit).
     pub fn admit(
