Do not withdraw a job that was stored meanwhile

An accepted job would be lost.

Cause: a worker that does not find a job of the ledger in the store 90 s after its admission withdraws it. The client may submit the job again between that read and the withdrawal, which may be late by any time; its front stores the job, finds it in the ledger, and answers 202.

Change: a front that finds a job in the ledger and has stored it confirms that with its second admission, and a withdrawal leaves confirmed jobs alone. No time is involved, and a repeat costs what it did before.

Test: policy::ledger job_that_was_stored_meanwhile_is_not_withdrawn; without the condition it fails.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -140,15 +140,16 @@
         // Both writes run concurrently: one after the other would exceed the response time
         // target while the store is slow.
         let saving = self.store.save_job(job, deadline);
-        let (saved, admitted) = tokio::join!(saving, self.admit_to_ledger(job, route, deadline));
+        let (saved, admitted) =
+            tokio::join!(saving, self.admit_to_ledger(job, route, false, deadline));
         let admission = admitted.map_err(SubmitError::MaybeAccepted)?;
         match (admission, saved) {
             (Admission::OverQuota, _) => Ok(Admission::OverQuota),
             (Admission::Accepted, Ok(())) => Ok(Admission::Accepted),
-            // The ledger entry may have been withdrawn because the job was not stored. It is
-            // stored now, so it is admitted again.
+            // The ledger entry may be withdrawn because the job was not stored. It is stored now,
+            // so it is admitted again.
             (Admission::Repeat, Ok(())) => self
-                .admit_to_ledger(job, route, deadline)
+                .admit_to_ledger(job, route, true, deadline)
                 .await
                 .map_err(SubmitError::MaybeAccepted),
             (_, Err(e)) if e.store_error().is_some_and(|e| !e.is_not_done()) => {
@@ -164,6 +165,7 @@
         &self,
         job: &JobSpec,
         route: &Route,
+        is_stored: bool,
         deadline: Instant,
     ) -> Result<Admission, JobStoreError> {
         let change = LedgerChange::Admit {
@@ -172,6 +174,7 @@
             tokens: job.total_tokens(),
             quota_tokens: route.quota_tokens,
             now_unix: job.submitted_unix,
+            is_stored,
         };
         match self.change_ledger(change, deadline).await? {
             LedgerResponse::Admission(admission) => Ok(admission),
--- a/crates/foxwheel-policy/src/batch/ledger.rs
+++ b/crates/foxwheel-policy/src/batch/ledger.rs
@@ -42,6 +42,9 @@
     #[serde(rename = "accepted_unix_ms")]
     #[serde_as(as = "DurationMilliSeconds<u64>")]
     pub accepted_unix: Duration,
+    /// Whether a front confirmed that the job is in the store, so that it must not be withdrawn.
+    #[serde(default)]
+    pub is_stored: bool,
 }
 
 /// A job that finished or was ended by its client. It stays in the ledger for some time so that
@@ -136,6 +139,8 @@
         #[serde(rename = "now_unix_ms")]
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         now_unix: Duration,
+        /// Whether the job is known to be in the store.
+        is_stored: bool,
     },
     /// Closes a job that finished or was ended by its client.
     Close {
@@ -146,7 +151,8 @@
         #[serde_as(as = "DurationMilliSeconds<u64>")]
         now_unix: Duration,
     },
-    /// Removes an open job that was never stored.
+    /// Removes an open job that was not found in the store, unless a front has confirmed since that
+    /// it is there.
     Withdraw {
         /// Id of the job.
         id: JobId,
@@ -192,15 +198,20 @@
                 tokens,
                 quota_tokens,
                 now_unix,
+                is_stored,
             } => {
-                LedgerResponse::Admission(self.admit(id, route, *tokens, *quota_tokens, *now_unix))
+                let admission = self.admit(id, route, *tokens, *quota_tokens, *now_unix);
+                if let (true, Ok(index)) = (*is_stored, self.open_position(id)) {
+                    self.open[index].is_stored = true;
+                }
+                LedgerResponse::Admission(admission)
             }
             LedgerChange::Close { id, now_unix } => {
                 self.close(id, *now_unix);
                 LedgerResponse::Status(self.job_status(id))
             }
             LedgerChange::Withdraw { id } => {
-                self.open.retain(|job| job.id != *id);
+                self.open.retain(|job| job.id != *id || job.is_stored);
                 LedgerResponse::Status(self.job_status(id))
             }
         }
@@ -263,6 +274,7 @@
             route: route.to_owned(),
             unfinished_tokens: tokens,
             accepted_unix: now_unix,
+            is_stored: false,
         };
         let index = self.open.partition_point(|open| open.id.as_str() < id);
         self.open.insert(index, job);
--- a/crates/foxwheel-policy/tests/ledger.rs
+++ b/crates/foxwheel-policy/tests/ledger.rs
@@ -160,6 +160,7 @@
         tokens: 10,
         quota_tokens: 15,
         now_unix: NOW,
+        is_stored: false,
     };
     let mut ledger = Ledger::default();
     assert_eq!(
@@ -204,3 +205,29 @@
     // The ledger writer must not time out while each call to the store takes 240 ms.
     assert!(ledger::LEDGER_WRITER_TIMEOUT > Duration::from_millis(250));
 }
+
+/// Guards against the loss of an accepted job: a worker that had not found it in the store withdrew
+/// it after its client had submitted it again, and its front had stored it.
+#[test]
+fn job_that_was_stored_meanwhile_is_not_withdrawn() {
+    let submission = |is_stored| LedgerChange::Admit {
+        id: "a".to_owned(),
+        route: "route".to_owned(),
+        tokens: 10,
+        quota_tokens: 0,
+        now_unix: NOW,
+        is_stored,
+    };
+    let withdrawal = LedgerChange::Withdraw { id: "a".to_owned() };
+    let mut ledger = Ledger::default();
+    ledger.apply(&submission(false));
+    let mut never_stored = ledger.clone();
+    never_stored.apply(&withdrawal);
+    assert_eq!(never_stored.job_status("a"), JobStatus::Unknown);
+    for _ in 0..2 {
+        let repeat = LedgerResponse::Admission(Admission::Repeat);
+        assert_eq!(ledger.apply(&submission(true)), repeat);
+    }
+    let status = ledger.apply(&withdrawal);
+    assert_eq!(status, LedgerResponse::Status(JobStatus::Open));
+}
--- a/crates/foxwheel-policy/tests/ledger_terms.rs
+++ b/crates/foxwheel-policy/tests/ledger_terms.rs
@@ -24,6 +24,7 @@
         tokens: 40,
         quota_tokens: QUOTA_TOKENS,
         now_unix: NOW,
+        is_stored: false,
     }
 }
 
