Run an item again soon after each crash, however many there were

Cause: batch items were treated like requests that crash servers. After three successive crashes an item had two trials and then none for 600 s; with a doubt about its guilt it waited 2, 6, 18, ... up to 600 s; and if a part of its prompt was blamed, up to 600 s and the spread of the trials of all processes. The route gives it up before. The users' items never are the cause, and each accepted one is owed.

Change (policy::quarantine, policy::part_quarantine): after three successive crashes an item is tried 3 s after the last one, each time, at one server at a time. A blamed part holds items in the same way, and only if no server responded to it before. The scheduler looks again when that time is over, not 2 s later. If an item is the cause after all it takes down one server every 3 s until its route gives it up.

Ruled out: no delay at all (the items of a job would take down all servers at once if their part is the cause: node::crashing_prompt_parts).

The tests of items that are the cause pass unchanged.

--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -77,7 +77,7 @@
     node.metrics.incr(match end {
         RunEnd::Whole => Counter::RunCompleted,
         RunEnd::Preempted => Counter::RunPreempted,
-        RunEnd::Quarantined => Counter::RunQuarantined,
+        RunEnd::Quarantined(_) => Counter::RunQuarantined,
         _ => Counter::RunFailed,
     });
     end
@@ -156,11 +156,10 @@
     }
 }
 
-/// Returns how a run ends that was not permitted. The item waits until it may be tried again, or until
-/// its route allows giving it up.
+/// Returns how a run ends that was not permitted. The item waits until it may be tried again.
 fn refused_run(refusal: RunRefusal) -> (RunEnd, String) {
     let end = match refusal.time_left {
-        Some(_) => RunEnd::Quarantined,
+        Some(time_left) => RunEnd::Quarantined(time_left),
         None => RunEnd::NotRun,
     };
     let reason = match refusal.part {
--- a/crates/foxwheel-node/src/part_quarantine.rs
+++ b/crates/foxwheel-node/src/part_quarantine.rs
@@ -71,11 +71,9 @@
         service: &str,
         now: Instant,
     ) -> Result<ItemPartsRun, RunRefusal> {
-        let processes = self.process_count(now);
-        let host = &self.settings.host;
         let parts = &content.shared_parts;
         let mut quarantine = self.lock_part_quarantine();
-        let permission = quarantine.begin_item_run(parts, service, host, processes, now);
+        let permission = quarantine.begin_item_run(parts, service, now);
         drop(quarantine);
         self.apply_permission(permission, service)?;
         Ok(ItemPartsRun {
--- a/crates/foxwheel-node/tests/crashing_requests.rs
+++ b/crates/foxwheel-node/tests/crashing_requests.rs
@@ -24,6 +24,9 @@
 use hyper::{Method, StatusCode};
 use serde_json::{json, Value};
 
+/// Time within which an accepted item must be at a server while nothing fails and servers have room.
+const MAX_CALM_WAIT: Duration = Duration::from_secs(5);
+
 /// Starts fronts in two zones, and servers that end when they run the crashing request.
 async fn crashing_fleet(servers: usize, workers: u32) -> Fleet {
     Fleet::start(FleetPlan {
@@ -309,3 +312,34 @@
     assert_eq!(ended_servers(&fleet), ended_before);
     fleet.cancel.cancel();
 }
+
+/// Guards against an item that is never run again: five servers crashed while they ran it, for other
+/// reasons, and it was held for the cause although all was calm afterwards.
+#[actix_web::test]
+async fn item_whose_servers_crashed_is_run_again_until_it_is_done() {
+    const CRASHES: usize = 7;
+    const ITEMS: usize = 8;
+    let mut fleet = Fleet::start(FleetPlan {
+        servers: crashing_servers::slow_shapes(9),
+        ..FleetPlan::default()
+    })
+    .await;
+    let front = fleet.fronts[0];
+    let accepted = common::submit_job(front, "job", ITEMS).await;
+    assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
+    for number in 0..CRASHES {
+        let waiting = crashing_servers::wait_until_running(&fleet, "job-item-0");
+        let running = tokio::time::timeout(MAX_CALM_WAIT, waiting).await;
+        assert!(running.is_ok(), "not run after {number} crashes");
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        let server = crashing_servers::busy_server(&fleet, "job-item-0");
+        server.expect("the item still runs").terminate();
+        let mut shape = crashing_servers::slow_shapes(1).remove(0);
+        shape.id = format!("new-{number}");
+        fleet.add_server(shape).await;
+    }
+    let results = wait_for_results(front, "job", ITEMS).await;
+    assert!(results.iter().all(|item| item["state"] == "completed"));
+    assert_eq!(common::result_ids(&results), common::item_ids("job", ITEMS));
+    fleet.cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -117,9 +117,9 @@
     Broken,
     /// This worker stopped the run to free the slot.
     Preempted,
-    /// The run was not started because its request content is quarantined: servers crashed
-    /// while they ran the same content.
-    Quarantined,
+    /// The run was not started because servers crashed under the same content or part of a prompt.
+    /// The item may be tried after this time.
+    Quarantined(Duration),
 }
 
 /// State of an item on the worker that owns its job.
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -22,8 +22,8 @@
 /// short-lived.
 const FAILED_RERUN_DELAY: Duration = Duration::from_millis(400);
 
-/// Delay before an item whose request content is quarantined is checked again. Meanwhile the
-/// same content may have been served elsewhere, which lifts the quarantine.
+/// Longest delay before an item whose request content is quarantined is checked again. Meanwhile
+/// the same content may have been served elsewhere, which lifts the quarantine.
 const QUARANTINE_RECHECK_DELAY: Duration = Duration::from_secs(2);
 
 /// How long finished results wait for further results of an unfinished job, so that one write
@@ -221,7 +221,9 @@
             }
             RunEnd::NotRun | RunEnd::Broken => self.set_waiting(index, now + RERUN_DELAY),
             RunEnd::Preempted => self.set_waiting(index, now + placement::PREEMPTED_RETRY_DELAY),
-            RunEnd::Quarantined => self.set_waiting(index, now + QUARANTINE_RECHECK_DELAY),
+            RunEnd::Quarantined(time_left) => {
+                self.set_waiting(index, now + time_left.min(QUARANTINE_RECHECK_DELAY));
+            }
         }
     }
 
--- a/crates/foxwheel-policy/src/part_quarantine.rs
+++ b/crates/foxwheel-policy/src/part_quarantine.rs
@@ -27,7 +27,7 @@
 pub use self::reports::{PartCrashReport, PartEvidence, PartTrialReport, RunReport};
 use self::running_items::RunningItems;
 use self::trials::PartTrials;
-use crate::quarantine::{ObservedCrash, QuarantineDigest, RecentCompletions};
+use crate::quarantine::{ObservedCrash, QuarantineDigest, RecentCompletions, ITEM_TRIAL_DELAY};
 use crate::zone_loads::ServerFingerprint;
 
 /// How long a crash is kept that a blamed part explains.
@@ -125,30 +125,36 @@
         PartPermission::Trial(tried)
     }
 
-    /// Returns how a batch item with these parts may run, as [`Self::begin_run`] does for an online
-    /// request. A run that is permitted must end with [`Self::end_item_run`].
+    /// Returns how a batch item with these parts may run. A run that is permitted must end with
+    /// [`Self::end_item_run`].
     ///
     /// Of the items with a part that may be the cause of a crash, one runs at a time: the items of a
-    /// job start together, and would take down all servers at once.
+    /// job start together, and would take down all servers at once. If the part is blamed, the next
+    /// one waits for [`ITEM_TRIAL_DELAY`] after the last crash, but no longer: an accepted item is
+    /// owed whatever crashed under it. A part that servers responded to before holds no item.
     pub fn begin_item_run(
         &mut self,
         parts: &[PromptPartId],
         service: &str,
-        process: &NodeId,
-        process_count: usize,
         now: Instant,
     ) -> PartPermission {
+        let blamed = parts.iter().filter_map(|part| self.find(service, part));
+        let blamed = blamed.filter(|blamed| !blamed.succeeded_before);
+        let delays = blamed.map(|blamed| {
+            let may_begin_at = blamed.last_crash_at + ITEM_TRIAL_DELAY;
+            (may_begin_at.saturating_duration_since(now), &blamed.part)
+        });
+        if let Some((delay, part)) = delays.max().filter(|(delay, _)| !delay.is_zero()) {
+            return PartPermission::Refused(part.clone(), delay);
+        }
         let is_busy = |part: &&PromptPartId| {
             self.is_suspect(service, part) && self.running_items.contains(service, part)
         };
         if let Some(part) = parts.iter().find(is_busy) {
             return PartPermission::Busy(part.clone());
         }
-        let permission = self.begin_run(parts, service, process, process_count, now);
-        if !matches!(permission, PartPermission::Refused(..)) {
-            self.running_items.add(service, parts);
-        }
-        permission
+        self.running_items.add(service, parts);
+        PartPermission::Unrestricted
     }
 
     /// Records that a run of a batch item with these parts has ended.
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -57,14 +57,10 @@
 /// [`QUARANTINE_DURATION`].
 const DOUBTFUL_QUARANTINE_GROWTH: u32 = 3;
 
-/// Number of further crashes that a quarantined batch item may cause before it is no longer tried.
-/// Trying it is cheap, because a worker has only one run of it at a time, and needed, because no
-/// caller sends the item again.
-const MAX_ITEM_TRIALS: usize = 2;
-
-/// Delay between the last crash and the next trial of such an item. If something other than the
-/// item took its servers down, that is over by then.
-const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(3);
+/// Delay between the last crash under a batch item and its next run, once enough servers crashed
+/// under it to quarantine an online request. An accepted item is owed whatever crashed under it, so
+/// the delay does not grow. It bounds the harm of an item that is the cause after all.
+pub const ITEM_TRIAL_DELAY: Duration = Duration::from_secs(3);
 
 /// How long a crash is kept.
 pub const CRASH_RETENTION: Duration = Duration::from_secs(3_600);
@@ -254,15 +250,24 @@
     /// Returns how a batch item with that content may run. Its server is chosen already, so that
     /// only one item of a content is on trial at a time.
     pub fn begin_item_run(&mut self, content: &str, now: Instant) -> RunPermission {
-        match self.status(content, now) {
-            ContentStatus::Quarantined(left) if !self.may_run_item(content, now) => {
-                RunPermission::Refused(left)
-            }
-            _ if self.needs_trial(content) && self.trials.running(content) > 0 => {
-                RunPermission::Refused(ITEM_TRIAL_DELAY)
-            }
-            _ => self.begin_trial_if_needed(content, now),
+        let found = self.position(content).ok();
+        let suspected = found.map(|at| &self.suspected[at]);
+        let Some(suspected) = suspected.filter(|it| it.has_quarantining_crashes()) else {
+            return RunPermission::Unrestricted;
+        };
+        let may_begin_at = suspected
+            .last_counted_at()
+            .map_or(now, |last| last + ITEM_TRIAL_DELAY);
+        let delay = may_begin_at.saturating_duration_since(now);
+        let delay = delay.max(self.trials.delay(content, now));
+        if !delay.is_zero() {
+            return RunPermission::Refused(delay);
         }
+        if self.trials.running(content) > 0 {
+            return RunPermission::Refused(ITEM_TRIAL_DELAY);
+        }
+        self.trials.begin(content, now);
+        RunPermission::Trial { is_shared: false }
     }
 
     /// Ends a trial.
@@ -288,25 +293,6 @@
         RunPermission::Trial { is_shared }
     }
 
-    /// Returns whether a batch item with that content may run, including as a trial while the
-    /// content is quarantined.
-    pub fn may_run_item(&self, content: &str, now: Instant) -> bool {
-        let Ok(at) = self.position(content) else {
-            return true;
-        };
-        let suspected = &self.suspected[at];
-        if !self.is_quarantined(suspected, now) {
-            return true;
-        }
-        if self.doubt_about(suspected).is_some() {
-            return false;
-        }
-        let trials_left =
-            suspected.successive_crashes().len() < CRASHES_TO_QUARANTINE + MAX_ITEM_TRIALS;
-        let last = suspected.last_counted_at();
-        trials_left && last.is_none_or(|last| now >= last + ITEM_TRIAL_DELAY)
-    }
-
     /// Records a crash that this process observed while a request with that content was at the
     /// server. Returns whether the crash caused the content to be quarantined.
     pub fn record_crash(&mut self, content: &str, observed: ObservedCrash, now: Instant) -> bool {
