Let crashes under batch items count against no online request

An online request with the content of an item, or with a prompt part of items, is refused for up to ten minutes after crashes that only cut off items. A request that does crash servers goes on doing so for longer when an item was at the same servers.

Cause: a run that a crash cut off counted as a possible cause whatever it was. Batch items are never the cause: the users say so, and each ran at its server because it was placed there.

Change: a crash is recorded with the kind of the run (RunKind). If an online request was cut off as well, that counts. Saved records without the kind are those of online requests.

Ruled out: not recording crashes under items at all. The items of a job whose part is the cause after all would take down all servers at once.

Tests: policy::quarantine crashes_under_batch_items_..., batch_items_at_the_...; policy::part_quarantine parts_of_batch_items_....

--- a/crates/foxwheel-node/src/load_table.rs
+++ b/crates/foxwheel-node/src/load_table.rs
@@ -8,6 +8,7 @@
 use foxwheel_core::ids::ServerId;
 use foxwheel_policy::health::OutcomeHistory;
 use foxwheel_policy::membership::ServerInstance;
+use foxwheel_policy::quarantine::RunKind;
 use foxwheel_policy::zone_loads::RequestCounts;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -60,6 +61,14 @@
     pub fn server(&self) -> &ServerInstance {
         &self.server
     }
+
+    /// Returns the kind of the run, for the case that the server crashes.
+    pub fn run_kind(&self) -> RunKind {
+        match self.class {
+            WorkClass::Online => RunKind::Online,
+            WorkClass::Batch => RunKind::BatchItem,
+        }
+    }
 }
 
 /// The requests that one process has in flight at one server instance.
--- a/crates/foxwheel-node/src/request_quarantine.rs
+++ b/crates/foxwheel-node/src/request_quarantine.rs
@@ -43,8 +43,12 @@
         now: Instant,
     ) -> Result<Option<TrialRun>, RunRefusal> {
         self.check_parts(content, service, now)?;
+        let explained = self.servers_explained_by_parts();
         self.begin_permitted_run(content, |quarantine, fingerprint| {
-            quarantine.begin_run(fingerprint, now)
+            match quarantine.is_excused(fingerprint, &explained) {
+                true => RunPermission::Unrestricted,
+                false => quarantine.begin_run(fingerprint, now),
+            }
         })
     }
 
@@ -68,15 +72,11 @@
         content: &RequestContent,
         begin: impl FnOnce(&mut Quarantine, &str) -> RunPermission,
     ) -> Result<Option<TrialRun>, RunRefusal> {
-        let explained = self.servers_explained_by_parts();
         let mut quarantine = self.quarantine.lock().expect("quarantine lock");
         if quarantine.is_empty() {
             return Ok(None);
         }
         let fingerprint = content.fingerprint();
-        if quarantine.is_excused(fingerprint, &explained) {
-            return Ok(None);
-        }
         match begin(&mut quarantine, fingerprint) {
             RunPermission::Unrestricted => Ok(None),
             RunPermission::Trial { is_shared } => Ok(Some(TrialRun {
--- a/crates/foxwheel-node/src/server_probe.rs
+++ b/crates/foxwheel-node/src/server_probe.rs
@@ -8,7 +8,7 @@
 use foxwheel_http1::body::Framing;
 use foxwheel_http1::connection::{self, ListenerStatus};
 use foxwheel_policy::membership::{BackendServer, ServerInstance, ServerState};
-use foxwheel_policy::quarantine::ObservedCrash;
+use foxwheel_policy::quarantine::{ObservedCrash, RunKind};
 use foxwheel_policy::zone_loads;
 
 use crate::node::Node;
@@ -37,6 +37,8 @@
     pub request_id: RequestId,
     /// The request's content, under which a crash is recorded.
     pub content: Arc<RequestContent>,
+    /// The kind of the run.
+    pub run_kind: RunKind,
     /// How the end of the response body is marked; `None` if no head was received.
     pub framing: Option<Framing>,
     /// When the request was sent to the server.
@@ -94,6 +96,7 @@
             service: server.service,
             sent_at: request.sent_at,
             cut_off_at: request.cut_off_at,
+            run_kind: request.run_kind,
         };
         node.record_crash(&request.content, &request.request_id, crash);
     }
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -13,7 +13,7 @@
 use foxwheel_node::request_content::RequestContent;
 use foxwheel_node::settings::Role;
 use foxwheel_policy::membership::{BackendServer, ServerState};
-use foxwheel_policy::quarantine::ObservedCrash;
+use foxwheel_policy::quarantine::{ObservedCrash, RunKind};
 use foxwheel_policy::retry::AttemptOutcome;
 use foxwheel_policy::zone_loads::ServerFingerprint;
 use foxwheel_server_emu::faults::Fault;
@@ -98,6 +98,7 @@
         service: listed.service.clone(),
         sent_at: Instant::now(),
         cut_off_at: Instant::now(),
+        run_kind: RunKind::Online,
     };
     node.record_crash(&params.content, &params.request_id, crash);
 }
--- a/crates/foxwheel-node/tests/quarantine_store.rs
+++ b/crates/foxwheel-node/tests/quarantine_store.rs
@@ -8,7 +8,7 @@
 use foxwheel_node::quarantine_store;
 use foxwheel_node::settings::Role;
 use foxwheel_platform_emu::settings::PlatformSettings;
-use foxwheel_policy::quarantine::{ObservedCrash, Quarantine, CRASHES_TO_QUARANTINE};
+use foxwheel_policy::quarantine::{ObservedCrash, Quarantine, RunKind, CRASHES_TO_QUARANTINE};
 use foxwheel_store::client::StoreClient;
 use serde_json::json;
 use tokio_util::sync::CancellationToken;
@@ -36,6 +36,7 @@
                 service: "model".to_owned(),
                 sent_at: cut_off_at - Duration::from_millis(20),
                 cut_off_at,
+                run_kind: RunKind::Online,
             };
             observer.record_crash(content, crash, cut_off_at);
         }
--- a/crates/foxwheel-policy/src/part_quarantine.rs
+++ b/crates/foxwheel-policy/src/part_quarantine.rs
@@ -74,8 +74,11 @@
     succeeded_before: Vec<(ServiceName, PromptPartId)>,
     /// The parts that this process saw responses to, which are not reported to other processes.
     successes: RecentCompletions,
-    /// The parts that explain `crashes`; sorted by service and part.
+    /// The parts of online requests that explain `crashes`; sorted by service and part.
     blamed: Vec<BlamedPart>,
+    /// The parts that would explain `crashes` if batch items could be the cause; sorted by service
+    /// and part. They only hold items back.
+    blamed_with_items: Vec<BlamedPart>,
     /// `blamed` as of the last call of [`Self::take_changes`].
     reported: Vec<BlamedPart>,
     trials: PartTrials,
@@ -104,7 +107,9 @@
         process_count: usize,
         now: Instant,
     ) -> PartPermission {
-        let blamed = parts.iter().filter_map(|part| self.find(service, part));
+        let blamed = parts
+            .iter()
+            .filter_map(|part| find(&self.blamed, service, part));
         let blamed: Vec<&BlamedPart> = blamed.collect();
         if blamed.is_empty() {
             return PartPermission::Unrestricted;
@@ -138,7 +143,9 @@
         service: &str,
         now: Instant,
     ) -> PartPermission {
-        let blamed = parts.iter().filter_map(|part| self.find(service, part));
+        let blamed = parts
+            .iter()
+            .filter_map(|part| find(&self.blamed_with_items, service, part));
         let blamed = blamed.filter(|blamed| !blamed.succeeded_before);
         let delays = blamed.map(|blamed| {
             let may_begin_at = blamed.last_crash_at + ITEM_TRIAL_DELAY;
@@ -187,7 +194,7 @@
         if parts.is_empty() {
             return;
         }
-        let run = CutOffRun::new(request, observed.sent_at, parts);
+        let run = CutOffRun::new(request, observed.sent_at, parts, observed.run_kind);
         let crash = CrashedServer::new(observed, run);
         self.add_crash(crash);
         self.evaluate(now);
@@ -288,13 +295,6 @@
         servers
     }
 
-    fn find(&self, service: &str, part: &str) -> Option<&BlamedPart> {
-        let found = self.blamed.binary_search_by(|blamed| {
-            (blamed.service.as_str(), blamed.part.as_str()).cmp(&(service, part))
-        });
-        found.ok().map(|at| &self.blamed[at])
-    }
-
     fn add_crash(&mut self, crash: CrashedServer) {
         for part in crash.parts() {
             if self.successes.contains(part, &crash.service) {
@@ -320,7 +320,7 @@
 
     /// Finds the parts to blame, and drops what is too old or too much.
     fn evaluate(&mut self, now: Instant) {
-        self.blamed = blame::blamed_parts(&self.crashes, &self.succeeded_before);
+        self.assign_blame();
         let explained = self.explained_servers();
         let is_explained = |crash: &CrashedServer| explained.binary_search(&crash.server).is_ok();
         let expiry = |crash: &CrashedServer| match is_explained(crash) {
@@ -337,7 +337,7 @@
         }
         self.next_expiry = self.crashes.iter().map(expiry).min();
         if self.crashes.len() < kept_before {
-            self.blamed = blame::blamed_parts(&self.crashes, &self.succeeded_before);
+            self.assign_blame();
         }
         let crashes = &self.crashes;
         self.succeeded_before.retain(|(service, part)| {
@@ -350,8 +350,26 @@
         self.update_digest();
     }
 
+    fn assign_blame(&mut self) {
+        let online = self.crashes.iter().map(CrashedServer::without_items);
+        let online: Vec<CrashedServer> = online.collect();
+        self.blamed = blame::blamed_parts(&online, &self.succeeded_before);
+        let has_items = self.crashes.iter().any(CrashedServer::has_items);
+        self.blamed_with_items = match has_items {
+            true => blame::blamed_parts(&self.crashes, &self.succeeded_before),
+            false => self.blamed.clone(),
+        };
+    }
+
     fn update_digest(&mut self) {
         self.digest =
             reports::digest_of(&self.crashes, &self.succeeded_before, self.trials.starts());
     }
 }
+
+fn find<'a>(blamed: &'a [BlamedPart], service: &str, part: &str) -> Option<&'a BlamedPart> {
+    let found = blamed.binary_search_by(|blamed| {
+        (blamed.service.as_str(), blamed.part.as_str()).cmp(&(service, part))
+    });
+    found.ok().map(|at| &blamed[at])
+}
--- a/crates/foxwheel-policy/src/part_quarantine/crashes.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/crashes.rs
@@ -6,7 +6,7 @@
 
 use crate::part_quarantine::reports::{PartCrashReport, RunReport};
 use crate::part_quarantine::{CutOffRequestKey, CRASH_RETENTION};
-use crate::quarantine::ObservedCrash;
+use crate::quarantine::{ObservedCrash, RunKind};
 use crate::zone_loads::ServerFingerprint;
 
 /// Maximum number of parts of all runs that are kept of one crash. A server runs some ten requests with a
@@ -22,11 +22,18 @@
     pub sent_at: Instant,
     /// The shared parts of its prompt, sorted.
     pub parts: Vec<PromptPartId>,
+    /// The kind of the run.
+    pub kind: RunKind,
 }
 
 impl CutOffRun {
     /// Creates a run with these parts in any order.
-    pub fn new(request: CutOffRequestKey, sent_at: Instant, parts: &[PromptPartId]) -> Self {
+    pub fn new(
+        request: CutOffRequestKey,
+        sent_at: Instant,
+        parts: &[PromptPartId],
+        kind: RunKind,
+    ) -> Self {
         let mut parts = parts.to_vec();
         parts.sort_unstable();
         parts.dedup();
@@ -34,6 +41,7 @@
             request,
             sent_at,
             parts,
+            kind,
         }
     }
 
@@ -79,7 +87,7 @@
         let at = now.checked_sub(report.age)?;
         let runs = report.runs.iter().map(|run| {
             let sent_at = at.checked_sub(run.ran_for).unwrap_or(at);
-            CutOffRun::new(run.request, sent_at, &run.parts)
+            CutOffRun::new(run.request, sent_at, &run.parts, run.kind)
         });
         let mut crash = Self {
             server: report.server,
@@ -100,6 +108,7 @@
             request: run.request,
             ran_for: self.at.saturating_duration_since(run.sent_at),
             parts: run.parts.clone(),
+            kind: run.kind,
         });
         PartCrashReport {
             server: self.server,
@@ -169,6 +178,18 @@
         self.runs.iter().filter(move |run| run.has_part(part))
     }
 
+    /// Returns whether the crash cut off a batch item.
+    pub fn has_items(&self) -> bool {
+        self.runs.iter().any(|run| run.kind == RunKind::BatchItem)
+    }
+
+    /// Returns the crash without the runs of batch items, which are never the cause.
+    pub fn without_items(&self) -> Self {
+        let mut crash = self.clone();
+        crash.runs.retain(|run| run.kind == RunKind::Online);
+        crash
+    }
+
     /// Returns the parts of all runs, each as often as it occurs.
     pub fn parts(&self) -> impl Iterator<Item = &PromptPartId> {
         self.runs.iter().flat_map(|run| &run.parts)
--- a/crates/foxwheel-policy/src/part_quarantine/reports.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/reports.rs
@@ -10,7 +10,7 @@
 use crate::part_quarantine::crashes::CrashedServer;
 use crate::part_quarantine::trials::PartTrial;
 use crate::part_quarantine::CutOffRequestKey;
-use crate::quarantine::QuarantineDigest;
+use crate::quarantine::{QuarantineDigest, RunKind};
 use crate::zone_loads::ServerFingerprint;
 
 /// A run that was cut off by the crash of its server.
@@ -25,6 +25,9 @@
     pub ran_for: Duration,
     /// The shared parts of its prompt.
     pub parts: Vec<PromptPartId>,
+    /// The kind of the run.
+    #[serde(default)]
+    pub kind: RunKind,
 }
 
 /// The crash of a server.
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -6,7 +6,8 @@
 //! requests suspected that are not at fault. Routes limit the retries of each single request,
 //! but the repeated requests still take down the fleet.
 //!
-//! Crashes are therefore counted per request content. Every process keeps the crashes observed
+//! Crashes are therefore counted per request content. Those that cut off batch items only count
+//! against no content: they show that a server crashed, and hold the item back for a short time. Every process keeps the crashes observed
 //! by any process; merging them is commutative and idempotent. A content under which enough
 //! server instances crashed one after the other is not run for a while. One complete response
 //! from the same service clears the content, because a request that always crashes its server
@@ -70,6 +71,16 @@
 /// once that are not at fault, and these must not displace the quarantined contents.
 const MAX_CONTENTS: usize = 512;
 
+/// The kind of a run that a crash cut off.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RunKind {
+    /// An online request, which may be the cause of the crash.
+    #[default]
+    Online,
+    /// A batch item, which is never the cause: nobody hands in an item that crashes servers.
+    BatchItem,
+}
+
 /// One crash, as processes report it to each other.
 #[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,6 +101,9 @@
     pub ran_for: Duration,
     /// The content was cleared by a complete response after the crash.
     pub cleared: bool,
+    /// The kind of the run that was cut off.
+    #[serde(default)]
+    pub run_kind: RunKind,
 }
 
 /// Maximum number of other contents in [`QuarantineEvidence`].
@@ -136,6 +150,8 @@
     pub sent_at: Instant,
     /// When the response was cut off.
     pub cut_off_at: Instant,
+    /// The kind of the run that was cut off.
+    pub run_kind: RunKind,
 }
 
 /// What the quarantine of a content rests on.
@@ -188,6 +204,7 @@
             age: now.duration_since(crash.at),
             ran_for: crash.at.duration_since(crash.sent_at),
             cleared: crash.cleared,
+            run_kind: crash.run_kind,
         }
     }
 }
@@ -252,11 +269,11 @@
     pub fn begin_item_run(&mut self, content: &str, now: Instant) -> RunPermission {
         let found = self.position(content).ok();
         let suspected = found.map(|at| &self.suspected[at]);
-        let Some(suspected) = suspected.filter(|it| it.has_quarantining_crashes()) else {
+        let Some(suspected) = suspected.filter(|it| it.holds_items()) else {
             return RunPermission::Unrestricted;
         };
         let may_begin_at = suspected
-            .last_counted_at()
+            .last_crash_at()
             .map_or(now, |last| last + ITEM_TRIAL_DELAY);
         let delay = may_begin_at.saturating_duration_since(now);
         let delay = delay.max(self.trials.delay(content, now));
@@ -304,6 +321,7 @@
             at: observed.cut_off_at,
             cleared: false,
             observed_locally: true,
+            run_kind: observed.run_kind,
         };
         self.add_crash(content, crash);
         self.prune_crashes(now);
@@ -347,6 +365,7 @@
                 at,
                 cleared: report.cleared,
                 observed_locally: false,
+                run_kind: report.run_kind,
             };
             changed |= self.add_crash(&report.content, crash);
         }
@@ -514,7 +533,7 @@
     for entry in suspected {
         entry.content.hash(&mut hasher);
         for crash in &entry.crashes {
-            (crash.server, crash.cleared).hash(&mut hasher);
+            (crash.server, crash.cleared, crash.run_kind).hash(&mut hasher);
         }
     }
     hasher.finish()
--- a/crates/foxwheel-policy/src/quarantine/doubt.rs
+++ b/crates/foxwheel-policy/src/quarantine/doubt.rs
@@ -6,6 +6,7 @@
 
 use crate::quarantine::completions::RecentCompletions;
 use crate::quarantine::suspected_content::{Crash, SuspectedContent, MIN_CRASH_SEPARATION};
+use crate::quarantine::RunKind;
 use crate::zone_loads::ServerFingerprint;
 
 /// What speaks against a quarantined content being the cause of the crashes.
@@ -53,7 +54,10 @@
     fn shares_crashes(self, about: &'a SuspectedContent) -> bool {
         let ran_at_each = |other: &&SuspectedContent| {
             let mut counted = about.counted_crashes();
-            counted.all(|crash| other.crash_of(crash.server).is_some())
+            counted.all(|crash| {
+                let run = other.crash_of(crash.server);
+                run.is_some_and(|run| run.run_kind == RunKind::Online)
+            })
         };
         let mut sharing = self.others(about).filter(ran_at_each);
         sharing.any(|other| !self.was_completed(other))
--- a/crates/foxwheel-policy/src/quarantine/suspected_content.rs
+++ b/crates/foxwheel-policy/src/quarantine/suspected_content.rs
@@ -4,7 +4,7 @@
 
 use foxwheel_core::ids::{ContentFingerprint, ServiceName};
 
-use crate::quarantine::CRASHES_TO_QUARANTINE;
+use crate::quarantine::{RunKind, CRASHES_TO_QUARANTINE};
 use crate::zone_loads::ServerFingerprint;
 
 /// Time between two crashes from which on they count as separate failures, even if the request was
@@ -30,6 +30,8 @@
     pub cleared: bool,
     /// This process observed the crash itself.
     pub observed_locally: bool,
+    /// [`RunKind::Online`] if any of the runs that were cut off was an online request.
+    pub run_kind: RunKind,
 }
 
 /// A content and the crashes of servers that ran it.
@@ -47,11 +49,28 @@
 }
 
 impl SuspectedContent {
-    /// Returns the crashes that count against the content, which it was not cleared of.
+    /// Returns the crashes that count against the content: those of online requests, which it was not
+    /// cleared of.
     pub fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.uncleared_crashes()
+            .filter(|crash| crash.run_kind == RunKind::Online)
+    }
+
+    fn uncleared_crashes(&self) -> impl Iterator<Item = &Crash> {
         self.crashes.iter().filter(|crash| !crash.cleared)
     }
 
+    /// Returns whether enough servers crashed under the content, whatever the kind of the runs, to
+    /// hold a batch item with it back.
+    pub fn holds_items(&self) -> bool {
+        successive(self.uncleared_crashes()).len() >= CRASHES_TO_QUARANTINE
+    }
+
+    /// Returns the time of the last crash that the content was not cleared of.
+    pub fn last_crash_at(&self) -> Option<Instant> {
+        self.uncleared_crashes().map(|crash| crash.at).max()
+    }
+
     /// Returns the crash of `server` under the content, or `None` if the content did not run there.
     pub fn crash_of(&self, server: ServerFingerprint) -> Option<&Crash> {
         let found = self
@@ -65,24 +84,9 @@
         self.counted_crashes().map(|crash| crash.at).max()
     }
 
-    /// Returns the servers whose crashes were successive: the request was sent after the previous
-    /// crash, or the server crashed at least [`MIN_CRASH_SEPARATION`] later. Servers that are lost
-    /// together, each while running a popular content, count as one.
+    /// Returns the servers whose crashes count against the content and were successive.
     pub fn successive_crashes(&self) -> Vec<ServerFingerprint> {
-        let mut counted: Vec<&Crash> = self.counted_crashes().collect();
-        counted.sort_unstable_by_key(|crash| crash.at);
-        let mut successive = Vec::new();
-        let mut last = None;
-        for crash in counted {
-            let is_next = last.is_none_or(|last: Instant| {
-                crash.sent_at >= last || crash.at >= last + MIN_CRASH_SEPARATION
-            });
-            if is_next {
-                successive.push(crash.server);
-                last = Some(crash.at);
-            }
-        }
-        successive
+        successive(self.counted_crashes())
     }
 
     /// Returns whether enough servers crashed under the content to quarantine it.
@@ -99,7 +103,14 @@
         match found {
             Ok(at) => {
                 let known = &mut self.crashes[at];
-                let is_new = crash.cleared && !known.cleared;
+                let is_newly_online =
+                    crash.run_kind == RunKind::Online && known.run_kind != RunKind::Online;
+                let is_new = is_newly_online || (crash.cleared && !known.cleared);
+                if is_newly_online {
+                    known.run_kind = RunKind::Online;
+                    known.sent_at = crash.sent_at;
+                    known.at = crash.at;
+                }
                 known.cleared |= crash.cleared;
                 known.observed_locally |= crash.observed_locally;
                 is_new
@@ -116,9 +127,14 @@
 
     /// Drops the oldest crash, preferably one that is not counted as successive.
     fn drop_least_relevant(&mut self) {
-        let successive = self.successive_crashes();
+        let counted = self.successive_crashes();
+        let all = successive(self.uncleared_crashes());
         let crashes = self.crashes.iter().enumerate();
-        let least = crashes.min_by_key(|(_, crash)| (successive.contains(&crash.server), crash.at));
+        let least = crashes.min_by_key(|(_, crash)| {
+            let (is_counted, is_successive) =
+                (counted.contains(&crash.server), all.contains(&crash.server));
+            (is_counted, is_successive, crash.at)
+        });
         if let Some((at, _)) = least {
             self.crashes.remove(at);
         }
@@ -133,3 +149,23 @@
         )
     }
 }
+
+/// Returns the servers whose crashes were successive: the request was sent after the previous
+/// crash, or the server crashed at least [`MIN_CRASH_SEPARATION`] later. Servers that are lost
+/// together, each while running a popular content, count as one.
+fn successive<'a>(crashes: impl Iterator<Item = &'a Crash>) -> Vec<ServerFingerprint> {
+    let mut crashes: Vec<&Crash> = crashes.collect();
+    crashes.sort_unstable_by_key(|crash| crash.at);
+    let mut successive = Vec::new();
+    let mut last = None;
+    for crash in crashes {
+        let is_next = last.is_none_or(|last: Instant| {
+            crash.sent_at >= last || crash.at >= last + MIN_CRASH_SEPARATION
+        });
+        if is_next {
+            successive.push(crash.server);
+            last = Some(crash.at);
+        }
+    }
+    successive
+}
--- a/crates/foxwheel-policy/tests/common/part_storm.rs
+++ b/crates/foxwheel-policy/tests/common/part_storm.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::part_quarantine::{PartPermission, PartQuarantine};
-use foxwheel_policy::quarantine::ObservedCrash;
+use foxwheel_policy::quarantine::{ObservedCrash, RunKind};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -230,6 +230,7 @@
                 service: SERVICE.to_owned(),
                 sent_at: run.sent_at,
                 cut_off_at: self.now,
+                run_kind: RunKind::Online,
             };
             let process = &mut self.processes[run.process];
             process.record_crash(&run.parts, run.request, &observed, self.now);
--- a/crates/foxwheel-policy/tests/part_quarantine.rs
+++ b/crates/foxwheel-policy/tests/part_quarantine.rs
@@ -7,7 +7,7 @@
 
 use common::part_storm::{self, Storm, StormPlan, CRASHING_PART, SHARED_PART};
 use foxwheel_policy::part_quarantine::{PartPermission, PartQuarantine};
-use foxwheel_policy::quarantine::ObservedCrash;
+use foxwheel_policy::quarantine::{ObservedCrash, RunKind};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -34,6 +34,7 @@
         service: SERVICE.to_owned(),
         sent_at,
         cut_off_at: at,
+        run_kind: RunKind::Online,
     }
 }
 
@@ -301,6 +302,36 @@
     assert_eq!(again, PartPermission::Unrestricted);
 }
 
+/// Guards against online requests that are refused for a part under which only batch items were cut
+/// off, and against a cause that hides behind such a part.
+#[test]
+fn parts_of_batch_items_are_not_blamed_for_crashes() {
+    let mut quarantine = PartQuarantine::default();
+    let now = Instant::now();
+    let mut last_crash = now;
+    for server in 0..4 {
+        last_crash = now + Duration::from_millis(300 * server);
+        record(&mut quarantine, server, &[&["cause"]], last_crash);
+        let item = ObservedCrash {
+            run_kind: RunKind::BatchItem,
+            ..crash(server, last_crash, last_crash)
+        };
+        // The part sorts before the cause and was at each crash, too.
+        quarantine.record_crash(&parts(&["batch"]), 1_000 + server, &item, last_crash);
+    }
+    assert_eq!(blamed(&quarantine), ["cause"]);
+    let soon = last_crash + Duration::from_secs(1);
+    assert!(!is_refused(&mut quarantine, &["batch"], soon));
+    assert!(is_refused(&mut quarantine, &["cause"], soon));
+    let later = last_crash + MAX_CALM_WAIT;
+    let item = quarantine.begin_item_run(&parts(&["batch"]), SERVICE, later);
+    assert_eq!(item, PartPermission::Unrestricted);
+    let mut other_process = PartQuarantine::default();
+    other_process.merge(&quarantine.evidence(later), later);
+    assert_eq!(blamed(&other_process), ["cause"]);
+    assert_eq!(quarantine.digest(later), other_process.digest(later));
+}
+
 /// In whatever order and how often processes receive each other's reports, they end up with the same
 /// verdicts.
 #[test]
--- a/crates/foxwheel-policy/tests/quarantine.rs
+++ b/crates/foxwheel-policy/tests/quarantine.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use foxwheel_policy::quarantine::{
-    ContentStatus, ObservedCrash, Quarantine, RunPermission, TrialEnd, CRASHES_TO_QUARANTINE,
-    CRASH_RETENTION,
+    ContentStatus, ObservedCrash, Quarantine, RunKind, RunPermission, TrialEnd,
+    CRASHES_TO_QUARANTINE, CRASH_RETENTION,
 };
 
 const CRASHING: &str = "crashing";
@@ -27,6 +27,7 @@
         service: "model".to_owned(),
         sent_at: at - Duration::from_millis(20),
         cut_off_at: at,
+        run_kind: RunKind::Online,
     }
 }
 
@@ -295,3 +296,56 @@
         assert_eq!(process.take_new_evidence(later).len(), 1, "a further crash");
     }
 }
+
+/// Returns a crash of `server` that cut off a batch item, as number `server` of several successive ones.
+fn crash_under_item(server: u64, now: Instant) -> ObservedCrash {
+    ObservedCrash {
+        run_kind: RunKind::BatchItem,
+        ..successive_crash(server, now)
+    }
+}
+
+/// Guards against online requests that are refused because servers crashed under batch items with the
+/// same content.
+#[test]
+fn crashes_under_batch_items_count_against_no_online_request() {
+    let now = Instant::now();
+    let later = seconds_after(now, 1);
+    let mut quarantine = Quarantine::default();
+    for server in 0..6 {
+        quarantine.record_crash(CRASHING, crash_under_item(server, now), later);
+    }
+    assert_eq!(quarantine.status(CRASHING, later), ContentStatus::Clear);
+    let online = quarantine.begin_run(CRASHING, later);
+    assert_eq!(online, RunPermission::Unrestricted);
+    let item = quarantine.begin_item_run(CRASHING, later);
+    assert!(matches!(item, RunPermission::Refused(_)), "{item:?}");
+    // An online request with the content at the same servers counts, in any order of the reports.
+    let mut other_process = Quarantine::default();
+    for server in 0..3 {
+        other_process.record_crash(CRASHING, successive_crash(server, now), later);
+    }
+    let reports = quarantine.reports(later);
+    quarantine.merge(&other_process.reports(later), later);
+    other_process.merge(&reports, later);
+    assert!(is_quarantined(&quarantine, CRASHING, later));
+    assert!(is_quarantined(&other_process, CRASHING, later));
+    assert_eq!(quarantine.digest(), other_process.digest());
+}
+
+/// Guards against a request that goes on crashing servers: an item that ran at each of them was taken
+/// for another possible cause.
+#[test]
+fn batch_items_at_the_crashed_servers_do_not_excuse_the_cause() {
+    let now = Instant::now();
+    let mut quarantine = with_quarantined_content(now);
+    for server in 0..CRASHES_TO_QUARANTINE as u64 {
+        quarantine.record_crash("item", crash_under_item(server, now), now);
+    }
+    let evidence = quarantine.take_new_evidence(seconds_after(now, 1));
+    assert_eq!(evidence.len(), 1, "{evidence:?}");
+    assert_eq!(
+        (evidence[0].content.as_str(), evidence[0].doubt),
+        (CRASHING, None)
+    );
+}
--- a/crates/foxwheel-policy/tests/quarantine_trials.rs
+++ b/crates/foxwheel-policy/tests/quarantine_trials.rs
@@ -6,7 +6,7 @@
 
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::quarantine::{
-    self, ContentStatus, Doubt, ObservedCrash, Quarantine, RunPermission, TrialEnd,
+    self, ContentStatus, Doubt, ObservedCrash, Quarantine, RunKind, RunPermission, TrialEnd,
     CRASHES_TO_QUARANTINE,
 };
 
@@ -45,6 +45,7 @@
         service: SERVICE.to_owned(),
         sent_at: millis_after(start, sent_ms),
         cut_off_at: millis_after(start, cut_off_ms),
+        run_kind: RunKind::Online,
     };
     quarantine.record_crash(content, crash, millis_after(start, cut_off_ms));
 }
