Own no job that ended while it was taken over, or long before

Cause: a take-over starts from one read of the ledger, loads the job, its parts and the checkpoints of all workers, one job after the other and each with a time limit of its own, and then owns the job whatever happened meanwhile. The end of a job that is not in memory leaves no trace. In the same way a worker that resumes after a freeze, or that a cut kept its messages from, started each job whose acceptance it was told, also one that had ended and that the ledger had forgotten; nothing ever stopped such a job.

Change: a take-over reads the ledger once more after loading, one read for all jobs loaded until then, and owns only a job that is still open. A job is taken over once at a time. A job that is known to have ended is not started. Each read of the ledger (every 2 s) ends the jobs that the worker owned before the read and that it does not list as open. `job adopted` gives the age of the ledger.

Cost: one call for each take-over at the most.

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -19,7 +19,7 @@
 use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::{ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
-use foxwheel_policy::batch::ledger::{Ledger, LedgerTerm};
+use foxwheel_policy::batch::ledger::{JobStatus, Ledger, LedgerTerm};
 use foxwheel_policy::batch::packing;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -482,6 +482,14 @@
         }
     }
 
+    /// Returns the status of a job in the newest ledger that this process knows.
+    pub fn known_status(&self, id: &JobId) -> JobStatus {
+        let cached = self.cached_ledger.lock().expect("ledger lock");
+        cached
+            .as_ref()
+            .map_or(JobStatus::Unknown, |(_, ledger)| ledger.job_status(id))
+    }
+
     /// Returns the newest term of the ledger that this process knows; 0 if it knows none.
     pub fn known_term(&self) -> LedgerTerm {
         self.known_term.load(Ordering::Relaxed)
--- a/crates/foxwheel-node/src/ledger_poll.rs
+++ b/crates/foxwheel-node/src/ledger_poll.rs
@@ -36,7 +36,7 @@
 const UNSTORED_JOB_GRACE: Duration = Duration::from_secs(90);
 
 /// Reads the ledger at an interval and when requested: sends its open jobs through
-/// `open_jobs`, ends the jobs that it lists as closed, and withdraws jobs that were never
+/// `open_jobs`, ends the jobs that it does not list as open, and withdraws jobs that were never
 /// stored. Returns when the receiver of `open_jobs` is dropped.
 pub async fn poll_ledger(jobs: Arc<WorkerJobs>, open_jobs: mpsc::Sender<Vec<JobId>>) {
     // No job can be taken over before this worker has received the other workers'
@@ -49,7 +49,8 @@
             _ = ticks.tick() => {}
             () = jobs.ledger_poll_request.notified() => tokio::time::sleep(LEDGER_POLL_DELAY).await,
         }
-        let deadline = Instant::now() + LEDGER_POLL_INTERVAL;
+        let began_at = Instant::now();
+        let deadline = began_at + LEDGER_POLL_INTERVAL;
         let ledger = match jobs.store.read_ledger(deadline).await {
             Ok(ledger) => ledger,
             Err(e) => {
@@ -58,6 +59,7 @@
             }
         };
         withdraw_unstored(&jobs, &ledger.open).await;
+        jobs.end_unlisted_jobs(&ledger, began_at);
         for closed in &ledger.closed {
             jobs.end_job(&closed.id, "ledger");
         }
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -9,7 +9,7 @@
 use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
-use foxwheel_policy::batch::ledger::{LedgerChange, LedgerResponse};
+use foxwheel_policy::batch::ledger::{JobStatus, Ledger, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership::{self, ClaimStatus, JobClaim};
 use foxwheel_policy::batch::packing;
 use tokio::sync::Notify;
@@ -61,6 +61,8 @@
     pub storing: bool,
     /// When the job was closed, if it was.
     closed_at: Option<Instant>,
+    /// When this worker last became the owner of the job.
+    owned_since: Instant,
     /// Cancelled when the items of the job must stop running.
     pub cancel: CancellationToken,
     /// Notified when more results of the job have been stored and can be read.
@@ -85,6 +87,10 @@
     missing_jobs: Mutex<Vec<(JobId, Instant)>>,
     /// The checkpoints of all workers, and when they were read.
     cached_checkpoints: tokio::sync::Mutex<Option<(Instant, Arc<Vec<JobCheckpoint>>)>>,
+    /// The ledger as last read to confirm that jobs are open, and when that read began.
+    cached_ledger: tokio::sync::Mutex<Option<(Instant, Arc<Ledger>)>>,
+    /// Jobs that are being taken over; sorted.
+    taking_over: Mutex<Vec<JobId>>,
     /// Notified when the scheduler may have something to do.
     pub wake: Notify,
     /// Notified when the ledger should be read before its next interval.
@@ -101,6 +107,8 @@
             entries: Mutex::default(),
             missing_jobs: Mutex::default(),
             cached_checkpoints: tokio::sync::Mutex::default(),
+            cached_ledger: tokio::sync::Mutex::default(),
+            taking_over: Mutex::default(),
             wake: Notify::new(),
             ledger_poll_request: Notify::new(),
         })
@@ -113,6 +121,10 @@
             // The job is in the ledger; another worker takes it over.
             return;
         }
+        if self.store.known_status(&job.id) == JobStatus::Closed {
+            log::info!(job = job.id; "job not taken: it has ended since it was accepted");
+            return;
+        }
         log::info!(job = job.id, items = job.items.len(); "job taken");
         self.insert_job(JobProgress::new(job), true);
     }
@@ -128,22 +140,72 @@
     }
 
     /// Takes over a job that no live worker owns, and resumes it from its stored results and
-    /// checkpoints.
+    /// checkpoints. Does nothing if that is in progress already.
     pub async fn take_over(&self, id: &JobId) -> Result<(), JobStoreError> {
-        let deadline = Instant::now() + 4 * LOAD_TIMEOUT;
-        match self.store.load_progress(id, deadline).await? {
-            Some(mut progress) => {
-                let restored = self.restore_checkpoints(&mut progress).await;
-                let result_count = progress.stored_results.len();
-                log::info!(job = id, listed = result_count, parts = progress.stored_parts, restored; "job adopted");
-                self.insert_job(progress, true);
+        {
+            let mut taking_over = self.taking_over.lock().expect("take-over lock");
+            match taking_over.binary_search(id) {
+                Ok(_) => return Ok(()),
+                Err(at) => taking_over.insert(at, id.clone()),
             }
+        }
+        let taken = self.load_and_own(id).await;
+        let mut taking_over = self.taking_over.lock().expect("take-over lock");
+        taking_over.retain(|job| job != id);
+        taken
+    }
+
+    async fn load_and_own(&self, id: &JobId) -> Result<(), JobStoreError> {
+        let deadline = Instant::now() + 4 * LOAD_TIMEOUT;
+        let Some(mut progress) = self.store.load_progress(id, deadline).await? else {
             // The front has not confirmed the job, and its client may submit it again.
-            None => self.record_missing(id, Instant::now()),
+            self.record_missing(id, Instant::now());
+            return Ok(());
+        };
+        let restored = self.restore_checkpoints(&mut progress).await;
+        // Loading may have taken seconds, in which the job may have ended.
+        let loaded_at = Instant::now();
+        let ledger = self.read_ledger_since(loaded_at).await?;
+        let status = ledger.job_status(id);
+        if status != JobStatus::Open {
+            log::info!(job = id, status:?; "job not adopted: it is no longer open");
+            return Ok(());
         }
+        let result_count = progress.stored_results.len();
+        let ledger_age_ms = loaded_at.elapsed().as_millis() as u64;
+        log::info!(job = id, listed = result_count, parts = progress.stored_parts, restored, ledger_age_ms; "job adopted");
+        self.insert_job(progress, true);
         Ok(())
     }
 
+    /// Returns the ledger as read at `since` or later. One read serves all jobs that are taken over
+    /// at the same time.
+    async fn read_ledger_since(&self, since: Instant) -> Result<Arc<Ledger>, JobStoreError> {
+        let mut cached = self.cached_ledger.lock().await;
+        if let Some((_, ledger)) = cached.as_ref().filter(|(began_at, _)| *began_at >= since) {
+            return Ok(Arc::clone(ledger));
+        }
+        let began_at = Instant::now();
+        let ledger = Arc::new(self.store.read_ledger(began_at + LOAD_TIMEOUT).await?);
+        *cached = Some((began_at, Arc::clone(&ledger)));
+        Ok(ledger)
+    }
+
+    /// Ends the jobs of this worker that `ledger` does not list as open. The read of the ledger
+    /// `began_at` that time; jobs that this worker owns only since then may be newer.
+    pub fn end_unlisted_jobs(&self, ledger: &Ledger, began_at: Instant) {
+        let mut unlisted = Vec::new();
+        self.for_each_owned(|entry| {
+            let id = &entry.progress.spec.id;
+            if entry.owned_since < began_at && ledger.open_job(id).is_none() {
+                unlisted.push(id.clone());
+            }
+        });
+        for id in unlisted {
+            self.end_job(&id, "ledger");
+        }
+    }
+
     /// Adds the progress saved by the job's earlier owners to `progress`. Returns the number
     /// of items with saved progress.
     async fn restore_checkpoints(&self, progress: &mut JobProgress) -> usize {
@@ -423,6 +485,7 @@
             owned,
             storing: false,
             closed_at: None,
+            owned_since: now,
             cancel: CancellationToken::new(),
             new_results: Arc::new(Notify::new()),
             refreshed_at: now,
@@ -441,6 +504,7 @@
         }
         self.owned = owned;
         self.used_at = Instant::now();
+        self.owned_since = self.used_at;
     }
 
     /// Returns what this worker reports of the job to other processes, or `None` if it neither
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use foxwheel_node::ledger_poll;
 use foxwheel_node::node::Node;
 use foxwheel_node::peer_calls::{ResultsQuery, ResultsResponse};
 use foxwheel_node::settings::Role;
@@ -12,6 +13,7 @@
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_policy::batch::item::{ItemOutcome, ItemResult, ItemSpec};
 use foxwheel_policy::batch::job::JobSpec;
+use foxwheel_policy::batch::ledger::LedgerChange;
 use tokio_util::sync::CancellationToken;
 
 fn job_spec(item_count: usize) -> JobSpec {
@@ -126,6 +128,86 @@
     assert_eq!(response, ResultsResponse::Undetermined);
 }
 
+fn submission() -> LedgerChange {
+    LedgerChange::Admit {
+        id: "job".to_owned(),
+        route: "batch".to_owned(),
+        tokens: 1,
+        quota_tokens: 0,
+        now_unix: Duration::from_secs(1),
+        is_stored: false,
+    }
+}
+
+fn end() -> LedgerChange {
+    LedgerChange::Close {
+        id: "job".to_owned(),
+        now_unix: Duration::from_secs(2),
+    }
+}
+
+/// Changes the ledger as another process does.
+async fn change_ledger(jobs: &WorkerJobs, change: &LedgerChange) {
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let changed = jobs.store.update_ledger(deadline, |ledger| {
+        ledger.apply_directly(change, None);
+    });
+    changed.await.expect("changed");
+}
+
+fn is_owned(jobs: &WorkerJobs) -> bool {
+    jobs.with_entry("job", |entry| entry.owned) == Some(true)
+}
+
+/// Guards against items of an ended job that start at a worker which read the ledger before the end
+/// and needed seconds to load the job.
+#[actix_web::test]
+async fn a_job_that_ended_while_it_was_taken_over_is_not_run() {
+    let cancel = CancellationToken::new();
+    let jobs = start_worker_jobs(&cancel);
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let saved = jobs.store.save_job(&job_spec(3), deadline).await;
+    saved.expect("stored");
+    change_ledger(&jobs, &submission()).await;
+    jobs.take_over(&"job".to_owned()).await.expect("loaded");
+    assert!(is_owned(&jobs));
+    jobs.release_job("job");
+    change_ledger(&jobs, &end()).await;
+    jobs.take_over(&"job".to_owned()).await.expect("loaded");
+    assert!(!is_owned(&jobs));
+    cancel.cancel();
+}
+
+/// Guards against items of a job that ended long ago: the message that it was accepted reached its
+/// worker when the ledger had forgotten the job.
+#[actix_web::test]
+async fn a_job_that_the_ledger_does_not_list_stops() {
+    let cancel = CancellationToken::new();
+    let jobs = start_worker_jobs(&cancel);
+    jobs.start_new_job(job_spec(3));
+    assert!(is_owned(&jobs));
+    let (open_jobs, mut received) = tokio::sync::mpsc::channel(1);
+    let polling = tokio::spawn(ledger_poll::poll_ledger(Arc::clone(&jobs), open_jobs));
+    let open = received.recv().await;
+    assert_eq!(open, Some(Vec::new()));
+    assert!(!is_owned(&jobs));
+    polling.abort();
+    cancel.cancel();
+}
+
+/// A late message that a job was accepted does not start a job that this worker knows to have ended.
+#[actix_web::test]
+async fn a_job_that_is_known_to_have_ended_is_not_taken() {
+    let cancel = CancellationToken::new();
+    let jobs = start_worker_jobs(&cancel);
+    for change in [submission(), end()] {
+        change_ledger(&jobs, &change).await;
+    }
+    jobs.start_new_job(job_spec(3));
+    assert!(!is_owned(&jobs));
+    cancel.cancel();
+}
+
 /// The jobs that are kept in memory only for readers have a size limit; the least recently used
 /// ones are evicted first.
 #[actix_web::test]
