Confirm the end of a response at servers that leave

Cause: the kernel closes the connections of an ended process in order, so that such a response needs a look at its server. A server that drains or is delisted was not looked at: Leaving answers the question whether a request crashed it, and was taken for complete, as was a look without a result.

Change (node::server_probe): after such an end a leaving server is probed at the address to which the request went. If its process has ended (Departed) the response is cut off, without a crash; if the probe has no result it is cut off as well. So an item and a resumable stream go on elsewhere, and another response does not look complete. The probe may take 400 ms in place of 100 ms, its own time limit.

Ruled out: the notice alone (a server that drains and lives confirms the end), and counting the events (a response does not say how many there are).

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends one request to one backend server and reads its response.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -30,6 +31,10 @@
 /// crashed server refuses connections within one round trip.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// How long a response that ended with its connection waits for the liveness probe of its server.
+/// Without a result the response counts as cut off, so that this covers the probe's own time limit.
+const END_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// A server that crashes on a part of a prompt does so within a fraction of this time from the first data
 /// of its response. A response that goes on for so long clears the parts.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
@@ -91,6 +96,8 @@
     pub server: ServerInstance,
     /// The software of that server.
     pub origin: StreamOrigin,
+    /// The address of the server.
+    addr: SocketAddr,
     node: Arc<Node>,
     request_id: RequestId,
     content: Arc<RequestContent>,
@@ -174,6 +181,7 @@
             if matches!(e, ExchangeError::NoCompleteResponse { .. }) {
                 let cut_off = CutOffRequest {
                     server: server.clone(),
+                    addr,
                     request_id: params.request_id,
                     content: params.content,
                     run_kind: params.slot.run_kind(),
@@ -228,6 +236,7 @@
         decoded_head,
         server: server.clone(),
         origin,
+        addr,
         node: Arc::clone(node),
         request_id: params.request_id,
         content: params.content,
@@ -287,17 +296,19 @@
             return BodyFrame::End;
         }
         let probe = server_probe::probe_after_close(Arc::clone(&self.node), self.cut_off_request());
-        let liveness = run_probe(probe).await;
+        let liveness = run_probe(probe, END_PROBE_TIMEOUT).await;
         self.liveness_at_end = Some(liveness);
-        match liveness {
-            ServerLiveness::Ended => {
-                self.record_failure();
-                BodyFrame::CutOff("server ended with its response".to_owned())
-            }
-            ServerLiveness::Lives | ServerLiveness::Unknown | ServerLiveness::Leaving => {
-                BodyFrame::End
-            }
+        if liveness.confirms_end() {
+            return BodyFrame::End;
+        }
+        if liveness == ServerLiveness::Ended {
+            self.record_failure();
         }
+        let (server, request_id) = (&self.server.id, &self.request_id);
+        log::info!(request_id, server, liveness:?; "response ended with its connection; its end is not confirmed");
+        BodyFrame::CutOff(
+            "response ended with its connection, and its server may have too".to_owned(),
+        )
     }
 
     /// Returns for how long neither the head nor any data arrived.
@@ -326,6 +337,7 @@
     fn cut_off_request(&self) -> CutOffRequest {
         CutOffRequest {
             server: self.server.clone(),
+            addr: self.addr,
             request_id: self.request_id.clone(),
             content: Arc::clone(&self.content),
             run_kind: self.slot.run_kind(),
@@ -456,15 +468,20 @@
 /// elsewhere. Without the wait, a request that crashes servers would reach the next servers
 /// faster than it is identified.
 async fn probe_server(node: &Arc<Node>, cut_off: CutOffRequest) {
-    run_probe(server_probe::probe(Arc::clone(node), cut_off)).await;
+    run_probe(
+        server_probe::probe(Arc::clone(node), cut_off),
+        PROBE_TIMEOUT,
+    )
+    .await;
 }
 
 /// Runs a probe and returns its result. The spawned probe completes even if the caller disconnects.
 /// If it takes longer than the timeout, the request continues without its result.
 async fn run_probe(
     probe: impl std::future::Future<Output = ServerLiveness> + Send + 'static,
+    timeout: Duration,
 ) -> ServerLiveness {
-    match tokio::time::timeout(PROBE_TIMEOUT, tokio::spawn(probe)).await {
+    match tokio::time::timeout(timeout, tokio::spawn(probe)).await {
         Ok(Ok(liveness)) => liveness,
         Ok(Err(_)) | Err(_) => ServerLiveness::Unknown,
     }
--- a/crates/foxwheel-node/src/server_probe.rs
+++ b/crates/foxwheel-node/src/server_probe.rs
@@ -1,6 +1,7 @@
 //! Liveness probe of a backend server that cut a response off: tells a server whose process
 //! ended from one that lost only the connection.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -26,6 +27,20 @@
     Unknown,
     /// It drains or is no longer listed. Its end is expected, so that it is not a crash.
     Leaving,
+    /// It drained or is no longer listed, and its address refuses connections. That is no crash, but
+    /// the responses that it was sending are cut off.
+    Departed,
+}
+
+impl ServerLiveness {
+    /// Returns whether a response that ended with its connection is complete, given the state of the
+    /// server afterwards. The kernel closes the connections of an ended process in the same way.
+    pub fn confirms_end(self) -> bool {
+        match self {
+            Self::Lives | Self::Leaving => true,
+            Self::Ended | Self::Departed | Self::Unknown => false,
+        }
+    }
 }
 
 /// A request whose response a server cut off.
@@ -33,6 +48,8 @@
 pub struct CutOffRequest {
     /// The server instance that ran the request.
     pub server: ServerInstance,
+    /// The address to which the request was sent.
+    pub addr: SocketAddr,
     /// The request's id.
     pub request_id: RequestId,
     /// The request's content, under which a crash is recorded.
@@ -51,16 +68,26 @@
 /// under the request's content.
 pub async fn probe(node: Arc<Node>, request: CutOffRequest) -> ServerLiveness {
     let ready = ready_server(&node, &request.server);
-    let liveness = find_liveness(ready.as_ref()).await;
+    let liveness = match &ready {
+        Some(server) => probe_liveness(server.addr).await,
+        None => ServerLiveness::Leaving,
+    };
     record_cut_off(&node, &request, ready, liveness);
     liveness
 }
 
-/// Probes the server of `request`, whose response ended with its connection and may be complete. If
-/// its process ended, the response counts as cut off.
+/// Probes the server of `request`, whose response ended with its connection and may be complete, also
+/// if the server leaves. If its process ended unexpectedly, the response counts as cut off by a crash.
 pub async fn probe_after_close(node: Arc<Node>, request: CutOffRequest) -> ServerLiveness {
     let ready = ready_server(&node, &request.server);
-    let liveness = find_liveness(ready.as_ref()).await;
+    let liveness = match &ready {
+        Some(server) => probe_liveness(server.addr).await,
+        None => match probe_liveness(request.addr).await {
+            ServerLiveness::Ended => ServerLiveness::Departed,
+            ServerLiveness::Lives => ServerLiveness::Leaving,
+            other => other,
+        },
+    };
     if liveness == ServerLiveness::Ended {
         record_cut_off(&node, &request, ready, liveness);
     }
@@ -73,13 +100,6 @@
     listed.filter(|server| server.state == ServerState::Ready)
 }
 
-async fn find_liveness(ready: Option<&BackendServer>) -> ServerLiveness {
-    match ready {
-        Some(server) => probe_liveness(server).await,
-        None => ServerLiveness::Leaving,
-    }
-}
-
 fn record_cut_off(
     node: &Node,
     request: &CutOffRequest,
@@ -102,8 +122,8 @@
     }
 }
 
-async fn probe_liveness(server: &BackendServer) -> ServerLiveness {
-    match connection::probe_process(server.addr).await {
+async fn probe_liveness(addr: SocketAddr) -> ServerLiveness {
+    match connection::probe_process(addr).await {
         ListenerStatus::Refusing => ServerLiveness::Ended,
         ListenerStatus::Accepting => ServerLiveness::Lives,
         ListenerStatus::NoResponse => ServerLiveness::Unknown,
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -11,6 +11,7 @@
 use foxwheel_node::load_table::WorkClass;
 use foxwheel_node::node::Node;
 use foxwheel_node::request_content::RequestContent;
+use foxwheel_node::server_probe::ServerLiveness;
 use foxwheel_node::settings::Role;
 use foxwheel_policy::membership::{BackendServer, ServerState};
 use foxwheel_policy::quarantine::{ObservedCrash, RunKind};
@@ -151,6 +152,32 @@
     }
 }
 
+/// Guards against a part of a response that counts as complete: a server that was told to leave ended
+/// with it, as the kernel closes the connections of an ended process in order.
+#[actix_web::test]
+async fn response_that_ends_with_a_leaving_server_is_cut_off() {
+    let end = ConnectionEnd::ProcessEnd;
+    for part in [BodyPart::Events(2), BodyPart::Complete] {
+        let fault = Fault::Unframed(UnframedResponse::ok(part, end));
+        let seen = run_after_crash(fault, ServerState::Draining).await;
+        assert_eq!(seen, (false, false), "{part:?}: cut off, and no crash");
+    }
+}
+
+#[test]
+fn only_a_server_that_runs_confirms_the_end_of_its_response() {
+    let cases = [
+        (ServerLiveness::Lives, true),
+        (ServerLiveness::Leaving, true),
+        (ServerLiveness::Ended, false),
+        (ServerLiveness::Departed, false),
+        (ServerLiveness::Unknown, false),
+    ];
+    for (liveness, expected) in cases {
+        assert_eq!(liveness.confirms_end(), expected, "{liveness:?}");
+    }
+}
+
 /// Parts of batch items were suspected of each crash until their long responses were complete.
 #[actix_web::test]
 async fn long_response_clears_its_parts_before_its_end() {
