Report the jobs of a worker in pages that fit into a packet

A worker with many jobs is taken for dead, and its jobs are run twice.

Cause: a heartbeat names all jobs that its sender owns. Its size is bounded nowhere but by the datagram, errors of sending were dropped, and a larger heartbeat is sent less often. Computed from the types with ids of 16 digits: with 1,200 jobs one heartbeat in 1.6 s, the time after which a worker counts as dead; from 3,500 jobs on (66,549 bytes) none at all.

Change: a heartbeat names the jobs of one page of 1,000 bytes, those that changed first and the others in turn (policy::batch::claim_pages), and says for which range it is complete. A worker whose jobs fit into a page, 41 with such ids, sends the message that it sent before. An error of sending is counted (peers.messages_unsent) and logged, at most one line every 5 s.

Mixed versions: an older process does not decode a paged heartbeat.

Tests: policy::claim_pages (changes and losses at random), node::peers heartbeats_of_a_worker_with_many_jobs_... with 10,000 jobs of the longest ids.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -119,6 +119,8 @@
     PeerMessageSent,
     /// Bytes of the datagrams sent to peers.
     PeerBytesSent,
+    /// Datagrams to peers that could not be sent.
+    PeerMessageFailed,
     /// Datagrams received from peers.
     PeerMessageReceived,
     /// Bytes of the datagrams received from peers.
@@ -239,6 +241,7 @@
             Self::RunFailed => "batch.runs_failed",
             Self::PeerMessageSent => "peers.messages_sent",
             Self::PeerBytesSent => "peers.bytes_sent",
+            Self::PeerMessageFailed => "peers.messages_unsent",
             Self::PeerMessageReceived => "peers.messages_heard",
             Self::PeerBytesReceived => "peers.bytes_heard",
             Self::HeartbeatDecodeFailed => "heartbeat.unreadable",
--- a/crates/foxwheel-node/src/heartbeat.rs
+++ b/crates/foxwheel-node/src/heartbeat.rs
@@ -11,6 +11,8 @@
 
 use foxwheel_core::ids::Zone;
 use foxwheel_core::metric_names::Counter;
+use foxwheel_policy::batch::claim_pages::{ClaimPager, ClaimRange};
+use foxwheel_policy::batch::ownership::JobClaim;
 use foxwheel_policy::load_reports::{self, ReportTimer};
 use foxwheel_policy::quarantine::QuarantineDigest;
 use foxwheel_policy::representatives::Rank;
@@ -55,6 +57,9 @@
         load_changes_timer: ReportTimer::new(load_reports::MIN_CHANGES_INTERVAL),
         cross_zone_timer: ReportTimer::new(load_reports::MIN_CROSS_ZONE_LOADS_INTERVAL),
         zones_to_report: Vec::new(),
+        zone_claims: ClaimPager::default(),
+        representative_claims: ClaimPager::default(),
+        remote_claims: ClaimPager::default(),
     };
     tokio::select! {
         () = cancel.cancelled() => {}
@@ -94,10 +99,17 @@
     let now = Instant::now();
     let own_addr = node.settings.peer_address();
     match message {
-        PeerMessage::Heartbeat(heartbeat) if node.peers.should_introduce(&heartbeat) => {
+        PeerMessage::Heartbeat(heartbeat) | PeerMessage::PagedHeartbeat(heartbeat, _)
+            if node.peers.should_introduce(&heartbeat) =>
+        {
             return send_introduction(datagrams, &heartbeat).await;
         }
-        PeerMessage::Heartbeat(heartbeat) => apply_heartbeat(node, heartbeat, own_addr, now),
+        PeerMessage::Heartbeat(heartbeat) => {
+            apply_heartbeat(node, heartbeat, &ClaimRange::default(), own_addr, now)
+        }
+        PeerMessage::PagedHeartbeat(heartbeat, claim_range) => {
+            apply_heartbeat(node, heartbeat, &claim_range, own_addr, now)
+        }
         PeerMessage::LoadChanges(changes) => node.peers.apply_load_changes(changes, now),
         PeerMessage::CrossZoneLoads(report) => {
             zone_representative::apply_cross_zone_loads(datagrams, node, report, now).await
@@ -132,14 +144,23 @@
     node.peers_changed.notify_waiters();
 }
 
-fn apply_heartbeat(node: &Node, heartbeat: Heartbeat, own_addr: SocketAddr, now: Instant) {
+fn apply_heartbeat(
+    node: &Node,
+    heartbeat: Heartbeat,
+    claim_range: &ClaimRange,
+    own_addr: SocketAddr,
+    now: Instant,
+) {
     let host = heartbeat.host.clone();
     let (incarnation, leaving) = (heartbeat.incarnation, heartbeat.leaving);
     if heartbeat.is_watching_store && heartbeat.state_version.is_newer_than(node.state_version()) {
         node.newer_state_reported.notify_one();
     }
     request_crash_sync_if_different(node, heartbeat.quarantine_digest);
-    if node.peers.apply_heartbeat(heartbeat, own_addr, now) {
+    if node
+        .peers
+        .apply_paged_heartbeat(heartbeat, claim_range, own_addr, now)
+    {
         log::info!(peer = host, incarnation, leaving; "peer is alive");
     }
 }
@@ -191,6 +212,11 @@
     cross_zone_timer: ReportTimer,
     /// Other zones that need a report of this process's load on their servers, sorted.
     zones_to_report: Vec<Zone>,
+    /// Choose the claims in heartbeats to the whole zone, to its representatives and subscribers,
+    /// and to workers of other zones, each of which misses the heartbeats to the others.
+    zone_claims: ClaimPager,
+    representative_claims: ClaimPager,
+    remote_claims: ClaimPager,
 }
 
 impl Reporter {
@@ -240,12 +266,14 @@
             .node
             .peers
             .heartbeat_recipients(HeartbeatScope::OwnZone, now);
+        let mut local_claims = &mut self.zone_claims;
         if trigger == HeartbeatTrigger::Interval
             && !load_reports::is_zone_wide(self.heartbeat_count, local.len())
         {
             local = self.node.representatives_and_subscribers(now);
+            local_claims = &mut self.representative_claims;
         }
-        let message = PeerMessage::Heartbeat(heartbeat.clone());
+        let message = with_claims(heartbeat.clone(), local_claims, &self.node.claims());
         let bytes = self.datagrams.send(&message, &local).await;
         if self.heartbeat_count % load_reports::REPORTS_PER_REMOTE_REPORT == 1 {
             heartbeat.loads.clear();
@@ -253,7 +281,7 @@
                 .node
                 .peers
                 .heartbeat_recipients(HeartbeatScope::OtherZones, now);
-            let message = PeerMessage::Heartbeat(heartbeat);
+            let message = with_claims(heartbeat, &mut self.remote_claims, &self.node.claims());
             self.datagrams.send(&message, &remote).await;
             let loads = self.node.loads.snapshot();
             self.record_zones_to_report(&loads);
@@ -343,6 +371,21 @@
     }
 }
 
+/// Returns the message with this heartbeat and the next page of `claims`.
+pub fn with_claims(
+    mut heartbeat: Heartbeat,
+    pager: &mut ClaimPager,
+    claims: &[JobClaim],
+) -> PeerMessage {
+    let (range, page) = pager.next_page(claims);
+    heartbeat.claims = page;
+    match range == ClaimRange::default() {
+        true => PeerMessage::Heartbeat(heartbeat),
+        false => PeerMessage::PagedHeartbeat(heartbeat, range),
+    }
+}
+
+/// Builds a heartbeat without claims and known addresses.
 fn build_heartbeat(node: &Node, sequence: u64, now: Instant) -> Heartbeat {
     Heartbeat {
         host: node.settings.host.clone(),
@@ -360,7 +403,7 @@
         representatives: node.representatives(),
         loads: node.loads.snapshot(),
         dead_instances: node.dead_instances(now),
-        claims: node.claims(),
+        claims: Vec::new(),
         waiting_items: node.waiting_items(),
         known_addresses: Vec::new(),
     }
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -89,6 +89,8 @@
     pub crashes_changed: Notify,
     /// The socket for datagrams to the other processes, once the process has opened it.
     pub peer_socket: OnceLock<Arc<UdpSocket>>,
+    /// When it was last logged that a datagram could not be sent.
+    pub send_error_logged_at: Mutex<Option<Instant>>,
     /// Where the streams of this process began, and those for which it is a holder.
     pub stream_origins: OriginTable,
     /// Notified after every received message that may change the view of the other processes.
@@ -136,6 +138,7 @@
             other_crashes_reported: Notify::new(),
             crashes_changed: Notify::new(),
             peer_socket: OnceLock::new(),
+            send_error_logged_at: Mutex::default(),
             stream_origins: OriginTable::default(),
             peers_changed: Notify::new(),
             peer_calls: PeerCalls::default(),
--- a/crates/foxwheel-node/src/peer_messages.rs
+++ b/crates/foxwheel-node/src/peer_messages.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use foxwheel_core::ids::{Incarnation, NodeId, Zone};
+use foxwheel_policy::batch::claim_pages::ClaimRange;
 use foxwheel_policy::batch::ownership::JobClaim;
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::quarantine::QuarantineDigest;
@@ -205,4 +206,6 @@
     Introduction(Introduction),
     /// Where a stream of the sender began, for which the recipient is a holder.
     StreamOrigin(StreamOriginReport),
+    /// The same as [`Self::Heartbeat`], with the claims of some of the sender's jobs.
+    PagedHeartbeat(Heartbeat, ClaimRange),
 }
--- a/crates/foxwheel-node/src/peers.rs
+++ b/crates/foxwheel-node/src/peers.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use foxwheel_core::ids::Zone;
+use foxwheel_policy::batch::claim_pages::ClaimRange;
 use foxwheel_policy::load_reports::DEAD_TIMEOUT;
 use foxwheel_policy::membership::ServerInstance;
 use foxwheel_policy::zone_loads::{self, RequestCounts, ServerFingerprint};
@@ -74,14 +75,25 @@
         }
     }
 
-    /// Stores a heartbeat unless an equally new or newer message of its sender is known. `own_addr`
-    /// is the address of this process. Returns whether the sender was unknown or considered
-    /// dead before.
+    /// Stores a heartbeat with all claims of its sender, as [`Self::apply_paged_heartbeat`] does.
     pub fn apply_heartbeat(
         &self,
         heartbeat: Heartbeat,
         own_addr: SocketAddr,
         now: Instant,
+    ) -> bool {
+        self.apply_paged_heartbeat(heartbeat, &ClaimRange::default(), own_addr, now)
+    }
+
+    /// Stores a heartbeat unless an equally new or newer message of its sender is known. Its claims
+    /// are those of the jobs in `claim_range`. `own_addr` is the address of this process. Returns
+    /// whether the sender was unknown or considered dead before.
+    pub fn apply_paged_heartbeat(
+        &self,
+        heartbeat: Heartbeat,
+        claim_range: &ClaimRange,
+        own_addr: SocketAddr,
+        now: Instant,
     ) -> bool {
         let mut state = self.lock();
         let known = heartbeat
@@ -108,6 +120,12 @@
                     return false;
                 }
                 let was_dead = !known.is_live(now);
+                let mut heartbeat = heartbeat;
+                if known.heartbeat.incarnation == heartbeat.incarnation {
+                    let page = std::mem::take(&mut heartbeat.claims);
+                    heartbeat.claims.clone_from(&known.heartbeat.claims);
+                    claim_range.apply(page, &mut heartbeat.claims);
+                }
                 state.replace_heartbeat(at, heartbeat, now);
                 was_dead
             }
--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -35,6 +35,7 @@
         Counter::RunFailed,
         Counter::PeerMessageSent,
         Counter::PeerBytesSent,
+        Counter::PeerMessageFailed,
         Counter::PeerMessageReceived,
         Counter::PeerBytesReceived,
         Counter::HeartbeatDecodeFailed,
--- a/crates/foxwheel-node/tests/peers.rs
+++ b/crates/foxwheel-node/tests/peers.rs
@@ -8,7 +8,9 @@
 use common::peer_messages::{addr, heartbeat, server, worker_peers};
 use foxwheel_node::load_table::ServerLoad;
 use foxwheel_node::peer_calls::StoreStateVersion;
-use foxwheel_node::peer_messages::{Heartbeat, LoadChanges};
+use foxwheel_node::peer_messages::{Heartbeat, LoadChanges, PeerMessage};
+use foxwheel_policy::batch::claim_pages::{ClaimPager, ClaimRange};
+use foxwheel_policy::batch::ownership::{ClaimStatus, JobClaim};
 use foxwheel_policy::load_reports::{self, DEAD_TIMEOUT};
 use foxwheel_policy::membership::ServerInstance;
 
@@ -263,3 +265,44 @@
     assert_eq!(peers.state_current_at(known(7)), None);
     assert_eq!(peers.state_current_at(known(8)), Some(now));
 }
+
+/// Guards against a worker that counts as dead because it owns many jobs: its heartbeat exceeded a
+/// datagram, and was sent less often than the others wait before that.
+#[test]
+fn heartbeats_of_a_worker_with_many_jobs_stay_small_and_report_all_of_them() {
+    let claim = |number: usize| JobClaim {
+        job: format!("{number:0128x}"),
+        stored_parts: 3,
+        status: ClaimStatus::Owned,
+    };
+    let claims: Vec<JobClaim> = (0..10_000).map(claim).collect();
+    let (peers, now) = (worker_peers(), Instant::now());
+    let mut pager = ClaimPager::default();
+    let mut sequence = 0;
+    let mut pages = 0;
+    while pages == 0 || peers.live_workers(now)[0].claims.len() < claims.len() {
+        let message =
+            foxwheel_node::heartbeat::with_claims(heartbeat(2, sequence, &[]), &mut pager, &claims);
+        let bytes = postcard::to_stdvec(&message).expect("encoded").len();
+        let next_at = load_reports::min_delay_after(bytes);
+        assert!(next_at < DEAD_TIMEOUT, "{bytes} bytes");
+        let PeerMessage::PagedHeartbeat(heartbeat, range) = message else {
+            panic!("all jobs in one heartbeat");
+        };
+        peers.apply_paged_heartbeat(heartbeat, &range, addr(1), now);
+        sequence += 1;
+        pages += 1;
+        assert!(pages < claims.len(), "some jobs are never reported");
+    }
+    assert_eq!(peers.live_workers(now)[0].claims, claims);
+    // A restarted worker does not own what it owned before.
+    let mut restarted = heartbeat(2, sequence, &[]);
+    restarted.incarnation = 2;
+    restarted.claims = vec![claim(7)];
+    let range = ClaimRange {
+        after: Some(claim(6).job),
+        until: Some(claim(7).job),
+    };
+    peers.apply_paged_heartbeat(restarted, &range, addr(1), now);
+    assert_eq!(peers.live_workers(now)[0].claims, [claim(7)]);
+}
--- a/crates/foxwheel-policy/src/batch/mod.rs
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //! items run, and how the results are stored.
 
 pub mod checkpoint;
+pub mod claim_pages;
 pub mod item;
 pub mod job;
 pub mod ledger;
