Refuse a job that the ledger has no room for

Once the ledger, one object, reaches the store's limit, submissions are answered 502 after a refused write, and the worker that writes for all fails the changes that wait with them.

Cause: the ledger's size follows the jobs of the last four minutes and was bounded nowhere; a refused write was repeated until its deadline.

Change: an admission is given the limit, and refused as LedgerFull if the ledger with the job could exceed it. The front answers 503 with Retry-After; like a refusal over the quota it ends the term if it was made without the writer. A closed job takes less room than an open one, so that jobs can always be closed.

Test: policy::ledger job_is_refused_if_the_ledger_has_no_room.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -108,6 +108,10 @@
                 self.node.metrics.incr(Counter::JobOverQuota);
                 responses::not_run(StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER)
             }
+            Ok(Admission::LedgerFull) => {
+                log::warn!(request_id = job.id, route = route.name, took_ms; "job refused: the ledger has no room");
+                responses::not_run(StatusCode::SERVICE_UNAVAILABLE, QUOTA_RETRY_AFTER)
+            }
             Ok(admission) => {
                 log::info!(request_id = job.id, route = route.name, admission:? = admission, tokens = job.total_tokens(), took_ms; "job accepted");
                 self.node.metrics.incr(Counter::JobAccepted);
@@ -144,7 +148,7 @@
             tokio::join!(saving, self.admit_to_ledger(job, route, false, deadline));
         let admission = admitted.map_err(SubmitError::MaybeAccepted)?;
         match (admission, saved) {
-            (Admission::OverQuota, _) => Ok(Admission::OverQuota),
+            (refusal @ (Admission::OverQuota | Admission::LedgerFull), _) => Ok(refusal),
             (Admission::Accepted, Ok(())) => Ok(Admission::Accepted),
             // The ledger entry may be withdrawn because the job was not stored. It is stored now,
             // so it is admitted again.
@@ -175,6 +179,7 @@
             quota_tokens: route.quota_tokens,
             now_unix: job.submitted_unix,
             is_stored,
+            max_ledger_bytes: self.store.max_payload_bytes(),
         };
         match self.change_ledger(change, deadline).await? {
             LedgerResponse::Admission(admission) => Ok(admission),
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -136,6 +136,7 @@
         quota_tokens: 0,
         now_unix: Duration::from_secs(1),
         is_stored: false,
+        max_ledger_bytes: 1_000_000,
     }
 }
 
--- a/crates/foxwheel-policy/src/batch/ledger.rs
+++ b/crates/foxwheel-policy/src/batch/ledger.rs
@@ -47,6 +47,15 @@
     pub is_stored: bool,
 }
 
+/// Upper bound of the stored size of an [`OpenJob`] without its id and route.
+const OPEN_JOB_BYTES: usize = 160;
+
+/// Upper bound of the stored size of a [`ClosedJob`] without its id.
+const CLOSED_JOB_BYTES: usize = 64;
+
+/// Upper bound of the stored size of a [`Ledger`] without its jobs.
+const LEDGER_BYTES: usize = 256;
+
 /// A job that finished or was ended by its client. It stays in the ledger for some time so that
 /// a repeated submission is recognised.
 #[serde_as]
@@ -107,6 +116,8 @@
     Repeat,
     /// The job does not fit into the quota; the ledger is unchanged.
     OverQuota,
+    /// The ledger has no room for another job; it is unchanged.
+    LedgerFull,
 }
 
 /// The status of a job in the ledger.
@@ -141,6 +152,8 @@
         now_unix: Duration,
         /// Whether the job is known to be in the store.
         is_stored: bool,
+        /// Limit on the stored size of the ledger.
+        max_ledger_bytes: usize,
     },
     /// Closes a job that finished or was ended by its client.
     Close {
@@ -199,7 +212,12 @@
                 quota_tokens,
                 now_unix,
                 is_stored,
+                max_ledger_bytes,
             } => {
+                let is_known = self.job_status(id) != JobStatus::Unknown;
+                if !is_known && self.stored_bytes_with(id, route) > *max_ledger_bytes {
+                    return LedgerResponse::Admission(Admission::LedgerFull);
+                }
                 let admission = self.admit(id, route, *tokens, *quota_tokens, *now_unix);
                 if let (true, Ok(index)) = (*is_stored, self.open_position(id)) {
                     self.open[index].is_stored = true;
@@ -237,7 +255,10 @@
         relayed_in: Option<LedgerTerm>,
     ) -> LedgerResponse {
         let response = self.apply(change);
-        let is_refused = response == LedgerResponse::Admission(Admission::OverQuota);
+        let is_refused = matches!(
+            response,
+            LedgerResponse::Admission(Admission::OverQuota | Admission::LedgerFull)
+        );
         let may_be_applied_later = relayed_in == Some(self.term);
         if self.writer.is_some() && (is_refused || may_be_applied_later) {
             self.term += 1;
@@ -343,6 +364,16 @@
         route_jobs.map(|job| job.unfinished_tokens).sum()
     }
 
+    /// Returns an upper bound of the stored size of the ledger with one more job.
+    fn stored_bytes_with(&self, id: &str, route: &str) -> usize {
+        let open_job_bytes = |id: &str, route: &str| id.len() + route.len() + OPEN_JOB_BYTES;
+        let open = self.open.iter();
+        let open: usize = open.map(|job| open_job_bytes(&job.id, &job.route)).sum();
+        let closed = self.closed.iter();
+        let closed: usize = closed.map(|job| job.id.len() + CLOSED_JOB_BYTES).sum();
+        LEDGER_BYTES + open + closed + open_job_bytes(id, route)
+    }
+
     fn open_position(&self, id: &str) -> Result<usize, usize> {
         self.open.binary_search_by(|job| job.id.as_str().cmp(id))
     }
--- a/crates/foxwheel-policy/tests/ledger.rs
+++ b/crates/foxwheel-policy/tests/ledger.rs
@@ -161,6 +161,7 @@
         quota_tokens: 15,
         now_unix: NOW,
         is_stored: false,
+        max_ledger_bytes: 1_000_000,
     };
     let mut ledger = Ledger::default();
     assert_eq!(
@@ -217,6 +218,7 @@
         quota_tokens: 0,
         now_unix: NOW,
         is_stored,
+        max_ledger_bytes: 1_000_000,
     };
     let withdrawal = LedgerChange::Withdraw { id: "a".to_owned() };
     let mut ledger = Ledger::default();
@@ -231,3 +233,42 @@
     let status = ledger.apply(&withdrawal);
     assert_eq!(status, LedgerResponse::Status(JobStatus::Open));
 }
+
+/// Guards against a ledger that cannot be written any more, because the store refuses it as too
+/// large. Jobs that it lists can still be closed, and are recognised.
+#[test]
+fn job_is_refused_if_the_ledger_has_no_room() {
+    const MAX_BYTES: usize = 20_000;
+    let submission = |number: usize| LedgerChange::Admit {
+        id: format!("{number:0128}"),
+        route: "route".to_owned(),
+        tokens: u64::MAX / 1_000,
+        quota_tokens: 0,
+        now_unix: Duration::from_millis(u64::MAX),
+        is_stored: true,
+        max_ledger_bytes: MAX_BYTES,
+    };
+    let full = LedgerResponse::Admission(Admission::LedgerFull);
+    let stored_bytes = |ledger: &Ledger| serde_json::to_vec(ledger).expect("encoded").len();
+    let mut ledger = Ledger::default();
+    ledger.begin_term(&"h".repeat(100));
+    let accepted = (0..).take_while(|number| ledger.apply(&submission(*number)) != full);
+    let accepted = accepted.count();
+    assert!(stored_bytes(&ledger) <= MAX_BYTES && stored_bytes(&ledger) > MAX_BYTES / 2);
+    let repeat = LedgerResponse::Admission(Admission::Repeat);
+    assert_eq!(ledger.apply(&submission(0)), repeat);
+    let term = ledger.term;
+    assert_eq!(ledger.apply_directly(&submission(accepted), None), full);
+    assert_eq!(ledger.term, term + 1, "a refusal stays one");
+    for number in 0..accepted {
+        let LedgerChange::Admit { id, .. } = submission(number) else {
+            unreachable!("a submission");
+        };
+        assert!(ledger.close(&id, Duration::from_millis(u64::MAX)));
+        assert!(stored_bytes(&ledger) <= MAX_BYTES);
+    }
+    let later = Duration::from_millis(u64::MAX);
+    assert!(ledger.prune_closed(later, Duration::ZERO));
+    let accepted = LedgerResponse::Admission(Admission::Accepted);
+    assert_eq!(ledger.apply(&submission(0)), accepted);
+}
--- a/crates/foxwheel-policy/tests/ledger_terms.rs
+++ b/crates/foxwheel-policy/tests/ledger_terms.rs
@@ -25,6 +25,7 @@
         quota_tokens: QUOTA_TOKENS,
         now_unix: NOW,
         is_stored: false,
+        max_ledger_bytes: 1_000_000,
     }
 }
 
