Find the parts that hold items only when an item is to run

Cause: since crashes under items count against no online request, the verdicts were computed twice at each change of the evidence, on copies of all runs, also at fronts.

Change: the search takes the runs that are suspects and copies nothing; the one with the runs of items is made when an item is to run, and kept until the evidence changes.

--- a/crates/foxwheel-policy/src/part_quarantine.rs
+++ b/crates/foxwheel-policy/src/part_quarantine.rs
@@ -23,7 +23,7 @@
 use foxwheel_core::ids::{NodeId, PromptPartId, ServiceName};
 
 pub use self::blame::BlamedPart;
-use self::crashes::{CrashedServer, CutOffRun};
+use self::crashes::{CrashedServer, CutOffRun, Suspects};
 pub use self::reports::{PartCrashReport, PartEvidence, PartTrialReport, RunReport};
 use self::running_items::RunningItems;
 use self::trials::PartTrials;
@@ -77,8 +77,8 @@
     /// The parts of online requests that explain `crashes`; sorted by service and part.
     blamed: Vec<BlamedPart>,
     /// The parts that would explain `crashes` if batch items could be the cause; sorted by service
-    /// and part. They only hold items back.
-    blamed_with_items: Vec<BlamedPart>,
+    /// and part. They only hold items back. `None` until an item is to run.
+    blamed_with_items: Option<Vec<BlamedPart>>,
     /// `blamed` as of the last call of [`Self::take_changes`].
     reported: Vec<BlamedPart>,
     trials: PartTrials,
@@ -143,9 +143,12 @@
         service: &str,
         now: Instant,
     ) -> PartPermission {
+        let all_blamed = self.blamed_with_items.get_or_insert_with(|| {
+            blame::blamed_parts(&self.crashes, Suspects::AllRuns, &self.succeeded_before)
+        });
         let blamed = parts
             .iter()
-            .filter_map(|part| find(&self.blamed_with_items, service, part));
+            .filter_map(|part| find(all_blamed, service, part));
         let blamed = blamed.filter(|blamed| !blamed.succeeded_before);
         let delays = blamed.map(|blamed| {
             let may_begin_at = blamed.last_crash_at + ITEM_TRIAL_DELAY;
@@ -351,14 +354,9 @@
     }
 
     fn assign_blame(&mut self) {
-        let online = self.crashes.iter().map(CrashedServer::without_items);
-        let online: Vec<CrashedServer> = online.collect();
-        self.blamed = blame::blamed_parts(&online, &self.succeeded_before);
-        let has_items = self.crashes.iter().any(CrashedServer::has_items);
-        self.blamed_with_items = match has_items {
-            true => blame::blamed_parts(&self.crashes, &self.succeeded_before),
-            false => self.blamed.clone(),
-        };
+        let suspects = Suspects::OnlineRequests;
+        self.blamed = blame::blamed_parts(&self.crashes, suspects, &self.succeeded_before);
+        self.blamed_with_items = None;
     }
 
     fn update_digest(&mut self) {
--- a/crates/foxwheel-policy/src/part_quarantine/blame.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/blame.rs
@@ -9,7 +9,7 @@
 
 use foxwheel_core::ids::{PromptPartId, ServiceName};
 
-use crate::part_quarantine::crashes::CrashedServer;
+use crate::part_quarantine::crashes::{CrashedServer, CutOffRun, Suspects};
 use crate::zone_loads::ServerFingerprint;
 
 /// Number of successive crashes after which a part is blamed that no server responded to.
@@ -103,19 +103,23 @@
     fn of(
         part: &'a PromptPartId,
         crashes: &[&'a CrashedServer],
+        suspects: Suspects,
         succeeded_before: bool,
     ) -> Option<Self> {
-        let counted = crashes
-            .iter()
-            .filter(|crash| crash.has_part(part) && !crash.is_cleared(part));
+        let has_part = |run: &&CutOffRun| run.has_part(part);
+        let uncleared = crashes.iter().filter(|crash| !crash.is_cleared(part));
         let mut successive: Vec<Instant> = Vec::new();
         let (mut all_crashes, mut runs) = (0, 0);
-        for crash in counted {
+        for crash in uncleared {
+            let runs_with_part = crash.runs_of(suspects).filter(has_part).count();
+            if runs_with_part == 0 {
+                continue;
+            }
             all_crashes += 1;
-            runs += crash.runs_with(part).count();
+            runs += runs_with_part;
             let was_sent_after = |last: Instant| {
-                let mut sent = crash.runs_with(part).map(|run| run.sent_at);
-                !succeeded_before && sent.any(|sent_at| sent_at >= last)
+                let mut with_part = crash.runs_of(suspects).filter(has_part);
+                !succeeded_before && with_part.any(|run| run.sent_at >= last)
             };
             let is_next = successive.last().is_none_or(|last| {
                 crash.at >= *last + MIN_CRASH_SEPARATION || was_sent_after(*last)
@@ -152,10 +156,11 @@
     }
 }
 
-/// Returns the parts that explain `crashes`, sorted by service and part. `succeeded_before` lists the
-/// parts that a server of the service responded to before; sorted.
+/// Returns the parts of `suspects` that explain `crashes`, sorted by service and part.
+/// `succeeded_before` lists the parts that a server of the service responded to before; sorted.
 pub fn blamed_parts(
     crashes: &[CrashedServer],
+    suspects: Suspects,
     succeeded_before: &[(ServiceName, PromptPartId)],
 ) -> Vec<BlamedPart> {
     let mut services: Vec<&ServiceName> = crashes.iter().map(|crash| &crash.service).collect();
@@ -171,7 +176,7 @@
             });
             found.is_ok()
         };
-        blamed_in_service(service, of_service, has_succeeded)
+        blamed_in_service(service, of_service, suspects, has_succeeded)
     });
     let mut blamed: Vec<BlamedPart> = blamed.collect();
     blamed.sort_unstable_by(|a, b| (&a.service, &a.part).cmp(&(&b.service, &b.part)));
@@ -188,9 +193,10 @@
 fn blamed_in_service(
     service: &ServiceName,
     crashes: Vec<&CrashedServer>,
+    suspects: Suspects,
     has_succeeded: impl Fn(&PromptPartId) -> bool,
 ) -> Vec<BlamedPart> {
-    let found = explain(&crashes, &has_succeeded);
+    let found = explain(&crashes, suspects, &has_succeeded);
     let has_blamed_part =
         |crash: &&CrashedServer| found.iter().any(|it| crash.has_part(it.suspicion.part));
     let unexplained: Vec<&CrashedServer> = crashes
@@ -221,15 +227,16 @@
 /// Returns the fewest parts that explain `crashes`, as far as parts explain them.
 fn explain<'a>(
     crashes: &[&'a CrashedServer],
+    suspects: Suspects,
     has_succeeded: impl Fn(&PromptPartId) -> bool,
 ) -> Vec<Explanation<'a>> {
     let mut found: Vec<Explanation<'_>> = Vec::new();
     let mut unexplained = crashes.to_vec();
     loop {
-        let suspects = frequent_parts(&unexplained);
-        let suspicions = suspects
+        let frequent = frequent_parts(&unexplained, suspects);
+        let suspicions = frequent
             .into_iter()
-            .filter_map(|part| Suspicion::of(part, &unexplained, has_succeeded(part)));
+            .filter_map(|part| Suspicion::of(part, &unexplained, suspects, has_succeeded(part)));
         let Some(suspicion) = suspicions.min_by(|a, b| a.rank().cmp(&b.rank())) else {
             break;
         };
@@ -253,7 +260,7 @@
             .copied()
             .filter(|crash| others().all(|(_, it)| !crash.has_part(it.suspicion.part)))
             .collect();
-        match Suspicion::of(part, &own, has_succeeded(part)) {
+        match Suspicion::of(part, &own, suspects, has_succeeded(part)) {
             Some(_) => at += 1,
             None => {
                 found.remove(at);
@@ -264,11 +271,12 @@
 }
 
 /// Returns the parts at enough of the crashes to be blamed, without duplicates.
-fn frequent_parts<'a>(crashes: &[&'a CrashedServer]) -> Vec<&'a PromptPartId> {
-    let mut mentions: Vec<(&PromptPartId, ServerFingerprint)> = crashes
-        .iter()
-        .flat_map(|crash| crash.parts().map(|part| (part, crash.server)))
-        .collect();
+fn frequent_parts<'a>(crashes: &[&'a CrashedServer], suspects: Suspects) -> Vec<&'a PromptPartId> {
+    let mut mentions: Vec<(&PromptPartId, ServerFingerprint)> = Vec::new();
+    for crash in crashes {
+        let parts = crash.runs_of(suspects).flat_map(|run| &run.parts);
+        mentions.extend(parts.map(|part| (part, crash.server)));
+    }
     mentions.sort_unstable();
     mentions.dedup();
     let by_part = mentions.chunk_by(|a, b| a.0 == b.0);
--- a/crates/foxwheel-policy/src/part_quarantine/crashes.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/crashes.rs
@@ -54,6 +54,15 @@
     }
 }
 
+/// The runs that may have caused a crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Suspects {
+    /// Online requests: nobody hands in a batch item that crashes servers.
+    OnlineRequests,
+    /// Batch items as well.
+    AllRuns,
+}
+
 /// A server that crashed.
 #[derive(Debug, Clone)]
 pub struct CrashedServer {
@@ -173,21 +182,13 @@
         self.runs.iter().any(|run| run.has_part(part))
     }
 
-    /// Returns the runs with that part.
-    pub fn runs_with<'a>(&'a self, part: &'a str) -> impl Iterator<Item = &'a CutOffRun> {
-        self.runs.iter().filter(move |run| run.has_part(part))
-    }
-
-    /// Returns whether the crash cut off a batch item.
-    pub fn has_items(&self) -> bool {
-        self.runs.iter().any(|run| run.kind == RunKind::BatchItem)
-    }
-
-    /// Returns the crash without the runs of batch items, which are never the cause.
-    pub fn without_items(&self) -> Self {
-        let mut crash = self.clone();
-        crash.runs.retain(|run| run.kind == RunKind::Online);
-        crash
+    /// Returns the runs of suspects.
+    pub fn runs_of(&self, suspects: Suspects) -> impl Iterator<Item = &CutOffRun> {
+        let is_suspect = move |run: &&CutOffRun| match suspects {
+            Suspects::OnlineRequests => run.kind == RunKind::Online,
+            Suspects::AllRuns => true,
+        };
+        self.runs.iter().filter(is_suspect)
     }
 
     /// Returns the parts of all runs, each as often as it occurs.
