Keep the chunks of an object whose response was lost

A value in chunks is lost: the object that lists them exists and the chunks do not.

Cause: after a lost response the next try finds the object, which was taken for that of another process, so that the own chunks were deleted as unused.

Change: an object that lists the own chunks is the own one. The chunks have a random name, so that no other process can list them.

Tests: node::job_store a_value_in_chunks_survives_lost_responses failed before (one run: MissingChunk) and passes; a_part_in_chunks_is_created_by_one_worker.

--- a/crates/foxwheel-node/src/chunked_objects.rs
+++ b/crates/foxwheel-node/src/chunked_objects.rs
@@ -49,7 +49,7 @@
 }
 
 /// The content of the object of a value that is stored in chunks.
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct ChunkList {
     /// Names of the chunks, in the order of the text.
@@ -126,32 +126,47 @@
 ) -> Result<Option<Value>, ValueError> {
     // Another process may store another value under the same name.
     let nonce: u64 = rand::random();
-    let mut list = ChunkList { chunks: Vec::new() };
-    let mut created = Ok(None);
-    for text in split_text(encoded, max_bytes) {
-        let chunk = format!("{kind}.{name}.{nonce:016x}-{}", list.chunks.len());
-        let spec = encode(&text);
-        list.chunks.push(chunk.clone());
-        let chunk_created =
-            store_relay::create_with_retries(node, CHUNKS_KIND, &chunk, spec, deadline).await;
-        if let Err(e) = chunk_created {
-            created = Err(e.into());
-            break;
-        }
-    }
-    if created.is_ok() {
-        created = create_object(node, kind, name, encode(&list), deadline).await;
-    }
+    let texts = split_text(encoded, max_bytes);
+    let names = (0..texts.len()).map(|number| format!("{kind}.{name}.{nonce:016x}-{number}"));
+    let list = ChunkList {
+        chunks: names.collect(),
+    };
+    let created = create_listed(node, kind, name, &list, &texts, deadline).await;
     // After an unknown outcome the object may exist and need its chunks.
     let is_unused = match &created {
         Ok(existing) => existing.is_some(),
-        Err(ValueError::Store(e)) => e.is_not_done(),
-        Err(_) => true,
+        Err(e) => e.is_not_done(),
     };
     if is_unused {
         delete_chunks(node, &list.chunks).await;
     }
-    created
+    match created? {
+        Some(spec) => read_chunks(node, kind, name, spec, deadline)
+            .await
+            .map(Some),
+        None => Ok(None),
+    }
+}
+
+/// Creates the chunks of `list` with these texts, and then the object that lists them. Returns the
+/// content of the object if another one existed.
+async fn create_listed(
+    node: &Node,
+    kind: &str,
+    name: &str,
+    list: &ChunkList,
+    texts: &[&str],
+    deadline: Instant,
+) -> Result<Option<Value>, StoreError> {
+    for (chunk, text) in list.chunks.iter().zip(texts) {
+        let spec = encode(text);
+        store_relay::create_with_retries(node, CHUNKS_KIND, chunk, spec, deadline).await?;
+    }
+    let spec = encode(list);
+    let existing = store_relay::create_with_retries(node, kind, name, spec, deadline).await?;
+    let existing = existing.map(|object| object.spec);
+    // It may be the object of an earlier try whose response was lost.
+    Ok(existing.filter(|spec| ChunkList::deserialize(spec).ok().as_ref() != Some(list)))
 }
 
 /// Returns `spec`, or the value whose chunks it lists.
--- a/crates/foxwheel-node/tests/job_store.rs
+++ b/crates/foxwheel-node/tests/job_store.rs
@@ -2,12 +2,14 @@
 
 mod common;
 
-use foxwheel_node::job_store::JobStore;
+use std::time::{Duration, Instant};
+
+use foxwheel_node::job_store::{JobStore, PartCreation};
 use foxwheel_node::node::Node;
 use foxwheel_node::settings::Role;
 use foxwheel_platform_emu::settings::PlatformSettings;
 use foxwheel_policy::batch::checkpoint::{ItemCheckpoint, JobCheckpoint};
-use foxwheel_policy::batch::item::PartialOutput;
+use foxwheel_policy::batch::item::{ItemOutcome, ItemResult, PartialOutput};
 use foxwheel_store::api::Faults;
 use foxwheel_store::client::StoreClient;
 use tokio_util::sync::CancellationToken;
@@ -87,3 +89,55 @@
     }
     cancel.cancel();
 }
+
+/// Returns a result that does not fit into one object.
+fn large_result(character: &str) -> ItemResult {
+    ItemResult {
+        id: "item-0".to_owned(),
+        outcome: ItemOutcome::Completed,
+        output: character.repeat(900_000),
+    }
+}
+
+/// Guards against the loss of a stored value: its chunks were deleted as unused because the response
+/// to the write of its object was lost.
+#[actix_web::test]
+async fn a_value_in_chunks_survives_lost_responses() {
+    let cancel = CancellationToken::new();
+    let (store, operator) = start_job_store(&cancel);
+    let job = "job".to_owned();
+    for every in 2..5 {
+        let fault = Faults {
+            lose_reply_every: every,
+            ..Faults::default()
+        };
+        operator.set_faults(&fault).await.expect("faults set");
+        let results = [large_result("\"")];
+        let number = every as u32;
+        let created = store.create_part(&job, number, &results).await;
+        assert_eq!(created.expect("created"), PartCreation::Created);
+        let deadline = Instant::now() + Duration::from_secs(10);
+        let loaded = store.load_part(&job, number, deadline).await;
+        assert!(loaded.expect("readable").expect("stored") == results);
+    }
+    cancel.cancel();
+}
+
+/// The part of the worker that was first stays, and nothing of the other one.
+#[actix_web::test]
+async fn a_part_in_chunks_is_created_by_one_worker() {
+    let cancel = CancellationToken::new();
+    let (store, operator) = start_job_store(&cancel);
+    let job = "job".to_owned();
+    let first = [large_result("1")];
+    let created = store.create_part(&job, 0, &first).await.expect("created");
+    assert_eq!(created, PartCreation::Created);
+    let chunks = operator.list("foxwheel-chunks/").await.expect("listed");
+    let second = store.create_part(&job, 0, &[large_result("2")]).await;
+    assert!(second.expect("stored") == PartCreation::AlreadyExists(first.to_vec()));
+    let repeat = store.create_part(&job, 0, &first).await.expect("created");
+    assert_eq!(repeat, PartCreation::Created);
+    let chunks_after = operator.list("foxwheel-chunks/").await.expect("listed");
+    assert!(chunks_after.objects == chunks.objects);
+    cancel.cancel();
+}
--- a/crates/foxwheel-policy/src/part_quarantine/crashes.rs
+++ b/crates/foxwheel-policy/src/part_quarantine/crashes.rs
@@ -57,7 +57,7 @@
 /// The runs that may have caused a crash.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Suspects {
-    /// Online requests: nobody hands in a batch item that crashes servers.
+    /// Online requests: users submit no batch items that crash servers.
     OnlineRequests,
     /// Batch items as well.
     AllRuns,
--- a/crates/foxwheel-policy/src/quarantine.rs
+++ b/crates/foxwheel-policy/src/quarantine.rs
@@ -6,12 +6,12 @@
 //! requests suspected that are not at fault. Routes limit the retries of each single request,
 //! but the repeated requests still take down the fleet.
 //!
-//! Crashes are therefore counted per request content. Those that cut off batch items only count
-//! against no content: they show that a server crashed, and hold the item back for a short time. Every process keeps the crashes observed
-//! by any process; merging them is commutative and idempotent. A content under which enough
-//! server instances crashed one after the other is not run for a while. One complete response
-//! from the same service clears the content, because a request that always crashes its server
-//! never gets one.
+//! Crashes are therefore counted per request content. Those that cut off batch items count against
+//! no content: they show that a server crashed, and hold the item back for a short time. Every
+//! process keeps the crashes observed by any process; merging them is commutative and idempotent. A
+//! content under which enough server instances crashed one after the other is not run for a while.
+//! One complete response from the same service clears the content, because a request that always
+//! crashes its server never gets one.
 //!
 //! When all servers of a service end within a short time, whatever the reason, a content that many
 //! callers send is at each of them and no server is left to clear it. A content that may not be at
@@ -77,7 +77,7 @@
     /// An online request, which may be the cause of the crash.
     #[default]
     Online,
-    /// A batch item, which is never the cause: nobody hands in an item that crashes servers.
+    /// A batch item, which is never the cause: users submit no items that crash servers.
     BatchItem,
 }
 
