Soak: clients give up refused jobs, whose items must not run

Half of them now give up a job that was refused at both of its first attempts, and NotRunIsTrue covers its items. The check has a test in which it fails.

--- a/crates/foxwheel-soak/src/batch_client.rs
+++ b/crates/foxwheel-soak/src/batch_client.rs
@@ -11,7 +11,7 @@
 use serde_json::Value;
 use tokio_util::sync::CancellationToken;
 
-use crate::evidence::{Job, Recorder};
+use crate::evidence::{Job, Recorder, RefusedJob};
 use crate::front_client;
 
 /// Range of the number of items of a job.
@@ -20,6 +20,12 @@
 /// Probability that a client ends its job early.
 const ENDED_JOB_SHARE: f64 = 0.2;
 
+/// Number of attempts after which a client may give up a job that was refused each time.
+const ATTEMPTS_BEFORE_GIVING_UP: u32 = 2;
+
+/// Probability that it does.
+const GIVEN_UP_JOB_SHARE: f64 = 0.5;
+
 /// Time limit for one response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -78,7 +84,8 @@
     }
 
     /// Submits a job until it is accepted, and sometimes once more after that. Returns the time at
-    /// which the acceptance was received, or `None` if `stop` was cancelled before.
+    /// which the acceptance was received, or `None` if `stop` was cancelled before or the job was
+    /// given up. A job is given up only if no attempt may have been accepted.
     async fn submit_until_accepted(
         &self,
         id: &str,
@@ -86,9 +93,12 @@
         rng: &mut StdRng,
         stop: &CancellationToken,
     ) -> Option<Instant> {
+        let mut refusals = 0;
+        let mut may_be_accepted = false;
         while !stop.is_cancelled() {
             let submitted = front_client::submit_job(self.choose_front(rng), id, item_count);
-            if await_status(submitted).await == Some(StatusCode::ACCEPTED) {
+            let status = await_status(submitted).await;
+            if status == Some(StatusCode::ACCEPTED) {
                 let accepted_at = Instant::now();
                 if rng.random_bool(0.3) {
                     // The job is accepted already, whatever the response to the repeated
@@ -102,6 +112,23 @@
                 }
                 return Some(accepted_at);
             }
+            match status {
+                Some(StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE) => {
+                    refusals += 1
+                }
+                _ => may_be_accepted = true,
+            }
+            if refusals == ATTEMPTS_BEFORE_GIVING_UP
+                && !may_be_accepted
+                && rng.random_bool(GIVEN_UP_JOB_SHARE)
+            {
+                let job = RefusedJob {
+                    id: id.to_owned(),
+                    item_count,
+                };
+                self.recorder.lock().refused_jobs.push(job);
+                return None;
+            }
             tokio::time::sleep(CALL_INTERVAL).await;
         }
         None
--- a/crates/foxwheel-soak/src/checks.rs
+++ b/crates/foxwheel-soak/src/checks.rs
@@ -6,7 +6,7 @@
 use foxwheel_server_emu::server::{event_data, versioned_event_text};
 use serde_json::Value;
 
-use crate::evidence::{Call, CallEnd, Evidence, Job, RequestKind, ServerRun};
+use crate::evidence::{Call, CallEnd, Evidence, Job, RefusedJob, RequestKind, ServerRun};
 use crate::front_client;
 use crate::process::ProcessExit;
 use crate::store_entries;
@@ -57,7 +57,7 @@
     OneVersion,
     /// Most streams that callers resume go on.
     StreamsGoOn,
-    /// A request that a response declares as not run was not run.
+    /// A request or job that a response declares as not run was not run.
     NotRunIsTrue,
     /// A request runs at most as often as its route allows.
     RunsAllowed,
@@ -123,6 +123,9 @@
         check_outputs_and_job_end(evidence, job, &mut findings);
         check_quota(evidence, job, &mut findings);
     }
+    for job in &evidence.refused_jobs {
+        check_refused_job(evidence, job, &mut findings);
+    }
     check_resumed_streams(evidence, &mut findings);
     check_leaving_servers(evidence, &mut findings);
     check_crashes(evidence, &mut findings);
@@ -230,6 +233,17 @@
     }
 }
 
+fn check_refused_job(evidence: &Evidence, job: &RefusedJob, findings: &mut Findings) {
+    let items = (0..job.item_count).map(|at| front_client::item_id(&job.id, at));
+    let runs: usize = items
+        .map(|item| evidence.runs_of_request(&item).count())
+        .sum();
+    if runs > 0 {
+        let seen = format!("{runs} runs of items of a job that was refused at each attempt");
+        findings.add(Promise::NotRunIsTrue, &job.id, seen);
+    }
+}
+
 fn check_call_end(evidence: &Evidence, call: &Call, findings: &mut Findings) {
     let mut runs = evidence.runs_of_request(&call.id);
     match &call.end {
--- a/crates/foxwheel-soak/src/evidence.rs
+++ b/crates/foxwheel-soak/src/evidence.rs
@@ -114,6 +114,15 @@
     pub second_read: Option<Vec<Value>>,
 }
 
+/// A job that was refused as not run at each attempt of its client, which then gave it up.
+#[derive(Debug, Clone)]
+pub struct RefusedJob {
+    /// Id of the job.
+    pub id: String,
+    /// Number of items of the job.
+    pub item_count: usize,
+}
+
 /// A run at a backend server.
 #[derive(Debug, Clone)]
 pub struct ServerRun {
@@ -195,6 +204,8 @@
     pub calls: Vec<Call>,
     /// Jobs that were accepted.
     pub jobs: Vec<Job>,
+    /// Jobs that were refused and given up by their clients.
+    pub refused_jobs: Vec<RefusedJob>,
     /// Runs at all backend servers.
     pub runs: Vec<ServerRun>,
     /// Requests that arrived at backend servers.
--- a/crates/foxwheel-soak/tests/checks.rs
+++ b/crates/foxwheel-soak/tests/checks.rs
@@ -9,7 +9,7 @@
 use foxwheel_server_emu::server::event_data;
 use foxwheel_soak::checks::{self, Promise};
 use foxwheel_soak::evidence::{CallEnd, ConfigProbe, ConfigWrite, CutScope};
-use foxwheel_soak::evidence::{Job, ProcessStop, RequestKind, ResumedStream};
+use foxwheel_soak::evidence::{Job, ProcessStop, RefusedJob, RequestKind, ResumedStream};
 use foxwheel_soak::front_client;
 use foxwheel_soak::process::{ProcessExit, Resources};
 use foxwheel_soak::store_entries::VERSIONS;
@@ -134,6 +134,19 @@
     assert_eq!(case.broken_promises(), [Promise::NotRunIsTrue]);
 }
 
+#[test]
+fn a_run_of_an_item_of_a_refused_job_is_a_breach() {
+    let mut case = Case::new();
+    case.evidence.refused_jobs.push(RefusedJob {
+        id: "job".to_owned(),
+        item_count: 2,
+    });
+    case.add_run("job-item-2", 10_000, Some(10_050));
+    assert_eq!(case.broken_promises(), [], "an item of another job");
+    case.add_run("job-item-1", 10_000, Some(10_050));
+    assert_eq!(case.broken_promises(), [Promise::NotRunIsTrue]);
+}
+
 #[test]
 fn more_runs_than_the_route_allows_are_a_breach() {
     for (kind, allowed) in [
