Replace a checkpoint only at its revision

Progress of items is lost: a write of an earlier checkpoint whose response was lost is carried out seconds later, by the store or by a frozen peer that relays it, and replaces the last one.

Cause: checkpoints were replaced without a condition.

Change: the worker keeps the revision of its object and replaces it only there. After a conflict it goes on from the revision that the store returns.

Test: node::job_store a_late_write_of_a_checkpoint_does_not_replace_a_newer_one failed before (one run) and passes.

--- a/crates/foxwheel-node/src/job_store/checkpoints.rs
+++ b/crates/foxwheel-node/src/job_store/checkpoints.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use foxwheel_core::error::Origin;
 use foxwheel_core::ids::ItemId;
 use foxwheel_core::time;
 use foxwheel_platform::store::{EncodedJson, Object, StoreError, Write, WriteOutcome};
@@ -18,6 +19,9 @@
 
 const CHECKPOINTS_KIND: &str = "foxwheel-checkpoints";
 
+/// Maximum number of tries to write an object whose revision is not the expected one.
+const MAX_WRITE_TRIES: u32 = 4;
+
 /// The progress of the jobs of one worker.
 #[derive(Serialize, Deserialize)]
 struct CheckpointRecord {
@@ -33,9 +37,17 @@
 pub(super) struct CheckpointObjects {
     /// Number of checkpoints that were written into new objects, completely or not.
     saves: u64,
-    /// Names of the objects that may exist: those of the last complete checkpoint and, if a later
-    /// one could not be completed, of that as well.
-    names: Vec<String>,
+    /// The objects that may exist: those of the last complete checkpoint and, if a later one could
+    /// not be completed, of that as well.
+    known: Vec<CheckpointObject>,
+}
+
+/// An object of a checkpoint.
+#[derive(Debug)]
+struct CheckpointObject {
+    name: String,
+    /// The revision of the last write; `None` before the first one, or if it is not known.
+    revision: Option<u64>,
 }
 
 impl JobStore {
@@ -75,11 +87,8 @@
         let specs: Vec<EncodedJson> = specs.collect();
         let bytes = specs.iter().map(EncodedJson::len).sum();
         let mut objects = self.checkpoint_objects.lock().await;
-        match (specs.as_slice(), objects.names.as_slice()) {
-            ([spec], [name]) => {
-                self.replace_or_create(CHECKPOINTS_KIND, name.clone(), spec.clone())
-                    .await?;
-            }
+        match (specs.as_slice(), objects.known.as_mut_slice()) {
+            ([spec], [object]) => self.write_object(object, spec).await?,
             _ => self.write_checkpoint(&specs, &mut objects).await?,
         }
         Ok(bytes)
@@ -92,28 +101,27 @@
         objects: &mut CheckpointObjects,
     ) -> Result<(), StoreError> {
         let process = format!("{}.{}", self.node.settings.host, self.node.incarnation);
-        let earlier = objects.names.len();
+        let earlier = objects.known.len();
         let save = objects.saves;
         objects.saves += 1;
         for (number, spec) in specs.iter().enumerate() {
-            let name = format!("{process}-{save}-{number}");
-            // After an error the object may exist all the same.
-            objects.names.push(name.clone());
-            let create = Write::Create {
-                kind: CHECKPOINTS_KIND.to_owned(),
-                name,
-                spec: spec.clone(),
+            let mut object = CheckpointObject {
+                name: format!("{process}-{save}-{number}"),
+                revision: None,
             };
-            store_relay::write(&self.node, &create).await?;
+            let written = self.write_object(&mut object, spec).await;
+            // After an error the object may exist all the same.
+            objects.known.push(object);
+            written?;
         }
-        for name in objects.names.drain(..earlier) {
+        for object in objects.known.drain(..earlier) {
             let delete = Write::Delete {
                 kind: CHECKPOINTS_KIND.to_owned(),
-                name: name.clone(),
+                name: object.name.clone(),
                 revision: None,
             };
             if let Err(e) = store_relay::write(&self.node, &delete).await {
-                log::info!(name, error:% = e; "could not delete an earlier checkpoint; it expires");
+                log::info!(name = object.name, error:% = e; "could not delete an earlier checkpoint; it expires");
             }
         }
         Ok(())
@@ -155,28 +163,41 @@
         Ok(expired.len())
     }
 
-    /// Writes an object unconditionally, replacing any existing one.
-    async fn replace_or_create(
+    /// Creates an object or replaces it at its revision, so that a write that arrives late does not
+    /// replace a newer one.
+    async fn write_object(
         &self,
-        kind: &str,
-        name: String,
-        spec: EncodedJson,
+        object: &mut CheckpointObject,
+        spec: &EncodedJson,
     ) -> Result<(), StoreError> {
-        let replace = Write::Replace {
-            kind: kind.to_owned(),
-            name: name.clone(),
-            spec: spec.clone(),
-            revision: None,
-        };
-        if let WriteOutcome::Missing = store_relay::write(&self.node, &replace).await? {
-            let create = Write::Create {
-                kind: kind.to_owned(),
-                name,
-                spec,
+        for _ in 0..MAX_WRITE_TRIES {
+            let (kind, name) = (CHECKPOINTS_KIND.to_owned(), object.name.clone());
+            let spec = spec.clone();
+            let write = match object.revision {
+                None => Write::Create { kind, name, spec },
+                revision => Write::Replace {
+                    kind,
+                    name,
+                    spec,
+                    revision,
+                },
             };
-            store_relay::write(&self.node, &create).await?;
+            match store_relay::write(&self.node, &write).await? {
+                WriteOutcome::Done(written) => {
+                    object.revision = Some(written.revision);
+                    return Ok(());
+                }
+                // An earlier write whose response was lost has been done, or it expired.
+                WriteOutcome::Conflict(existing) => {
+                    object.revision = existing.map(|existing| existing.revision);
+                }
+                WriteOutcome::Missing => object.revision = None,
+            }
         }
-        Ok(())
+        Err(StoreError::NotDone {
+            origin: Origin::new("write checkpoint", object.name.clone()),
+            reason: "its revision changed at each try".to_owned(),
+        })
     }
 }
 
--- a/crates/foxwheel-node/tests/job_store.rs
+++ b/crates/foxwheel-node/tests/job_store.rs
@@ -141,3 +141,33 @@
     assert!(chunks_after.objects == chunks.objects);
     cancel.cancel();
 }
+
+/// Guards against progress that is lost: a write of an earlier checkpoint arrives late, and replaces
+/// the last one.
+#[actix_web::test]
+async fn a_late_write_of_a_checkpoint_does_not_replace_a_newer_one() {
+    const LATE: Duration = Duration::from_millis(300);
+    let cancel = CancellationToken::new();
+    let (store, operator) = start_job_store(&cancel);
+    let checkpoints = ["a", "b", "c"].map(|job| [large_checkpoint(job)]);
+    let [first, late, last] = &checkpoints;
+    store.save_checkpoints(first).await.expect("saved");
+    let fault = Faults {
+        lose_reply_every: 2,
+        late_ms: LATE.as_millis() as u64,
+        ..Faults::default()
+    };
+    operator.set_faults(&fault).await.expect("faults set");
+    store
+        .save_checkpoints(late)
+        .await
+        .expect_err("the response is lost");
+    operator
+        .set_faults(&Faults::default())
+        .await
+        .expect("faults set");
+    store.save_checkpoints(last).await.expect("saved");
+    tokio::time::sleep(2 * LATE).await;
+    assert!(store.load_checkpoints().await.expect("loaded") == last);
+    cancel.cancel();
+}
