Report a retirement only at the revision of its request

A host is never taken away: the first report, `running`, whose response was lost, is carried out seconds later and replaces `completed`.

Cause: the status was written without a condition and repeated until a response came.

Change: each report is written at the revision of the request, or of the report before. After a conflict it goes on from the revision that the store returns.

Test: node::retirement_watch failed before (two runs: "running") and passes.

--- a/crates/foxwheel-node/src/retirement_watch.rs
+++ b/crates/foxwheel-node/src/retirement_watch.rs
@@ -31,59 +31,80 @@
 /// until the process must stop. Returns early if the watch has to start over.
 async fn retire_when_requested(node: &Node) -> Result<(), StoreError> {
     let own = &node.settings.host;
-    let listing = node.store.list(retirement::KIND).await?;
-    let mut requested = listing
-        .objects
-        .iter()
-        .any(|object| is_requested(own, object));
-    let mut revision = listing.revision;
-    while !requested {
-        let watched = node
-            .store
-            .watch(retirement::KIND, revision, WATCH_WAIT)
-            .await?;
-        match watched {
-            WatchOutcome::HistoryExpired => return Ok(()),
-            WatchOutcome::Changes {
-                changes,
-                revision: next,
-            } => {
-                revision = next;
-                requested = changes
-                    .iter()
-                    .any(|change| !change.removed && is_requested(own, &change.object));
-            }
-        }
-    }
+    let Some(requested_at) = wait_for_request(node).await? else {
+        return Ok(());
+    };
     log::info!(host = own; "asked to retire");
-    write_retirement(node, Progress::Running).await;
+    let running_at = report_progress(node, requested_at, Progress::Running).await;
     node.retiring.cancel();
     while node.has_owned_jobs() {
         tokio::time::sleep(OWNED_JOBS_CHECK_INTERVAL).await;
     }
-    write_retirement(node, Progress::Completed).await;
+    report_progress(node, running_at, Progress::Completed).await;
     log::info!(host = own; "retired: this host owns no jobs");
     node.leaving.cancelled().await;
     Ok(())
 }
 
+/// Waits for a request to retire this host and returns its revision, or `None` if the watch has to
+/// start over.
+async fn wait_for_request(node: &Node) -> Result<Option<u64>, StoreError> {
+    let own = &node.settings.host;
+    let request = |object: &Object| is_requested(own, object).then_some(object.revision);
+    let listing = node.store.list(retirement::KIND).await?;
+    if let Some(requested_at) = listing.objects.iter().find_map(request) {
+        return Ok(Some(requested_at));
+    }
+    let mut revision = listing.revision;
+    loop {
+        let watched = node
+            .store
+            .watch(retirement::KIND, revision, WATCH_WAIT)
+            .await?;
+        let WatchOutcome::Changes {
+            changes,
+            revision: next,
+        } = watched
+        else {
+            return Ok(None);
+        };
+        revision = next;
+        let changes = changes.iter().filter(|change| !change.removed);
+        let mut requests = changes.filter_map(|change| request(&change.object));
+        if let Some(requested_at) = requests.next() {
+            return Ok(Some(requested_at));
+        }
+    }
+}
+
 fn is_requested(own: &NodeId, object: &Object) -> bool {
     object.name == *own && retirement::is_requested(&object.spec, &object.status)
 }
 
-async fn write_retirement(node: &Node, progress: Progress) {
-    let write = Write::SetStatus {
-        kind: retirement::KIND.to_owned(),
-        name: node.settings.host.clone(),
-        status: retirement::encode(progress).to_string(),
-    };
+/// Writes `progress` as the status of the request, which was seen at `revision`, and returns its
+/// revision after that. The write is conditional, so that one that arrives late does not replace a
+/// later report.
+async fn report_progress(node: &Node, revision: u64, progress: Progress) -> u64 {
+    let status = retirement::encode(progress);
+    let mut revision = revision;
     let mut backoff = Backoff::default();
     loop {
+        let write = Write::SetStatus {
+            kind: retirement::KIND.to_owned(),
+            name: node.settings.host.clone(),
+            status: status.to_string(),
+            revision: Some(revision),
+        };
         match node.store.write(&write).await {
-            Ok(WriteOutcome::Done(_) | WriteOutcome::Missing) => return,
-            Ok(WriteOutcome::Conflict(_)) | Err(_) => {
-                node.store.wait_before_retry(backoff.next_delay()).await
+            Ok(WriteOutcome::Done(object)) => return object.revision,
+            Ok(WriteOutcome::Missing) => return revision,
+            // An earlier try whose response was lost may have been done.
+            Ok(WriteOutcome::Conflict(Some(object))) if object.status == status => {
+                return object.revision
             }
+            Ok(WriteOutcome::Conflict(Some(object))) => revision = object.revision,
+            Ok(WriteOutcome::Conflict(None)) | Err(_) => {}
         }
+        node.store.wait_before_retry(backoff.next_delay()).await;
     }
 }
--- a/crates/foxwheel-platform-emu/tests/store_contract.rs
+++ b/crates/foxwheel-platform-emu/tests/store_contract.rs
@@ -411,6 +411,7 @@
         kind: "k".to_owned(),
         name: "00007".to_owned(),
         status: "{\"state\":\"running\"}".to_owned(),
+        revision: None,
     };
     for _ in 0..2 {
         assert!(matches!(
