Serve calls on accepted jobs whose host has no route any more

Cause: a call on a job was taken for one only if some route has its host.

Change: a call on a job needs no route. For a job that does not exist the answer is 404, as before, after a look at the worker or the store.

--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -260,16 +260,16 @@
     }
 }
 
-/// Decodes a call on a batch job. Returns `None` if the request is no such call, if a route matches
-/// it, or if the configuration has no route for its host.
+/// Decodes a call on a batch job. Returns `None` if the request is no such call, or if a route matches
+/// it. A job outlives the routes of its host, so that the host needs none.
 fn decode_job_call(
     config: &Config,
     head: &request::Parts,
     caller: &wire::CallerRequest,
 ) -> Option<batch_api::JobCall> {
     let call = batch_api::decode_call(head)?;
-    let is_routed = config.match_route(&caller.host, &caller.path).is_some();
-    (!is_routed && config.has_host(&caller.host)).then_some(call)
+    let route = config.match_route(&caller.host, &caller.path);
+    route.is_none().then_some(call)
 }
 
 fn head_size_bytes(head: &request::Parts) -> usize {
--- a/crates/foxwheel-node/tests/batch_contract.rs
+++ b/crates/foxwheel-node/tests/batch_contract.rs
@@ -314,6 +314,27 @@
     fleet.cancel.cancel();
 }
 
+/// Guards against 404 for an accepted job: the configuration has no route of its host any more.
+#[actix_web::test]
+async fn a_job_stays_readable_without_a_route_of_its_host() {
+    let fleet = Fleet::start(FleetPlan::default()).await;
+    let front = fleet.fronts[0];
+    submit_job(front, "job", 3).await.expect("a response");
+    let results = wait_for_results(front, "job", 3).await;
+    let move_host = |config: &mut Value| {
+        for route in config["routes"].as_array_mut().expect("routes") {
+            route["host"] = json!("other.example");
+        }
+    };
+    fleet.configure(2, move_host).await;
+    common::wait_for_status(front, "/plain/a", StatusCode::NOT_FOUND).await;
+    let read = read_results(front, "job", 0).await.expect("readable");
+    assert_eq!(read["results"], json!(results));
+    assert_eq!(end_job(&fleet, "job").await, StatusCode::OK);
+    assert_eq!(end_job(&fleet, "unknown").await, StatusCode::NOT_FOUND);
+    fleet.cancel.cancel();
+}
+
 /// A worker dies while items are running and results are not stored yet. Another worker takes
 /// its jobs over.
 #[actix_web::test]
--- a/crates/foxwheel-policy/src/routes.rs
+++ b/crates/foxwheel-policy/src/routes.rs
@@ -108,14 +108,6 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
-    /// Returns whether any route matches `host`.
-    pub fn has_host(&self, host: &str) -> bool {
-        let host = host_without_port(host);
-        self.routes
-            .iter()
-            .any(|route| route.host.eq_ignore_ascii_case(host))
-    }
-
     /// Returns the settings of a service, or `None` if the configuration has none.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
