Known red: crowds of callers take the memory and the open files of a process

What callers saw: in a trial of the users a front ran out of memory and ended while many callers sent large bodies, stopped just short of their end and stayed.

The tests run the programs as processes, one test at a time. They check that the process lives, that its memory (anonymous, and what has arrived and was not read) and its open files stay under a bound, and that one ordinary request is served afterwards; a refusal that says that the request has not run is followed as it says. The bounds are the memory of the smallest front host (88 MB) and worker host (130 MB) of the deployments, of the largest entry host (512 MB) for the own gateway and of the hosts beside backend servers (192 MB) for the own agent, and the limit of open files less those that the platform reserves. Nothing depends on time but the wait for a process that hangs. Routes wait ten minutes, so that a slow machine holds what a fast one holds.

Ruled out: a crowd that the kernel holds. With the default send buffers 64 callers with 1.5 MB each had sent everything within 50 ms while the front had read 10 MB, so that the callers have small send buffers.

--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod endless_servers;
 pub mod pausing_servers;
 pub mod peer_messages;
+pub mod programs;
 pub mod restarting_servers;
 
 pub use foxwheel_soak::front_client::{self, ReceivedResponse};
