Limit the connections of callers to a front, and close those that stand still

What callers saw: 600 connections with half a head at a front with 400 open files took all of them; an ordinary request got no response.

Cause: a front accepted connections until the kernel refused it a descriptor, and kept each for the idle timeout (20 s) whether or not a request ever came. It knew neither its open files nor its memory, and the header timeout of the configuration was not applied.

Change: the settings have memory_limit_mb and open_files_limit, which the templates fill in; a process that is told nothing assumes the smallest host and the limit that it was started with. policy::caller_connections decides which connections are kept: for a new one, the caller that is furthest behind is closed, else the oldest incomplete head, else the longest idle connection; never one whose request is being served. A head has the header timeout of the configuration, a response that its caller does not read 5 s. foxwheel-callers keeps the connections, the front's server for callers (split from front.rs, as are readiness and metrics) reports what each does.

Evidence: front_has_no_file_left_beside_half_heads failed before (no response) and passes (59 open files of 200 at most); policy tests replay the decisions.

Tests: a crowd counts as settled only when no caller went on for 3 s; before, the ordinary request could come while the crowd was still arriving. The fleet of the programs is dropped after them: it released its network while they were running, and two tests of other fleets found their addresses in use (traced: both beside a run of the crowds).

Ruled out: closing a connection for the sake of each new one. A caller whose head arrives in one piece would be closed by a flood of empty connections.

--- /dev/null
+++ b/crates/foxwheel-callers/src/host.rs
@@ -0,0 +1,60 @@
+//! What a process may use on its host, and the part of it that callers may take.
+
+use foxwheel_policy::caller_connections::ConnectionLimits;
+use nix::sys::resource::{self, Resource};
+
+/// Open files of a host that a platform keeps for other purposes than the sockets of the process.
+const RESERVED_FILES: usize = 200;
+
+/// Open files that a process needs for itself: its listeners, and connections to the store and to
+/// other processes.
+const OWN_FILES: usize = 128;
+
+/// Open files for each connection of a caller: its socket, and one to a backend server.
+const FILES_PER_CONNECTION: usize = 2;
+
+/// Part of the memory that callers may take. The rest is for the process itself, for what its
+/// allocator cannot return, and for what arrives at sockets and is not read yet.
+const CALLERS_SHARE: f64 = 0.4;
+
+/// Smallest number of connections, however few files the host allows.
+const MIN_CONNECTIONS: usize = 8;
+
+/// The number of bytes in a megabyte, as settings count them.
+pub const BYTES_PER_MB: f64 = 1_000_000.0;
+
+/// What a process may use on its host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Memory, in bytes.
+    pub memory_bytes: u64,
+    /// Open files, among them sockets; `None` for the limit that the process was started with.
+    pub open_files: Option<u64>,
+}
+
+impl HostLimits {
+    /// Returns what the connections of callers may take together.
+    pub fn for_callers(self) -> ConnectionLimits {
+        let open_files = self.open_files.unwrap_or_else(process_file_limit);
+        let open_files = usize::try_from(open_files).unwrap_or(usize::MAX);
+        let connections =
+            open_files.saturating_sub(RESERVED_FILES + OWN_FILES) / FILES_PER_CONNECTION;
+        ConnectionLimits {
+            max_connections: connections.max(MIN_CONNECTIONS),
+            max_bytes: (self.memory_bytes as f64 * CALLERS_SHARE) as usize,
+        }
+    }
+}
+
+/// Returns the limit of open files that the process was started with.
+fn process_file_limit() -> u64 {
+    /// The usual limit of a process that is given none.
+    const USUAL_LIMIT: u64 = 1_024;
+    match resource::getrlimit(Resource::RLIMIT_NOFILE) {
+        Ok((soft_limit, _)) => soft_limit,
+        Err(e) => {
+            log::warn!(error:% = e; "the limit of open files is not known; assuming {USUAL_LIMIT}");
+            USUAL_LIMIT
+        }
+    }
+}
--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -90,6 +90,12 @@
     StreamCutOff,
     /// Responses of backend servers whose end is marked only by the end of the connection.
     ResponseUntilClose,
+    /// Connections of callers that were closed because others needed their room.
+    CallerClosedForRoom,
+    /// Connections of callers that were closed because their callers sent or read nothing for too long.
+    CallerTimedOut,
+    /// Connections of callers that were closed at once because there was no room.
+    CallerNotAccepted,
     /// Connections opened to backend servers.
     ServerConnection,
     /// Requests that were running when their backend server crashed. One crash is counted once
@@ -229,6 +235,9 @@
             Self::StreamResumedByCaller => "stream.resumed_by_caller",
             Self::StreamCutOff => "stream.broken",
             Self::ResponseUntilClose => "server.responses_until_close",
+            Self::CallerClosedForRoom => "callers.closed_for_room",
+            Self::CallerTimedOut => "callers.timed_out",
+            Self::CallerNotAccepted => "callers.not_accepted",
             Self::ServerConnection => "server.connections",
             Self::CrashRecorded => "server.crashes_noted",
             Self::PartQuarantined => "server.parts_quarantined",
--- a/crates/foxwheel-crowd/src/callers.rs
+++ b/crates/foxwheel-crowd/src/callers.rs
@@ -93,20 +93,19 @@
 pub struct Crowd {
     callers: JoinSet<()>,
     progress: Arc<Progress>,
-    caller_count: usize,
 }
 
+/// Counts the steps that the callers have completed: connections, writes, ends.
 #[derive(Debug, Default)]
-struct Progress {
-    /// Steps that any caller has completed: its connection, each write, its end.
-    steps: AtomicUsize,
-    /// Callers that have sent everything and await nothing, or whose connection was closed.
-    finished: AtomicUsize,
-}
+struct Progress(AtomicUsize);
 
 impl Progress {
     fn record_step(&self) {
-        self.steps.fetch_add(1, Ordering::Relaxed);
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn steps(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
     }
 }
 
@@ -119,14 +118,12 @@
     /// Starts a caller for each of `uploads`.
     pub fn start_each(addr: SocketAddr, uploads: Vec<Upload>) -> Self {
         let progress = Arc::new(Progress::default());
-        let caller_count = uploads.len();
         let mut callers = JoinSet::new();
         for upload in uploads {
             let progress = Arc::clone(&progress);
             callers.spawn(async move {
                 // An error means that the process refuses or closes the connection, as it may.
                 let stream = send(addr, upload, &progress).await;
-                progress.finished.fetch_add(1, Ordering::Relaxed);
                 progress.record_step();
                 if let Ok(stream) = stream {
                     std::future::pending::<()>().await;
@@ -134,23 +131,16 @@
                 }
             });
         }
-        Self {
-            callers,
-            progress,
-            caller_count,
-        }
+        Self { callers, progress }
     }
 
-    /// Waits until each caller has finished, has lost its connection, or cannot go on.
+    /// Waits until no caller goes on: each has finished, has lost its connection, or is blocked.
     pub async fn settle(&self) {
         let started_at = Instant::now();
         let mut last_change = (0, started_at);
-        while self.progress.finished.load(Ordering::Relaxed) < self.caller_count
-            && last_change.1.elapsed() < SETTLE_TIME
-            && started_at.elapsed() < MAX_SETTLE_TIME
-        {
+        while last_change.1.elapsed() < SETTLE_TIME && started_at.elapsed() < MAX_SETTLE_TIME {
             tokio::time::sleep(SETTLE_CHECK_INTERVAL).await;
-            let steps = self.progress.steps.load(Ordering::Relaxed);
+            let steps = self.progress.steps();
             if steps != last_change.0 {
                 last_change = (steps, Instant::now());
             }
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod attempt;
 pub mod batch_front;
 pub mod body_budget;
+pub mod caller_server;
+pub mod caller_transport;
 pub mod chunked_objects;
 pub mod cross_zone_clients;
 pub mod datagram_sender;
@@ -45,10 +47,12 @@
 pub mod service_hold_times;
 pub mod settings;
 pub mod state_sync;
+pub mod status_server;
 pub mod store_access;
 pub mod store_relay;
 pub mod store_watch;
 pub mod stream_origins;
+pub mod tracked_body;
 pub mod unframed_body;
 pub mod version_records;
 pub mod watched_kind;
@@ -58,5 +62,5 @@
 
 /// The modules needed to run a process, for `use foxwheel_node::prelude::*`.
 pub mod prelude {
-    pub use crate::{front, node, settings, worker};
+    pub use crate::{caller_server, node, settings, worker};
 }
--- a/crates/foxwheel-node/src/process.rs
+++ b/crates/foxwheel-node/src/process.rs
@@ -11,7 +11,7 @@
 use crate::node::Node;
 use crate::settings::NodeSettings;
 use crate::worker_jobs::WorkerJobs;
-use crate::{front, heartbeat, peer_server, store_watch, worker};
+use crate::{caller_server, heartbeat, peer_server, status_server, store_watch, worker};
 
 /// A worker stops this long before its stop grace period ends, even if runs are still in
 /// progress, so that it has exited before the platform kills it.
@@ -27,10 +27,10 @@
         std::io::Error::other("setting `caller_address` is missing; a front needs it")
     })?;
     let listener = TcpListener::bind(caller_address).await?;
-    let stop = front::StopSignals::default();
-    let mut server = front::serve(Arc::clone(&node), listener, stop.clone());
+    let stop = caller_server::StopSignals::default();
+    let mut server = caller_server::serve(Arc::clone(&node), listener, stop.clone());
     if let Some(addr) = settings.readiness_address {
-        front::serve_readiness(Arc::clone(&node), addr).await?;
+        status_server::serve_readiness(Arc::clone(&node), addr).await?;
     }
     node.leaving.cancelled().await;
     let plan = StopPlan::new(Instant::now(), settings.stop_grace);
@@ -89,7 +89,7 @@
     let socket = UdpSocket::bind(peer_addr).await?;
     peer_server::serve(Arc::clone(node), jobs, peer_addr, cancel.clone()).await?;
     if let Some(port) = settings.metrics_port {
-        front::serve_metrics(Arc::clone(node), settings.bind_address(port)).await?;
+        status_server::serve_metrics(Arc::clone(node), settings.bind_address(port)).await?;
     }
     tokio::spawn(heartbeat::run(Arc::clone(node), socket, cancel.clone()));
     tokio::spawn(store_watch::run(Arc::clone(node), cancel.clone()));
--- a/crates/foxwheel-node/src/settings.rs
+++ b/crates/foxwheel-node/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use foxwheel_callers::host::{HostLimits, BYTES_PER_MB};
 use foxwheel_core::ids::{NodeId, Zone};
 use foxwheel_core::settings::{Check, Problems};
 use schemars::JsonSchema;
@@ -21,7 +22,7 @@
 
 /// Settings of a front or worker. Unknown fields are refused.
 #[serde_as]
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct NodeSettings {
     /// Name of the host, unique in the fleet.
@@ -67,6 +68,18 @@
     #[serde(rename = "results_readable_s", default = "default_results_readable")]
     #[serde_as(as = "DurationSecondsWithFrac<f64>")]
     pub results_readable: Duration,
+    /// Memory that the process may use, in megabytes. It is killed if it uses more.
+    #[serde(default = "default_memory_limit")]
+    pub memory_limit_mb: f64,
+    /// Number of files and sockets that the process may have open; the limit that it was started with
+    /// if not set.
+    #[serde(default)]
+    pub open_files_limit: Option<u64>,
+}
+
+/// Returns the memory of the smallest hosts of the users.
+fn default_memory_limit() -> f64 {
+    88.0
 }
 
 /// Returns the stop grace period of the users' current platform. A platform that states none is
@@ -86,6 +99,14 @@
         SocketAddr::new(self.ip, self.peer_ports.0)
     }
 
+    /// Returns what the process may use on its host.
+    pub fn host_limits(&self) -> HostLimits {
+        HostLimits {
+            memory_bytes: (self.memory_limit_mb * BYTES_PER_MB) as u64,
+            open_files: self.open_files_limit,
+        }
+    }
+
     /// Returns the address on which the process listens for `port`.
     pub fn bind_address(&self, port: u16) -> SocketAddr {
         SocketAddr::new(self.bind_ip.unwrap_or(self.ip), port)
@@ -109,6 +130,12 @@
         if self.stop_grace.is_zero() {
             problems.add("stop_grace_s", "must be greater than zero");
         }
+        if !self.memory_limit_mb.is_finite() || self.memory_limit_mb <= 0.0 {
+            problems.add("memory_limit_mb", "must be greater than zero");
+        }
+        if let Some(limit) = self.open_files_limit {
+            problems.require_positive("open_files_limit", limit);
+        }
     }
 }
 
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -316,6 +316,8 @@
             store_value_bytes: 1_048_576,
             stop_grace: Duration::from_secs(6),
             results_readable: Duration::from_secs(120),
+            memory_limit_mb: 88.0,
+            open_files_limit: None,
         }
     }
 
@@ -390,6 +392,8 @@
         store_value_bytes: 1_048_576,
         stop_grace: Duration::from_secs(8),
         results_readable: Duration::from_secs(120),
+        memory_limit_mb: 88.0,
+        open_files_limit: None,
     }
 }
 
--- a/crates/foxwheel-node/tests/common/programs.rs
+++ b/crates/foxwheel-node/tests/common/programs.rs
@@ -31,8 +31,6 @@
 
 /// A front and a worker that run as processes.
 pub struct Programs {
-    /// The store and the backend servers.
-    pub fleet: Fleet,
     /// The front.
     pub front: RunningProgram,
     /// Address at which the front serves callers.
@@ -47,6 +45,9 @@
     pub worker: RunningProgram,
     /// Address at which the worker serves other processes.
     pub worker_addr: SocketAddr,
+    /// The store and the backend servers. Dropped last: another fleet that claimed the network could
+    /// not use the addresses of the processes.
+    pub fleet: Fleet,
 }
 
 impl Programs {
--- a/crates/foxwheel-node/tests/settings.rs
+++ b/crates/foxwheel-node/tests/settings.rs
@@ -75,11 +75,17 @@
     include_str!("../../../platform/worker.settings.json"),
 ];
 
-/// Fills in a template as the platform does. Only the given `bounds` are stated by the platform.
-fn fill_template(template: &str, bounds: &[(&str, &str)]) -> String {
+/// Fills in a template as the platform does. Of the optional values only `stated` ones are known to
+/// the platform.
+fn fill_template(template: &str, stated: &[(&str, &str)]) -> String {
     let mut text = template.to_owned();
-    for name in ["bounds.grace_s", "bounds.status_s"] {
-        let value = bounds.iter().find(|(bound, _)| *bound == name);
+    for name in [
+        "bounds.grace_s",
+        "bounds.status_s",
+        "limits.memory_mb",
+        "limits.max_fds",
+    ] {
+        let value = stated.iter().find(|(known, _)| *known == name);
         let (open, close) = (format!("{{{{#{name}}}}}"), format!("{{{{/{name}}}}}"));
         let start = text.find(&open).expect("the start of a section");
         let end = text.find(&close).expect("the end of a section");
@@ -103,26 +109,53 @@
     text
 }
 
-/// The platform may state a bound as an integer or a fraction, or not at all.
+/// The platform may state a value as an integer or a fraction, or not at all.
 #[test]
 fn platform_templates_give_valid_settings() {
-    let cases: [(&[(&str, &str)], u128); 3] = [
-        (
-            &[("bounds.grace_s", "8"), ("bounds.status_s", "120")],
-            8_000,
-        ),
-        (
-            &[("bounds.grace_s", "7.5"), ("bounds.status_s", "90.25")],
-            7_500,
-        ),
-        (&[], 8_000),
+    struct Case {
+        stated: &'static [(&'static str, &'static str)],
+        grace_ms: u128,
+        memory_bytes: u64,
+        open_files: Option<u64>,
+    }
+    let cases = [
+        Case {
+            stated: &[
+                ("bounds.grace_s", "8"),
+                ("bounds.status_s", "120"),
+                ("limits.memory_mb", "260"),
+                ("limits.max_fds", "4100"),
+            ],
+            grace_ms: 8_000,
+            memory_bytes: 260_000_000,
+            open_files: Some(4_100),
+        },
+        Case {
+            stated: &[
+                ("bounds.grace_s", "7.5"),
+                ("bounds.status_s", "90.25"),
+                ("limits.memory_mb", "110.5"),
+            ],
+            grace_ms: 7_500,
+            memory_bytes: 110_500_000,
+            open_files: None,
+        },
+        Case {
+            stated: &[],
+            grace_ms: 8_000,
+            memory_bytes: 88_000_000,
+            open_files: None,
+        },
     ];
     for template in TEMPLATES {
-        for (bounds, grace_ms) in cases {
-            let text = fill_template(template, bounds);
+        for case in &cases {
+            let text = fill_template(template, case.stated);
             let settings = settings::parse::<NodeSettings>("filled", &text);
             let settings = settings.unwrap_or_else(|e| panic!("{e}: {text}"));
-            assert_eq!(settings.stop_grace.as_millis(), grace_ms);
+            assert_eq!(settings.stop_grace.as_millis(), case.grace_ms);
+            let limits = settings.host_limits();
+            assert_eq!(limits.memory_bytes, case.memory_bytes);
+            assert_eq!(limits.open_files, case.open_files);
         }
     }
 }
--- a/crates/foxwheel-policy/src/lib.rs
+++ b/crates/foxwheel-policy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod backend_server;
 pub mod batch;
+pub mod caller_connections;
 pub mod config_in_force;
 pub mod drain_timing;
 pub mod health;
@@ -30,8 +31,9 @@
 /// The decision modules, for `use foxwheel_policy::prelude::*`.
 pub mod prelude {
     pub use crate::{
-        admission, batch, config_in_force, drain_timing, health, hedging, load_reports, membership,
-        part_quarantine, placement, quarantine, representatives, retry, routes, server_changes,
-        server_index, stopping, stream_origin, version_history, watcher_selection, zone_loads,
+        admission, batch, caller_connections, config_in_force, drain_timing, health, hedging,
+        load_reports, membership, part_quarantine, placement, quarantine, representatives, retry,
+        routes, server_changes, server_index, stopping, stream_origin, version_history,
+        watcher_selection, zone_loads,
     };
 }
