Limit the bodies of all callers together, and read none that is refused

What callers saw: a front held 169 to 239 MB while 64 callers sent bodies of legal size and stopped a byte short, in one piece or in chunks of any size, or more than they may; the smallest host has 88 MB.

Cause: each body was held by itself up to its own limit, for as long as its caller said. What hyper hands out are slices of its read buffer, so that a chunk of a few bytes kept the whole buffer; a body that its head announces as too large was read up to the limit before it was refused.

Change: a body is copied into one buffer, whose memory is reserved in the budget of all callers before it grows, and stays reserved until the last copy of the body is dropped. If there is no room, callers that are behind (slower than 16 KB/s for more than half a second) are closed, the one that has been behind for the longest time first; else the request is refused as not run, with a time to come back. A quarter of the budget is left to the first 64 KB of each request. A length over the limit is refused by the head alone. The time limit of the route bounds the wait for a body as well. After a refusal the front reads on for at most 500 ms and 512 KB, so that the response is not lost to a reset.

Ruled out: refusing the newcomer only. Twenty callers that stand still shut out everyone for the time limit of their route.

--- a/crates/foxwheel-callers/src/connections.rs
+++ b/crates/foxwheel-callers/src/connections.rs
@@ -182,6 +182,12 @@
             .set_activity(self.0.id, activity, Instant::now());
     }
 
+    /// Returns what the connection does.
+    pub fn activity(&self) -> Activity {
+        let activity = self.0.connections.lock().table.activity(self.0.id);
+        activity.unwrap_or(Activity::Idle)
+    }
+
     /// Records that the caller has sent `bytes`. On an idle connection they begin a request.
     pub fn record_received(&self, bytes: usize) {
         let mut state = self.0.connections.lock();
--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -52,6 +52,8 @@
     Quarantined,
     /// The request resumes a stream that is not known, or whose service is not on the route.
     NotResumable,
+    /// The process may not hold more for its callers.
+    NoRoom,
 }
 
 /// The kind of a call to the platform's store.
@@ -187,6 +189,7 @@
             Self::Rejected => "rejected",
             Self::Quarantined => "quarantined",
             Self::NotResumable => "not_resumable",
+            Self::NoRoom => "no_room",
         }
     }
 
@@ -201,6 +204,7 @@
             Self::Rejected => "all tried servers rejected it",
             Self::Quarantined => "servers crashed under it",
             Self::NotResumable => "the stream that it resumes is not known",
+            Self::NoRoom => "no room for its body",
         }
     }
 }
--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -8,7 +8,7 @@
 use foxwheel_http1::transport::{ResetOnDrop, Transport};
 use foxwheel_policy::caller_connections::{Activity, CallerTimeouts};
 use futures::FutureExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Version};
@@ -225,13 +225,19 @@
     let transport = CallerTransport::new(transport, caller.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         first_request.cancel();
-        caller.set_activity(Activity::Serving);
+        caller.set_activity(match request.body().is_end_stream() {
+            true => Activity::Serving,
+            false => Activity::ReadingBody,
+        });
         let front = Arc::clone(&front);
         let caller = caller.clone();
         let reset_on_drop = reset_on_drop.clone();
         async move {
             let takes_chunks = request.version() >= Version::HTTP_11;
-            let response = front.respond(request).await;
+            let response = front.respond(request, &caller).await;
+            if caller.activity() == Activity::ReadingBody {
+                caller.set_activity(Activity::Discarding);
+            }
             let response = match takes_chunks {
                 true => response,
                 false => {
--- a/crates/foxwheel-node/src/caller_transport.rs
+++ b/crates/foxwheel-node/src/caller_transport.rs
@@ -1,18 +1,39 @@
-//! The socket of a caller's connection, which records how far the caller is.
+//! The socket of a caller's connection, which records how far the caller is, and reads on for a while
+//! after it has refused a body.
 
+use std::future::Future;
 use std::io::{IoSlice, Result};
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
 
 use foxwheel_callers::connections::CallerConnection;
 use foxwheel_http1::transport::Transport;
+use foxwheel_policy::caller_connections::Activity;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Sleep;
+
+/// How long the rest of a refused body is read. If the socket were closed with unread bytes, it would
+/// be reset, and the caller could lose the response.
+const DISCARD_TIME: Duration = Duration::from_millis(500);
+
+/// How much of a refused body is read.
+const MAX_DISCARDED_BYTES: usize = 512 * 1024;
+
+/// Reads the rest of a refused body.
+#[derive(Debug)]
+struct Discarding {
+    timeout: Pin<Box<Sleep>>,
+    discarded_bytes: usize,
+}
 
 /// The socket of a caller's connection.
 #[derive(Debug)]
 pub struct CallerTransport {
     transport: Transport,
     connection: CallerConnection,
+    /// Begins when the caller has been told that nothing more is sent.
+    discarding: Option<Discarding>,
 }
 
 impl CallerTransport {
@@ -21,9 +42,30 @@
         Self {
             transport,
             connection,
+            discarding: None,
         }
     }
 
+    /// Reads what still arrives, until the caller closes the connection or a limit is reached.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let discarding = self.discarding.get_or_insert_with(|| Discarding {
+            timeout: Box::pin(tokio::time::sleep(DISCARD_TIME)),
+            discarded_bytes: 0,
+        });
+        let mut scratch = [0; 4 * 1024];
+        while discarding.discarded_bytes < MAX_DISCARDED_BYTES
+            && discarding.timeout.as_mut().poll(cx).is_pending()
+        {
+            let mut buffer = ReadBuf::new(&mut scratch);
+            let read = ready!(Pin::new(&mut self.transport).poll_read(cx, &mut buffer));
+            if read.is_err() || buffer.filled().is_empty() {
+                break;
+            }
+            discarding.discarded_bytes += buffer.filled().len();
+        }
+        Poll::Ready(())
+    }
+
     fn record_write(&self, written: &Poll<Result<usize>>) {
         match written {
             Poll::Ready(Ok(bytes)) => self.connection.record_sent(*bytes),
@@ -66,7 +108,13 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.transport).poll_shutdown(cx)
+        if self.discarding.is_none() {
+            ready!(Pin::new(&mut self.transport).poll_shutdown(cx))?;
+        }
+        if self.connection.activity() == Activity::Discarding {
+            ready!(self.poll_discard(cx));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn poll_write_vectored(
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use foxwheel_callers::body::BodyRefusal;
+use foxwheel_callers::connections::CallerConnection;
 use foxwheel_core::metric_names::{Counter, RefusalReason};
 use foxwheel_platform::batch_api;
 use foxwheel_platform::online as wire;
-use foxwheel_policy::routes::{CallerLimits, Config, RouteKind};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use foxwheel_policy::routes::{Config, RouteKind};
 use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request;
@@ -19,11 +19,16 @@
 use crate::node::Node;
 use crate::online;
 use crate::online_request::OnlineRequest;
+use crate::request_body::{self, ReadError};
 use crate::responses::{self, CallerResponse};
 
 /// Delay after which a caller should retry that was refused because there is no configuration yet.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Delay after which a caller should retry that was refused because other callers take all memory: by
+/// then those that are behind have made room.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Delay after which a caller should retry that was refused by a stopping front: almost
 /// immediately, as another front serves it.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -52,10 +57,14 @@
         &self.node
     }
 
-    /// Serves one request.
-    pub async fn respond(&self, request: Request<Incoming>) -> CallerResponse {
+    /// Serves one request on `connection`.
+    pub async fn respond(
+        &self,
+        request: Request<Incoming>,
+        connection: &CallerConnection,
+    ) -> CallerResponse {
         let received_at = Instant::now();
-        let mut response = self.route_request(request, received_at).await;
+        let mut response = self.route_request(request, connection, received_at).await;
         if self.node.is_leaving() {
             response
                 .headers_mut()
@@ -76,9 +85,24 @@
         responses::not_run(StatusCode::SERVICE_UNAVAILABLE, retry_after)
     }
 
+    /// Responds that a request was not run because its body was not received.
+    fn refuse_body(&self, caller: &wire::CallerRequest, error: &ReadError) -> CallerResponse {
+        let status = match error {
+            ReadError::Refused(BodyRefusal::NoRoom(_)) => {
+                return self.refuse_request(caller, RefusalReason::NoRoom, NO_ROOM_RETRY_AFTER)
+            }
+            ReadError::Refused(BodyRefusal::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadError::TimedOut(_) => StatusCode::REQUEST_TIMEOUT,
+            ReadError::Broken(_) => StatusCode::BAD_REQUEST,
+        };
+        log::warn!(request_id = caller.id, status = status.as_u16(), error:% = error; "request refused: no complete body");
+        responses::empty(status)
+    }
+
     async fn route_request(
         &self,
         request: Request<Incoming>,
+        connection: &CallerConnection,
         received_at: Instant,
     ) -> CallerResponse {
         let (head, body) = request.into_parts();
@@ -105,12 +129,11 @@
             return responses::empty(StatusCode::NOT_FOUND);
         };
         let time_limit = caller.time_limit.unwrap_or(route.timeout);
-        let body = match read_body(body, &config.limits, time_limit).await {
+        let time_limit = time_limit.min(route.timeout);
+        let max_bytes = config.limits.body_bytes;
+        let body = match request_body::read(body, connection, max_bytes, time_limit).await {
             Ok(body) => body,
-            Err(status) => {
-                log::warn!(request_id = caller.id, status = status.as_u16(); "request refused: body could not be read");
-                return responses::empty(status);
-            }
+            Err(e) => return self.refuse_body(&caller, &e),
         };
         if route.kind == RouteKind::Batch {
             if head.method != Method::POST {
@@ -148,17 +171,3 @@
         .map_or(0, |path| path.as_str().len());
     header_bytes + path_bytes
 }
-
-async fn read_body(
-    body: Incoming,
-    limits: &CallerLimits,
-    time_limit: Duration,
-) -> Result<Bytes, StatusCode> {
-    let collect = Limited::new(body, limits.body_bytes).collect();
-    match tokio::time::timeout(time_limit, collect).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
-        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
-    }
-}
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod reported_loads;
+pub mod request_body;
 pub mod request_content;
 pub mod request_quarantine;
 pub mod responses;
--- a/crates/foxwheel-node/src/tracked_body.rs
+++ b/crates/foxwheel-node/src/tracked_body.rs
@@ -10,8 +10,8 @@
 
 use crate::responses::{CallerBody, RelayError};
 
-/// The body of the response to the request that a connection serves. The connection is idle once the
-/// body is dropped, which is when all of it is in the buffer of the connection.
+/// The body of the response to the request that a connection serves. When it is dropped, all of it is in
+/// the buffer of the connection, which waits for the next request unless it refused this one.
 #[derive(Debug)]
 pub struct TrackedBody {
     body: CallerBody,
@@ -27,7 +27,9 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.connection.set_activity(Activity::Idle);
+        if self.connection.activity() == Activity::Serving {
+            self.connection.set_activity(Activity::Idle);
+        }
     }
 }
 
--- a/crates/foxwheel-node/tests/metrics_contract.rs
+++ b/crates/foxwheel-node/tests/metrics_contract.rs
@@ -56,6 +56,7 @@
         RefusalReason::Rejected,
         RefusalReason::Quarantined,
         RefusalReason::NotResumable,
+        RefusalReason::NoRoom,
     ];
     counters.extend(reasons.map(Counter::Refused));
     for store_call in [
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -52,6 +52,8 @@
     ReadingBody,
     /// Its request is being served.
     Serving,
+    /// It has refused a request whose body is still arriving, and is about to be closed.
+    Discarding,
 }
 
 /// How long a connection may wait for its caller, however much room there is.
@@ -92,8 +94,10 @@
     }
 
     fn waits_for_caller(&self) -> bool {
-        let reads = matches!(self.activity, Activity::ReadingHead | Activity::ReadingBody);
-        reads || self.write_blocked_since.is_some()
+        match self.activity {
+            Activity::ReadingHead | Activity::ReadingBody | Activity::Discarding => true,
+            Activity::Idle | Activity::Serving => self.write_blocked_since.is_some(),
+        }
     }
 
     /// Extends the time for which the caller is on pace by that of `bytes` at the slowest pace.
@@ -299,7 +303,10 @@
             self.set_activity(id, Activity::ReadingHead, now);
         }
         let connection = &mut self.connections[index];
-        if connection.activity != Activity::Serving {
+        if matches!(
+            connection.activity,
+            Activity::ReadingHead | Activity::ReadingBody
+        ) {
             connection.extend_pace(bytes, now);
         }
     }
