Count the buffers of incomplete heads as memory held for callers

What callers saw: 2,500 callers with heads of 60 KB without an end made a front hold 114 to 134 MB.

Cause: the parser's buffer of each connection may grow to 64 KB, however many connections have one, and a head within the configured limit of 16 KB needs half of that.

Change: what the buffer of a connection takes beyond its first 8 KB is reserved in the budget of all callers, and the connection is closed if there is no room. The smallest limit of the buffer is 32 KB, twice the limit of the configurations of the users, as for larger limits.

--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -32,7 +32,7 @@
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Smallest buffer of a caller's connection, which bounds the head of a request.
-const MIN_BUFFER_BYTES: usize = 64 * 1024;
+const MIN_BUFFER_BYTES: usize = 32 * 1024;
 
 /// Time from the first to the last byte of a head before the first configuration.
 const DEFAULT_HEADER_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/foxwheel-node/src/caller_transport.rs
+++ b/crates/foxwheel-node/src/caller_transport.rs
@@ -2,17 +2,20 @@
 //! after it has refused a body.
 
 use std::future::Future;
-use std::io::{IoSlice, Result};
+use std::io::{Error, IoSlice, Result};
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use foxwheel_callers::connections::CallerConnection;
+use foxwheel_callers::connections::{CallerConnection, HeldBytes};
 use foxwheel_http1::transport::Transport;
 use foxwheel_policy::caller_connections::Activity;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
+/// Buffer with which the parser of a connection begins. It counts as memory of every connection.
+const FIRST_BUFFER_BYTES: usize = 8 * 1024;
+
 /// How long the rest of a refused body is read. If the socket were closed with unread bytes, it would
 /// be reset, and the caller could lose the response.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
@@ -32,6 +35,10 @@
 pub struct CallerTransport {
     transport: Transport,
     connection: CallerConnection,
+    /// What is held for the buffer that the parser reads into, beyond [`FIRST_BUFFER_BYTES`].
+    buffer: HeldBytes,
+    /// Bytes of the current head, which stay in that buffer until it is complete.
+    head_bytes: usize,
     /// Begins when the caller has been told that nothing more is sent.
     discarding: Option<Discarding>,
 }
@@ -41,11 +48,24 @@
     pub fn new(transport: Transport, connection: CallerConnection) -> Self {
         Self {
             transport,
+            buffer: connection.hold_nothing(),
             connection,
+            head_bytes: 0,
             discarding: None,
         }
     }
 
+    /// Holds the memory of the parser's buffer, which has `spare_bytes` left. Returns an error if there is
+    /// no room for it, which closes the connection.
+    fn hold_buffer(&mut self, spare_bytes: usize) -> Result<()> {
+        if self.connection.activity() != Activity::ReadingHead {
+            self.head_bytes = 0;
+        }
+        let buffer_bytes = self.head_bytes + spare_bytes;
+        let more_bytes = buffer_bytes.saturating_sub(FIRST_BUFFER_BYTES);
+        self.buffer.grow_to(more_bytes).map_err(Error::other)
+    }
+
     /// Reads what still arrives, until the caller closes the connection or a limit is reached.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let discarding = self.discarding.get_or_insert_with(|| Discarding {
@@ -82,11 +102,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        self.hold_buffer(buf.remaining())?;
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut self.transport).poll_read(cx, buf);
         let received_bytes = buf.filled().len() - filled_before;
         if received_bytes > 0 {
             self.connection.record_received(received_bytes);
+            self.head_bytes += received_bytes;
         }
         polled
     }
