Bound what the kernel holds of a caller's bytes until they are read

What callers saw: what arrives at a host and is not read counts as its memory. A front that was suspended while 1,000 callers sent bodies held 650 MB after it woke; connections that were not accepted had up to 128 KB each.

Cause: the sockets had the usual receive buffers, which grow, and up to 1,024 connections were held for a front that did not accept them.

Change: the receive buffer of callers' sockets is derived from the memory of the host (16 KB at 88 MB, 47 KB at 260 MB, 64 KB at most), each connection reserves what may be unread of it, and 512 connections wait to be accepted.

Ruled out: buffers of 4 to 8 KB. A body of the largest size from a caller that is 20 ms away would take longer than its time limit.

--- a/crates/foxwheel-callers/src/host.rs
+++ b/crates/foxwheel-callers/src/host.rs
@@ -20,6 +20,19 @@
 /// Smallest number of connections, however few files the host allows.
 const MIN_CONNECTIONS: usize = 8;
 
+/// Memory of a connection in the process: its task, and the smallest buffer of its parser.
+const CONNECTION_BYTES: usize = 24 * 1024;
+
+/// Smallest receive buffer of a socket. A body of four megabytes passes through it within seconds,
+/// also from callers that are 20 ms away.
+const MIN_RECEIVE_BUFFER_BYTES: u64 = 16 * 1024;
+
+/// Largest receive buffer of a socket.
+const MAX_RECEIVE_BUFFER_BYTES: u64 = 64 * 1024;
+
+/// Part of the memory that one receive buffer may take.
+const RECEIVE_BUFFER_SHARE: u64 = 5_500;
+
 /// The number of bytes in a megabyte, as settings count them.
 pub const BYTES_PER_MB: f64 = 1_000_000.0;
 
@@ -39,11 +52,23 @@
         let open_files = usize::try_from(open_files).unwrap_or(usize::MAX);
         let connections =
             open_files.saturating_sub(RESERVED_FILES + OWN_FILES) / FILES_PER_CONNECTION;
+        // What has arrived and is not read counts as memory. The kernel accepts half as much again as
+        // the size of the buffer.
+        let unread_bytes = self.receive_buffer_bytes() / 2 * 3;
         ConnectionLimits {
             max_connections: connections.max(MIN_CONNECTIONS),
             max_bytes: (self.memory_bytes as f64 * CALLERS_SHARE) as usize,
+            connection_bytes: CONNECTION_BYTES + unread_bytes as usize,
         }
     }
+
+    /// Returns the size of the receive buffer of each caller's socket, which bounds what has arrived
+    /// and is not read.
+    pub fn receive_buffer_bytes(self) -> u32 {
+        let bytes = (self.memory_bytes / RECEIVE_BUFFER_SHARE)
+            .clamp(MIN_RECEIVE_BUFFER_BYTES, MAX_RECEIVE_BUFFER_BYTES);
+        bytes as u32
+    }
 }
 
 /// Returns the limit of open files that the process was started with.
--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -1,9 +1,11 @@
 //! The HTTP server of a front for its callers: their connections, and the steps of a graceful stop.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use foxwheel_callers::connections::{CallerConnection, CallerConnections, CloseReason};
+use foxwheel_callers::host::HostLimits;
 use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::transport::{ResetOnDrop, Transport};
 use foxwheel_policy::caller_connections::{Activity, CallerTimeouts};
@@ -13,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -47,6 +49,9 @@
 /// Time between two checks for callers that are too slow.
 const SLOW_CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Connections that the kernel holds until they are accepted.
+const MAX_PENDING_CONNECTIONS: u32 = 512;
+
 /// While the front stops, how long a new connection is kept open for its first request.
 const FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -88,6 +93,21 @@
     }
 }
 
+/// Listens for callers at `addr`. Returns an error if `addr` cannot be bound.
+pub fn listen(addr: SocketAddr, host: HostLimits) -> std::io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    // The connections inherit it.
+    if let Err(e) = socket.set_recv_buffer_size(host.receive_buffer_bytes()) {
+        log::warn!(error:% = e; "sockets of callers keep their usual receive buffers");
+    }
+    socket.bind(addr)?;
+    socket.listen(MAX_PENDING_CONNECTIONS)
+}
+
 /// Starts serving callers on `listener` until `stop.stop_accepting` is cancelled.
 pub fn serve(node: Arc<Node>, listener: TcpListener, stop: StopSignals) -> CallerServer {
     let connections = TaskTracker::new();
--- a/crates/foxwheel-node/src/process.rs
+++ b/crates/foxwheel-node/src/process.rs
@@ -5,7 +5,7 @@
 
 use foxwheel_core::structured_log;
 use foxwheel_policy::stopping::StopPlan;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use crate::node::Node;
@@ -26,7 +26,7 @@
     let caller_address = settings.caller_address.ok_or_else(|| {
         std::io::Error::other("setting `caller_address` is missing; a front needs it")
     })?;
-    let listener = TcpListener::bind(caller_address).await?;
+    let listener = caller_server::listen(caller_address, settings.host_limits())?;
     let stop = caller_server::StopSignals::default();
     let mut server = caller_server::serve(Arc::clone(&node), listener, stop.clone());
     if let Some(addr) = settings.readiness_address {
--- a/crates/foxwheel-node/tests/caller_crowds.rs
+++ b/crates/foxwheel-node/tests/caller_crowds.rs
@@ -14,6 +14,8 @@
 use foxwheel_platform::online as names;
 use foxwheel_server_emu::server::ServerConfig;
 use hyper::{Method, StatusCode};
+use nix::sys::signal::{self, Signal};
+use nix::unistd::Pid;
 use tokio::sync::{Mutex, MutexGuard};
 
 /// Memory of the smallest front host of a deployment.
@@ -176,6 +178,28 @@
     withstand("heads", 2_500, Upload::head_only(head)).await;
 }
 
+/// The kernel held what callers sent to connections that were not accepted.
+#[actix_web::test]
+async fn front_holds_what_arrives_while_it_is_suspended() {
+    let _alone = run_alone().await;
+    let servers = common::server_shapes(2);
+    let mut programs = Programs::start("suspended", servers, None).await;
+    let monitor = programs.monitor_front();
+    let front = Pid::from_raw(programs.front.pid() as i32);
+    signal::kill(front, Signal::SIGSTOP).expect("suspended");
+    let body = filler(MAX_BODY_BYTES / 4);
+    let upload = Upload::with_length(&start_of_head("/plain/a"), MAX_BODY_BYTES, body);
+    let crowd = Crowd::start(programs.front_addr, 1_000, upload);
+    crowd.settle().await;
+    signal::kill(front, Signal::SIGCONT).expect("resumed");
+    crowd.settle().await;
+    programs.check_ordinary_request("beside-the-crowd").await;
+    programs
+        .check_front(monitor.stop(), FRONT_MEMORY_BYTES)
+        .await;
+    crowd.leave().await;
+}
+
 /// Number of files that the front may have open while a crowd opens connections.
 const MAX_OPEN_FILES: usize = 400;
 
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -11,10 +11,6 @@
 /// Identifies a connection during the life of the process.
 pub type ConnectionId = u64;
 
-/// Memory that each connection takes besides what is reserved for it: its task, and the smallest
-/// buffers of its socket and of its parser.
-pub const CONNECTION_BYTES: usize = 24 * 1024;
-
 /// A connection may hold this much of the whole budget. Beyond it, it leaves a quarter to others, so
 /// that ordinary requests are served beside large ones.
 const SMALL_BYTES: usize = 64 * 1024;
@@ -39,6 +35,9 @@
     pub max_connections: usize,
     /// Maximum memory of all connections, in bytes.
     pub max_bytes: usize,
+    /// Memory that each connection takes besides what is reserved for it: its task, and the smallest
+    /// buffers of its socket and of its parser.
+    pub connection_bytes: usize,
 }
 
 /// What a connection does.
@@ -74,8 +73,8 @@
 #[derive(Debug)]
 struct Connection {
     id: ConnectionId,
-    /// Memory that was reserved for it, in addition to [`CONNECTION_BYTES`].
-    reserved_bytes: usize,
+    /// Memory that the connection holds: what each one takes, and what was reserved for it.
+    held_bytes: usize,
     activity: Activity,
     /// When `activity` began.
     active_since: Instant,
@@ -89,10 +88,6 @@
 }
 
 impl Connection {
-    fn held_bytes(&self) -> usize {
-        CONNECTION_BYTES + self.reserved_bytes
-    }
-
     fn waits_for_caller(&self) -> bool {
         match self.activity {
             Activity::ReadingHead | Activity::ReadingBody | Activity::Discarding => true,
@@ -167,15 +162,16 @@
 
     /// Adds a connection, if there is room for it.
     pub fn open(&mut self, now: Instant) -> Option<ConnectionId> {
+        let connection_bytes = self.limits.connection_bytes;
         let has_room = self.connections.len() < self.limits.max_connections
-            && self.held_bytes + CONNECTION_BYTES <= self.limits.max_bytes;
+            && self.held_bytes + connection_bytes <= self.limits.max_bytes;
         has_room.then(|| {
             let id = self.next_id;
             self.next_id += 1;
-            self.held_bytes += CONNECTION_BYTES;
+            self.held_bytes += connection_bytes;
             self.connections.push(Connection {
                 id,
-                reserved_bytes: 0,
+                held_bytes: connection_bytes,
                 activity: Activity::Idle,
                 active_since: now,
                 write_blocked_since: None,
@@ -206,7 +202,7 @@
         if let Ok(index) = self.find(id) {
             let closed = self.connections.remove(index);
             if !closed.is_closing {
-                self.held_bytes -= closed.held_bytes();
+                self.held_bytes -= closed.held_bytes;
             }
         }
     }
@@ -224,10 +220,9 @@
         if connection.is_closing {
             return Err(NoRoom);
         }
-        let is_small = connection.reserved_bytes + bytes <= SMALL_BYTES;
-        // It must not be chosen for its own sake.
-        connection.reserved_bytes += bytes;
+        connection.held_bytes += bytes;
         self.held_bytes += bytes;
+        let is_small = connection.held_bytes <= self.limits.connection_bytes + SMALL_BYTES;
         let chosen = self.choose_until_in_budget(id, is_small, now);
         if chosen.is_err() {
             self.release(id, bytes);
@@ -253,10 +248,11 @@
         if is_small {
             candidates.extend(self.oldest_first(|connection| connection.idle_since(now)));
         }
+        // It must not be chosen for its own sake.
         candidates.retain(|(_, index)| self.connections[*index].id != id);
         let mut freed_bytes = 0;
         let enough = candidates.iter().position(|(_, index)| {
-            freed_bytes += self.connections[*index].held_bytes();
+            freed_bytes += self.connections[*index].held_bytes;
             freed_bytes >= excess_bytes
         });
         let last = enough.ok_or(NoRoom)?;
@@ -270,7 +266,7 @@
     pub fn release(&mut self, id: ConnectionId, bytes: usize) {
         if let Ok(index) = self.find(id) {
             let connection = &mut self.connections[index];
-            connection.reserved_bytes -= bytes;
+            connection.held_bytes -= bytes;
             if !connection.is_closing {
                 self.held_bytes -= bytes;
             }
@@ -373,7 +369,7 @@
     fn start_closing(&mut self, index: usize) -> ConnectionId {
         let connection = &mut self.connections[index];
         connection.is_closing = true;
-        self.held_bytes -= connection.held_bytes();
+        self.held_bytes -= connection.held_bytes;
         connection.id
     }
 
--- a/crates/foxwheel-policy/tests/caller_connections.rs
+++ b/crates/foxwheel-policy/tests/caller_connections.rs
@@ -5,11 +5,12 @@
 
 use foxwheel_policy::caller_connections::{
     Activity, CallerTimeouts, ConnectionId, ConnectionLimits, ConnectionTable, NoRoom,
-    CONNECTION_BYTES,
 };
 
 const MEGABYTE: usize = 1_000_000;
 
+const CONNECTION_BYTES: usize = 24 * 1024;
+
 /// A table and the time that has passed.
 struct Replay {
     table: ConnectionTable,
@@ -21,6 +22,7 @@
         let limits = ConnectionLimits {
             max_connections,
             max_bytes,
+            connection_bytes: CONNECTION_BYTES,
         };
         Self {
             table: ConnectionTable::new(limits),
