Decode submissions within their limits, and count their copies

What callers saw: 32 whole submissions of 4 MB made a front hold 135 to 274 MB; four that had a list as the value of a header, 131 MB.

Cause: all items of a submission were decoded before they were counted, header values of any kind became values of 32 bytes an element, and while a job was stored its body, its items, two copies of them and their text existed at the same time, for each submission that had arrived.

A submission reserves three times its size in the budget of all callers until its job is with a worker; if there is no room it is refused as not run. Its body is dropped once it is decoded, and the items are copied once instead of twice.

--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -7,12 +7,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_callers::connections::{CallerConnection, HeldBytes};
 use foxwheel_core::ids::{ItemId, JobId};
-use foxwheel_core::metric_names::{Counter, Timer};
+use foxwheel_core::metric_names::{Counter, RefusalReason, Timer};
 use foxwheel_core::time;
 use foxwheel_platform::batch_api::{self, JobCall};
 use foxwheel_platform::online::CallerRequest;
 use foxwheel_platform::store::StoreError;
+use foxwheel_platform::submission;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::{Admission, JobStatus, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership;
@@ -46,6 +48,13 @@
 /// quota becomes free soon.
 const QUOTA_RETRY_AFTER: Duration = Duration::from_millis(800);
 
+/// Value of `retry-after` for submissions that find no room beside those of other callers.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Size of all copies of a submission, relative to its body, while the job is stored: its items, their
+/// encoded text, and the object that is written.
+const SUBMISSION_COPIES: usize = 3;
+
 /// Maximum number of workers that one read queries: the job's preferred worker, its owner, and
 /// one more in case the job is changing its owner.
 const MAX_WORKERS_QUERIED: u32 = 3;
@@ -77,6 +86,7 @@
         caller: &CallerRequest,
         route: &Route,
         body: Bytes,
+        connection: &CallerConnection,
     ) -> CallerResponse {
         if !is_valid_id(&caller.id) {
             return responses::text(
@@ -84,13 +94,20 @@
                 "the job's id is missing or not valid",
             );
         }
-        let items = match batch_api::decode_items(&body) {
+        let Ok(held) = connection.hold(SUBMISSION_COPIES * body.len()) else {
+            log::warn!(request_id = caller.id, bytes = body.len(); "job refused: no room to store it");
+            let reason = RefusalReason::NoRoom;
+            self.node.metrics.incr(Counter::Refused(reason));
+            return responses::not_run(StatusCode::SERVICE_UNAVAILABLE, NO_ROOM_RETRY_AFTER);
+        };
+        let items = match submission::decode_items(&body) {
             Ok(items) => items,
             Err(e) => {
                 log::warn!(request_id = caller.id, error:% = e; "job submission is not valid");
                 return responses::text(StatusCode::BAD_REQUEST, &e.to_string());
             }
         };
+        drop(body);
         let job = JobSpec {
             id: caller.id.clone(),
             host: caller.host.clone(),
@@ -119,7 +136,7 @@
                     .metrics
                     .time(Timer::JobAccept, received_at.elapsed());
                 if admission == Admission::Accepted {
-                    self.send_to_preferred_worker(job);
+                    self.send_to_preferred_worker(job, held);
                 }
                 responses::empty(StatusCode::ACCEPTED)
             }
@@ -196,8 +213,8 @@
     }
 
     /// Sends the job to its preferred worker. If the call fails, a worker finds the job in the
-    /// ledger.
-    fn send_to_preferred_worker(&self, job: JobSpec) {
+    /// ledger. `held` is given back afterwards.
+    fn send_to_preferred_worker(&self, job: JobSpec, held: HeldBytes) {
         let now = Instant::now();
         let workers = self.node.peers.live_workers(now);
         let Some(preferred) = ownership::preferred_worker(&job.id, &workers) else {
@@ -213,6 +230,7 @@
             if let Err(e) = node.peer_calls.send_accepted_job(addr, job).await {
                 log::warn!(request_id = id, error:% = e; "could not send the job to a worker; it stays in the ledger");
             }
+            drop(held);
         });
     }
 
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -139,7 +139,7 @@
             if head.method != Method::POST {
                 return responses::empty(StatusCode::METHOD_NOT_ALLOWED);
             }
-            return self.batch.submit(&caller, &route, body).await;
+            return self.batch.submit(&caller, &route, body, connection).await;
         }
         let request = OnlineRequest::new(caller, route, config.version, head, body, received_at);
         online::serve(Arc::clone(&self.node), request).await
--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -122,15 +122,18 @@
             let name = numbered_name(&job.id, number as u32);
             self.create(JOB_PARTS_KIND, &name, spec, deadline).await?;
         }
-        let record = JobRecord {
+        let record = encode(&JobRecord {
             job: JobSpec {
+                id: job.id.clone(),
+                host: job.host.clone(),
+                path: job.path.clone(),
+                route: job.route.clone(),
+                submitted_unix: job.submitted_unix,
                 items: chunks.first().copied().unwrap_or_default().to_vec(),
-                ..job.clone()
             },
             more_parts: chunks.len().saturating_sub(1) as u32,
-        };
-        self.create(JOBS_KIND, &job.id, encode(&record), deadline)
-            .await?;
+        });
+        self.create(JOBS_KIND, &job.id, record, deadline).await?;
         Ok(())
     }
 
--- a/crates/foxwheel-node/tests/untrusted_input.rs
+++ b/crates/foxwheel-node/tests/untrusted_input.rs
@@ -4,7 +4,7 @@
 use foxwheel_core::settings;
 use foxwheel_node::peer_messages::PeerMessage;
 use foxwheel_node::settings::NodeSettings;
-use foxwheel_platform::{batch_api, config};
+use foxwheel_platform::{config, submission};
 use foxwheel_soak::{front_client, store_entries};
 use serde_json::{json, Value};
 
@@ -92,12 +92,12 @@
     let valid: Value = serde_json::from_str(&text).expect("JSON");
     arbtest::arbtest(|source| {
         let text = corrupted(source, &valid)?.to_string();
-        if let Ok(items) = batch_api::decode_items(text.as_bytes()) {
-            assert!((1..=batch_api::MAX_ITEMS).contains(&items.len()));
+        if let Ok(items) = submission::decode_items(text.as_bytes()) {
+            assert!((1..=submission::MAX_ITEMS).contains(&items.len()));
         }
         let bytes: Vec<u8> = source.arbitrary()?;
         // Any result is accepted: only a panic fails the test.
-        let _ = batch_api::decode_items(&bytes);
+        let _ = submission::decode_items(&bytes);
         Ok(())
     });
 }
