Hold responses for slow readers in the budget of all callers

What callers saw: 64 callers that read no response of 4 MB made a front hold 104 to 123 MB, 512 that read no page of results 112 MB, and callers that read no stream kept the slots of the servers until they left: an ordinary request was refused for two minutes.

Cause: the limit of 32 MB for the bodies of responses ended when a body was complete, whether or not its caller read it. Pages of results and bodies of items had none. What a server sends of a stream that is not read stayed in the receive buffer of its connection, which the kernel let grow.

Change: what is received for a caller is reserved in the budget of all callers until it is written to its socket; frames of streams are copied, as they kept their buffers alive. A response that is not small waits until there is room for all of it: responses that each have a part could wait for each other. If room is needed, callers that do not read are closed, the one that has been behind for the longest time first. A page of results has 256 KB (or one result), two jobs at most are read from the store at the same time, and large submissions wait for room in turn. Connections to servers have the receive buffer of the callers' sockets.

Failed tries: waiting for a second and then failing the response (an ordinary response of 4 MB lost its turn to the crowd: 502); growing a large response bit by bit.

--- a/crates/foxwheel-callers/src/body.rs
+++ b/crates/foxwheel-callers/src/body.rs
@@ -1,10 +1,15 @@
 //! Collects the body of a request in one buffer.
 
+use std::time::Instant;
+
 use bytes::Bytes;
-use foxwheel_policy::caller_connections::NoRoom;
+use foxwheel_policy::caller_connections::{NoRoom, SMALL_BYTES};
 
 use crate::connections::{CallerConnection, HeldBytes};
 
+/// The buffer of a body doubles as it grows, by this much at most.
+const MAX_GROWTH_BYTES: usize = 512 * 1024;
+
 /// Why a body is not read further.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum BodyRefusal {
@@ -52,21 +57,39 @@
         if needed_bytes > self.max_bytes {
             return Err(BodyRefusal::TooLarge(self.max_bytes));
         }
-        if needed_bytes > self.bytes.capacity() {
-            let largest = self.announced_bytes.unwrap_or(self.max_bytes);
-            let capacity = (2 * self.bytes.capacity()).min(largest).max(needed_bytes);
-            self.held.grow_to(capacity)?;
-            self.bytes.reserve_exact(capacity - self.bytes.len());
+        let capacity = self.bytes.capacity();
+        if needed_bytes > capacity {
+            let grown = capacity + capacity.min(MAX_GROWTH_BYTES);
+            let grown = grown.min(self.largest_bytes()).max(needed_bytes);
+            self.held.grow_to(grown)?;
+            self.bytes.reserve_exact(grown - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
         Ok(())
     }
 
+    /// Does the same as [`Self::push`], and waits for room until `deadline`. A body that is not small
+    /// waits for all the room that it may need: bodies that each have a part of it could wait for each
+    /// other.
+    pub async fn push_until(&mut self, data: &[u8], deadline: Instant) -> Result<(), BodyRefusal> {
+        if self.bytes.len() + data.len() > SMALL_BYTES {
+            let largest_bytes = self.largest_bytes();
+            self.held.grow_until(largest_bytes, deadline).await?;
+        }
+        self.push(data)
+    }
+
+    /// Returns the size of the largest body that this may become.
+    fn largest_bytes(&self) -> usize {
+        self.announced_bytes.unwrap_or(self.max_bytes)
+    }
+
     /// Returns the body. What is held for it is given back when the last copy is dropped.
-    pub fn finish(self) -> Bytes {
+    pub fn finish(mut self) -> Bytes {
         if self.bytes.is_empty() {
             return Bytes::new();
         }
+        self.held.shrink_to(self.bytes.capacity());
         self.held.attach_to(self.bytes)
     }
 }
--- a/crates/foxwheel-callers/src/connections.rs
+++ b/crates/foxwheel-callers/src/connections.rs
@@ -13,6 +13,9 @@
 /// How long a new connection waits for one that was chosen to be closed, before another one is chosen.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How often it is checked whether there is room.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Why a connection of a caller is closed or not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CloseReason {
@@ -41,8 +44,8 @@
 /// The connections of callers to a process.
 pub struct CallerConnections {
     state: Mutex<State>,
-    /// Notified when a connection was closed.
-    closed: Notify,
+    /// Notified when a connection was closed, or has given memory back.
+    room_freed: Notify,
     report: Report,
 }
 
@@ -73,7 +76,7 @@
                 table: ConnectionTable::new(limits),
                 closing: Vec::new(),
             }),
-            closed: Notify::new(),
+            room_freed: Notify::new(),
             report: Box::new(report),
         })
     }
@@ -82,7 +85,7 @@
     /// `None` if no other one may be closed.
     pub async fn admit(self: &Arc<Self>) -> Option<CallerConnection> {
         loop {
-            let closed = self.closed.notified();
+            let freed = self.room_freed.notified();
             let now = Instant::now();
             {
                 let mut state = self.lock();
@@ -102,7 +105,7 @@
                 }
             }
             // The timeout ends only the wait for the connection that was chosen.
-            let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed).await;
+            let _ = tokio::time::timeout(CLOSE_TIMEOUT, freed).await;
         }
     }
 
@@ -164,7 +167,7 @@
         state.table.close(self.id);
         state.closing.retain(|(id, _)| *id != self.id);
         drop(state);
-        self.connections.closed.notify_waiters();
+        self.connections.room_freed.notify_waiters();
     }
 }
 
@@ -223,6 +226,20 @@
         Ok(held)
     }
 
+    /// Does the same as [`Self::hold`], and waits for room until `deadline`.
+    pub async fn hold_until(&self, bytes: usize, deadline: Instant) -> Result<HeldBytes, NoRoom> {
+        let mut held = self.hold_nothing();
+        held.grow_until(bytes, deadline).await?;
+        Ok(held)
+    }
+
+    /// Waits until there may be more room than now.
+    async fn wait_for_room(&self) {
+        let freed = self.0.connections.room_freed.notified();
+        // Callers also fall behind, which nothing notifies.
+        let _ = tokio::time::timeout(ROOM_CHECK_INTERVAL, freed).await;
+    }
+
     fn reserve(&self, bytes: usize) -> Result<(), NoRoom> {
         let connections = &self.0.connections;
         let mut state = connections.lock();
@@ -251,6 +268,26 @@
         Ok(())
     }
 
+    /// Does the same as [`Self::grow_to`], and waits for room until `deadline`.
+    pub async fn grow_until(&mut self, bytes: usize, deadline: Instant) -> Result<(), NoRoom> {
+        while self.grow_to(bytes).is_err() {
+            if Instant::now() >= deadline {
+                return Err(NoRoom);
+            }
+            self.connection.wait_for_room().await;
+        }
+        Ok(())
+    }
+
+    /// Gives back what exceeds `bytes`.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let excess = HeldBytes {
+            connection: self.connection.clone(),
+            bytes: self.bytes.saturating_sub(bytes),
+        };
+        self.bytes -= excess.bytes;
+    }
+
     /// Returns `bytes`, for which this is held until they are dropped.
     pub fn attach_to(self, bytes: impl Into<Vec<u8>>) -> Bytes {
         Bytes::from_owner(Attached {
@@ -262,9 +299,12 @@
 
 impl Drop for HeldBytes {
     fn drop(&mut self) {
+        if self.bytes == 0 {
+            return;
+        }
         let entry = &self.connection.0;
-        let mut state = entry.connections.lock();
-        state.table.release(entry.id, self.bytes);
+        entry.connections.lock().table.release(entry.id, self.bytes);
+        entry.connections.room_freed.notify_waiters();
     }
 }
 
--- a/crates/foxwheel-http-client/src/client.rs
+++ b/crates/foxwheel-http-client/src/client.rs
@@ -19,6 +19,7 @@
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_millis(700),
     on_abandon: AbandonAction::Close,
+    receive_buffer_bytes: None,
 };
 
 /// Idle timeout assumed of a server: shorter than the defaults of common HTTP servers.
--- a/crates/foxwheel-http1/src/body.rs
+++ b/crates/foxwheel-http1/src/body.rs
@@ -135,6 +135,11 @@
         self.framing
     }
 
+    /// Returns the length that the head states for what was not read yet, if it does.
+    pub fn announced_bytes(&self) -> Option<u64> {
+        self.incoming.size_hint().exact()
+    }
+
     /// Returns whether the connection may carry another exchange after this body.
     pub fn keeps_connection(&self) -> bool {
         self.framing != Framing::UntilClose && !self.closes_connection
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -10,7 +10,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 
 use crate::body::ResponseBody;
@@ -57,6 +57,9 @@
     /// How the connection is closed if its exchange is dropped before the head of the response
     /// arrives.
     pub on_abandon: AbandonAction,
+    /// Receive buffer of the socket, which bounds what has arrived and is not read; `None` for the
+    /// usual one of the kernel.
+    pub receive_buffer_bytes: Option<u32>,
 }
 
 impl ConnectOptions {
@@ -162,7 +165,7 @@
             origin: Origin::new("open connection", peer.to_string()),
             source,
         };
-        let connecting = TcpStream::connect(peer);
+        let connecting = connect(peer, options.receive_buffer_bytes);
         let stream = tokio::time::timeout(options.connect_timeout, connecting)
             .await
             .map_err(|elapsed| connect_error(elapsed.into()))?
@@ -241,6 +244,20 @@
     }
 }
 
+async fn connect(
+    peer: SocketAddr,
+    receive_buffer_bytes: Option<u32>,
+) -> std::io::Result<TcpStream> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(bytes) = receive_buffer_bytes {
+        socket.set_recv_buffer_size(bytes)?;
+    }
+    socket.connect(peer).await
+}
+
 /// Sets the socket options by which the kernel closes the connection of a peer that has stopped
 /// responding. Also disables Nagle's algorithm, so that small writes are sent at once.
 fn set_socket_options(stream: &TcpStream, unacknowledged_timeout: Duration) -> std::io::Result<()> {
--- a/crates/foxwheel-http1/tests/connection.rs
+++ b/crates/foxwheel-http1/tests/connection.rs
@@ -13,6 +13,7 @@
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_secs(5),
     on_abandon: AbandonAction::Reset,
+    receive_buffer_bytes: None,
 };
 
 /// Opens a connection and returns it with the peer's end of it.
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends one request to one backend server and reads its response.
 
-mod response_body;
+pub mod response_body;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/foxwheel-node/src/attempt/response_body.rs
+++ b/crates/foxwheel-node/src/attempt/response_body.rs
@@ -4,12 +4,13 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_callers::body::{BodyBuffer, BodyRefusal};
+use foxwheel_callers::connections::CallerConnection;
 use foxwheel_http1::body::{Framing, ResponseBody};
 
 use crate::attempt::{
     self, BodyFrame, OpenResponse, ResponseProgress, DEADLINE_PASSED, SUSPECT_TIMEOUT,
 };
-use crate::body_budget;
 use crate::server_probe::{self, CutOffRequest, ServerLiveness};
 
 /// How long a response that ended with its connection waits for the liveness probe of its server.
@@ -20,6 +21,10 @@
 /// of its response. A response that goes on for so long clears the parts.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 
+/// Largest body of a response that is forwarded when it is complete. Streams of events have no limit, as
+/// they are forwarded while they arrive.
+pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
+
 /// Largest body that is read for the sake of its connection alone.
 const MAX_DISCARDED_BYTES: usize = 64 * 1024;
 
@@ -126,44 +131,48 @@
         }
     }
 
-    /// Reads the rest of the body. Returns the reason as an error if the body is not complete at
+    /// Reads the rest of the body. The memory for it counts as held by the caller's `connection` until
+    /// the last copy is dropped. Returns the reason as an error if the body is not complete at
     /// `deadline`, is too large, or the connection fails.
-    pub async fn read_full_body(&mut self, deadline: Instant) -> Result<Bytes, String> {
-        self.read_body_of(body_budget::MAX_BODY_BYTES, deadline)
-            .await
-    }
-
-    async fn read_body_of(&mut self, max_bytes: usize, deadline: Instant) -> Result<Bytes, String> {
-        let node = Arc::clone(&self.node);
-        let mut held = node.body_budget.begin(max_bytes);
-        let mut body = bytes::BytesMut::new();
+    pub async fn read_full_body(
+        &mut self,
+        connection: &CallerConnection,
+        deadline: Instant,
+    ) -> Result<Bytes, String> {
+        let announced_bytes = self.body.announced_bytes();
+        let mut buffer = BodyBuffer::begin(connection, MAX_BODY_BYTES, announced_bytes)
+            .map_err(|e| self.refuse_body(e))?;
         loop {
             match self.next_frame(deadline).await {
                 BodyFrame::Data(data) => {
-                    if let Err(e) = held.add(data.len()) {
-                        self.record_failure();
-                        return Err(e.to_string());
-                    }
-                    body.extend_from_slice(&data);
+                    let stored = buffer.push_until(&data, deadline).await;
+                    stored.map_err(|e| self.refuse_body(e))?;
                 }
-                BodyFrame::End => return Ok(body.freeze()),
+                BodyFrame::End => return Ok(buffer.finish()),
                 BodyFrame::CutOff(reason) => return Err(reason),
                 BodyFrame::TimedOut => return Err(DEADLINE_PASSED.to_owned()),
             }
         }
     }
 
+    /// Returns the reason why the body is not read further.
+    fn refuse_body(&self, refusal: BodyRefusal) -> String {
+        if matches!(refusal, BodyRefusal::TooLarge(_)) {
+            self.record_failure();
+        }
+        format!("response: {refusal}")
+    }
+
     /// Ends the exchange with a response whose body is not needed. Reads the body until `deadline` if
     /// the connection can be used again after it.
     pub async fn discard_body(mut self, deadline: Instant) {
-        let is_reusable = self.body.keeps_connection();
-        if is_reusable
-            && self
-                .read_body_of(MAX_DISCARDED_BYTES, deadline)
-                .await
-                .is_ok()
-        {
-            self.finish();
+        let mut discarded_bytes = 0;
+        while self.body.keeps_connection() && discarded_bytes <= MAX_DISCARDED_BYTES {
+            match self.next_frame(deadline).await {
+                BodyFrame::Data(data) => discarded_bytes += data.len(),
+                BodyFrame::End => return self.finish(),
+                BodyFrame::CutOff(_) | BodyFrame::TimedOut => return,
+            }
         }
     }
 
--- a/crates/foxwheel-node/src/batch_front.rs
+++ b/crates/foxwheel-node/src/batch_front.rs
@@ -18,8 +18,10 @@
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::ledger::{Admission, JobStatus, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership;
+use foxwheel_policy::caller_connections::SMALL_BYTES;
 use foxwheel_policy::routes::Route;
 use hyper::StatusCode;
+use tokio::sync::{Semaphore, SemaphorePermit};
 
 use crate::job_store::{JobStore, JobStoreError};
 use crate::ledger_writer;
@@ -40,6 +42,9 @@
 /// Time limit for reading a job from the store when no worker responds.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Number of jobs that are read from the store at the same time. Each is in memory as a whole.
+const MAX_STORE_READS: usize = 2;
+
 /// Value of `retry-after` for calls that fail because the store or the workers are
 /// unavailable; about the time until a store call is retried.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -55,6 +60,15 @@
 /// encoded text, and the object that is written.
 const SUBMISSION_COPIES: usize = 3;
 
+/// How long a large submission waits for its turn.
+const TURN_TIMEOUT: Duration = Duration::from_millis(700);
+
+/// Maximum size of the results in one response to a read. One result is returned even if it is larger.
+const MAX_PAGE_BYTES: usize = 256 * 1024;
+
+/// Size of all copies of a page of results while it is read: the results and their JSON.
+const PAGE_COPIES: usize = 2;
+
 /// Maximum number of workers that one read queries: the job's preferred worker, its owner, and
 /// one more in case the job is changing its owner.
 const MAX_WORKERS_QUERIED: u32 = 3;
@@ -67,6 +81,10 @@
 pub struct BatchFront {
     node: Arc<Node>,
     store: JobStore,
+    /// One permit for each job that may be read from the store at the same time.
+    store_reads: Semaphore,
+    /// The permit of the large submission that waits for room.
+    large_submissions: Semaphore,
 }
 
 impl BatchFront {
@@ -74,6 +92,8 @@
     pub fn new(node: Arc<Node>) -> Self {
         Self {
             store: JobStore::new(Arc::clone(&node)),
+            store_reads: Semaphore::new(MAX_STORE_READS),
+            large_submissions: Semaphore::new(1),
             node,
         }
     }
@@ -94,7 +114,7 @@
                 "the job's id is missing or not valid",
             );
         }
-        let Ok(held) = connection.hold(SUBMISSION_COPIES * body.len()) else {
+        let Some(held) = self.hold_copies(connection, body.len()).await else {
             log::warn!(request_id = caller.id, bytes = body.len(); "job refused: no room to store it");
             let reason = RefusalReason::NoRoom;
             self.node.metrics.incr(Counter::Refused(reason));
@@ -156,6 +176,25 @@
         }
     }
 
+    /// Holds the memory for the copies of a submission. Waits for it, as those before give it back soon.
+    /// Large submissions wait one after the other: each has a body already, and they could wait for each
+    /// other. Returns `None` if there is no room in time.
+    async fn hold_copies(
+        &self,
+        connection: &CallerConnection,
+        body_bytes: usize,
+    ) -> Option<HeldBytes> {
+        let bytes = SUBMISSION_COPIES * body_bytes;
+        if bytes <= SMALL_BYTES {
+            return connection.hold(bytes).ok();
+        }
+        let turn = self.large_submissions.acquire();
+        let _turn = tokio::time::timeout(TURN_TIMEOUT, turn).await.ok()?.ok()?;
+        // Those that wait for their turn give up before.
+        let deadline = Instant::now() + 2 * TURN_TIMEOUT;
+        connection.hold_until(bytes, deadline).await.ok()
+    }
+
     async fn accept_job(&self, job: &JobSpec, route: &Route) -> Result<Admission, SubmitError> {
         let deadline = Instant::now() + SUBMIT_TIMEOUT;
         // Both writes run concurrently: one after the other would exceed the response time
@@ -235,22 +274,33 @@
     }
 
     /// Serves a request on an accepted job.
-    pub async fn serve_call(&self, call: JobCall) -> CallerResponse {
+    pub async fn serve_call(&self, call: JobCall, connection: &CallerConnection) -> CallerResponse {
         match call {
-            JobCall::Read { job, from, wait } => self.read_results(job, from, wait).await,
-            JobCall::Body { job, item } => self.read_item_body(job, item).await,
+            JobCall::Read { job, from, wait } => {
+                self.read_results(job, from, wait, connection).await
+            }
+            JobCall::Body { job, item } => self.read_item_body(job, item, connection).await,
             JobCall::End { job } => self.end_job(job).await,
         }
     }
 
-    async fn read_results(&self, job: JobId, from: usize, wait: Duration) -> CallerResponse {
+    async fn read_results(
+        &self,
+        job: JobId,
+        from: usize,
+        wait: Duration,
+        connection: &CallerConnection,
+    ) -> CallerResponse {
         if !is_valid_id(&job) {
             return responses::empty(StatusCode::NOT_FOUND);
         }
+        let Ok(mut held) = connection.hold(PAGE_COPIES * MAX_PAGE_BYTES) else {
+            return self.refuse_read(&job);
+        };
         let workers = self.node.peers.live_workers(Instant::now());
         let query = ResultsQuery {
             from,
-            max_bytes: batch_api::MAX_READ_BYTES,
+            max_bytes: MAX_PAGE_BYTES,
             known_parts: ownership::known_stored_parts(&job, &workers),
             wait: wait.min(MAX_READ_WAIT),
         };
@@ -271,7 +321,18 @@
             ResultsResponse::Results {
                 item_count,
                 results,
-            } => responses::json(batch_api::encode_read(item_count, from, &results)),
+            } => {
+                let bytes = results
+                    .iter()
+                    .map(|result| result.output.len())
+                    .sum::<usize>();
+                if held.grow_to(PAGE_COPIES * bytes).is_err() {
+                    return self.refuse_read(&job);
+                }
+                let page = batch_api::encode_read(item_count, from, &results);
+                held.shrink_to(page.len());
+                responses::json(held.attach_to(page))
+            }
             ResultsResponse::NoSuchJob => {
                 log::warn!(request_id = job; "read of a job that does not exist");
                 responses::empty(StatusCode::NOT_FOUND)
@@ -283,7 +344,20 @@
         }
     }
 
-    async fn read_item_body(&self, job: JobId, item: ItemId) -> CallerResponse {
+    /// Responds that a read finds no room beside the requests of other callers.
+    fn refuse_read(&self, job: &JobId) -> CallerResponse {
+        log::warn!(request_id = job; "read refused: no room for its response");
+        let reason = RefusalReason::NoRoom;
+        self.node.metrics.incr(Counter::Refused(reason));
+        responses::not_run(StatusCode::SERVICE_UNAVAILABLE, NO_ROOM_RETRY_AFTER)
+    }
+
+    async fn read_item_body(
+        &self,
+        job: JobId,
+        item: ItemId,
+        connection: &CallerConnection,
+    ) -> CallerResponse {
         if !is_valid_id(&job) {
             return responses::empty(StatusCode::NOT_FOUND);
         }
@@ -299,8 +373,11 @@
         };
         match response {
             ItemBodyResponse::Body(body) => {
+                let Ok(held) = connection.hold(body.len()) else {
+                    return self.refuse_read(&job);
+                };
                 let mut response = responses::empty(StatusCode::OK);
-                *response.body_mut() = responses::full_body(body);
+                *response.body_mut() = responses::full_body(held.attach_to(body));
                 response
             }
             ItemBodyResponse::NoSuchItem => responses::empty(StatusCode::NOT_FOUND),
@@ -393,7 +470,21 @@
             .map(|(_, addr)| addr)
     }
 
+    /// Waits until a job may be read from the store, or returns `None` if that takes too long.
+    async fn begin_store_read(&self, job: &JobId) -> Option<SemaphorePermit<'_>> {
+        match tokio::time::timeout(LOAD_TIMEOUT, self.store_reads.acquire()).await {
+            Ok(permit) => permit.ok(),
+            Err(_) => {
+                log::warn!(request_id = job; "job not read from the store: others are being read");
+                None
+            }
+        }
+    }
+
     async fn read_from_store(&self, job: &JobId, from: usize) -> ResultsResponse {
+        let Some(_permit) = self.begin_store_read(job).await else {
+            return ResultsResponse::Undetermined;
+        };
         match self.progress_from_store(job).await {
             Ok(Some(progress)) => ResultsResponse::Results {
                 item_count: progress.spec.items.len(),
@@ -408,6 +499,9 @@
     }
 
     async fn body_from_store(&self, job: &JobId, item: &ItemId) -> ItemBodyResponse {
+        let Some(_permit) = self.begin_store_read(job).await else {
+            return ItemBodyResponse::Undetermined;
+        };
         let deadline = Instant::now() + LOAD_TIMEOUT;
         match self.store.load_job(job, deadline).await {
             Ok(found) => found
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -122,7 +122,7 @@
             return responses::empty(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
         }
         if let Some(call) = decode_job_call(&config, &head, &caller) {
-            return self.batch.serve_call(call).await;
+            return self.batch.serve_call(call, connection).await;
         }
         let Some(route) = config.match_route(&caller.host, &caller.path).cloned() else {
             log::warn!(request_id = caller.id, host = caller.host, path = caller.path, version = config.version; "no route matches the request");
@@ -141,7 +141,15 @@
             }
             return self.batch.submit(&caller, &route, body, connection).await;
         }
-        let request = OnlineRequest::new(caller, route, config.version, head, body, received_at);
+        let request = OnlineRequest::new(
+            caller,
+            route,
+            config.version,
+            head,
+            body,
+            connection.clone(),
+            received_at,
+        );
         online::serve(Arc::clone(&self.node), request).await
     }
 }
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod attempt;
 pub mod batch_front;
-pub mod body_budget;
 pub mod caller_server;
 pub mod caller_transport;
 pub mod chunked_objects;
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -27,7 +27,6 @@
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
-use crate::body_budget::BodyBudget;
 use crate::load_table::LoadTable;
 use crate::metrics::Metrics;
 use crate::peer_calls::PeerCalls;
@@ -39,7 +38,7 @@
 use crate::stream_origins::OriginTable;
 use crate::watched_kind::WatchedKind;
 
-/// Connection timeouts towards backend servers.
+/// Options of connections to backend servers, but for their receive buffers.
 const SERVER_CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
     // A round trip takes a few milliseconds, and opening a connection takes one more. A server
     // that drops the opening packet is overloaded or dead, and the kernel would resend the packet
@@ -47,6 +46,7 @@
     connect_timeout: Duration::from_millis(250),
     unacknowledged_timeout: drain_timing::MAX_TRANSIT_TIME,
     on_abandon: AbandonAction::Reset,
+    receive_buffer_bytes: None,
 };
 
 /// The shared state of a front or worker.
@@ -104,8 +104,6 @@
     pub peer_calls: PeerCalls,
     /// Access to the platform's store.
     pub store: StoreAccess,
-    /// The incomplete response bodies of backend servers.
-    pub body_budget: BodyBudget,
     /// Pool of connections to backend servers.
     pub pool: Pool<ServerInstance>,
     /// Counters and histograms.
@@ -151,8 +149,11 @@
             peers_changed: Notify::new(),
             peer_calls: PeerCalls::default(),
             store: StoreAccess::new(settings.store_address, metrics.clone()),
-            body_budget: BodyBudget::default(),
-            pool: Pool::new(SERVER_CONNECT_OPTIONS),
+            pool: Pool::new(ConnectOptions {
+                // What a server sends piles up there if the caller does not read.
+                receive_buffer_bytes: Some(settings.host_limits().receive_buffer_bytes()),
+                ..SERVER_CONNECT_OPTIONS
+            }),
             metrics,
             claims: Mutex::default(),
             waiting_items: AtomicU32::new(0),
--- a/crates/foxwheel-node/src/online.rs
+++ b/crates/foxwheel-node/src/online.rs
@@ -85,7 +85,8 @@
 ) -> Result<CallerResponse, Refusal> {
     loop {
         let server = response.server.clone();
-        match response.read_full_body(request.response_deadline).await {
+        let deadline = request.response_deadline;
+        match response.read_full_body(&request.connection, deadline).await {
             Ok(body) => {
                 let head = response.head.clone();
                 let framing = response.body().framing();
--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use foxwheel_callers::connections::CallerConnection;
 use foxwheel_core::ids::{ServerId, ServiceName};
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_http1::body::ExpectedEvents;
@@ -79,6 +80,8 @@
     pub chosen_server: Option<ChosenServer>,
     head: request::Parts,
     body: Bytes,
+    /// The connection of the caller, for which the response is held.
+    pub(crate) connection: CallerConnection,
     content: Arc<RequestContent>,
     /// Server instances that attempts were sent to.
     pub tried_servers: Vec<ServerInstance>,
@@ -119,13 +122,14 @@
 }
 
 impl OnlineRequest {
-    /// Creates a request from its head and complete body, and selects its service.
+    /// Creates a request of `connection` from its head and complete body, and selects its service.
     pub fn new(
         caller: CallerRequest,
         route: Route,
         config_version: u64,
         head: request::Parts,
         body: Bytes,
+        connection: CallerConnection,
         received_at: Instant,
     ) -> Self {
         let service = route.pick_service(rand::random()).clone();
@@ -156,6 +160,7 @@
             has_ended: false,
             head,
             body,
+            connection,
             content: Arc::new(content),
         }
     }
@@ -409,7 +414,12 @@
         };
         PendingAttempt {
             server: params.slot.server().clone(),
-            response: Box::pin(send_attempt(Arc::clone(node), params, request)),
+            response: Box::pin(send_attempt(
+                Arc::clone(node),
+                params,
+                request,
+                self.connection.clone(),
+            )),
         }
     }
 
@@ -485,6 +495,7 @@
     node: Arc<Node>,
     params: AttemptParams,
     request: Request<RequestBody>,
+    connection: CallerConnection,
 ) -> Result<OpenResponse, Failure> {
     let deadline = params.deadline;
     let response = attempt::send(&node, params, request).await?;
@@ -506,14 +517,18 @@
         response.discard_body(deadline).await;
         return Err(Failure::new(outcome, reason));
     }
-    Err(read_server_error(response, deadline).await)
+    Err(read_server_error(response, &connection, deadline).await)
 }
 
 /// Reads an error response until `deadline`. A signed and complete one is the server's own and is kept
 /// for the caller; any other leaves the outcome unknown.
-async fn read_server_error(mut response: OpenResponse, deadline: Instant) -> Failure {
+async fn read_server_error(
+    mut response: OpenResponse,
+    connection: &CallerConnection,
+    deadline: Instant,
+) -> Failure {
     let reason = format!("server answered {}", response.decoded_head.status.as_u16());
-    match response.read_full_body(deadline).await {
+    match response.read_full_body(connection, deadline).await {
         Ok(body) if response.decoded_head.is_signed => {
             let head = response.head.clone();
             response.finish();
--- a/crates/foxwheel-node/src/relay.rs
+++ b/crates/foxwheel-node/src/relay.rs
@@ -7,6 +7,7 @@
 use foxwheel_core::ids::SoftwareVersion;
 use foxwheel_core::metric_names::{Counter, RequestOutcome, Timer};
 use foxwheel_event_stream::splitter::{Event, EventSplitter};
+use foxwheel_policy::caller_connections::NoRoom;
 use foxwheel_policy::hedging::AwaitedPart;
 use foxwheel_policy::membership::{ServerInstance, ServerState};
 use futures::Stream;
@@ -18,6 +19,9 @@
 use crate::online_request::{OnlineRequest, PendingAttempt};
 use crate::responses::RelayError;
 
+/// How long the next part of a stream waits for room beside the responses of other callers.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// What a server sent next of a stream, or how the stream ended.
 #[derive(Debug)]
 struct StreamPart {
@@ -168,7 +172,7 @@
             match frame {
                 BodyFrame::Data(data) if !is_resumable => {
                     progress.record_data(&node, &request);
-                    yield Frame::data(data);
+                    yield hold_frame(&node, &mut request, &data).await?;
                 }
                 BodyFrame::Data(_) => {
                     progress.record_data(&node, &request);
@@ -178,7 +182,7 @@
                     }
                     let complete = complete?;
                     request.record_origin(&node, &response).await;
-                    yield Frame::data(complete);
+                    yield hold_frame(&node, &mut request, &complete).await?;
                 }
                 BodyFrame::End => {
                     // A comment after the last event.
@@ -208,6 +212,30 @@
     }
 }
 
+/// Returns `data` as a frame whose memory counts as held by the caller's connection until it is written.
+/// It is copied, because it would keep the buffer alive that it was read into. Returns an error if there
+/// is no room for it.
+async fn hold_frame(
+    node: &Node,
+    request: &mut OnlineRequest,
+    data: &[u8],
+) -> Result<Frame<Bytes>, RelayError> {
+    let deadline = Instant::now() + ROOM_TIMEOUT;
+    match request.connection.hold_until(data.len(), deadline).await {
+        Ok(held) => Ok(Frame::data(held.attach_to(data))),
+        Err(NoRoom) => {
+            let reason = NoRoom.to_string();
+            log::warn!(request_id = request.caller.id, reason, after = request.last_event_id; "stream broken");
+            request.count_outcome(node, RequestOutcome::Failed);
+            node.metrics.incr(Counter::StreamCutOff);
+            Err(RelayError {
+                request_id: request.caller.id.clone(),
+                reason,
+            })
+        }
+    }
+}
+
 /// Counts and logs a complete stream, and ends its exchange.
 fn finish_stream(
     node: &Node,
--- a/crates/foxwheel-node/src/responses.rs
+++ b/crates/foxwheel-node/src/responses.rs
@@ -52,7 +52,7 @@
 }
 
 /// Creates a JSON response from encoded bytes.
-pub fn json(bytes: Vec<u8>) -> CallerResponse {
+pub fn json(bytes: impl Into<Bytes>) -> CallerResponse {
     let mut response = Response::new(full_body(bytes));
     response
         .headers_mut()
@@ -60,6 +60,12 @@
     response
 }
 
+/// Returns whether a response tells its caller that the request was not run.
+pub fn is_not_run(response: &CallerResponse) -> bool {
+    let status = response.status();
+    status == StatusCode::SERVICE_UNAVAILABLE || status == StatusCode::TOO_MANY_REQUESTS
+}
+
 /// Creates a response that tells the caller that the request was not run and that it should
 /// retry after `retry_after`. Callers rely on this: use it only for a request that has not run
 /// and never will.
--- a/crates/foxwheel-node/tests/attempt.rs
+++ b/crates/foxwheel-node/tests/attempt.rs
@@ -123,7 +123,9 @@
     let sent = attempt::send(&node, params, request).await;
     let mut response = sent.expect("a response");
     register_server(&node, server.addr, at_end);
-    let is_complete = response.read_full_body(deadline).await.is_ok();
+    let connection = common::caller_connection(&node.settings).await;
+    let read = response.read_full_body(&connection, deadline).await;
+    let is_complete = read.is_ok();
     if is_complete {
         response.finish();
     }
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -24,6 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxwheel_callers::connections::{CallerConnection, CallerConnections};
 use foxwheel_core::keys;
 use foxwheel_node::process;
 use foxwheel_node::settings::{NodeSettings, Role};
@@ -397,6 +398,13 @@
     }
 }
 
+/// Returns the connection of a caller to a process with these settings.
+pub async fn caller_connection(settings: &NodeSettings) -> CallerConnection {
+    let limits = settings.host_limits().for_callers();
+    let connections = CallerConnections::new(limits, |_| {});
+    connections.admit().await.expect("room for a connection")
+}
+
 /// Returns the entry of a backend server of the service `model`.
 pub fn server_entry(addr: SocketAddr, state: &str) -> Value {
     store_entries::server_entry(addr, state)
--- a/crates/foxwheel-node/tests/endless_responses.rs
+++ b/crates/foxwheel-node/tests/endless_responses.rs
@@ -9,7 +9,6 @@
 
 use common::endless_servers::{EndlessResponse, EndlessServer, MAX_SENT_BYTES};
 use common::{Fleet, FleetPlan};
-use foxwheel_node::body_budget::{BodyBudget, OverBudget, MAX_BODY_BYTES, MAX_TOTAL_BYTES};
 use foxwheel_platform::online;
 use hyper::{Method, StatusCode};
 use serde_json::json;
@@ -175,27 +174,6 @@
     fleet.cancel.cancel();
 }
 
-/// All bodies together had no limit.
-#[test]
-fn bodies_without_end_share_a_limit() {
-    let budget = BodyBudget::default();
-    let mut large = budget.begin(MAX_BODY_BYTES);
-    assert_eq!(large.add(MAX_BODY_BYTES), Ok(()));
-    assert_eq!(large.add(1), Err(OverBudget::Body(MAX_BODY_BYTES)));
-    let mut others: Vec<_> = (1..MAX_TOTAL_BYTES / MAX_BODY_BYTES)
-        .map(|_| budget.begin(MAX_BODY_BYTES))
-        .collect();
-    for other in &mut others {
-        assert_eq!(other.add(MAX_BODY_BYTES), Ok(()));
-    }
-    let mut last = budget.begin(MAX_BODY_BYTES);
-    assert_eq!(last.add(1), Err(OverBudget::Total));
-    drop((large, last));
-    assert_eq!(budget.begin(MAX_BODY_BYTES).add(1), Ok(()));
-    drop(others);
-    assert_eq!(budget.used_bytes(), 0);
-}
-
 /// A caller's head without end was read up to 400 KB.
 #[actix_web::test]
 async fn front_reads_a_request_without_end() {
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -13,7 +13,7 @@
 
 /// A connection may hold this much of the whole budget. Beyond it, it leaves a quarter to others, so
 /// that ordinary requests are served beside large ones.
-const SMALL_BYTES: usize = 64 * 1024;
+pub const SMALL_BYTES: usize = 64 * 1024;
 
 /// Slowest pace of an ordinary caller.
 const MIN_BYTES_PER_S: f64 = 16.0 * 1024.0;
