Close a connection whose caller goes on after a refusal without reading it

What callers saw: 256 callers that sent 4,000 requests each without reading a response kept all servers full for minutes; an ordinary request got 502, or was refused for two minutes.

Cause: requests that had arrived together were served one after the other, also after the caller had been told when to come back.

Change: a refusal (not run) of a request that was read together with the one before closes the connection. Callers that wait for a response before the next request are never concerned.

Ruled out: closing after every refusal. It would cost ordinary callers a connection for each.

--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server of a front for its callers: their connections, and the steps of a graceful stop.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use foxwheel_policy::caller_connections::{Activity, CallerTimeouts};
 use futures::FutureExt;
 use hyper::body::{Body, Incoming};
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Version};
@@ -20,9 +22,10 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::caller_transport::CallerTransport;
+use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::front::Front;
 use crate::node::Node;
+use crate::responses;
 use crate::tracked_body::TrackedBody;
 use crate::unframed_body;
 
@@ -242,9 +245,13 @@
     };
     let reset_on_drop = ResetOnDrop::default();
     let transport = Transport::new(stream, reset_on_drop.clone());
-    let transport = CallerTransport::new(transport, caller.clone());
+    let read_count = ReadCount::default();
+    let transport = CallerTransport::new(transport, caller.clone(), read_count.clone());
+    let reads_at_last_request = AtomicUsize::new(0);
     let service = service_fn(move |request: Request<Incoming>| {
         first_request.cancel();
+        let reads = read_count.get();
+        let is_pipelined = reads_at_last_request.swap(reads, Ordering::Relaxed) == reads;
         caller.set_activity(match request.body().is_end_stream() {
             true => Activity::Serving,
             false => Activity::ReadingBody,
@@ -254,7 +261,12 @@
         let reset_on_drop = reset_on_drop.clone();
         async move {
             let takes_chunks = request.version() >= Version::HTTP_11;
-            let response = front.respond(request, &caller).await;
+            let mut response = front.respond(request, &caller).await;
+            if is_pipelined && responses::is_not_run(&response) {
+                // Its caller goes on without a look at when it should come back.
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
             if caller.activity() == Activity::ReadingBody {
                 caller.set_activity(Activity::Discarding);
             }
--- a/crates/foxwheel-node/src/caller_transport.rs
+++ b/crates/foxwheel-node/src/caller_transport.rs
@@ -4,6 +4,8 @@
 use std::future::Future;
 use std::io::{Error, IoSlice, Result};
 use std::pin::Pin;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
@@ -30,11 +32,27 @@
     discarded_bytes: usize,
 }
 
+/// Counts the reads of a socket in which bytes arrived. Clones share the same value.
+#[derive(Debug, Clone, Default)]
+pub struct ReadCount(Arc<AtomicUsize>);
+
+impl ReadCount {
+    /// Returns the number of reads.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn increment(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// The socket of a caller's connection.
 #[derive(Debug)]
 pub struct CallerTransport {
     transport: Transport,
     connection: CallerConnection,
+    read_count: ReadCount,
     /// What is held for the buffer that the parser reads into, beyond [`FIRST_BUFFER_BYTES`].
     buffer: HeldBytes,
     /// Bytes of the current head, which stay in that buffer until it is complete.
@@ -45,11 +63,12 @@
 
 impl CallerTransport {
     /// Wraps the socket of `connection`.
-    pub fn new(transport: Transport, connection: CallerConnection) -> Self {
+    pub fn new(transport: Transport, connection: CallerConnection, read_count: ReadCount) -> Self {
         Self {
             transport,
             buffer: connection.hold_nothing(),
             connection,
+            read_count,
             head_bytes: 0,
             discarding: None,
         }
@@ -107,6 +126,7 @@
         let polled = Pin::new(&mut self.transport).poll_read(cx, buf);
         let received_bytes = buf.filled().len() - filled_before;
         if received_bytes > 0 {
+            self.read_count.increment();
             self.connection.record_received(received_bytes);
             self.head_bytes += received_bytes;
         }
