Leave jobs in the ledger that a worker has no memory for

What callers saw: 64 accepted jobs with bodies of 3 MB whose items waited for servers made a worker hold 178 to 184 MB; the smallest worker host has 130 MB. The quota counts tokens, which a caller chooses, and not bytes.

Cause: a worker kept each job that it was sent or that had no owner, with all bodies of its items, and loaded any number of jobs at the same time.

Change: policy::batch::job_memory: the jobs that a worker owns take at most a quarter of the memory of its host; a worker without jobs takes any. Other jobs stay in the ledger and the store, and the worker tries again with each read of the ledger; their sizes are remembered, so that they are not loaded for nothing. Three jobs are taken over, and five loaded for readers, at the same time.

Ruled out: refusing such jobs at the front. The ledger does not know their bytes, and the store has room for them.

--- a/crates/foxwheel-node/src/job_store.rs
+++ b/crates/foxwheel-node/src/job_store.rs
@@ -76,6 +76,9 @@
     /// A value that may be stored in chunks could not be read or written.
     #[error(transparent)]
     Value(#[from] ValueError),
+    /// Other jobs are being loaded.
+    #[error("other jobs are being loaded")]
+    Busy,
     /// Other processes kept changing the ledger until the time limit of the update.
     #[error("the ledger was changed by others until the time was up")]
     Contended,
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -12,10 +12,11 @@
 use foxwheel_policy::batch::checkpoint::JobCheckpoint;
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
+use foxwheel_policy::batch::job_memory::{self, JobMemory};
 use foxwheel_policy::batch::ledger::{JobStatus, Ledger, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership::{self, ClaimStatus, JobClaim};
 use foxwheel_policy::batch::packing;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
 use crate::job_store::{JobStore, JobStoreError};
@@ -49,9 +50,15 @@
 /// Maximum number of ended jobs that are remembered.
 const MAX_ENDED_JOBS: usize = 1_024;
 
-/// Maximum size of the jobs in memory that this worker does not run; the least recently used
-/// jobs are evicted first. This is half of the memory that a process may use for control.
-const MAX_UNUSED_BYTES: usize = 16_000_000;
+/// Maximum number of jobs whose sizes are remembered because there was no room for them.
+const MAX_LARGE_JOBS: usize = 1_024;
+
+/// Number of jobs that are loaded for readers at the same time. Each is in memory twice while it is
+/// decoded.
+const MAX_READER_LOADS: usize = 5;
+
+/// Number of jobs that are taken over at the same time, for the same reason.
+const MAX_TAKE_OVERS: usize = 3;
 
 /// A job in memory.
 #[derive(Debug)]
@@ -97,6 +104,14 @@
     cached_ledger: tokio::sync::Mutex<Option<(Instant, Arc<Ledger>)>>,
     /// Jobs that are being taken over; sorted.
     taking_over: Mutex<Vec<JobId>>,
+    /// The memory that the jobs may take.
+    memory: JobMemory,
+    /// One permit for each job that may be loaded for a reader at the same time.
+    reader_loads: Semaphore,
+    /// One permit for each job that may be taken over at the same time.
+    take_overs: Semaphore,
+    /// Jobs that there was no room for, and their sizes in bytes; the oldest first.
+    large_jobs: Mutex<VecDeque<(JobId, usize)>>,
     /// Notified when the scheduler may have something to do.
     pub wake: Notify,
     /// Notified when the ledger should be read before its next interval.
@@ -106,6 +121,7 @@
 impl WorkerJobs {
     /// Creates an empty set of jobs.
     pub fn new(node: Arc<Node>) -> Arc<Self> {
+        let memory = JobMemory::of_host(node.settings.host_limits().memory_bytes);
         Arc::new(Self {
             store: JobStore::new(Arc::clone(&node)),
             ledger_writer: LedgerWriter::default(),
@@ -116,13 +132,17 @@
             cached_checkpoints: tokio::sync::Mutex::default(),
             cached_ledger: tokio::sync::Mutex::default(),
             taking_over: Mutex::default(),
+            memory,
+            reader_loads: Semaphore::new(MAX_READER_LOADS),
+            take_overs: Semaphore::new(MAX_TAKE_OVERS),
+            large_jobs: Mutex::default(),
             wake: Notify::new(),
             ledger_poll_request: Notify::new(),
         })
     }
 
-    /// Starts to run a job that was just accepted. Does nothing if the worker is leaving, or if
-    /// it owns the job already or knows that it ended.
+    /// Starts to run a job that was just accepted. Does nothing if the worker is leaving or has no room
+    /// for the job, or if it owns the job already or knows that it ended.
     pub fn start_new_job(&self, job: JobSpec) {
         if self.node.is_leaving() {
             // The job is in the ledger; another worker takes it over.
@@ -132,10 +152,37 @@
             log::info!(job = job.id; "job not taken: it has ended since it was accepted");
             return;
         }
+        if !self.has_room_for(&job.id, job.size_bytes()) {
+            return;
+        }
         log::info!(job = job.id, items = job.items.len(); "job taken");
         self.insert_job(JobProgress::new(job), true);
     }
 
+    /// Returns whether the worker may take a job of `bytes` beside those that it owns. If not, the job
+    /// stays in the ledger, and its size is remembered.
+    fn has_room_for(&self, id: &JobId, bytes: usize) -> bool {
+        let mut owned_bytes = 0;
+        self.for_each_owned(|entry| owned_bytes += entry.progress.size_bytes());
+        let has_room = self.memory.has_room(owned_bytes, bytes);
+        if !has_room && self.known_size(id).is_none() {
+            log::info!(job = id, bytes, owned_bytes; "job not taken: no room; it stays in the ledger");
+            let mut large_jobs = self.large_jobs.lock().expect("large jobs lock");
+            large_jobs.push_back((id.clone(), bytes));
+            if large_jobs.len() > MAX_LARGE_JOBS {
+                large_jobs.pop_front();
+            }
+        }
+        has_room
+    }
+
+    /// Returns the size of a job that there was no room for; `None` if it is not known.
+    fn known_size(&self, id: &JobId) -> Option<usize> {
+        let large_jobs = self.large_jobs.lock().expect("large jobs lock");
+        let found = large_jobs.iter().find(|(job, _)| job == id);
+        found.map(|(_, bytes)| *bytes)
+    }
+
     /// Changes the ledger through [`ledger_writer::change_ledger`].
     pub async fn change_ledger(
         &self,
@@ -263,7 +310,7 @@
         let mut bytes = 0;
         let first_evicted = by_last_use.into_iter().find(|(_, entry_bytes)| {
             bytes += entry_bytes;
-            bytes > MAX_UNUSED_BYTES
+            bytes > job_memory::MAX_UNUSED_BYTES
         });
         if let Some((last_use, _)) = first_evicted {
             entries.retain(|entry| is_in_use(entry) || entry.used_at > last_use);
@@ -358,6 +405,10 @@
             Some(false) => return Ok(true),
             None => {}
         }
+        let Ok(Ok(_permit)) = tokio::time::timeout(LOAD_TIMEOUT, self.reader_loads.acquire()).await
+        else {
+            return Err(JobStoreError::Busy);
+        };
         match self.store.load_progress(id, deadline).await? {
             Some(progress) => {
                 self.insert_job(progress, false);
--- a/crates/foxwheel-node/src/worker_jobs/take_over.rs
+++ b/crates/foxwheel-node/src/worker_jobs/take_over.rs
@@ -37,12 +37,21 @@
     }
 
     async fn load_and_own(&self, id: &JobId) -> Result<(), JobStoreError> {
+        let Ok(_permit) = self.take_overs.acquire().await else {
+            return Err(JobStoreError::Busy);
+        };
+        if !self.has_room_for(id, self.known_size(id).unwrap_or_default()) {
+            return Ok(());
+        }
         let deadline = Instant::now() + 4 * LOAD_TIMEOUT;
         let Some(mut progress) = self.store.load_progress(id, deadline).await? else {
             // The front has not confirmed the job, and its client may submit it again.
             self.record_missing(id, Instant::now());
             return Ok(());
         };
+        if !self.has_room_for(id, progress.size_bytes()) {
+            return Ok(());
+        }
         let restored = self.restore_checkpoints(&mut progress).await;
         // Loading may have taken seconds, in which the job may have ended.
         let loaded_at = Instant::now();
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -23,6 +23,15 @@
     pub tokens: u64,
 }
 
+impl ItemSpec {
+    /// Returns the size of the item in bytes.
+    pub fn size_bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers.map(|(name, value)| name.len() + value.len()).sum();
+        self.id.len() + self.path.len() + header_bytes + self.body.len()
+    }
+}
+
 /// How a finished item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemOutcome {
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -77,6 +77,11 @@
     pub fn total_tokens(&self) -> u64 {
         self.items.iter().map(|item| item.tokens).sum()
     }
+
+    /// Returns the size of the items in bytes, as far as their client determines it.
+    pub fn size_bytes(&self) -> usize {
+        self.items.iter().map(ItemSpec::size_bytes).sum()
+    }
 }
 
 /// Progress of one item.
@@ -294,16 +299,15 @@
             .all(|item| matches!(item.state, ItemState::Finished(_) | ItemState::Stored))
     }
 
-    /// Returns the size in bytes of the request bodies and the stored outputs, which make up
-    /// most of the job's memory.
+    /// Returns the size in bytes of the items and the stored outputs, which make up most of the job's
+    /// memory.
     pub fn size_bytes(&self) -> usize {
-        let bodies: usize = self.spec.items.iter().map(|item| item.body.len()).sum();
         let results: usize = self
             .stored_results
             .iter()
             .map(|result| result.output.len())
             .sum();
-        bodies + results
+        self.spec.size_bytes() + results
     }
 
     /// Returns whether the results of all items are stored.
--- a/crates/foxwheel-policy/src/batch/mod.rs
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -5,6 +5,7 @@
 pub mod claim_pages;
 pub mod item;
 pub mod job;
+pub mod job_memory;
 pub mod ledger;
 pub mod ownership;
 pub mod packing;
