Limit the connections to the other ports of a process, and calls without an end

What callers saw: 600 connections to the readiness address, to that of the metrics or to the port for other processes took all 400 open files of a front; an ordinary request, and the readiness check, got no response. 64 calls of 8 MB a byte short made a worker hold 541 MB of 130.

Cause: these listeners had neither a limit of connections nor of time, and a call was held until it was complete, however many there were.

Change: each of them has its own connections with the same rules as those of callers: 16 for readiness and for metrics, a sixteenth of the open files (32 at least) for other processes, which may take 15 % of the memory with incomplete calls. Of idle connections those without a request so far are closed first, so that a crowd does not displace the connections in use. The sockets record what their peers do through the same transport; what a head takes is given back once it is complete.

--- a/crates/foxwheel-callers/src/host.rs
+++ b/crates/foxwheel-callers/src/host.rs
@@ -6,9 +6,23 @@
 /// Open files of a host that a platform keeps for other purposes than the sockets of the process.
 const RESERVED_FILES: usize = 200;
 
-/// Open files that a process needs for itself: its listeners, and connections to the store and to
-/// other processes.
-const OWN_FILES: usize = 128;
+/// Open files that a process needs for itself: its listeners, and connections to the store.
+const OWN_FILES: usize = 64;
+
+/// Part of the open files for connections from other processes of the system, and as many to them.
+const PEERS_SHARE: usize = 16;
+
+/// Smallest number of connections from other processes of the system.
+const MIN_PEER_CONNECTIONS: usize = 32;
+
+/// Connections to each address for the platform and for operators.
+const STATUS_CONNECTIONS: usize = 16;
+
+/// Memory of all connections to such an address.
+const STATUS_BYTES: usize = 1024 * 1024;
+
+/// Part of the memory that other processes of the system may take with incomplete calls.
+const PEERS_MEMORY_SHARE: f64 = 0.15;
 
 /// Open files for each connection of a caller: its socket, and one to a backend server.
 const FILES_PER_CONNECTION: usize = 2;
@@ -48,10 +62,9 @@
 impl HostLimits {
     /// Returns what the connections of callers may take together.
     pub fn for_callers(self) -> ConnectionLimits {
-        let open_files = self.open_files.unwrap_or_else(process_file_limit);
-        let open_files = usize::try_from(open_files).unwrap_or(usize::MAX);
-        let connections =
-            open_files.saturating_sub(RESERVED_FILES + OWN_FILES) / FILES_PER_CONNECTION;
+        let own_files = OWN_FILES + 2 * STATUS_CONNECTIONS + 2 * self.max_peer_connections();
+        let callers_files = self.open_files().saturating_sub(RESERVED_FILES + own_files);
+        let connections = callers_files / FILES_PER_CONNECTION;
         // What has arrived and is not read counts as memory. The kernel accepts half as much again as
         // the size of the buffer.
         let unread_bytes = self.receive_buffer_bytes() / 2 * 3;
@@ -62,6 +75,33 @@
         }
     }
 
+    /// Returns what the connections of other processes of the system may take together.
+    pub fn for_peers(self) -> ConnectionLimits {
+        ConnectionLimits {
+            max_connections: self.max_peer_connections(),
+            max_bytes: (self.memory_bytes as f64 * PEERS_MEMORY_SHARE) as usize,
+            connection_bytes: 0,
+        }
+    }
+
+    /// Returns what the connections to an address for the platform or for operators may take together.
+    pub fn for_status() -> ConnectionLimits {
+        ConnectionLimits {
+            max_connections: STATUS_CONNECTIONS,
+            max_bytes: STATUS_BYTES,
+            connection_bytes: CONNECTION_BYTES,
+        }
+    }
+
+    fn max_peer_connections(self) -> usize {
+        (self.open_files() / PEERS_SHARE).max(MIN_PEER_CONNECTIONS)
+    }
+
+    fn open_files(self) -> usize {
+        let open_files = self.open_files.unwrap_or_else(process_file_limit);
+        usize::try_from(open_files).unwrap_or(usize::MAX)
+    }
+
     /// Returns the size of the receive buffer of each caller's socket, which bounds what has arrived
     /// and is not read.
     pub fn receive_buffer_bytes(self) -> u32 {
--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -138,7 +138,8 @@
     }
 }
 
-fn close_counter(reason: CloseReason) -> Counter {
+/// Returns the counter of the connections that are closed for this reason.
+pub(crate) fn close_counter(reason: CloseReason) -> Counter {
     match reason {
         CloseReason::RoomNeeded => Counter::CallerClosedForRoom,
         CloseReason::TimedOut => Counter::CallerTimedOut,
--- a/crates/foxwheel-node/src/caller_transport.rs
+++ b/crates/foxwheel-node/src/caller_transport.rs
@@ -1,5 +1,5 @@
-//! The socket of a caller's connection, which records how far the caller is, and reads on for a while
-//! after it has refused a body.
+//! The socket of a connection that a caller opened: a client, the platform or another process. It records
+//! how far the caller is, and reads on for a while after a refused body.
 
 use std::future::Future;
 use std::io::{Error, IoSlice, Result};
@@ -53,9 +53,9 @@
     transport: Transport,
     connection: CallerConnection,
     read_count: ReadCount,
-    /// What is held for the buffer that the parser reads into, beyond [`FIRST_BUFFER_BYTES`].
+    /// What is held for the current head beyond [`FIRST_BUFFER_BYTES`].
     buffer: HeldBytes,
-    /// Bytes of the current head, which stay in that buffer until it is complete.
+    /// What was received of the current head.
     head_bytes: usize,
     /// Begins when the caller has been told that nothing more is sent.
     discarding: Option<Discarding>,
@@ -74,14 +74,16 @@
         }
     }
 
-    /// Holds the memory of the parser's buffer, which has `spare_bytes` left. Returns an error if there is
-    /// no room for it, which closes the connection.
-    fn hold_buffer(&mut self, spare_bytes: usize) -> Result<()> {
+    /// Holds the memory of what was received of a head, which stays in the buffer of the parser until it
+    /// is complete. Returns an error if there is no room for it, which closes the connection.
+    fn hold_head(&mut self, received_bytes: usize) -> Result<()> {
         if self.connection.activity() != Activity::ReadingHead {
             self.head_bytes = 0;
+            self.buffer.shrink_to(0);
+            return Ok(());
         }
-        let buffer_bytes = self.head_bytes + spare_bytes;
-        let more_bytes = buffer_bytes.saturating_sub(FIRST_BUFFER_BYTES);
+        self.head_bytes += received_bytes;
+        let more_bytes = self.head_bytes.saturating_sub(FIRST_BUFFER_BYTES);
         self.buffer.grow_to(more_bytes).map_err(Error::other)
     }
 
@@ -121,14 +123,13 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        self.hold_buffer(buf.remaining())?;
         let filled_before = buf.filled().len();
         let polled = Pin::new(&mut self.transport).poll_read(cx, buf);
         let received_bytes = buf.filled().len() - filled_before;
         if received_bytes > 0 {
             self.read_count.increment();
             self.connection.record_received(received_bytes);
-            self.head_bytes += received_bytes;
+            self.hold_head(received_bytes)?;
         }
         polled
     }
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use foxwheel_callers::connections::{CallerConnection, CallerConnections};
 use foxwheel_core::ids::{ItemId, JobId};
+use foxwheel_http1::transport::{ResetOnDrop, Transport};
 use foxwheel_platform::store::{Object, StoreError, Write, WriteOutcome};
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{RelayedChange, RelayedResponse};
+use foxwheel_policy::caller_connections::Activity;
 use foxwheel_policy::part_quarantine::PartEvidence;
 use foxwheel_policy::quarantine::CrashReport;
 use foxwheel_policy::routes::Config;
@@ -16,8 +19,12 @@
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::{context, serde_transport};
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
+use crate::caller_server;
+use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::node::Node;
 use crate::peer_calls::{
     ItemBodyResponse, PeerService, RelayedResult, ResultsQuery, ResultsResponse, StoreState,
@@ -25,6 +32,9 @@
 };
 use crate::worker_jobs::WorkerJobs;
 
+/// Delay after a connection could not be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+
 #[derive(Clone)]
 struct PeerServiceHandler {
     node: Arc<Node>,
@@ -133,33 +143,62 @@
     addr: SocketAddr,
     cancel: CancellationToken,
 ) -> std::io::Result<()> {
-    let mut incoming = serde_transport::tcp::listen(addr, Bincode::default).await?;
+    let listener = TcpListener::bind(addr).await?;
+    let metrics = node.metrics.clone();
+    let limits = node.settings.host_limits().for_peers();
+    let connections = CallerConnections::new(limits, move |reason| {
+        metrics.incr(caller_server::close_counter(reason));
+    });
     let handler = PeerServiceHandler { node, jobs };
     tokio::spawn(async move {
         loop {
             let accepted = tokio::select! {
                 () = cancel.cancelled() => return,
-                accepted = incoming.next() => accepted,
+                accepted = listener.accept() => accepted,
             };
-            match accepted {
-                Some(Ok(transport)) => {
-                    let calls = BaseChannel::with_defaults(transport)
-                        .execute(handler.clone().serve())
-                        .for_each(|call| async {
-                            tokio::spawn(call);
-                        });
-                    let cancel = cancel.clone();
-                    tokio::spawn(async move {
-                        tokio::select! {
-                            () = cancel.cancelled() => {}
-                            () = calls => {}
-                        }
-                    });
+            let stream = match accepted {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!(error:% = e; "cannot accept peer connection");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
+                    continue;
                 }
-                Some(Err(e)) => log::warn!(error:% = e; "cannot accept peer connection"),
-                None => return,
-            }
+            };
+            let Some(connection) = connections.admit().await else {
+                continue;
+            };
+            let calls = serve_connection(connection.clone(), stream, handler.clone());
+            let cancel = cancel.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = cancel.cancelled() => {}
+                    () = connection.closing() => {}
+                    () = calls => {}
+                }
+            });
         }
     });
     Ok(())
 }
+
+/// Serves the calls of one connection. It counts as idle between two calls, although those before may
+/// still be running.
+async fn serve_connection(
+    connection: CallerConnection,
+    stream: TcpStream,
+    handler: PeerServiceHandler,
+) {
+    let transport = Transport::new(stream, ResetOnDrop::default());
+    let transport = CallerTransport::new(transport, connection.clone(), ReadCount::default());
+    let frames = Framed::new(transport, LengthDelimitedCodec::new());
+    let messages = serde_transport::new(frames, Bincode::default());
+    BaseChannel::with_defaults(messages)
+        .execute(handler.serve())
+        .for_each(|call| {
+            connection.set_activity(Activity::Serving);
+            connection.set_activity(Activity::Idle);
+            tokio::spawn(call);
+            std::future::ready(())
+        })
+        .await;
+}
--- a/crates/foxwheel-node/src/status_server.rs
+++ b/crates/foxwheel-node/src/status_server.rs
@@ -4,22 +4,33 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxwheel_callers::connections::{CallerConnection, CallerConnections};
+use foxwheel_callers::host::HostLimits;
+use foxwheel_http1::transport::{ResetOnDrop, Transport};
+use foxwheel_policy::caller_connections::Activity;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
-use tokio::net::TcpListener;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
 
+use crate::caller_server;
+use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::node::Node;
 use crate::responses::{self, CallerResponse};
+use crate::tracked_body::TrackedBody;
+
+/// How long a connection may be without a request.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Serves readiness checks on `addr`. The process is ready while it is synced with the store and
 /// was not asked to stop. Returns an error if `addr` cannot be bound.
 pub async fn serve_readiness(node: Arc<Node>, addr: SocketAddr) -> std::io::Result<()> {
     let was_ready = std::sync::atomic::AtomicBool::new(false);
     let was_ready = Arc::new(was_ready);
-    serve_paths(addr, move |path| {
+    let of_node = Arc::clone(&node);
+    serve_paths(&of_node, addr, move |path| {
         if path != foxwheel_platform::READINESS_PATH {
             return responses::empty(StatusCode::NOT_FOUND);
         }
@@ -40,7 +51,8 @@
 /// Serves the process's counters and histograms at `/metrics` on `addr`. Returns an error if `addr`
 /// cannot be bound.
 pub async fn serve_metrics(node: Arc<Node>, addr: SocketAddr) -> std::io::Result<()> {
-    serve_paths(addr, move |path| match path {
+    let of_node = Arc::clone(&node);
+    serve_paths(&of_node, addr, move |path| match path {
         "/metrics" => responses::text(StatusCode::OK, &node.metrics.render()),
         _ => responses::empty(StatusCode::NOT_FOUND),
     })
@@ -49,28 +61,53 @@
 
 /// Serves requests whose responses depend only on the path and need no waiting.
 async fn serve_paths(
+    node: &Node,
     addr: SocketAddr,
     respond: impl Fn(&str) -> CallerResponse + Clone + Send + Sync + 'static,
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(addr).await?;
+    let metrics = node.metrics.clone();
+    let connections = CallerConnections::new(HostLimits::for_status(), move |reason| {
+        metrics.incr(caller_server::close_counter(reason));
+    });
     tokio::spawn(async move {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 tokio::time::sleep(Duration::from_millis(20)).await;
                 continue;
             };
+            let Some(connection) = connections.admit().await else {
+                continue;
+            };
             let respond = respond.clone();
             tokio::spawn(async move {
-                let service = service_fn(move |request: Request<Incoming>| {
-                    let response = respond(request.uri().path());
-                    async move { Ok::<_, std::convert::Infallible>(response) }
-                });
-                // An error means that the client disconnected, so that it needs no response.
-                let _ = http1::Builder::new()
-                    .serve_connection(TokioIo::new(stream), service)
-                    .await;
+                tokio::select! {
+                    () = connection.closing() => {}
+                    () = serve_connection(connection.clone(), stream, respond) => {}
+                }
             });
         }
     });
     Ok(())
 }
+
+async fn serve_connection(
+    connection: CallerConnection,
+    stream: TcpStream,
+    respond: impl Fn(&str) -> CallerResponse,
+) {
+    let transport = Transport::new(stream, ResetOnDrop::default());
+    let transport = CallerTransport::new(transport, connection.clone(), ReadCount::default());
+    let service = service_fn(move |request: Request<Incoming>| {
+        connection.set_activity(Activity::Serving);
+        let response = respond(request.uri().path());
+        let response = response.map(|body| TrackedBody::new(body, connection.clone()));
+        async move { Ok::<_, std::convert::Infallible>(response) }
+    });
+    // An error means that the client disconnected, so that it needs no response.
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .serve_connection(TokioIo::new(transport), service)
+        .await;
+}
--- a/crates/foxwheel-node/tests/caller_crowds.rs
+++ b/crates/foxwheel-node/tests/caller_crowds.rs
@@ -391,6 +391,35 @@
     assert!(held <= WORKER_MEMORY_BYTES, "the worker held {held} bytes");
 }
 
+/// Calls to the port for other processes were held until they were complete, all at once.
+#[actix_web::test]
+async fn worker_holds_calls_without_end() {
+    const CALL_BYTES: u32 = 8 * 1024 * 1024 - 1;
+    let _alone = run_alone().await;
+    let mut programs = Programs::start("calls", common::server_shapes(2), None).await;
+    let monitor = programs.monitor_worker();
+    let mut part = CALL_BYTES.to_be_bytes().to_vec();
+    part.resize(CALL_BYTES as usize, b'a');
+    let upload = Upload {
+        part: Bytes::from(part),
+        part_count: 1,
+        ..Upload::head_only(String::new())
+    };
+    let crowd = Crowd::start(programs.worker_addr, CALLERS, upload);
+    crowd.settle().await;
+    programs.check_ordinary_request("beside-the-calls").await;
+    let accepted = common::submit_job(programs.front_addr, "job", 1).await;
+    assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
+    let results = common::wait_for_results(programs.front_addr, "job", 1).await;
+    assert_eq!(results[0]["state"], "completed");
+    let peak = monitor.stop();
+    println!("the worker held at most {peak:?}");
+    assert!(programs.worker.is_running(), "the worker has ended");
+    let held = peak.memory_bytes;
+    assert!(held <= WORKER_MEMORY_BYTES, "the worker held {held} bytes");
+    crowd.leave().await;
+}
+
 /// Requests of the largest size that the configuration allows are served, one after the other.
 #[actix_web::test]
 async fn largest_requests_are_served_in_calm() {
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -83,6 +83,8 @@
     /// The caller is behind from this time on, unless it sends or reads more. Applies while the
     /// connection waits for its caller.
     on_pace_until: Instant,
+    /// Whether it has had a complete request.
+    was_used: bool,
     /// Whether it was chosen to be closed. It counts until it is.
     is_closing: bool,
 }
@@ -176,6 +178,7 @@
                 active_since: now,
                 write_blocked_since: None,
                 on_pace_until: now + MAX_PAUSE,
+                was_used: false,
                 is_closing: false,
             });
             id
@@ -184,16 +187,12 @@
 
     /// Chooses a connection to be closed for the sake of a new one: that of the caller that is behind
     /// for the longest time, else the one with the oldest incomplete head, else the one that has been
-    /// idle for the longest time.
+    /// idle for the longest time, first of those without a request so far.
     pub fn choose_for_new_connection(&mut self, now: Instant) -> Result<ConnectionId, NoRoom> {
         let behind = self.oldest_first(|connection| connection.behind_since(now));
         let heads = self.oldest_first(|connection| connection.head_incomplete_since(now));
-        let idle = self.oldest_first(|connection| connection.idle_since(now));
-        let (_, index) = [behind, heads, idle]
-            .concat()
-            .first()
-            .copied()
-            .ok_or(NoRoom)?;
+        let candidates = [behind, heads, self.idle(now)].concat();
+        let (_, index) = *candidates.first().ok_or(NoRoom)?;
         Ok(self.start_closing(index))
     }
 
@@ -246,7 +245,7 @@
         }
         let mut candidates = self.oldest_first(|connection| connection.behind_since(now));
         if is_small {
-            candidates.extend(self.oldest_first(|connection| connection.idle_since(now)));
+            candidates.extend(self.idle(now));
         }
         // It must not be chosen for its own sake.
         candidates.retain(|(_, index)| self.connections[*index].id != id);
@@ -280,6 +279,7 @@
             let waited = connection.waits_for_caller();
             connection.activity = activity;
             connection.active_since = now;
+            connection.was_used |= activity == Activity::Serving;
             if !waited {
                 connection.on_pace_until = now + MAX_PAUSE;
             }
@@ -351,6 +351,16 @@
             .collect()
     }
 
+    /// Returns the indexes of the idle connections: those without a request so far, then the others, each
+    /// sorted by when they became idle.
+    fn idle(&self, now: Instant) -> Vec<(Instant, usize)> {
+        let idle = self.oldest_first(|connection| connection.idle_since(now));
+        let (used, unused): (Vec<_>, Vec<_>) = idle
+            .into_iter()
+            .partition(|(_, index)| self.connections[*index].was_used);
+        [unused, used].concat()
+    }
+
     /// Returns the indexes of the connections for which `since` returns a time, sorted by it.
     fn oldest_first(
         &self,
--- a/crates/foxwheel-policy/tests/caller_connections.rs
+++ b/crates/foxwheel-policy/tests/caller_connections.rs
@@ -130,7 +130,10 @@
 
 #[test]
 fn new_connections_replace_incomplete_heads_before_idle_ones() {
-    let mut replay = Replay::new(3, MEGABYTE);
+    let mut replay = Replay::new(4, MEGABYTE);
+    let used = replay.begin(Activity::Serving);
+    replay.table.set_activity(used, Activity::Idle, replay.now);
+    replay.pass(1);
     let idle = replay.open();
     let older_head = replay.begin(Activity::ReadingHead);
     let newer_head = replay.begin(Activity::ReadingHead);
@@ -140,7 +143,7 @@
         Err(NoRoom)
     );
     replay.pass(2_000);
-    for expected in [older_head, newer_head, idle] {
+    for expected in [older_head, newer_head, idle, used] {
         let chosen = replay.table.choose_for_new_connection(replay.now);
         assert_eq!(chosen, Ok(expected));
         replay.table.close(expected);
