Own gateway: its callers share the memory and the open files of its host

What callers saw: 24 callers with bodies of 32 MB made a gateway hold 781 to 823 MB, 144 that read no response of 7 MB 1,101 MB, and 600 connections with half a head took all 400 open files.

Cause: every route accepted bodies of 256 MB, completions too, in whole and in any number; all batches that had arrived were decoded at once; full responses were held until their callers had read them; there was no limit of connections but that of the kernel.

Change: the settings have memory_limit_mb (512 by default, the largest entry host) and open_files_limit. foxwheel-caller-server registers the connections of an actix-web server in the same table as a front does, closes those that must make room, reads bodies into reserved memory, and follows how far the responses are read, which are handed to the server in parts of 32 KB. Completions and calls have 4 MB at most, a batch a twenty-fifth of the memory (20 MB by default), which leaves room for its values; larger ones need a larger memory_limit_mb. Full responses, lines of results and recorded responses of calls are reserved, too.

Ruled out: max_connections of actix-web alone. It stops accepting, so that ordinary callers wait behind the crowd.

--- a/crates/foxwheel-callers/src/body.rs
+++ b/crates/foxwheel-callers/src/body.rs
@@ -44,11 +44,19 @@
             Some(_) => return Err(BodyRefusal::TooLarge(max_bytes)),
         };
         Ok(Self {
+            announced_bytes,
+            ..Self::new(connection, max_bytes)
+        })
+    }
+
+    /// Begins a body of at most `max_bytes` whose length is not known.
+    pub fn new(connection: &CallerConnection, max_bytes: usize) -> Self {
+        Self {
             bytes: Vec::new(),
             held: connection.hold_nothing(),
             max_bytes,
-            announced_bytes,
-        })
+            announced_bytes: None,
+        }
     }
 
     /// Appends what has arrived.
--- a/crates/foxwheel-callers/src/connections.rs
+++ b/crates/foxwheel-callers/src/connections.rs
@@ -95,11 +95,7 @@
                 match state.table.choose_for_new_connection(now) {
                     Ok(chosen) => self.close_all(&state, &[chosen], CloseReason::RoomNeeded),
                     Err(NoRoom) => {
-                        let (connections, held_bytes) =
-                            (state.table.len(), state.table.held_bytes());
-                        let reason = CloseReason::NotAccepted;
-                        log::info!(reason = reason.text(), connections, held_bytes; "caller connection not accepted");
-                        (self.report)(reason);
+                        self.report_not_accepted(&state);
                         return None;
                     }
                 }
@@ -109,16 +105,44 @@
         }
     }
 
+    /// Does the same as [`Self::admit`] without waiting: the other connection may still be open for a
+    /// moment.
+    pub fn admit_now(self: &Arc<Self>) -> Option<CallerConnection> {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if let Some(connection) = self.open(&mut state, now) {
+            return Some(connection);
+        }
+        let Ok(chosen) = state.table.choose_for_new_connection(now) else {
+            self.report_not_accepted(&state);
+            return None;
+        };
+        self.close_all(&state, &[chosen], CloseReason::RoomNeeded);
+        let id = state.table.open_instead_of_closing(now);
+        Some(self.register(&mut state, id))
+    }
+
+    fn report_not_accepted(&self, state: &State) {
+        let (connections, held_bytes) = (state.table.len(), state.table.held_bytes());
+        let reason = CloseReason::NotAccepted;
+        log::info!(reason = reason.text(), connections, held_bytes; "caller connection not accepted");
+        (self.report)(reason);
+    }
+
     fn open(self: &Arc<Self>, state: &mut State, now: Instant) -> Option<CallerConnection> {
         let id = state.table.open(now)?;
+        Some(self.register(state, id))
+    }
+
+    fn register(self: &Arc<Self>, state: &mut State, id: ConnectionId) -> CallerConnection {
         let closing = CancellationToken::new();
         // Ids ascend.
         state.closing.push((id, closing.clone()));
-        Some(CallerConnection(Arc::new(Entry {
+        CallerConnection(Arc::new(Entry {
             connections: Arc::clone(self),
             id,
             closing,
-        })))
+        }))
     }
 
     /// Closes the connections whose callers have exceeded a timeout.
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -1,9 +1,12 @@
 //! HTTP helpers shared by the servers: refusals in a common format, and a server that stops gracefully
 //! when its cancellation token is cancelled.
 
-use std::net::SocketAddr;
+use std::any::Any;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::Duration;
 
+use actix_web::dev::Extensions;
 use actix_web::http::StatusCode;
 use actix_web::{HttpRequest, HttpResponse};
 use tokio_util::sync::CancellationToken;
@@ -95,8 +98,11 @@
 /// sends its next request, which would then fail although neither side has a fault.
 pub const SERVER_KEEP_ALIVE: Duration = Duration::from_secs(75);
 
+/// Called with the socket of each connection that a server accepts, and the data that its requests share.
+pub type OnConnect = Arc<dyn Fn(&dyn Any, &mut Extensions) + Send + Sync>;
+
 /// Options of [`serve`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Clone)]
 pub struct ServerOptions {
     /// Number of worker threads.
     pub workers: usize,
@@ -106,6 +112,8 @@
     /// may not, a request ends when its client closes the connection, also while there is nothing to
     /// send to it.
     pub allows_half_closed: bool,
+    /// Called for each connection.
+    pub on_connect: Option<OnConnect>,
 }
 
 impl Default for ServerOptions {
@@ -114,14 +122,13 @@
             workers: 2,
             shutdown_timeout: Duration::from_secs(30),
             allows_half_closed: true,
+            on_connect: None,
         }
     }
 }
 
-/// Binds `listen_addr` and starts an actix-web server with the application that `factory` builds.
-/// Once `cancel` is cancelled, the server stops gracefully: it accepts no new connections and
-/// finishes the requests in flight. Returns the bound address and the server, or an error if the
-/// address cannot be bound.
+/// Binds `listen_addr` and starts a server there, as [`serve_on`] does. Returns an error if the address
+/// cannot be bound.
 pub fn serve<F, I, S, B>(
     listen_addr: &str,
     options: ServerOptions,
@@ -141,14 +148,45 @@
     S::Future: 'static,
     B: actix_web::body::MessageBody + 'static,
 {
+    serve_on(TcpListener::bind(listen_addr)?, options, cancel, factory)
+}
+
+/// Starts an actix-web server on `listener` with the application that `factory` builds. Once `cancel` is
+/// cancelled, the server stops gracefully: it accepts no new connections and finishes the requests in
+/// flight. Returns the address and the server.
+pub fn serve_on<F, I, S, B>(
+    listener: TcpListener,
+    options: ServerOptions,
+    cancel: CancellationToken,
+    factory: F,
+) -> std::io::Result<(SocketAddr, actix_web::dev::Server)>
+where
+    F: Fn() -> I + Send + Clone + 'static,
+    I: actix_service::IntoServiceFactory<S, actix_http::Request>,
+    S: actix_web::dev::ServiceFactory<
+            actix_http::Request,
+            Config = actix_web::dev::AppConfig,
+            Response = actix_web::dev::ServiceResponse<B>,
+            Error = actix_web::Error,
+            InitError = (),
+        > + 'static,
+    S::Future: 'static,
+    B: actix_web::body::MessageBody + 'static,
+{
+    let addr = listener.local_addr()?;
+    let on_connect = options.on_connect;
     let server = actix_web::HttpServer::new(factory)
         .workers(options.workers)
         .keep_alive(SERVER_KEEP_ALIVE)
         .h1_allow_half_closed(options.allows_half_closed)
         .shutdown_timeout(options.shutdown_timeout.as_secs())
         .disable_signals()
-        .bind(listen_addr)?;
-    let addr = server.addrs()[0];
+        .on_connect(move |io, data| {
+            if let Some(on_connect) = &on_connect {
+                on_connect(io, data);
+            }
+        })
+        .listen(listener)?;
     let server = server.run();
     let handle = server.handle();
     actix_web::rt::spawn(async move {
--- a/crates/foxwheel-gateway/src/batch/api.rs
+++ b/crates/foxwheel-gateway/src/batch/api.rs
@@ -7,14 +7,20 @@
 //!   that a gateway works on is stopped as soon as that gateway receives the change.
 //! - `GET /v1/batches/{id}/results` returns one [`ItemResult`] per line (JSON lines).
 
+use std::time::{Duration, Instant};
+
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
 use bytes::Bytes;
+use foxwheel_caller_server::connections;
+use foxwheel_caller_server::request_body::RequestBody;
+use foxwheel_callers::connections::CallerConnection;
 use foxwheel_core::declarations::Workload;
 use foxwheel_core::http::Refused;
 use foxwheel_core::ids::Version;
 use foxwheel_core::protocol::WORKSPACE_HEADER;
 use foxwheel_core::{http, keys, time};
+use foxwheel_policy::caller_connections::NoRoom;
 use foxwheel_store::client::{StoreClient, StoreError};
 use futures::{Stream, StreamExt};
 
@@ -26,6 +32,13 @@
 use crate::filters::{self, RequestContext};
 use crate::state::{GatewayState, WorkerState};
 
+/// Size of all copies of a batch while it is created, relative to its body: its items as values, and the
+/// chunks that are written.
+pub const BATCH_COPIES: usize = 6;
+
+/// How long a result waits for room beside the responses to other callers.
+const ROOM_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum number of attempts to record a cancellation, after conflicts with other writes and lost
 /// responses.
 const MAX_CANCEL_TRIES: u32 = 8;
@@ -98,12 +111,20 @@
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
     req: HttpRequest,
-    body: Bytes,
+    body: RequestBody,
 ) -> HttpResponse {
+    let RequestBody {
+        bytes: body,
+        connection,
+    } = body;
+    let Ok(_held) = connection.hold(BATCH_COPIES * body.len()) else {
+        return connections::no_room_response("the batch");
+    };
     let request: CreateJob = match serde_json::from_slice(&body) {
         Ok(request) => request,
         Err(e) => return bad_request(format!("body is not a valid batch request: {e}")),
     };
+    drop(body);
     let items = match intake::collect_items(request.items, request.input_jsonl.as_deref()) {
         Ok(items) => items,
         Err(message) => return bad_request(message),
@@ -178,34 +199,55 @@
 pub async fn stream_results(
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
+    req: HttpRequest,
     id: web::Path<String>,
 ) -> HttpResponse {
+    let Some(connection) = connections::connection_of(&req).cloned() else {
+        return connections::no_room_response("the results");
+    };
     match find_job(&worker.store, &id).await {
         Ok(Some((job, _))) => HttpResponse::Ok()
             .content_type("application/jsonl")
-            .streaming(result_lines(worker.store.clone(), job)),
+            .streaming(result_lines(worker.store.clone(), job, connection)),
         Ok(None) => no_job_response(&id),
         Err(e) => store_unavailable_response(&e, state.settings.retry_after_s),
     }
 }
 
+/// Why results are not sent to their end.
+#[derive(Debug, thiserror::Error)]
+enum ResultsError {
+    /// The store did not give a chunk or a result.
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    /// Other callers take all memory that callers may.
+    #[error(transparent)]
+    NoRoom(#[from] NoRoom),
+}
+
 fn result_lines(
     store: StoreClient,
     job: JobRecord,
-) -> impl Stream<Item = Result<Bytes, StoreError>> {
+    connection: CallerConnection,
+) -> impl Stream<Item = Result<Bytes, ResultsError>> {
     futures::stream::iter(0..job.chunk_count).then(move |index| {
         let (store, key) = (store.clone(), keys::chunk(&job.id, index));
         let job_state = job.state;
+        let mut held = connection.hold_nothing();
         async move {
             let found = store.get_value::<ChunkRecord>(&key).await?;
             let (chunk, _) = found.ok_or(StoreError::NotFound)?;
             let mut lines = String::new();
             for item in chunk.items {
                 let line = result_line(&store, job_state, item).await?;
-                lines.push_str(&serde_json::to_string(&line).expect("a result line encodes"));
+                let line = serde_json::to_string(&line).expect("a result line encodes");
+                let deadline = Instant::now() + ROOM_TIMEOUT;
+                held.grow_until(lines.len() + line.len() + 1, deadline)
+                    .await?;
+                lines.push_str(&line);
                 lines.push('\n');
             }
-            Ok(Bytes::from(lines))
+            Ok(held.attach_to(lines))
         }
     })
 }
--- a/crates/foxwheel-gateway/src/hedging.rs
+++ b/crates/foxwheel-gateway/src/hedging.rs
@@ -35,9 +35,9 @@
     /// Whether an error of the host can be delivered to the caller if no other host runs the request.
     const ACCEPTS_ERRORS: bool;
 
-    /// Returns the reader of the response of a host that runs the request in addition to others, or
-    /// after them.
-    fn for_another_host() -> Self;
+    /// Returns a function that creates the reader of the response of a host that runs the request in
+    /// addition to others, or after them.
+    fn factory_for_other_hosts(&self) -> Box<dyn Fn() -> Self>;
 
     /// Takes the next bytes.
     fn push(&mut self, chunk: &Bytes) -> Progress<Self::Delivery>;
@@ -76,6 +76,7 @@
     state: &'a GatewayState,
     worker: &'a WorkerState,
     outbound: &'a mut OutboundRequest,
+    new_reader: Box<dyn Fn() -> R>,
     reads: FuturesUnordered<LocalBoxFuture<'static, ReadRun<R>>>,
     /// Hosts of `reads`.
     running_hosts: Vec<HostId>,
@@ -105,6 +106,7 @@
         state,
         worker,
         outbound,
+        new_reader: run.reader.factory_for_other_hosts(),
         reads: FuturesUnordered::new(),
         running_hosts: Vec::new(),
         attempt: None,
@@ -208,7 +210,7 @@
         let accepts_error = R::ACCEPTS_ERRORS && self.reads.is_empty();
         if host_response.response.status().is_success() || accepts_error {
             self.restart_timers();
-            let reader = R::for_another_host();
+            let reader = (self.new_reader)();
             self.add_run(HostRun {
                 host_response,
                 reader,
--- a/crates/foxwheel-gateway/src/online.rs
+++ b/crates/foxwheel-gateway/src/online.rs
@@ -7,7 +7,7 @@
 
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpRequest, HttpResponse};
-use bytes::Bytes;
+use foxwheel_caller_server::request_body::RequestBody;
 use foxwheel_core::declarations::Workload;
 use foxwheel_core::http::{self, Refused};
 use foxwheel_core::protocol::WORKSPACE_HEADER;
@@ -18,9 +18,6 @@
 use crate::response_relay;
 use crate::state::{GatewayState, WorkerState};
 
-/// Maximum size of a completion request's body, in bytes.
-pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-
 fn bad_request(message: impl Into<String>) -> Refused {
     Refused::not_run(StatusCode::BAD_REQUEST, "bad_request", message, None)
 }
@@ -55,8 +52,12 @@
     state: web::Data<GatewayState>,
     worker: web::Data<WorkerState>,
     req: HttpRequest,
-    body: Bytes,
+    body: RequestBody,
 ) -> HttpResponse {
+    let RequestBody {
+        bytes: body,
+        connection,
+    } = body;
     let head = match check_completion_body(&body) {
         Ok(head) => head,
         Err(refused) => return refused.into_response(),
@@ -86,6 +87,7 @@
             admission_guard,
         )
     } else {
-        response_relay::relay_full_response(&state, &worker, outbound, host_response).await
+        response_relay::relay_full_response(&state, &worker, outbound, host_response, connection)
+            .await
     }
 }
--- a/crates/foxwheel-gateway/src/response_relay.rs
+++ b/crates/foxwheel-gateway/src/response_relay.rs
@@ -10,6 +10,8 @@
 use actix_web::http::StatusCode;
 use actix_web::{web, HttpResponse};
 use bytes::{Bytes, BytesMut};
+use foxwheel_callers::body::BodyBuffer;
+use foxwheel_callers::connections::CallerConnection;
 use foxwheel_core::http;
 use foxwheel_event_stream::splitter::EventSplitter;
 use foxwheel_http_client::forward;
@@ -65,8 +67,8 @@
 
     const ACCEPTS_ERRORS: bool = false;
 
-    fn for_another_host() -> Self {
-        Self::new(false)
+    fn factory_for_other_hosts(&self) -> Box<dyn Fn() -> Self> {
+        Box::new(|| Self::new(false))
     }
 
     fn push(&mut self, chunk: &Bytes) -> Progress<Events> {
@@ -176,10 +178,19 @@
     builder.streaming(Box::pin(events))
 }
 
-/// Collects a body that is not streamed.
-#[derive(Default)]
+/// Collects a body that is not streamed. The memory for it counts as held by the caller.
 struct FullBodyReader {
-    body: BytesMut,
+    connection: CallerConnection,
+    body: BodyBuffer,
+}
+
+impl FullBodyReader {
+    fn new(connection: CallerConnection) -> Self {
+        Self {
+            body: BodyBuffer::new(&connection, MAX_FULL_RESPONSE_BYTES),
+            connection,
+        }
+    }
 }
 
 impl BodyReader for FullBodyReader {
@@ -187,22 +198,27 @@
 
     const ACCEPTS_ERRORS: bool = true;
 
-    fn for_another_host() -> Self {
-        Self::default()
+    fn factory_for_other_hosts(&self) -> Box<dyn Fn() -> Self> {
+        let connection = self.connection.clone();
+        Box::new(move || Self::new(connection.clone()))
     }
 
     fn push(&mut self, chunk: &Bytes) -> Progress<Bytes> {
-        self.body.extend_from_slice(chunk);
-        if self.body.len() > MAX_FULL_RESPONSE_BYTES {
-            return Progress::Incomplete;
+        match self.body.push(chunk) {
+            Ok(()) => Progress::NeedsMore,
+            Err(e) => {
+                log::debug!("response given up: {e}");
+                Progress::Incomplete
+            }
         }
-        Progress::NeedsMore
     }
 
     /// A host can end a body early in order, so a complete one is also valid JSON from start to end.
     fn finish(&mut self) -> Progress<Bytes> {
-        match serde_json::from_slice::<serde::de::IgnoredAny>(&self.body) {
-            Ok(_) => Progress::Delivered(std::mem::take(&mut self.body).freeze()),
+        let empty = BodyBuffer::new(&self.connection, MAX_FULL_RESPONSE_BYTES);
+        let body = std::mem::replace(&mut self.body, empty).finish();
+        match serde_json::from_slice::<serde::de::IgnoredAny>(&body) {
+            Ok(_) => Progress::Delivered(body),
             Err(_) => Progress::Incomplete,
         }
     }
@@ -216,10 +232,11 @@
     worker: &WorkerState,
     mut outbound: OutboundRequest,
     host_response: HostResponse,
+    connection: CallerConnection,
 ) -> HttpResponse {
     let run = HostRun {
         host_response,
-        reader: FullBodyReader::default(),
+        reader: FullBodyReader::new(connection),
     };
     match hedging::next_delivery(state, worker, &mut outbound, run).await {
         Some((run, body)) => {
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -16,7 +16,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::{web, HttpResponse};
+use actix_web::{middleware, web, HttpResponse};
+use foxwheel_caller_server::connections;
+use foxwheel_caller_server::request_body::{self, MaxBodyBytes};
 use serde::Deserialize;
 use tokio_util::sync::CancellationToken;
 
@@ -79,13 +81,17 @@
 }
 
 /// Registers the gateway's routes.
-pub fn configure_routes(cfg: &mut web::ServiceConfig) {
+pub fn configure_routes(cfg: &mut web::ServiceConfig, max_batch_bytes: usize) {
     cfg.route(
         "/v1/chat/completions",
         web::post().to(online::handle_completion),
     )
     .route("/v1/completions", web::post().to(online::handle_completion))
-    .route("/v1/batches", web::post().to(api::create_job))
+    .service(
+        web::resource("/v1/batches")
+            .app_data(web::Data::new(MaxBodyBytes(max_batch_bytes)))
+            .route(web::post().to(api::create_job)),
+    )
     .route("/v1/batches/{id}", web::get().to(api::job_status))
     .route("/v1/batches/{id}/cancel", web::post().to(api::cancel_job))
     .route(
@@ -165,7 +171,10 @@
         }),
     ];
     let store_url = settings.store_url.clone();
-    let listen_addr = settings.listen_addr.clone();
+    let host = settings.host_limits();
+    let listener = connections::listen(&settings.listen_addr, host)?;
+    let callers = connections::new_connections(host, counters.clone());
+    let max_batch_bytes = settings.max_batch_bytes();
     let state = web::Data::from(Arc::new(GatewayState {
         settings,
         config,
@@ -175,21 +184,26 @@
         counters,
     }));
     let server_cancel = CancellationToken::new();
-    let (addr, server) = http::serve(
-        &listen_addr,
-        http::ServerOptions::default(),
-        server_cancel.clone(),
-        move || {
+    actix_web::rt::spawn(connections::close_slow_callers(
+        Arc::clone(&callers),
+        controllers_cancel.clone(),
+    ));
+    let server_options = http::ServerOptions {
+        on_connect: Some(connections::registration(callers)),
+        ..http::ServerOptions::default()
+    };
+    let (addr, server) =
+        http::serve_on(listener, server_options, server_cancel.clone(), move || {
             actix_web::App::new()
+                .wrap(middleware::from_fn(connections::track_request))
                 .app_data(state.clone())
                 .app_data(web::Data::new(WorkerState {
                     http: HttpClient::default(),
                     store: StoreClient::new(&store_url),
                 }))
-                .app_data(web::PayloadConfig::new(online::MAX_BODY_BYTES * 64))
-                .configure(configure_routes)
-        },
-    )?;
+                .app_data(web::Data::new(MaxBodyBytes(request_body::MAX_BODY_BYTES)))
+                .configure(|cfg| configure_routes(cfg, max_batch_bytes))
+        })?;
     let stopped = actix_web::rt::spawn(async move {
         let server_task = actix_web::rt::spawn(server);
         cancel.cancelled().await;
--- a/crates/foxwheel-gateway/src/services.rs
+++ b/crates/foxwheel-gateway/src/services.rs
@@ -6,7 +6,8 @@
 
 use actix_web::http::{StatusCode, Version};
 use actix_web::{web, HttpRequest, HttpResponse};
-use bytes::Bytes;
+use foxwheel_caller_server::connections;
+use foxwheel_caller_server::request_body::RequestBody;
 use foxwheel_core::declarations::Workload;
 use foxwheel_core::protocol::{IDEMPOTENCY_KEY_HEADER, REPLAYED_HEADER, WORKSPACE_HEADER};
 use foxwheel_core::{http, keys};
@@ -31,8 +32,12 @@
     worker: web::Data<WorkerState>,
     req: HttpRequest,
     path: web::Path<(String, String)>,
-    body: Bytes,
+    body: RequestBody,
 ) -> HttpResponse {
+    let RequestBody {
+        bytes: body,
+        connection,
+    } = body;
     let (service, tail) = path.into_inner();
     let path = format!("/{tail}");
     let mut context = RequestContext::new(Workload::Service, path, state.config.current());
@@ -41,13 +46,20 @@
     if let Err(refused) = filters::apply_chain(&state.filter_chain, &mut context, &state.counters) {
         return refused.into_response();
     }
+    // The end of the connection is all that tells such a caller the end of a body in parts.
+    let takes_chunks = req.version() >= Version::HTTP_11;
+    let buffered_bytes = match (context.idempotent, takes_chunks) {
+        (true, true) => 0,
+        (true, false) => MAX_BUFFERED_RESPONSE_BYTES,
+        (false, _) => MAX_RESPONSE_BYTES,
+    };
+    let Ok(_held) = connection.hold(buffered_bytes) else {
+        return connections::no_room_response("the response");
+    };
     let mut outbound = OutboundRequest::new(&state, &context, &req, body.clone());
     if context.idempotent {
         return match outbound.send(&state, &worker).await {
-            // The end of the connection is all that tells such a caller the end of a body in parts.
-            Ok(host_response) if req.version() < Version::HTTP_11 => {
-                read_relayed_response(host_response).await
-            }
+            Ok(host_response) if !takes_chunks => read_relayed_response(host_response).await,
             Ok(host_response) => forward::relay_response(
                 host_response.response,
                 (host_response.in_flight, context.admission_guard),
--- a/crates/foxwheel-gateway/src/settings.rs
+++ b/crates/foxwheel-gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use foxwheel_callers::host::{HostLimits, BYTES_PER_MB};
 use foxwheel_core::ids::Zone;
 use foxwheel_core::settings::{Check, Problems};
 
@@ -69,6 +70,36 @@
     /// Address of the statsd server that counters are sent to. Without it they are not sent.
     #[serde(default)]
     pub statsd_addr: Option<String>,
+    /// Memory that the gateway may use, in megabytes. Callers may take 40 % of it together. The body of
+    /// a batch may have a twenty-fifth of it (20 MB by default), any other body 4 MB.
+    #[serde(default = "default_memory_limit_mb")]
+    pub memory_limit_mb: f64,
+    /// Number of files and sockets that the gateway may have open; the limit that it was started with
+    /// if not set.
+    #[serde(default)]
+    pub open_files_limit: Option<u64>,
+}
+
+impl GatewaySettings {
+    /// Returns what the gateway may use on its host.
+    pub fn host_limits(&self) -> HostLimits {
+        HostLimits {
+            memory_bytes: (self.memory_limit_mb * BYTES_PER_MB) as u64,
+            open_files: self.open_files_limit,
+        }
+    }
+
+    /// Returns the size of the largest body of a batch, for which there is room with all its copies.
+    pub fn max_batch_bytes(&self) -> usize {
+        (self.memory_limit_mb * BYTES_PER_MB) as usize / MAX_BATCH_BODY_SHARE
+    }
+}
+
+/// Part of the memory that the body of a batch may take.
+const MAX_BATCH_BODY_SHARE: usize = 25;
+
+fn default_memory_limit_mb() -> f64 {
+    512.0
 }
 
 fn default_online_max_in_flight() -> u32 {
@@ -135,5 +166,11 @@
             );
         }
         problems.require_positive("dispatch_poll_ms", self.dispatch_poll_ms);
+        if !self.memory_limit_mb.is_finite() || self.memory_limit_mb <= 0.0 {
+            problems.add("memory_limit_mb", "must be greater than zero");
+        }
+        if let Some(limit) = self.open_files_limit {
+            problems.require_positive("open_files_limit", limit);
+        }
     }
 }
--- a/crates/foxwheel-gateway/tests/caller_crowds.rs
+++ b/crates/foxwheel-gateway/tests/caller_crowds.rs
@@ -134,6 +134,15 @@
     withstand("whole-bodies", CALLERS, upload).await;
 }
 
+/// The same for batches of a size that is accepted.
+#[actix_web::test]
+async fn gateway_holds_batches_a_byte_short() {
+    let _alone = run_alone().await;
+    let body = Bytes::from(vec![b'a'; LARGE_BODY_BYTES / 2 - 1]);
+    let upload = Upload::with_length(&start_of_head("/v1/batches"), LARGE_BODY_BYTES / 2, body);
+    withstand("batches", 2 * CALLERS, upload).await;
+}
+
 /// The limit of completions was not applied to their bodies.
 #[actix_web::test]
 async fn gateway_reads_chunked_bodies_beyond_the_limit() {
@@ -143,12 +152,10 @@
     withstand("chunked-bodies", CALLERS, upload).await;
 }
 
-/// All batches that arrived at once were decoded at once.
-#[actix_web::test]
-async fn gateway_decodes_all_batches_at_once() {
-    let _alone = run_alone().await;
+/// Returns a batch of `body_bytes` with as many items as there is space for.
+fn batch_of_tiny_items(body_bytes: usize) -> Upload {
     let item = r#"{"custom_id":"","body":{}}"#;
-    let count = LARGE_BODY_BYTES / (item.len() + 1) - 2;
+    let count = body_bytes / (item.len() + 1) - 2;
     let body = format!(
         r#"{{"model":"draftsman","items":[{}]}}"#,
         vec![item; count].join(",")
@@ -156,9 +163,52 @@
     let head = start_of_head("/v1/batches");
     let mut upload = Upload::with_length(&head, body.len(), Bytes::from(body));
     upload.is_complete = true;
+    upload
+}
+
+/// All batches that arrived at once were decoded at once.
+#[actix_web::test]
+async fn gateway_decodes_all_batches_at_once() {
+    let _alone = run_alone().await;
+    let upload = batch_of_tiny_items(LARGE_BODY_BYTES);
     withstand("tiny-items", CALLERS, upload).await;
 }
 
+/// The same for batches of a size that is accepted.
+#[actix_web::test]
+async fn gateway_decodes_all_accepted_batches_at_once() {
+    let _alone = run_alone().await;
+    let upload = batch_of_tiny_items(LARGE_BODY_BYTES / 2);
+    withstand("accepted-tiny-items", 2 * CALLERS, upload).await;
+}
+
+/// A batch of the largest size is created in calm.
+#[actix_web::test]
+async fn largest_batch_is_created_in_calm() {
+    /// The largest body of a batch, less the text around its items.
+    const ITEMS_BYTES: usize = 20_000_000;
+    let _alone = run_alone().await;
+    let mut gateway = GatewayProgram::start("largest-batch", None).await;
+    let monitor = gateway.monitor();
+    let prompt = "a".repeat(1_000);
+    let items: Vec<serde_json::Value> = (0..ITEMS_BYTES / 1_100)
+        .map(|number| {
+            let body = serde_json::json!({"model": "draftsman", "prompt": prompt, "max_tokens": 1});
+            serde_json::json!({"custom_id": format!("letter-{number}"), "body": body})
+        })
+        .collect();
+    let request = serde_json::json!({
+        "client_key": "largest", "model": "draftsman", "completion_window_s": 600, "items": items,
+    });
+    let count = items.len();
+    let url = format!("{}/v1/batches", gateway.fleet.gateway);
+    let sent = gateway.fleet.http.post(url).timeout(HANG_TIMEOUT);
+    let mut response = sent.send_json(&request).await.expect("a response");
+    let created: serde_json::Value = response.json().limit(1_000_000).await.expect("json");
+    assert_eq!(created["job"]["item_count"], count, "{created}");
+    gateway.check(monitor).await;
+}
+
 /// Connections without a complete request took all open files of the gateway.
 #[actix_web::test]
 async fn gateway_has_no_file_left_beside_half_heads() {
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -93,6 +93,8 @@
         dispatch_poll_ms: 50,
         commit_interval_ms: 100,
         statsd_addr: None,
+        memory_limit_mb: 512.0,
+        open_files_limit: None,
     }
 }
 
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -167,22 +167,26 @@
         let connection_bytes = self.limits.connection_bytes;
         let has_room = self.connections.len() < self.limits.max_connections
             && self.held_bytes + connection_bytes <= self.limits.max_bytes;
-        has_room.then(|| {
-            let id = self.next_id;
-            self.next_id += 1;
-            self.held_bytes += connection_bytes;
-            self.connections.push(Connection {
-                id,
-                held_bytes: connection_bytes,
-                activity: Activity::Idle,
-                active_since: now,
-                write_blocked_since: None,
-                on_pace_until: now + MAX_PAUSE,
-                was_used: false,
-                is_closing: false,
-            });
-            id
-        })
+        has_room.then(|| self.open_instead_of_closing(now))
+    }
+
+    /// Adds a connection in the place of one that was chosen for it, and may not be closed yet.
+    pub fn open_instead_of_closing(&mut self, now: Instant) -> ConnectionId {
+        let connection_bytes = self.limits.connection_bytes;
+        let id = self.next_id;
+        self.next_id += 1;
+        self.held_bytes += connection_bytes;
+        self.connections.push(Connection {
+            id,
+            held_bytes: connection_bytes,
+            activity: Activity::Idle,
+            active_since: now,
+            write_blocked_since: None,
+            on_pace_until: now + MAX_PAUSE,
+            was_used: false,
+            is_closing: false,
+        });
+        id
     }
 
     /// Chooses a connection to be closed for the sake of a new one: that of the caller that is behind
