Own agent: gateways share the memory and the open files of its host

What callers saw: 1,200 callers with bodies of 256 KB a byte short made an agent hold 724 MB of the 192 of its host, 600 connections with half a head took all 400 open files, and a body of more than 256 KB, which gateways pass on, was refused with 413.

Cause: the agent had the default limit of bodies of actix-web, which keeps each part of a body with the buffer that it was read into, and no limit of all bodies or connections.

Change: as for the gateway: memory_limit_mb (192 by default) and open_files_limit, bodies of 4 MB at most in reserved memory, and connections that make room for others.

--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -12,8 +12,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::{web, HttpRequest, HttpResponse};
-use bytes::Bytes;
+use actix_web::{middleware, web, HttpRequest, HttpResponse};
+use foxwheel_caller_server::connections;
+use foxwheel_caller_server::request_body::{self, MaxBodyBytes, RequestBody};
 use tokio_util::sync::CancellationToken;
 
 use foxwheel_control::server::{self as control, AgentHandle};
@@ -42,20 +43,20 @@
     state: web::Data<AgentState>,
     client: web::Data<HttpClient>,
     req: HttpRequest,
-    body: Bytes,
+    body: RequestBody,
 ) -> HttpResponse {
     let class = read_priority_class(&req);
-    proxy::forward_request(&state, &client, &req, body, class).await
+    proxy::forward_request(&state, &client, &req, body.bytes, class).await
 }
 
 async fn handle_service_call(
     state: web::Data<AgentState>,
     client: web::Data<HttpClient>,
     req: HttpRequest,
-    body: Bytes,
+    body: RequestBody,
 ) -> HttpResponse {
     let class = PriorityClass::Online;
-    proxy::forward_request(&state, &client, &req, body, class).await
+    proxy::forward_request(&state, &client, &req, body.bytes, class).await
 }
 
 async fn get_load(state: web::Data<AgentState>) -> HttpResponse {
@@ -117,17 +118,26 @@
     let server_cancel = CancellationToken::new();
     let control_cancel = CancellationToken::new();
     let handler_state = web::Data::from(state.clone());
+    let host = settings.host_limits();
+    let callers = connections::new_connections(host, state.counters.clone());
+    actix_web::rt::spawn(connections::close_slow_callers(
+        Arc::clone(&callers),
+        control_cancel.clone(),
+    ));
     let server_options = http::ServerOptions {
         // A gateway that leaves a request frees its slot, even if the backend is silent.
         allows_half_closed: false,
+        on_connect: Some(connections::registration(Arc::clone(&callers))),
         ..http::ServerOptions::default()
     };
-    let (addr, server) = http::serve(
-        &settings.listen_addr,
+    let (addr, server) = http::serve_on(
+        connections::listen(&settings.listen_addr, host)?,
         server_options,
         server_cancel.clone(),
         move || {
             actix_web::App::new()
+                .wrap(middleware::from_fn(connections::track_request))
+                .app_data(web::Data::new(MaxBodyBytes(request_body::MAX_BODY_BYTES)))
                 .app_data(handler_state.clone())
                 .app_data(web::Data::new(HttpClient::default()))
                 .route("/v1/chat/completions", web::post().to(handle_completion))
--- a/crates/foxwheel-agent/src/settings.rs
+++ b/crates/foxwheel-agent/src/settings.rs
@@ -3,6 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
+use foxwheel_callers::host::{HostLimits, BYTES_PER_MB};
 use foxwheel_core::declarations::BackendKind;
 use foxwheel_core::ids::{DeploymentName, HostId, Zone};
 use foxwheel_core::settings::{Check, Problems};
@@ -66,6 +67,18 @@
     /// Address that counters are sent to in the statsd protocol; they are not sent when absent.
     #[serde(default)]
     pub statsd_addr: Option<String>,
+    /// Memory that the agent may use, in megabytes. Gateways may take 40 % of it together, each request
+    /// at most 4 MB.
+    #[serde(default = "default_memory_limit_mb")]
+    pub memory_limit_mb: f64,
+    /// Number of files and sockets that the agent may have open; the limit that it was started with
+    /// when absent.
+    #[serde(default)]
+    pub open_files_limit: Option<u64>,
+}
+
+fn default_memory_limit_mb() -> f64 {
+    192.0
 }
 
 fn default_max_running() -> u32 {
@@ -118,6 +131,16 @@
             drain_grace_ms: 300,
             request_timeout_ms: 10_000,
             statsd_addr: None,
+            memory_limit_mb: default_memory_limit_mb(),
+            open_files_limit: None,
+        }
+    }
+
+    /// Returns what the agent may use on its host.
+    pub fn host_limits(&self) -> HostLimits {
+        HostLimits {
+            memory_bytes: (self.memory_limit_mb * BYTES_PER_MB) as u64,
+            open_files: self.open_files_limit,
         }
     }
 }
@@ -139,5 +162,11 @@
             problems.add("lease_ttl_ms", "must exceed heartbeat_ms");
         }
         problems.require_positive("request_timeout_ms", self.request_timeout_ms);
+        if !self.memory_limit_mb.is_finite() || self.memory_limit_mb <= 0.0 {
+            problems.add("memory_limit_mb", "must be greater than zero");
+        }
+        if let Some(limit) = self.open_files_limit {
+            problems.require_positive("open_files_limit", limit);
+        }
     }
 }
