MIXED: take no response whose status does not exist

What callers saw: a server that answered 600 or 999, or 101 that nobody had asked for, and each host or engine that did so behind our own gateway and agent, had its status and body passed on as the response. 000 and 099 were refused by hyper already (502).

Cause: hyper takes 100 to 999 as a status. RFC 9110, section 15, has 100 to 599, and 1xx only precede a response.

Change: foxwheel-http1, which all clients of ours use, returns an error for such a response and its connection is not used again. The request may have run: it is sent to another server where it may be repeated; else its caller gets 502.

--- a/crates/foxwheel-agent/tests/agent_contract.rs
+++ b/crates/foxwheel-agent/tests/agent_contract.rs
@@ -63,6 +63,22 @@
             run_state: Some("unknown"),
             has_retry_after: false,
         },
+        Case {
+            name: "engine responds with a status that does not exist: the request may have run",
+            fault: BackendFault::Writes("HTTP/1.1 600 Odd\r\ncontent-length: 2\r\n\r\n{}"),
+            class: "online",
+            status: 502,
+            run_state: Some("unknown"),
+            has_retry_after: false,
+        },
+        Case {
+            name: "engine responds with a status that does not exist, batch request",
+            fault: BackendFault::Writes("HTTP/1.1 999 Odd\r\ncontent-length: 2\r\n\r\n{}"),
+            class: "batch",
+            status: 502,
+            run_state: Some("unknown"),
+            has_retry_after: false,
+        },
         Case {
             name: "draining",
             fault: BackendFault::Draining,
--- a/crates/foxwheel-gateway/tests/run_state_faults.rs
+++ b/crates/foxwheel-gateway/tests/run_state_faults.rs
@@ -117,3 +117,25 @@
     assert!(failing_host.request_count.load(Ordering::SeqCst) > 0);
     fleet.cancel.cancel();
 }
+
+/// Statuses that the protocol does not have were passed on as the response of a host.
+#[actix_web::test]
+async fn a_response_with_a_status_that_does_not_exist_is_delivered() {
+    for status in ["101", "600", "999"] {
+        let fleet = common::start(0).await;
+        let response =
+            format!("HTTP/1.1 {status} Odd\r\ncontent-type: application/json\r\ncontent-length: 2\r\n\r\n{{}}");
+        let store = &fleet.store;
+        let host = common::add_scripted_host(store, "llm-residente", "odd", response.leak()).await;
+        fleet.wait_for_live("llm-residente", 1).await;
+        for is_streamed in [false, true] {
+            let body =
+                serde_json::json!({"model": "llm-residente", "prompt": "p", "stream": is_streamed});
+            let url = format!("{}/v1/completions", fleet.gateway);
+            let response = fleet.http.post(url).send_json(&body).await;
+            assert_eq!(response.expect("a response").status(), 502, "{status}");
+        }
+        assert!(host.request_count.load(Ordering::SeqCst) > 0);
+        fleet.cancel.cancel();
+    }
+}
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -2,6 +2,7 @@
 //! one exchange at a time: a request and its response.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,9 @@
 /// that precede it, and what arrives together with it.
 const MAX_BYTES_BEFORE_BODY: usize = 4 * MAX_HEAD_BYTES;
 
+/// Statuses of responses. Those below announce one, and there are none above.
+const RESPONSE_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How a connection is closed if its exchange is dropped before the head of the response arrives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AbandonAction {
@@ -102,12 +106,23 @@
         /// Error that hyper returned.
         source: hyper::Error,
     },
+    /// The response has a status that the protocol does not have, or that only precedes a response.
+    #[error("status {status} is no status of a response {origin}")]
+    InvalidStatus {
+        /// Step that failed and address of the peer.
+        origin: Origin,
+        /// The status.
+        status: u16,
+    },
 }
 
 impl ExchangeError {
     /// Returns whether it is certain that the peer never received the request.
     pub fn is_not_sent(&self) -> bool {
-        !matches!(self, Self::NoCompleteResponse { .. })
+        match self {
+            Self::Connect { .. } | Self::NotSent { .. } => true,
+            Self::NoCompleteResponse { .. } | Self::InvalidStatus { .. } => false,
+        }
     }
 }
 
@@ -233,6 +248,11 @@
         self.reset_on_drop.set(false);
         self.read_allowance.lift();
         let (head, incoming) = response.into_parts();
+        let status = head.status.as_u16();
+        if !RESPONSE_STATUSES.contains(&status) {
+            let origin = Origin::new("exchange", self.peer.to_string());
+            return Err(ExchangeError::InvalidStatus { origin, status });
+        }
         let body = ResponseBody::new(self.peer, &head, incoming);
         Ok(Response::from_parts(head, body))
     }
--- a/crates/foxwheel-http1/tests/connection.rs
+++ b/crates/foxwheel-http1/tests/connection.rs
@@ -4,7 +4,9 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use foxwheel_http1::connection::{AbandonAction, ConnectOptions, Connection, RequestBody};
+use foxwheel_http1::connection::{
+    AbandonAction, ConnectOptions, Connection, ExchangeError, RequestBody,
+};
 use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -82,3 +84,22 @@
         Some(ErrorKind::UnexpectedEof)
     );
 }
+
+/// Statuses that the protocol does not have, or that only precede a response, were returned.
+#[tokio::test]
+async fn status_that_does_not_exist_is_returned() {
+    for status in ["101", "600", "999"] {
+        let (mut connection, mut peer) = open_connection().await;
+        let (response, ()) = tokio::join!(connection.send(request()), async {
+            read_request_head(&mut peer).await;
+            let response = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+            peer.write_all(response.as_bytes()).await.expect("written");
+        });
+        let error = response.expect_err("no response");
+        assert!(
+            matches!(error, ExchangeError::InvalidStatus { .. }),
+            "{error}"
+        );
+        assert!(!error.is_not_sent(), "{status}");
+    }
+}
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -304,7 +304,9 @@
     match error {
         ExchangeError::Connect { .. } => mark_suspected(node, server, "no connection"),
         ExchangeError::NotSent { .. } if !is_new => {}
-        ExchangeError::NotSent { .. } | ExchangeError::NoCompleteResponse { .. } => {
+        ExchangeError::NotSent { .. }
+        | ExchangeError::NoCompleteResponse { .. }
+        | ExchangeError::InvalidStatus { .. } => {
             node.loads.record_outcome(server, true, Instant::now());
         }
     }
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -8,6 +8,7 @@
 #![allow(dead_code, unused_imports)]
 
 pub mod crashing_servers;
+pub mod early_servers;
 pub mod endless_servers;
 pub mod pausing_servers;
 pub mod peer_messages;
