--- a/crates/foxwheel-http-client/src/client.rs
+++ b/crates/foxwheel-http-client/src/client.rs
@@ -15,11 +15,14 @@
 use hyper::http::response;
 use hyper::{Request, Response, StatusCode, Uri};
 
+/// Buffers of a socket. A long request that its server does not read is then not in the kernel as a whole.
+const SOCKET_BUFFER_BYTES: u32 = 64 * 1024;
+
 const CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_millis(700),
     on_abandon: AbandonAction::Close,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: Some(SOCKET_BUFFER_BYTES),
 };
 
 /// Idle timeout assumed of a server: shorter than the defaults of common HTTP servers.
--- a/crates/foxwheel-http1/src/body.rs
+++ b/crates/foxwheel-http1/src/body.rs
@@ -14,6 +14,8 @@
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::response;
 
+use crate::transport::WriteBlocked;
+
 /// How the end of a response body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -50,6 +52,12 @@
         /// Step that failed and address of the peer.
         origin: Origin,
     },
+    /// The body ended with its connection, and the peer had not read the request.
+    #[error("response body ended before the request was read {origin}")]
+    EndedDuringUpload {
+        /// Step that failed and address of the peer.
+        origin: Origin,
+    },
     /// The body is an event stream and ended within an event.
     #[error("response body ended within an event {origin}")]
     EndedWithinEvent {
@@ -101,10 +109,17 @@
     events: Option<EventBoundary>,
     /// What the reader expects of an event stream; `None` if it did not ask for one.
     expected_events: Option<ExpectedEvents>,
+    /// Whether the peer takes no more of the request.
+    upload_blocked: WriteBlocked,
 }
 
 impl ResponseBody {
-    pub(crate) fn new(peer: SocketAddr, head: &response::Parts, incoming: Incoming) -> Self {
+    pub(crate) fn new(
+        peer: SocketAddr,
+        head: &response::Parts,
+        incoming: Incoming,
+        upload_blocked: WriteBlocked,
+    ) -> Self {
         let framing = framing_of(&head.headers, &incoming);
         let content_type = head.headers.get(header::CONTENT_TYPE);
         let events = content_type
@@ -118,6 +133,7 @@
             closes_connection: closes_connection(&head.headers),
             events,
             expected_events: None,
+            upload_blocked,
         }
     }
 
@@ -175,10 +191,22 @@
                 return Ok(Some(data));
             }
         }
+        self.check_upload_at_end()?;
         self.check_events_at_end()?;
         Ok(None)
     }
 
+    /// Checks that the peer did not close the connection while it had not read the request. It may have
+    /// reset it afterwards.
+    fn check_upload_at_end(&self) -> Result<(), BodyError> {
+        if self.framing == Framing::UntilClose && self.upload_blocked.get() {
+            return Err(BodyError::EndedDuringUpload {
+                origin: self.origin(),
+            });
+        }
+        Ok(())
+    }
+
     /// Checks the events of a body that its framing marks as complete.
     fn check_events_at_end(&self) -> Result<(), BodyError> {
         let Some(events) = &self.events else {
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -15,7 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::ResponseBody;
-use crate::transport::{ReadAllowance, ResetOnDrop, Transport};
+use crate::transport::{ReadAllowance, ResetOnDrop, Transport, WriteBlocked};
 
 /// Body of a request. Bodies are small enough to be kept in memory completely.
 pub type RequestBody = Full<Bytes>;
@@ -61,9 +61,9 @@
     /// How the connection is closed if its exchange is dropped before the head of the response
     /// arrives.
     pub on_abandon: AbandonAction,
-    /// Receive buffer of the socket, which bounds what has arrived and is not read; `None` for the
-    /// usual one of the kernel.
-    pub receive_buffer_bytes: Option<u32>,
+    /// Buffers of the socket for each direction, which bound what the kernel holds: what has arrived and
+    /// is not read, and what the peer has not taken of a request. `None` for the usual ones.
+    pub socket_buffer_bytes: Option<u32>,
 }
 
 impl ConnectOptions {
@@ -138,6 +138,8 @@
     reset_on_drop: ResetOnDrop,
     /// Limited while a request awaits the head of its response.
     read_allowance: ReadAllowance,
+    /// Whether the peer takes no more of the request.
+    write_blocked: WriteBlocked,
     sender: http1::SendRequest<RequestBody>,
     io_task: JoinHandle<()>,
 }
@@ -180,7 +182,7 @@
             origin: Origin::new("open connection", peer.to_string()),
             source,
         };
-        let connecting = connect(peer, options.receive_buffer_bytes);
+        let connecting = connect(peer, options.socket_buffer_bytes);
         let stream = tokio::time::timeout(options.connect_timeout, connecting)
             .await
             .map_err(|elapsed| connect_error(elapsed.into()))?
@@ -190,6 +192,7 @@
         let read_allowance = ReadAllowance::default();
         let transport = Transport::new(stream, reset_on_drop.clone())
             .with_read_allowance(read_allowance.clone());
+        let write_blocked = transport.write_blocked();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(transport))
@@ -204,6 +207,7 @@
             on_abandon: options.on_abandon,
             reset_on_drop,
             read_allowance,
+            write_blocked,
             sender,
             io_task,
         })
@@ -253,7 +257,7 @@
             let origin = Origin::new("exchange", self.peer.to_string());
             return Err(ExchangeError::InvalidStatus { origin, status });
         }
-        let body = ResponseBody::new(self.peer, &head, incoming);
+        let body = ResponseBody::new(self.peer, &head, incoming, self.write_blocked.clone());
         Ok(Response::from_parts(head, body))
     }
 }
@@ -264,16 +268,14 @@
     }
 }
 
-async fn connect(
-    peer: SocketAddr,
-    receive_buffer_bytes: Option<u32>,
-) -> std::io::Result<TcpStream> {
+async fn connect(peer: SocketAddr, socket_buffer_bytes: Option<u32>) -> std::io::Result<TcpStream> {
     let socket = match peer {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
     };
-    if let Some(bytes) = receive_buffer_bytes {
+    if let Some(bytes) = socket_buffer_bytes {
         socket.set_recv_buffer_size(bytes)?;
+        socket.set_send_buffer_size(bytes)?;
     }
     socket.connect(peer).await
 }
--- a/crates/foxwheel-http1/src/transport.rs
+++ b/crates/foxwheel-http1/src/transport.rs
@@ -64,6 +64,21 @@
     }
 }
 
+/// Whether the peer takes no more of what is being written. Clones share the same value.
+#[derive(Debug, Clone, Default)]
+pub struct WriteBlocked(Arc<AtomicBool>);
+
+impl WriteBlocked {
+    /// Returns whether the last write found no space.
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+
+    fn record(&self, written: &Poll<Result<usize>>) {
+        self.0.store(written.is_pending(), Ordering::Relaxed);
+    }
+}
+
 /// A socket that is reset if it is dropped while its [`ResetOnDrop`] is set, and closed in order
 /// otherwise.
 #[derive(Debug)]
@@ -71,6 +86,7 @@
     stream: TcpStream,
     reset_on_drop: ResetOnDrop,
     read_allowance: ReadAllowance,
+    write_blocked: WriteBlocked,
 }
 
 impl Transport {
@@ -80,9 +96,15 @@
             stream,
             reset_on_drop,
             read_allowance: ReadAllowance::default(),
+            write_blocked: WriteBlocked::default(),
         }
     }
 
+    /// Returns whether the peer takes no more of what is being written.
+    pub fn write_blocked(&self) -> WriteBlocked {
+        self.write_blocked.clone()
+    }
+
     /// Limits what is read to `read_allowance`.
     pub fn with_read_allowance(mut self, read_allowance: ReadAllowance) -> Self {
         self.read_allowance = read_allowance;
@@ -121,7 +143,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.write_blocked.record(&written);
+        written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
@@ -141,7 +165,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.write_blocked.record(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/foxwheel-http1/tests/connection.rs
+++ b/crates/foxwheel-http1/tests/connection.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use foxwheel_http1::body::BodyError;
 use foxwheel_http1::connection::{
     AbandonAction, ConnectOptions, Connection, ExchangeError, RequestBody,
 };
@@ -15,7 +16,7 @@
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_secs(5),
     on_abandon: AbandonAction::Reset,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: None,
 };
 
 /// Opens a connection and returns it with the peer's end of it.
@@ -85,6 +86,37 @@
     );
 }
 
+/// The end of the connection looked like that of a body without a length.
+#[tokio::test]
+async fn response_that_ends_during_the_upload_is_complete() {
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+    let listener = TcpListener::bind(any).await.expect("an address");
+    let addr = listener.local_addr().expect("an address");
+    let options = ConnectOptions {
+        socket_buffer_bytes: Some(32 * 1024),
+        ..OPTIONS
+    };
+    let mut connection = Connection::open(addr, options).await.expect("connected");
+    let (mut peer, _) = listener.accept().await.expect("accepted");
+    let request = Request::post("/a").header("host", "h");
+    let body = RequestBody::from(vec![b'a'; BODY_BYTES]);
+    let request = request.body(body).expect("a request");
+    let (response, ()) = tokio::join!(connection.send(request), async {
+        read_request_head(&mut peer).await;
+        peer.write_all(b"HTTP/1.1 200 OK\r\n\r\npart")
+            .await
+            .expect("written");
+        peer.shutdown().await.expect("closed");
+    });
+    let body = response.expect("a response").into_body();
+    let read = { body }.read_to_end(1024).await;
+    assert!(
+        matches!(read, Err(BodyError::EndedDuringUpload { .. })),
+        "{read:?}"
+    );
+}
+
 /// Statuses that the protocol does not have, or that only precede a response, were returned.
 #[tokio::test]
 async fn status_that_does_not_exist_is_returned() {
--- a/crates/foxwheel-http1/tests/endless_responses.rs
+++ b/crates/foxwheel-http1/tests/endless_responses.rs
@@ -13,7 +13,7 @@
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_secs(5),
     on_abandon: AbandonAction::Reset,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: None,
 };
 
 /// Much longer than reading as many bytes as any limit allows takes.
--- a/crates/foxwheel-http1/tests/pool.rs
+++ b/crates/foxwheel-http1/tests/pool.rs
@@ -11,7 +11,7 @@
     connect_timeout: Duration::from_secs(5),
     unacknowledged_timeout: Duration::from_millis(700),
     on_abandon: AbandonAction::Reset,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: None,
 };
 
 /// Idle timeout that the peer announces; far longer than any wait in these tests.
--- a/crates/foxwheel-node/src/node.rs
+++ b/crates/foxwheel-node/src/node.rs
@@ -46,7 +46,7 @@
     connect_timeout: Duration::from_millis(250),
     unacknowledged_timeout: drain_timing::MAX_TRANSIT_TIME,
     on_abandon: AbandonAction::Reset,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: None,
 };
 
 /// The shared state of a front or worker.
@@ -151,7 +151,7 @@
             store: StoreAccess::new(settings.store_address, metrics.clone()),
             pool: Pool::new(ConnectOptions {
                 // What a server sends piles up there if the caller does not read.
-                receive_buffer_bytes: Some(settings.host_limits().receive_buffer_bytes()),
+                socket_buffer_bytes: Some(settings.host_limits().receive_buffer_bytes()),
                 ..SERVER_CONNECT_OPTIONS
             }),
             metrics,
--- a/crates/foxwheel-soak/src/front_client.rs
+++ b/crates/foxwheel-soak/src/front_client.rs
@@ -18,7 +18,7 @@
     connect_timeout: Duration::from_secs(1),
     unacknowledged_timeout: Duration::from_secs(5),
     on_abandon: AbandonAction::Close,
-    receive_buffer_bytes: None,
+    socket_buffer_bytes: None,
 };
 
 /// A response as received by its caller.
