Own agent: limit the connections to its control channel

What callers saw: 600 connections to the control channel of an agent took all 400 open files; requests got no response for two minutes.

Cause: the listener had no limit of connections or of time, as those of fronts and workers.

Change: the control channel keeps as many connections as the port for other processes of a front, with the same rules. The accept loops of readiness, metrics, peers and control are one now (foxwheel-callers::listener), and the socket of a caller moved there from foxwheel-node.

--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -119,7 +119,7 @@
     let control_cancel = CancellationToken::new();
     let handler_state = web::Data::from(state.clone());
     let host = settings.host_limits();
-    let callers = connections::new_connections(host, state.counters.clone());
+    let callers = connections::new_connections(host.for_callers(), state.counters.clone());
     actix_web::rt::spawn(connections::close_slow_callers(
         Arc::clone(&callers),
         control_cancel.clone(),
@@ -152,8 +152,13 @@
         .control_addr
         .clone()
         .unwrap_or_else(|| SocketAddr::new(addr.ip(), 0).to_string());
-    let control_addr =
-        control::serve(&control_listen_addr, state.clone(), control_cancel.clone()).await?;
+    let control_addr = control::serve(
+        &control_listen_addr,
+        state.clone(),
+        connections::new_connections(host.for_peers(), state.counters.clone()),
+        control_cancel.clone(),
+    )
+    .await?;
     let advertised_addrs = AdvertisedAddrs {
         agent_addr: settings
             .advertise_addr
--- a/crates/foxwheel-agent/tests/caller_crowds.rs
+++ b/crates/foxwheel-agent/tests/caller_crowds.rs
@@ -54,7 +54,22 @@
 }
 
 impl AgentProgram {
+    /// Starts an agent, and returns it with the address of its control channel.
+    async fn start_with_control(name: &str, max_open_files: Option<usize>) -> (Self, SocketAddr) {
+        let control_addr = free_addr();
+        let started = Self::start_at(name, max_open_files, Some(control_addr.to_string()));
+        (started.await, control_addr)
+    }
+
     async fn start(name: &str, max_open_files: Option<usize>) -> Self {
+        Self::start_at(name, max_open_files, None).await
+    }
+
+    async fn start_at(
+        name: &str,
+        max_open_files: Option<usize>,
+        control_addr: Option<String>,
+    ) -> Self {
         let cancel = CancellationToken::new();
         let platform = PlatformSettings::for_test();
         let (store_addr, server) =
@@ -63,12 +78,15 @@
         let store = StoreClient::new(format!("http://{store_addr}"));
         let backend = scripted::start(RESPONSE, AfterResponse::KeepOpen).await;
         let backend = backend.expect("backend");
-        let settings = AgentSettings::for_test(
-            "draftsman",
-            BackendKind::Service,
-            &format!("http://{}", backend.addr),
-            store.base_url(),
-        );
+        let settings = AgentSettings {
+            control_addr,
+            ..AgentSettings::for_test(
+                "draftsman",
+                BackendKind::Service,
+                &format!("http://{}", backend.addr),
+                store.base_url(),
+            )
+        };
         let started = RunningProgram::start(&ProgramSpec {
             name,
             program: Path::new(env!("CARGO_BIN_EXE_foxwheel-agent")),
@@ -125,6 +143,12 @@
     }
 }
 
+/// Returns an address that nothing listened at a moment ago.
+fn free_addr() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("an address");
+    listener.local_addr().expect("an address")
+}
+
 fn start_of_head() -> String {
     "POST /v1/completions HTTP/1.1\r\nhost: agent\r\n".to_owned()
 }
@@ -157,16 +181,17 @@
     withstand("largest-bodies", 96, upload).await;
 }
 
-/// Connections without a complete request took all open files of the agent.
-#[actix_web::test]
-async fn agent_has_no_file_left_beside_half_heads() {
-    const MAX_OPEN_FILES: usize = 400;
-    /// Files that a platform reserves on a host for other purposes.
-    const RESERVED_FILES: usize = 200;
-    let _alone = run_alone().await;
-    let mut agent = AgentProgram::start("half-heads", Some(MAX_OPEN_FILES)).await;
+/// Number of files that the agent may have open while a crowd opens connections.
+const MAX_OPEN_FILES: usize = 400;
+
+/// Files that a platform reserves on a host for other purposes.
+const RESERVED_FILES: usize = 200;
+
+/// Lets a crowd open connections to `addr` and send `upload`, and checks what the agent holds and that it
+/// serves.
+async fn withstand_connections(mut agent: AgentProgram, addr: SocketAddr, upload: Upload) {
     let monitor = agent.monitor();
-    let crowd = Crowd::start(agent.addr, 600, Upload::head_only(start_of_head()));
+    let crowd = Crowd::start(addr, 600, upload);
     crowd.settle().await;
     let open_files = agent.check(monitor).await.open_files;
     assert!(
@@ -176,6 +201,24 @@
     crowd.leave().await;
 }
 
+/// Connections without a complete request took all open files of the agent.
+#[actix_web::test]
+async fn agent_has_no_file_left_beside_half_heads() {
+    let _alone = run_alone().await;
+    let agent = AgentProgram::start("half-heads", Some(MAX_OPEN_FILES)).await;
+    let addr = agent.addr;
+    withstand_connections(agent, addr, Upload::head_only(start_of_head())).await;
+}
+
+/// Idle connections to the control channel took all open files of the agent.
+#[actix_web::test]
+async fn agent_has_no_file_left_beside_control_connections() {
+    let _alone = run_alone().await;
+    let started = AgentProgram::start_with_control("control", Some(MAX_OPEN_FILES)).await;
+    let (agent, control_addr) = started;
+    withstand_connections(agent, control_addr, Upload::head_only(String::new())).await;
+}
+
 /// The agent refused bodies of more than 256 KB, which gateways pass on.
 #[actix_web::test]
 async fn agent_refuses_bodies_that_gateways_pass_on() {
--- a/crates/foxwheel-caller-server/src/connections.rs
+++ b/crates/foxwheel-caller-server/src/connections.rs
@@ -15,7 +15,7 @@
 use foxwheel_callers::host::HostLimits;
 use foxwheel_core::http;
 use foxwheel_core::telemetry::Counters;
-use foxwheel_policy::caller_connections::{Activity, CallerTimeouts};
+use foxwheel_policy::caller_connections::{Activity, CallerTimeouts, ConnectionLimits};
 use futures::future::{self, Either};
 use socket2::{Domain, SockRef, Socket, Type};
 use tokio_util::sync::{CancellationToken, DropGuard};
@@ -58,9 +58,9 @@
     Ok(socket.into())
 }
 
-/// Creates the connections of a server on `host`. Those that are closed are counted.
-pub fn new_connections(host: HostLimits, counters: Counters) -> Arc<CallerConnections> {
-    CallerConnections::new(host.for_callers(), move |reason| {
+/// Creates the connections of a server. Those that are closed are counted.
+pub fn new_connections(limits: ConnectionLimits, counters: Counters) -> Arc<CallerConnections> {
+    CallerConnections::new(limits, move |reason| {
         counters.incr(match reason {
             CloseReason::RoomNeeded => "callers.closed_for_room",
             CloseReason::TimedOut => "callers.timed_out",
--- a/crates/foxwheel-node/src/caller_transport.rs
+++ b/crates/foxwheel-callers/src/transport.rs
@@ -9,12 +9,12 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use foxwheel_callers::connections::{CallerConnection, HeldBytes};
-use foxwheel_http1::transport::Transport;
 use foxwheel_policy::caller_connections::Activity;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Sleep;
 
+use crate::connections::{CallerConnection, HeldBytes};
+
 /// Buffer with which the parser of a connection begins. It counts as memory of every connection.
 const FIRST_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -49,8 +49,8 @@
 
 /// The socket of a caller's connection.
 #[derive(Debug)]
-pub struct CallerTransport {
-    transport: Transport,
+pub struct CallerTransport<S> {
+    socket: S,
     connection: CallerConnection,
     read_count: ReadCount,
     /// What is held for the current head beyond [`FIRST_BUFFER_BYTES`].
@@ -61,11 +61,11 @@
     discarding: Option<Discarding>,
 }
 
-impl CallerTransport {
+impl<S: AsyncRead + Unpin> CallerTransport<S> {
     /// Wraps the socket of `connection`.
-    pub fn new(transport: Transport, connection: CallerConnection, read_count: ReadCount) -> Self {
+    pub fn new(socket: S, connection: CallerConnection, read_count: ReadCount) -> Self {
         Self {
-            transport,
+            socket,
             buffer: connection.hold_nothing(),
             connection,
             read_count,
@@ -98,7 +98,7 @@
             && discarding.timeout.as_mut().poll(cx).is_pending()
         {
             let mut buffer = ReadBuf::new(&mut scratch);
-            let read = ready!(Pin::new(&mut self.transport).poll_read(cx, &mut buffer));
+            let read = ready!(Pin::new(&mut self.socket).poll_read(cx, &mut buffer));
             if read.is_err() || buffer.filled().is_empty() {
                 break;
             }
@@ -117,14 +117,14 @@
     }
 }
 
-impl AsyncRead for CallerTransport {
+impl<S: AsyncRead + Unpin> AsyncRead for CallerTransport<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
         let filled_before = buf.filled().len();
-        let polled = Pin::new(&mut self.transport).poll_read(cx, buf);
+        let polled = Pin::new(&mut self.socket).poll_read(cx, buf);
         let received_bytes = buf.filled().len() - filled_before;
         if received_bytes > 0 {
             self.read_count.increment();
@@ -135,24 +135,24 @@
     }
 }
 
-impl AsyncWrite for CallerTransport {
+impl<S: AsyncRead + AsyncWrite + Unpin> AsyncWrite for CallerTransport<S> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<Result<usize>> {
-        let written = Pin::new(&mut self.transport).poll_write(cx, buf);
+        let written = Pin::new(&mut self.socket).poll_write(cx, buf);
         self.record_write(&written);
         written
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
-        Pin::new(&mut self.transport).poll_flush(cx)
+        Pin::new(&mut self.socket).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         if self.discarding.is_none() {
-            ready!(Pin::new(&mut self.transport).poll_shutdown(cx))?;
+            ready!(Pin::new(&mut self.socket).poll_shutdown(cx))?;
         }
         if self.connection.activity() == Activity::Discarding {
             ready!(self.poll_discard(cx));
@@ -165,12 +165,12 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        let written = Pin::new(&mut self.transport).poll_write_vectored(cx, bufs);
+        let written = Pin::new(&mut self.socket).poll_write_vectored(cx, bufs);
         self.record_write(&written);
         written
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.transport.is_write_vectored()
+        self.socket.is_write_vectored()
     }
 }
--- a/crates/foxwheel-control/src/server.rs
+++ b/crates/foxwheel-control/src/server.rs
@@ -3,12 +3,18 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use foxwheel_callers::connections::{CallerConnection, CallerConnections};
+use foxwheel_callers::listener;
+use foxwheel_callers::transport::CallerTransport;
 use foxwheel_core::ids::Version;
 use foxwheel_core::protocol::{AgentConfig, LoadReport};
+use foxwheel_policy::caller_connections::Activity;
 use futures::StreamExt;
 use tarpc::context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
 use crate::service::AgentControl;
@@ -39,39 +45,41 @@
 }
 
 /// Binds `listen_addr`, spawns a task that serves control calls with `agent`, and returns the bound
-/// address. When `cancel` is cancelled, the listener and all open connections close. Returns an
-/// error if the address cannot be bound.
+/// address. `connections` keeps those that there is room for. When `cancel` is cancelled, the listener
+/// and all open connections close. Returns an error if the address cannot be bound.
 pub async fn serve(
     listen_addr: &str,
     agent: Arc<dyn AgentHandle>,
+    connections: Arc<CallerConnections>,
     cancel: CancellationToken,
 ) -> std::io::Result<SocketAddr> {
-    let mut incoming = tarpc::serde_transport::tcp::listen(listen_addr, Bincode::default).await?;
-    let addr = incoming.local_addr();
+    let listener = TcpListener::bind(listen_addr).await?;
+    let addr = listener.local_addr()?;
     let handler = CallHandler(agent);
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = cancel.cancelled() => return,
-                accepted = incoming.next() => accepted,
-            };
-            match accepted {
-                Some(Ok(transport)) => {
-                    let serve_calls = BaseChannel::with_defaults(transport)
-                        .execute(handler.clone().serve())
-                        .for_each(|call| call);
-                    let cancel = cancel.clone();
-                    tokio::spawn(async move {
-                        tokio::select! {
-                            () = cancel.cancelled() => {}
-                            () = serve_calls => {}
-                        }
-                    });
-                }
-                Some(Err(e)) => log::debug!("control connection not accepted: {e}"),
-                None => return,
-            }
-        }
-    });
+    let serve =
+        move |connection, transport| serve_connection(connection, transport, handler.clone());
+    tokio::spawn(listener::accept_until_cancelled(
+        listener,
+        connections,
+        cancel,
+        serve,
+    ));
     Ok(addr)
 }
+
+async fn serve_connection(
+    connection: CallerConnection,
+    transport: CallerTransport<TcpStream>,
+    handler: CallHandler,
+) {
+    let frames = Framed::new(transport, LengthDelimitedCodec::new());
+    let messages = tarpc::serde_transport::new(frames, Bincode::default());
+    BaseChannel::with_defaults(messages)
+        .execute(handler.serve())
+        .for_each(|call| async {
+            connection.set_activity(Activity::Serving);
+            call.await;
+            connection.set_activity(Activity::Idle);
+        })
+        .await;
+}
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -173,7 +173,7 @@
     let store_url = settings.store_url.clone();
     let host = settings.host_limits();
     let listener = connections::listen(&settings.listen_addr, host)?;
-    let callers = connections::new_connections(host, counters.clone());
+    let callers = connections::new_connections(host.for_callers(), counters.clone());
     let max_batch_bytes = settings.max_batch_bytes();
     let state = web::Data::from(Arc::new(GatewayState {
         settings,
--- a/crates/foxwheel-gateway/tests/common/mod.rs
+++ b/crates/foxwheel-gateway/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use foxwheel_agent::settings::AgentSettings;
+use foxwheel_callers::connections::CallerConnections;
 use foxwheel_control::server::{self, AgentHandle};
 use foxwheel_core::declarations::{BackendKind, Manifest};
 use foxwheel_core::ids::Version;
@@ -123,9 +124,7 @@
 
 /// Registers the server at `agent_addr` as a host of `deployment` that reports no load.
 pub async fn add_member(store: &StoreClient, deployment: &str, host: &str, agent_addr: SocketAddr) {
-    let control_addr = server::serve("127.0.0.1:0", Arc::new(IdleAgent), CancellationToken::new())
-        .await
-        .expect("control channel");
+    let control_addr = serve_control(Arc::new(IdleAgent), CancellationToken::new()).await;
     let record = Member {
         host: host.to_owned(),
         deployment: deployment.to_owned(),
@@ -142,6 +141,14 @@
         .expect("member written");
 }
 
+/// Serves the control channel of an agent on a free port until `cancel` is cancelled.
+pub async fn serve_control(agent: Arc<dyn AgentHandle>, cancel: CancellationToken) -> SocketAddr {
+    let host = gateway_settings("", "").host_limits();
+    let connections = CallerConnections::new(host.for_peers(), |_| {});
+    let served = server::serve("127.0.0.1:0", agent, connections, cancel).await;
+    served.expect("control channel")
+}
+
 /// An agent that always reports no load.
 pub struct IdleAgent;
 
--- a/crates/foxwheel-gateway/tests/membership_faults.rs
+++ b/crates/foxwheel-gateway/tests/membership_faults.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use foxwheel_control::server::{self, AgentHandle};
+use foxwheel_control::server::AgentHandle;
 use foxwheel_core::declarations::PriorityClass;
 use foxwheel_core::ids::Version;
 use foxwheel_core::protocol::{AgentConfig, LoadReport, Member, MemberState, RUN_STATE_HEADER};
@@ -107,9 +107,7 @@
         let kill_tokens: Vec<CancellationToken> = (0..2).map(|_| cancel.child_token()).collect();
         let mut records = Vec::new();
         for (i, (agent, kill)) in agents.iter().zip(&kill_tokens).enumerate() {
-            let addr = server::serve("127.0.0.1:0", agent.clone(), kill.clone())
-                .await
-                .expect("control channel");
+            let addr = common::serve_control(agent.clone(), kill.clone()).await;
             records.push((
                 member_record(&format!("suwon-hall-{i}"), addr.to_string()),
                 1,
@@ -138,9 +136,7 @@
     let cancel = CancellationToken::new();
     let table = start_polling(&cancel);
     let agent: Arc<FakeAgent> = Arc::default();
-    let addr = server::serve("127.0.0.1:0", agent, cancel.clone())
-        .await
-        .expect("control channel");
+    let addr = common::serve_control(agent, cancel.clone()).await;
     table.rebuild(vec![(member_record("suwon-hall-0", addr.to_string()), 1)]);
     wait_for_live(&table, 1, "before the pause").await;
     // Lets a poll get its response, then blocks this thread, on which the pollers run too.
--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -7,6 +7,7 @@
 
 use foxwheel_callers::connections::{CallerConnection, CallerConnections, CloseReason};
 use foxwheel_callers::host::HostLimits;
+use foxwheel_callers::transport::{CallerTransport, ReadCount};
 use foxwheel_core::metric_names::Counter;
 use foxwheel_http1::transport::{ResetOnDrop, Transport};
 use foxwheel_policy::caller_connections::{Activity, CallerTimeouts};
@@ -22,7 +23,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::front::Front;
 use crate::node::Node;
 use crate::responses;
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod attempt;
 pub mod batch_front;
 pub mod caller_server;
-pub mod caller_transport;
 pub mod chunked_objects;
 pub mod cross_zone_clients;
 pub mod datagram_sender;
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -2,11 +2,12 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use foxwheel_callers::connections::{CallerConnection, CallerConnections};
+use foxwheel_callers::listener;
+use foxwheel_callers::transport::CallerTransport;
 use foxwheel_core::ids::{ItemId, JobId};
-use foxwheel_http1::transport::{ResetOnDrop, Transport};
 use foxwheel_platform::store::{Object, StoreError, Write, WriteOutcome};
 use foxwheel_policy::batch::job::JobSpec;
 use foxwheel_policy::batch::ledger::{RelayedChange, RelayedResponse};
@@ -24,7 +25,6 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::caller_server;
-use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::node::Node;
 use crate::peer_calls::{
     ItemBodyResponse, PeerService, RelayedResult, ResultsQuery, ResultsResponse, StoreState,
@@ -32,9 +32,6 @@
 };
 use crate::worker_jobs::WorkerJobs;
 
-/// Delay after a connection could not be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-
 #[derive(Clone)]
 struct PeerServiceHandler {
     node: Arc<Node>,
@@ -150,34 +147,14 @@
         metrics.incr(caller_server::close_counter(reason));
     });
     let handler = PeerServiceHandler { node, jobs };
-    tokio::spawn(async move {
-        loop {
-            let accepted = tokio::select! {
-                () = cancel.cancelled() => return,
-                accepted = listener.accept() => accepted,
-            };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
-                    log::warn!(error:% = e; "cannot accept peer connection");
-                    tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
-                }
-            };
-            let Some(connection) = connections.admit().await else {
-                continue;
-            };
-            let calls = serve_connection(connection.clone(), stream, handler.clone());
-            let cancel = cancel.clone();
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = cancel.cancelled() => {}
-                    () = connection.closing() => {}
-                    () = calls => {}
-                }
-            });
-        }
-    });
+    let serve =
+        move |connection, transport| serve_connection(connection, transport, handler.clone());
+    tokio::spawn(listener::accept_until_cancelled(
+        listener,
+        connections,
+        cancel,
+        serve,
+    ));
     Ok(())
 }
 
@@ -185,11 +162,9 @@
 /// still be running.
 async fn serve_connection(
     connection: CallerConnection,
-    stream: TcpStream,
+    transport: CallerTransport<TcpStream>,
     handler: PeerServiceHandler,
 ) {
-    let transport = Transport::new(stream, ResetOnDrop::default());
-    let transport = CallerTransport::new(transport, connection.clone(), ReadCount::default());
     let frames = Framed::new(transport, LengthDelimitedCodec::new());
     let messages = serde_transport::new(frames, Bincode::default());
     BaseChannel::with_defaults(messages)
--- a/crates/foxwheel-node/src/status_server.rs
+++ b/crates/foxwheel-node/src/status_server.rs
@@ -6,7 +6,8 @@
 
 use foxwheel_callers::connections::{CallerConnection, CallerConnections};
 use foxwheel_callers::host::HostLimits;
-use foxwheel_http1::transport::{ResetOnDrop, Transport};
+use foxwheel_callers::listener;
+use foxwheel_callers::transport::CallerTransport;
 use foxwheel_policy::caller_connections::Activity;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -14,9 +15,9 @@
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
 
 use crate::caller_server;
-use crate::caller_transport::{CallerTransport, ReadCount};
 use crate::node::Node;
 use crate::responses::{self, CallerResponse};
 use crate::tracked_body::TrackedBody;
@@ -70,34 +71,23 @@
     let connections = CallerConnections::new(HostLimits::for_status(), move |reason| {
         metrics.incr(caller_server::close_counter(reason));
     });
-    tokio::spawn(async move {
-        loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            };
-            let Some(connection) = connections.admit().await else {
-                continue;
-            };
-            let respond = respond.clone();
-            tokio::spawn(async move {
-                tokio::select! {
-                    () = connection.closing() => {}
-                    () = serve_connection(connection.clone(), stream, respond) => {}
-                }
-            });
-        }
-    });
+    let never = CancellationToken::new();
+    let serve =
+        move |connection, transport| serve_connection(connection, transport, respond.clone());
+    tokio::spawn(listener::accept_until_cancelled(
+        listener,
+        connections,
+        never,
+        serve,
+    ));
     Ok(())
 }
 
 async fn serve_connection(
     connection: CallerConnection,
-    stream: TcpStream,
+    transport: CallerTransport<TcpStream>,
     respond: impl Fn(&str) -> CallerResponse,
 ) {
-    let transport = Transport::new(stream, ResetOnDrop::default());
-    let transport = CallerTransport::new(transport, connection.clone(), ReadCount::default());
     let service = service_fn(move |request: Request<Incoming>| {
         connection.set_activity(Activity::Serving);
         let response = respond(request.uri().path());
