Front: reads of jobs in a module of their own, one look-up of a live worker, one accept loop

The address of a live worker was looked up in three places, the refusal for want of room was written in two with two constants of the same name, and the accept loop was spawned in three.

--- a/crates/foxwheel-callers/src/listener.rs
+++ b/crates/foxwheel-callers/src/listener.rs
@@ -13,9 +13,21 @@
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Accepts connections until `cancel` is cancelled, which also closes those that are open. Each is served
-/// by a task of its own until it ends or must be closed.
-pub async fn accept_until_cancelled<F, Served>(
+/// Accepts connections in a task until `cancel` is cancelled, which also closes those that are open. Each
+/// is served by a task of its own until it ends or must be closed.
+pub fn spawn_accept_loop<F, Served>(
+    listener: TcpListener,
+    connections: Arc<CallerConnections>,
+    cancel: CancellationToken,
+    serve: F,
+) where
+    F: Fn(CallerConnection, CallerTransport<TcpStream>) -> Served + Send + Sync + 'static,
+    Served: Future<Output = ()> + Send + 'static,
+{
+    tokio::spawn(accept_until_cancelled(listener, connections, cancel, serve));
+}
+
+async fn accept_until_cancelled<F, Served>(
     listener: TcpListener,
     connections: Arc<CallerConnections>,
     cancel: CancellationToken,
--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -25,10 +25,6 @@
 /// Delay after which a caller should retry that was refused because there is no configuration yet.
 const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Delay after which a caller should retry that was refused because other callers take all memory: by
-/// then those that are behind have made room.
-const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Delay after which a caller should retry that was refused by a stopping front: almost
 /// immediately, as another front serves it.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
@@ -89,7 +85,11 @@
     fn refuse_body(&self, caller: &wire::CallerRequest, error: &ReadError) -> CallerResponse {
         let status = match error {
             ReadError::Refused(BodyRefusal::NoRoom(_)) => {
-                return self.refuse_request(caller, RefusalReason::NoRoom, NO_ROOM_RETRY_AFTER)
+                return self.refuse_request(
+                    caller,
+                    RefusalReason::NoRoom,
+                    responses::NO_ROOM_RETRY_AFTER,
+                )
             }
             ReadError::Refused(BodyRefusal::TooLarge(_)) => StatusCode::PAYLOAD_TOO_LARGE,
             ReadError::TimedOut(_) => StatusCode::REQUEST_TIMEOUT,
--- a/crates/foxwheel-node/src/ledger_writer.rs
+++ b/crates/foxwheel-node/src/ledger_writer.rs
@@ -18,7 +18,6 @@
 use crate::job_store::{JobStore, JobStoreError};
 use crate::node::Node;
 use crate::peer_calls::RelayedResult;
-use crate::settings::Role;
 
 /// Key by which the workers are ranked to choose the ledger writer. Jobs use their id.
 pub const LEDGER_RANK_KEY: &str = "ledger";
@@ -175,14 +174,12 @@
     let result = match (own.filter(|_| is_own), writer) {
         (Some(own), _) => own.submit(store, relayed).await,
         (None, Some(writer)) => {
-            let live = node.peers.live_processes(Role::Worker, now);
-            let found = live.iter().find(|(host, _)| *host == writer.host);
-            let Some((_, addr)) =
-                found.filter(|(_, addr)| !node.peer_calls.has_failed_recently(*addr, now))
+            let found = node.peers.live_worker_addr(&writer.host, now);
+            let Some(addr) = found.filter(|addr| !node.peer_calls.has_failed_recently(*addr, now))
             else {
                 return Relay::NotSent;
             };
-            match node.peer_calls.change_ledger(*addr, relayed).await {
+            match node.peer_calls.change_ledger(addr, relayed).await {
                 Ok(result) => result,
                 Err(e) => {
                     log::info!(error:% = e, term; "ledger writer did not respond");
--- a/crates/foxwheel-node/src/lib.rs
+++ b/crates/foxwheel-node/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod heartbeat;
 pub mod hedging;
 pub mod item_run;
+pub mod job_reads;
 pub mod job_store;
 pub mod ledger_poll;
 pub mod ledger_writer;
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -149,12 +149,7 @@
     let handler = PeerServiceHandler { node, jobs };
     let serve =
         move |connection, transport| serve_connection(connection, transport, handler.clone());
-    tokio::spawn(listener::accept_until_cancelled(
-        listener,
-        connections,
-        cancel,
-        serve,
-    ));
+    listener::spawn_accept_loop(listener, connections, cancel, serve);
     Ok(())
 }
 
--- a/crates/foxwheel-node/src/peers/views.rs
+++ b/crates/foxwheel-node/src/peers/views.rs
@@ -211,6 +211,13 @@
         live
     }
 
+    /// Returns the address of the worker on `host`, or `None` if it is not live.
+    pub fn live_worker_addr(&self, host: &str, now: Instant) -> Option<SocketAddr> {
+        let live = self.live_processes(Role::Worker, now);
+        let found = live.binary_search_by(|(name, _)| name.as_str().cmp(host));
+        found.ok().map(|index| live[index].1)
+    }
+
     /// Returns the live processes that may hold the origins of streams.
     pub fn holder_candidates(&self, now: Instant) -> HolderCandidates {
         let state = self.lock();
--- a/crates/foxwheel-node/src/responses.rs
+++ b/crates/foxwheel-node/src/responses.rs
@@ -10,6 +10,10 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
+/// Delay after which a caller should retry that was refused because other callers take all memory: by
+/// then those that are behind have made room.
+pub const NO_ROOM_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// A relayed stream ended early. The error makes the HTTP server close the caller's connection,
 /// so that the response is not mistaken for a complete one.
 #[derive(Debug, thiserror::Error)]
@@ -77,3 +81,8 @@
     }
     response
 }
+
+/// Creates the response to a request that finds no room beside those of other callers.
+pub fn no_room() -> CallerResponse {
+    not_run(StatusCode::SERVICE_UNAVAILABLE, NO_ROOM_RETRY_AFTER)
+}
--- a/crates/foxwheel-node/src/status_server.rs
+++ b/crates/foxwheel-node/src/status_server.rs
@@ -74,12 +74,7 @@
     let never = CancellationToken::new();
     let serve =
         move |connection, transport| serve_connection(connection, transport, respond.clone());
-    tokio::spawn(listener::accept_until_cancelled(
-        listener,
-        connections,
-        never,
-        serve,
-    ));
+    listener::spawn_accept_loop(listener, connections, never, serve);
     Ok(())
 }
 
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -23,7 +23,6 @@
 use crate::ledger_writer::{self, LedgerWriter};
 use crate::node::Node;
 use crate::peer_calls::{ItemBodyResponse, ResultsQuery, ResultsResponse};
-use crate::settings::Role;
 use crate::worker_jobs::take_over::CHECKPOINT_CACHE_TTL;
 
 /// Minimum time between two reads of the store for new results of a job that another worker
@@ -328,9 +327,7 @@
         let owner = workers
             .iter()
             .find(|worker| worker.has_current_claims && worker.owns(id))?;
-        let live = self.node.peers.live_processes(Role::Worker, now);
-        let found = live.into_iter().find(|(host, _)| *host == owner.host);
-        found.map(|(_, addr)| addr)
+        self.node.peers.live_worker_addr(&owner.host, now)
     }
 
     /// Reads results of a job for a caller. If there are none yet, waits for the first result
