Calls between processes: one connection, however many calls are made at once

Seen: 16 fronts whose callers read at the same time opened 740 connections to one worker. Each call that found no connection opened one of its own; the worker then closes idle connections of other fronts for want of room.

Cause: the client was stored only after it had connected, so all calls until then connected too.

Change: a connection that is being opened is stored, and all calls wait for it. A failed one is removed, so that the next call tries again; its callers learn that nothing was sent, as before.

Ruled out: a lock held while connecting (a peer behind a cut path would let all calls wait one after the other).

--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -1,7 +1,7 @@
 //! Calls to other processes over `tarpc`: the service, its data types and the client.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use foxwheel_core::error::Origin;
@@ -15,6 +15,8 @@
 use foxwheel_policy::routes::Config;
 use foxwheel_policy::server_changes::ServerUpdate;
 use foxwheel_policy::stream_origin::{StreamKey, StreamOrigin};
+use futures::future::{BoxFuture, Shared};
+use futures::FutureExt;
 use serde::{Deserialize, Serialize};
 use serde_with::{serde_as, DurationMilliSeconds};
 use tarpc::tokio_serde::formats::Bincode;
@@ -211,12 +213,24 @@
     }
 }
 
+/// A connection that is open or being opened. All calls wait for the same one.
+type Connecting = Shared<BoxFuture<'static, Result<PeerServiceClient, Arc<std::io::Error>>>>;
+
+async fn connect(addr: SocketAddr) -> Result<PeerServiceClient, Arc<std::io::Error>> {
+    let connecting = serde_transport::tcp::connect(addr, Bincode::default);
+    let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(std::io::Error::from)
+        .and_then(|connected| connected)?;
+    Ok(PeerServiceClient::new(client::Config::default(), transport).spawn())
+}
+
 /// Client for calls to peers. Keeps one connection to each peer, opened when first needed and
 /// again after a failure.
 #[derive(Debug, Default)]
 pub struct PeerCalls {
     /// Sorted by address.
-    clients: Mutex<Vec<(SocketAddr, PeerServiceClient)>>,
+    clients: Mutex<Vec<(SocketAddr, Connecting)>>,
     /// Peers whose last call failed, with the time of the failure. Sorted by address.
     failures: Mutex<Vec<(SocketAddr, Instant)>>,
 }
@@ -364,35 +378,30 @@
     }
 
     async fn client(&self, addr: SocketAddr) -> Result<PeerServiceClient, PeerError> {
-        if let Some(client) = self.connected_client(addr) {
-            return Ok(client);
-        }
-        let connecting = serde_transport::tcp::connect(addr, Bincode::default);
-        let transport = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(std::io::Error::from)
-            .and_then(|connected| connected)
-            .map_err(|e| {
-                self.record_call(addr, false);
-                PeerError {
-                    origin: Origin::new("connect to peer", addr.to_string()),
-                    reason: e.to_string(),
-                    not_sent: true,
-                }
-            })?;
-        let client = PeerServiceClient::new(client::Config::default(), transport).spawn();
+        let connecting = self.connection_to(addr);
+        connecting.clone().await.map_err(|e| {
+            let mut clients = self.clients.lock().expect("peer clients lock");
+            clients.retain(|(_, known)| !known.ptr_eq(&connecting));
+            self.record_call(addr, false);
+            PeerError {
+                origin: Origin::new("connect to peer", addr.to_string()),
+                reason: e.to_string(),
+                not_sent: true,
+            }
+        })
+    }
+
+    /// Returns the connection to the peer at `addr`, which is opened if there is none.
+    fn connection_to(&self, addr: SocketAddr) -> Connecting {
         let mut clients = self.clients.lock().expect("peer clients lock");
         match clients.binary_search_by_key(&addr, |(addr, _)| *addr) {
-            Ok(at) => clients[at].1 = client.clone(),
-            Err(at) => clients.insert(at, (addr, client.clone())),
+            Ok(at) => clients[at].1.clone(),
+            Err(at) => {
+                let connecting = connect(addr).boxed().shared();
+                clients.insert(at, (addr, connecting.clone()));
+                connecting
+            }
         }
-        Ok(client)
-    }
-
-    fn connected_client(&self, addr: SocketAddr) -> Option<PeerServiceClient> {
-        let clients = self.clients.lock().expect("peer clients lock");
-        let found = clients.binary_search_by_key(&addr, |(addr, _)| *addr);
-        found.ok().map(|at| clients[at].1.clone())
     }
 
     /// Records the outcome of a call and drops the connection after a failure, because a broken
