Readers of all fronts: share results and bodies, and send bodies in parts

Cause: the worker copied a page or a body for each reader, and sent a body as one message. The front took the whole body before it asked for room.

Change: clones of a result's output and of an item's body share it (Arc<str>, Bytes). A front reads a body in parts of 256 KB, and holds memory for the next part before it asks for it. The old call stays for fronts of an earlier release; a front of this one gets no answer to the new call from a worker of an earlier one.

Ruled out: a limit on reads at once at a worker (it would refuse readers that a copy less serves). Not mended: a page with one result beyond 256 KB is still one message.

--- a/crates/foxwheel-node/src/item_run.rs
+++ b/crates/foxwheel-node/src/item_run.rs
@@ -3,7 +3,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
 use foxwheel_core::ids::{JobId, SoftwareVersion};
 use foxwheel_core::metric_names::Counter;
 use foxwheel_event_stream::splitter::EventSplitter;
@@ -115,7 +114,7 @@
         Ok(request) => request,
         Err(e) => return (RunEnd::Impossible, format!("not a valid request: {e}")),
     };
-    let body = Bytes::from(item.body.clone());
+    let body = item.body.clone();
     let shared_parts = online::shared_prompt_parts(request.headers());
     let content = Arc::new(RequestContent::new(
         Method::POST.as_str(),
--- a/crates/foxwheel-node/src/job_reads.rs
+++ b/crates/foxwheel-node/src/job_reads.rs
@@ -16,7 +16,9 @@
 
 use crate::job_store::JobStore;
 use crate::node::Node;
-use crate::peer_calls::{ItemBodyResponse, NextPeer, PeerError, ResultsQuery, ResultsResponse};
+use crate::peer_calls::{
+    ItemBodyResponse, NextPeer, PeerError, ResultsQuery, ResultsResponse, MAX_BODY_PART_BYTES,
+};
 use crate::responses::{self, CallerResponse};
 
 /// Value of `retry-after` for reads that fail because the store or the workers are unavailable; about the
@@ -38,6 +40,9 @@
 /// Size of all copies of a page of results while it is read: the results and their JSON.
 const PAGE_COPIES: usize = 2;
 
+/// Size of all copies of a part of an item's body while it is read: the message and the part.
+const BODY_PART_COPIES: usize = 2;
+
 /// Maximum number of workers that one read queries: the job's preferred worker, its owner, and
 /// one more in case the job is changing its owner.
 const MAX_WORKERS_QUERIED: u32 = 3;
@@ -134,30 +139,48 @@
         item: ItemId,
         connection: &CallerConnection,
     ) -> CallerResponse {
-        let mut worker_query = WorkerQuery::new(self.workers_to_query(&job));
+        const NEXT_PART_BYTES: usize = BODY_PART_COPIES * MAX_BODY_PART_BYTES;
+        let Ok(mut held) = connection.hold(NEXT_PART_BYTES) else {
+            return self.refuse_read(&job);
+        };
+        let mut body = Vec::new();
+        loop {
+            let part = match self.read_body_part(&job, &item, body.len()).await {
+                ItemBodyResponse::Body(part) => part,
+                ItemBodyResponse::NoSuchItem => return responses::empty(StatusCode::NOT_FOUND),
+                ItemBodyResponse::Undetermined | ItemBodyResponse::OwnedBy(_) => {
+                    log::warn!(request_id = item, job; "item cannot be read at present");
+                    return responses::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER);
+                }
+            };
+            let held_bytes = body.len() + part.len() + NEXT_PART_BYTES;
+            if held.grow_to(held_bytes).is_err() {
+                return self.refuse_read(&job);
+            }
+            body.reserve_exact(part.len());
+            body.extend_from_slice(&part);
+            if part.len() != MAX_BODY_PART_BYTES {
+                break;
+            }
+        }
+        held.shrink_to(body.len());
+        let mut response = responses::empty(StatusCode::OK);
+        *response.body_mut() = responses::full_body(held.attach_to(body));
+        response
+    }
+
+    /// Reads the body of `item` from byte `from` on, as a worker sends it in parts, or the rest of it from
+    /// the store.
+    async fn read_body_part(&self, job: &JobId, item: &ItemId, from: usize) -> ItemBodyResponse {
+        let mut worker_query = WorkerQuery::new(self.workers_to_query(job));
         while let Some(addr) = worker_query.next_worker() {
             let calls = &self.node.peer_calls;
-            let response = calls.read_item_body(addr, job.clone(), item.clone()).await;
-            worker_query.record_response(response, ItemBodyResponse::next_peer, &job);
+            let reading = calls.read_item_body(addr, job.clone(), item.clone(), from);
+            worker_query.record_response(reading.await, ItemBodyResponse::next_peer, job);
         }
-        let response = match worker_query.result {
+        match worker_query.result {
             Some(response) => response,
-            None => self.body_from_store(&job, &item).await,
-        };
-        match response {
-            ItemBodyResponse::Body(body) => {
-                let Ok(held) = connection.hold(body.len()) else {
-                    return self.refuse_read(&job);
-                };
-                let mut response = responses::empty(StatusCode::OK);
-                *response.body_mut() = responses::full_body(held.attach_to(body));
-                response
-            }
-            ItemBodyResponse::NoSuchItem => responses::empty(StatusCode::NOT_FOUND),
-            ItemBodyResponse::Undetermined | ItemBodyResponse::OwnedBy(_) => {
-                log::warn!(request_id = item, job; "item cannot be read at present");
-                responses::not_run(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER)
-            }
+            None => self.body_from_store(job, item, from).await,
         }
     }
 
@@ -207,7 +230,7 @@
         }
     }
 
-    async fn body_from_store(&self, job: &JobId, item: &ItemId) -> ItemBodyResponse {
+    async fn body_from_store(&self, job: &JobId, item: &ItemId, from: usize) -> ItemBodyResponse {
         let Some(_permit) = self.begin_store_read(job).await else {
             return ItemBodyResponse::Undetermined;
         };
@@ -216,7 +239,7 @@
             Ok(found) => found
                 .and_then(|job| job.items.into_iter().find(|spec| spec.id == *item))
                 .map_or(ItemBodyResponse::NoSuchItem, |spec| {
-                    ItemBodyResponse::Body(spec.body)
+                    ItemBodyResponse::Body(spec.body.slice(from.min(spec.body.len())..))
                 }),
             Err(e) => {
                 log::info!(request_id = item, error:% = e; "could not read the item from the store");
--- a/crates/foxwheel-node/src/peer_calls.rs
+++ b/crates/foxwheel-node/src/peer_calls.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foxwheel_core::error::Origin;
 use foxwheel_core::ids::{ItemId, JobId, Version};
 use foxwheel_platform::store::{Object, Write, WriteOutcome};
@@ -39,6 +40,10 @@
 /// the time of one hop.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_700);
 
+/// Maximum size of a part of an item's body in one response to a read. A part of this size may be
+/// followed by others.
+pub const MAX_BODY_PART_BYTES: usize = 256 * 1024;
+
 /// The versions of the configuration and of the server list that a process has.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreStateVersion {
@@ -107,8 +112,8 @@
 /// A worker's response to a read of an item's body.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemBodyResponse {
-    /// The body.
-    Body(Vec<u8>),
+    /// The body, or the part of it that was asked for.
+    Body(Bytes),
     /// The worker at this address owns the job.
     #[serde(rename = "Elsewhere")]
     OwnedBy(SocketAddr),
@@ -178,7 +183,7 @@
     async fn ended(job: JobId);
     /// Reads results of a job.
     async fn read(job: JobId, read: ResultsQuery) -> ResultsResponse;
-    /// Reads the body of an item of a job.
+    /// Reads the whole body of an item of a job. Fronts of another release call this.
     async fn body(job: JobId, item: ItemId) -> ItemBodyResponse;
     /// Applies a change to the job ledger, if its term is not over.
     async fn change_ledger(change: RelayedChange) -> RelayedResult<RelayedResponse>;
@@ -192,6 +197,8 @@
     async fn stream_origin(stream: StreamKey) -> Option<StreamOrigin>;
     /// Returns the server crashes that the peer knows, by the parts of the prompts.
     async fn part_evidence() -> PartEvidence;
+    /// Reads the body of an item of a job from byte `from` on, at most [`MAX_BODY_PART_BYTES`].
+    async fn body_part(job: JobId, item: ItemId, from: usize) -> ItemBodyResponse;
 }
 
 /// Error of a call to a peer that got no response.
@@ -295,16 +302,18 @@
         self.check_response("read results", addr, response)
     }
 
-    /// Reads an item's body from the worker at `addr`.
+    /// Reads an item's body from byte `from` on from the worker at `addr`, at most
+    /// [`MAX_BODY_PART_BYTES`].
     pub async fn read_item_body(
         &self,
         addr: SocketAddr,
         job: JobId,
         item: ItemId,
+        from: usize,
     ) -> Result<ItemBodyResponse, PeerError> {
         let client = self.client(addr).await?;
         let response = client
-            .body(context_with_timeout(CALL_TIMEOUT), job, item)
+            .body_part(context_with_timeout(CALL_TIMEOUT), job, item, from)
             .await;
         self.check_response("read item body", addr, response)
     }
--- a/crates/foxwheel-node/src/peer_server.rs
+++ b/crates/foxwheel-node/src/peer_server.rs
@@ -28,7 +28,7 @@
 use crate::node::Node;
 use crate::peer_calls::{
     ItemBodyResponse, PeerService, RelayedResult, ResultsQuery, ResultsResponse, StoreState,
-    StoreStateVersion,
+    StoreStateVersion, MAX_BODY_PART_BYTES,
 };
 use crate::worker_jobs::WorkerJobs;
 
@@ -75,13 +75,7 @@
     }
 
     async fn body(self, _: context::Context, job: JobId, item: ItemId) -> ItemBodyResponse {
-        match &self.jobs {
-            Some(jobs) => match jobs.remote_owner(&job) {
-                Some(owner) => ItemBodyResponse::OwnedBy(owner),
-                None => jobs.read_item_body(&job, &item).await,
-            },
-            None => ItemBodyResponse::Undetermined,
-        }
+        self.read_item_body(&job, &item).await
     }
 
     async fn change_ledger(
@@ -121,6 +115,35 @@
         let quarantine = self.node.lock_part_quarantine();
         quarantine.evidence(Instant::now())
     }
+
+    async fn body_part(
+        self,
+        _: context::Context,
+        job: JobId,
+        item: ItemId,
+        from: usize,
+    ) -> ItemBodyResponse {
+        match self.read_item_body(&job, &item).await {
+            ItemBodyResponse::Body(body) => {
+                let from = from.min(body.len());
+                let end = body.len().min(from.saturating_add(MAX_BODY_PART_BYTES));
+                ItemBodyResponse::Body(body.slice(from..end))
+            }
+            other => other,
+        }
+    }
+}
+
+impl PeerServiceHandler {
+    async fn read_item_body(&self, job: &JobId, item: &ItemId) -> ItemBodyResponse {
+        match &self.jobs {
+            Some(jobs) => match jobs.remote_owner(job) {
+                Some(owner) => ItemBodyResponse::OwnedBy(owner),
+                None => jobs.read_item_body(job, item).await,
+            },
+            None => ItemBodyResponse::Undetermined,
+        }
+    }
 }
 
 fn to_relayed<T>(result: Result<T, StoreError>) -> RelayedResult<T> {
--- a/crates/foxwheel-node/tests/caller_crowds.rs
+++ b/crates/foxwheel-node/tests/caller_crowds.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::programs::{self, Programs, HANG_TIMEOUT};
+use common::programs::{self, Programs, FRONT_MEMORY_BYTES, HANG_TIMEOUT, MAX_BODY_BYTES};
 use common::store_entries::HOST;
 use foxwheel_crowd::callers::{Crowd, Upload};
 use foxwheel_platform::online as names;
@@ -16,13 +16,6 @@
 use hyper::{Method, StatusCode};
 use nix::sys::signal::{self, Signal};
 use nix::unistd::Pid;
-use tokio::sync::{Mutex, MutexGuard};
-
-/// Memory of the smallest front host of a deployment.
-const FRONT_MEMORY_BYTES: u64 = 88_000_000;
-
-/// Memory of the smallest worker host of a deployment.
-const WORKER_MEMORY_BYTES: u64 = 130_000_000;
 
 /// Files that a platform reserves on a host for other purposes.
 const RESERVED_FILES: usize = 200;
@@ -30,16 +23,6 @@
 /// Number of callers with large bodies.
 const CALLERS: usize = 64;
 
-/// Largest body that the configuration allows.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-
-/// Held by the test that runs.
-static RUNNING_TEST: Mutex<()> = Mutex::const_new(());
-
-async fn run_alone() -> MutexGuard<'static, ()> {
-    RUNNING_TEST.lock().await
-}
-
 /// Returns the first lines of the head of a request whose caller waits for ten minutes.
 fn start_of_head(path: &str) -> String {
     let (id, time_limit_ms) = (names::REQUEST_ID, names::DEADLINE_MS);
@@ -66,7 +49,7 @@
 /// The front held each body until its caller's time limit.
 #[actix_web::test]
 async fn front_holds_whole_bodies_a_byte_short() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let body = filler(MAX_BODY_BYTES - 1);
     let upload = Upload::with_length(&start_of_head("/plain/a"), MAX_BODY_BYTES, body);
     withstand("whole-bodies", CALLERS, upload).await;
@@ -75,7 +58,7 @@
 /// The front held each body until its caller's time limit.
 #[actix_web::test]
 async fn front_holds_large_chunks_without_a_last_one() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::in_chunks(&start_of_head("/plain/a"), 64 * 1024, 64);
     withstand("large-chunks", CALLERS, upload).await;
 }
@@ -83,7 +66,7 @@
 /// Each chunk kept the buffer alive that it was read into.
 #[actix_web::test]
 async fn front_holds_small_chunks_without_a_last_one() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::in_chunks(&start_of_head("/stream/a"), 64, 24 * 1024);
     withstand("small-chunks", CALLERS, upload).await;
 }
@@ -91,7 +74,7 @@
 /// The front read the bodies up to their limit before it refused them.
 #[actix_web::test]
 async fn front_reads_announced_bodies_beyond_the_limit() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let mut upload = Upload::with_length(
         &start_of_head("/plain/a"),
         40_000_000_000,
@@ -104,7 +87,7 @@
 /// The front read the bodies up to their limit before it refused them.
 #[actix_web::test]
 async fn front_reads_chunked_bodies_beyond_the_limit() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::in_chunks(&start_of_head("/plain/a"), 64 * 1024, 1_600);
     withstand("chunked-bodies", CALLERS, upload).await;
 }
@@ -112,7 +95,7 @@
 /// Each complete body was held while its request waited for a server.
 #[actix_web::test]
 async fn front_holds_all_complete_bodies() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::with_length(
         &start_of_head("/plain/a"),
         MAX_BODY_BYTES,
@@ -124,8 +107,8 @@
 /// Each submission existed several times at once while it was stored.
 #[actix_web::test]
 async fn front_copies_large_submissions() {
-    let _alone = run_alone().await;
-    let body = submission_of_one_item("item", MAX_BODY_BYTES - 4 * 1024);
+    let _alone = programs::run_alone().await;
+    let body = programs::submission_of_one_item("item", MAX_BODY_BYTES - 4 * 1024);
     let upload = Upload::with_length(
         &start_of_head("/batch/submit"),
         body.len(),
@@ -134,16 +117,10 @@
     withstand("large-submissions", CALLERS / 2, upload).await;
 }
 
-/// Returns the body that submits a job of one item with an encoded body of `body_bytes`.
-fn submission_of_one_item(id: &str, body_bytes: usize) -> String {
-    let body = "a".repeat(body_bytes);
-    format!(r#"{{"items":[{{"id":"{id}","path":"/batch/a","tokens":1,"body":"{body}"}}]}}"#)
-}
-
 /// All items of a submission were decoded before they were counted.
 #[actix_web::test]
 async fn front_decodes_tiny_items_beyond_their_limit() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let item = r#"{"id":"","path":""}"#;
     let count = MAX_BODY_BYTES / (item.len() + 1) - 1;
     let body = format!(r#"{{"items":[{}]}}"#, vec![item; count].join(","));
@@ -158,7 +135,7 @@
 /// A list that stood as the value of a header was decoded value by value.
 #[actix_web::test]
 async fn front_decodes_wide_item_headers() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let zeros = vec!["0"; MAX_BODY_BYTES / 2 - 100].join(",");
     let body = format!(r#"{{"items":[{{"id":"a","path":"/","headers":{{"a":[{zeros}]}}}}]}}"#);
     let upload = Upload::with_length(
@@ -172,7 +149,7 @@
 /// Each head had a buffer until the idle timeout.
 #[actix_web::test]
 async fn front_holds_heads_without_end() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let value = "a".repeat(60 * 1024);
     let head = format!("{}x-a: {value}", start_of_head("/plain/a"));
     withstand("heads", 2_500, Upload::head_only(head)).await;
@@ -181,7 +158,7 @@
 /// The kernel held what callers sent to connections that were not accepted.
 #[actix_web::test]
 async fn front_holds_what_arrives_while_it_is_suspended() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let servers = common::server_shapes(2);
     let mut programs = Programs::start("suspended", servers, None).await;
     let monitor = programs.monitor_front();
@@ -236,7 +213,7 @@
 /// Connections without a complete request took all open files of the front.
 #[actix_web::test]
 async fn front_has_no_file_left_beside_half_heads() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::head_only(start_of_head("/plain/a"));
     withstand_connections("half-heads", |programs| programs.front_addr, upload).await;
 }
@@ -244,7 +221,7 @@
 /// Idle connections to the readiness address took all open files of the front.
 #[actix_web::test]
 async fn front_has_no_file_left_beside_readiness_connections() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::head_only("GET / HTTP/1.1\r\n".to_owned());
     withstand_connections("readiness", |programs| programs.readiness_addr, upload).await;
 }
@@ -252,7 +229,7 @@
 /// Idle connections to the metrics address took all open files of the front.
 #[actix_web::test]
 async fn front_has_no_file_left_beside_metrics_connections() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::head_only("GET / HTTP/1.1\r\n".to_owned());
     withstand_connections("metrics", |programs| programs.metrics_addr, upload).await;
 }
@@ -260,7 +237,7 @@
 /// Idle connections to the port for other processes took all open files of the front.
 #[actix_web::test]
 async fn front_has_no_file_left_beside_peer_connections() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let upload = Upload::head_only(String::new());
     withstand_connections("peer-port", |programs| programs.peer_addr, upload).await;
 }
@@ -298,21 +275,21 @@
 /// Each response was held until its caller closed the connection.
 #[actix_web::test]
 async fn front_holds_responses_that_are_not_read() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     withstand_without_reading("unread-responses", "/plain/a", CALLERS, 1).await;
 }
 
 /// What a server sent of a stream piled up in front of its caller.
 #[actix_web::test]
 async fn front_holds_streams_that_are_not_read() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     withstand_without_reading("unread-streams", "/stream-once/a", CALLERS, 1).await;
 }
 
 /// Requests that followed an unread response piled up.
 #[actix_web::test]
 async fn front_holds_pipelined_requests() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     withstand_without_reading("pipelined", "/plain/a", 4 * CALLERS, 4_000).await;
 }
 
@@ -320,7 +297,7 @@
 #[actix_web::test]
 async fn front_holds_results_that_are_not_read() {
     const ITEMS: usize = 8;
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let mut servers = common::server_shapes(2);
     for server in &mut servers {
         server.event_suffix = "a".repeat(128 * 1024);
@@ -346,7 +323,7 @@
 #[actix_web::test]
 async fn worker_holds_the_bodies_of_all_waiting_jobs() {
     const JOBS: usize = 64;
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let mut servers = common::server_shapes(2);
     for server in &mut servers {
         server.step_time = Duration::from_secs(600);
@@ -376,26 +353,24 @@
     let front_monitor = programs.monitor_front();
     let worker_monitor = programs.monitor_worker();
     for at in 0..JOBS {
-        let body = submission_of_one_item(&format!("item-{at}"), MAX_BODY_BYTES - 4 * 1024);
+        let body =
+            programs::submission_of_one_item(&format!("item-{at}"), MAX_BODY_BYTES - 4 * 1024);
         let id = format!("job-{at}");
         let accepted = programs.call_front("/batch/submit", &id, &body).await;
         assert_eq!(accepted.status, StatusCode::ACCEPTED, "{id}");
     }
     programs.check_ordinary_request("beside-the-jobs").await;
-    let worker_peak = worker_monitor.stop();
-    println!("the worker held at most {worker_peak:?}");
+    programs.check_worker(worker_monitor.stop());
     programs
         .check_front(front_monitor.stop(), FRONT_MEMORY_BYTES)
         .await;
-    let held = worker_peak.memory_bytes;
-    assert!(held <= WORKER_MEMORY_BYTES, "the worker held {held} bytes");
 }
 
 /// Calls to the port for other processes were held until they were complete, all at once.
 #[actix_web::test]
 async fn worker_holds_calls_without_end() {
     const CALL_BYTES: u32 = 8 * 1024 * 1024 - 1;
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let mut programs = Programs::start("calls", common::server_shapes(2), None).await;
     let monitor = programs.monitor_worker();
     let mut part = CALL_BYTES.to_be_bytes().to_vec();
@@ -412,18 +387,14 @@
     assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
     let results = common::wait_for_results(programs.front_addr, "job", 1).await;
     assert_eq!(results[0]["state"], "completed");
-    let peak = monitor.stop();
-    println!("the worker held at most {peak:?}");
-    assert!(programs.worker.is_running(), "the worker has ended");
-    let held = peak.memory_bytes;
-    assert!(held <= WORKER_MEMORY_BYTES, "the worker held {held} bytes");
+    programs.check_worker(monitor.stop());
     crowd.leave().await;
 }
 
 /// Requests of the largest size that the configuration allows are served, one after the other.
 #[actix_web::test]
 async fn largest_requests_are_served_in_calm() {
-    let _alone = run_alone().await;
+    let _alone = programs::run_alone().await;
     let servers = common::server_shapes(2);
     let mut programs = Programs::start("largest-requests", servers, None).await;
     let monitor = programs.monitor_front();
@@ -433,8 +404,9 @@
         assert_eq!(received.status, StatusCode::OK, "{path}");
         assert!(received.is_complete, "{path}");
     }
-    let overhead_bytes = submission_of_one_item("item", 0).len();
-    let submission = submission_of_one_item("item", (MAX_BODY_BYTES - overhead_bytes) / 4 * 4);
+    let overhead_bytes = programs::submission_of_one_item("item", 0).len();
+    let submission =
+        programs::submission_of_one_item("item", (MAX_BODY_BYTES - overhead_bytes) / 4 * 4);
     let accepted = programs
         .call_front("/batch/submit", "job", &submission)
         .await;
--- a/crates/foxwheel-node/tests/common/programs.rs
+++ b/crates/foxwheel-node/tests/common/programs.rs
@@ -13,15 +13,33 @@
 use hyper::header::RETRY_AFTER;
 use hyper::{Method, StatusCode};
 use serde_json::Value;
+use tokio::sync::{Mutex, MutexGuard};
 
 use super::{call, Fleet, FleetPlan, ReceivedResponse};
 
+/// Memory of the smallest front host of a deployment.
+pub const FRONT_MEMORY_BYTES: u64 = 88_000_000;
+
+/// Memory of the smallest worker host of a deployment.
+pub const WORKER_MEMORY_BYTES: u64 = 130_000_000;
+
+/// Largest body that the configuration allows.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
 /// How long a response is waited for. A process that takes longer hangs.
 pub const HANG_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// Time limit of all routes, which no request reaches.
 const ROUTE_TIMEOUT_MS: u64 = 600_000;
 
+/// Held by the test that runs: the tests of a file would share the processor and the memory.
+static RUNNING_TEST: Mutex<()> = Mutex::const_new(());
+
+/// Waits until no other test of the file runs.
+pub async fn run_alone() -> MutexGuard<'static, ()> {
+    RUNNING_TEST.lock().await
+}
+
 /// Sets the time limits of the routes, so that a slow machine serves what a fast one serves.
 pub fn wait_long_for_responses(config: &mut Value) {
     for route in config["routes"].as_array_mut().expect("routes") {
@@ -120,6 +138,14 @@
         );
     }
 
+    /// Checks that the worker runs and held at most the memory of the smallest host.
+    pub fn check_worker(&mut self, peak: Usage) {
+        println!("the worker held at most {peak:?}");
+        assert!(self.worker.is_running(), "the worker has ended");
+        let held = peak.memory_bytes;
+        assert!(held <= WORKER_MEMORY_BYTES, "the worker held {held} bytes");
+    }
+
     /// Checks that the front serves one ordinary request. If the front refuses it, it comes back when
     /// the front says.
     pub async fn check_ordinary_request(&self, id: &str) {
@@ -153,3 +179,9 @@
         called.expect("the front hangs").expect("a response")
     }
 }
+
+/// Returns the body that submits a job of one item with an encoded body of `body_bytes`.
+pub fn submission_of_one_item(id: &str, body_bytes: usize) -> String {
+    let body = "a".repeat(body_bytes);
+    format!(r#"{{"items":[{{"id":"{id}","path":"/batch/a","tokens":1,"body":"{body}"}}]}}"#)
+}
--- a/crates/foxwheel-node/tests/ended_jobs.rs
+++ b/crates/foxwheel-node/tests/ended_jobs.rs
@@ -29,7 +29,7 @@
         id: front_client::item_id(JOB, at),
         path: format!("/batch/{JOB}/{at}"),
         headers: Vec::new(),
-        body: Vec::new(),
+        body: Vec::new().into(),
         tokens: 1,
     };
     let job = JobSpec {
--- a/crates/foxwheel-node/tests/job_store.rs
+++ b/crates/foxwheel-node/tests/job_store.rs
@@ -95,7 +95,7 @@
     ItemResult {
         id: "item-0".to_owned(),
         outcome: ItemOutcome::Completed,
-        output: character.repeat(900_000),
+        output: character.repeat(900_000).into(),
     }
 }
 
--- a/crates/foxwheel-node/tests/worker_jobs.rs
+++ b/crates/foxwheel-node/tests/worker_jobs.rs
@@ -21,7 +21,7 @@
         id: format!("item-{number}"),
         path: "/p".to_owned(),
         headers: Vec::new(),
-        body: Vec::new(),
+        body: Vec::new().into(),
         tokens: 1,
     };
     JobSpec {
@@ -38,7 +38,7 @@
     ItemResult {
         id: format!("item-{number}"),
         outcome: ItemOutcome::Completed,
-        output: "text".to_owned(),
+        output: "text".into(),
     }
 }
 
@@ -218,7 +218,7 @@
     let large_job = |number: usize| {
         let mut job = job_spec(1);
         job.id = format!("job-{number:02}");
-        job.items[0].body = vec![0; 1_000_000];
+        job.items[0].body = vec![0; 1_000_000].into();
         job
     };
     for number in 0..40 {
--- a/crates/foxwheel-policy/src/batch/checkpoint.rs
+++ b/crates/foxwheel-policy/src/batch/checkpoint.rs
@@ -115,7 +115,7 @@
             PartialOutput {
                 last_event_id: item.partial_output.last_event_id,
                 origin: item.partial_output.origin.clone(),
-                text: result.output.clone(),
+                text: result.output.to_string(),
             },
             Some(result.outcome),
         ),
--- a/crates/foxwheel-policy/src/batch/item.rs
+++ b/crates/foxwheel-policy/src/batch/item.rs
@@ -1,7 +1,9 @@
 //! One item of a batch job: its request, its state, and the output received so far.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::Bytes;
 use foxwheel_core::ids::ItemId;
 use serde::{Deserialize, Serialize};
 
@@ -16,9 +18,9 @@
     pub path: String,
     /// Header names and values of the request.
     pub headers: Vec<(String, String)>,
-    /// Body of the request.
+    /// Body of the request. Clones share it.
     #[serde(with = "serde_with::As::<serde_with::base64::Base64>")]
-    pub body: Vec<u8>,
+    pub body: Bytes,
     /// Sum of the tokens of the prompt and of the longest possible output.
     pub tokens: u64,
 }
@@ -49,8 +51,9 @@
     /// How the item ended.
     #[serde(rename = "ending")]
     pub outcome: ItemOutcome,
-    /// Data of all events in order, joined by line feeds; empty if the item was given up.
-    pub output: String,
+    /// Data of all events in order, joined by line feeds; empty if the item was given up. Clones
+    /// share it.
+    pub output: Arc<str>,
 }
 
 /// How long an item with events waits for a slot at a server of the version that wrote them while
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -5,6 +5,7 @@
 //! creates part n only after it has applied parts 0 to n-1, so each item is stored in exactly
 //! one part even if several workers run the job one after another or at the same time.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use foxwheel_core::ids::JobId;
@@ -333,8 +334,8 @@
     pub(crate) fn finish_item(&mut self, index: usize, outcome: ItemOutcome, now: Instant) {
         let partial_output = std::mem::take(&mut self.items[index].partial_output);
         let output = match outcome {
-            ItemOutcome::Completed => partial_output.text,
-            ItemOutcome::GivenUp => String::new(),
+            ItemOutcome::Completed => partial_output.text.into(),
+            ItemOutcome::GivenUp => Arc::default(),
         };
         self.items[index].state = ItemState::Finished(ItemResult {
             id: self.spec.items[index].id.clone(),
--- a/crates/foxwheel-policy/tests/batch_job.rs
+++ b/crates/foxwheel-policy/tests/batch_job.rs
@@ -122,7 +122,7 @@
     let stored = ItemResult {
         id: "item-1".to_owned(),
         outcome: ItemOutcome::Completed,
-        output: "a".to_owned(),
+        output: "a".into(),
     };
     assert!(progress.apply_part(0, vec![stored.clone()]));
     progress.ended = true;
--- a/crates/foxwheel-policy/tests/checkpoint.rs
+++ b/crates/foxwheel-policy/tests/checkpoint.rs
@@ -51,7 +51,7 @@
     assert_eq!(restored.items[2].failures, 2);
     let results: Vec<(&str, ItemOutcome, &str)> = restored
         .unstored_results()
-        .map(|result| (result.id.as_str(), result.outcome, result.output.as_str()))
+        .map(|result| (result.id.as_str(), result.outcome, &*result.output))
         .collect();
     let full_output = output_up_to(9).text;
     assert_eq!(
@@ -167,7 +167,7 @@
         assert_eq!((ids.len(), results.len()), (count, count));
         assert!(results
             .iter()
-            .all(|result| result.output == output_up_to(10).text));
+            .all(|result| *result.output == output_up_to(10).text));
         finished_jobs += 1;
         Ok(())
     });
--- a/crates/foxwheel-policy/tests/common/mod.rs
+++ b/crates/foxwheel-policy/tests/common/mod.rs
@@ -30,7 +30,7 @@
         id: format!("item-{at}"),
         path: "/batch/item".to_owned(),
         headers: Vec::new(),
-        body: vec![1, 2, 3],
+        body: vec![1, 2, 3].into(),
         tokens: 100,
     };
     JobSpec {
--- a/crates/foxwheel-policy/tests/job_memory.rs
+++ b/crates/foxwheel-policy/tests/job_memory.rs
@@ -34,7 +34,7 @@
         id: "ab".to_owned(),
         path: "/cde".to_owned(),
         headers: vec![("name".to_owned(), "value".to_owned())],
-        body: vec![0; 100],
+        body: vec![0; 100].into(),
         tokens: 7,
     };
     assert_eq!(item.size_bytes(), 2 + 4 + 9 + 100);
