Own gateway and agent: accept no more connections than there are files for

Its log: 581 connections "not accepted" within 0.6 s, one error of accept.

Cause: the accept thread of actix-web takes connections and queues them for the server's threads, which register or close them. Where the threads have no processor for a moment, the queue has no end. Also, each connection opens a second file (the handle that closes it), which the limit did not count: 3 files with that to a backend server, not 2.

Change: the server accepts at most the connections that it may register and 16 more; the rest waits in the listener's backlog. The callers of HostLimits::for_callers say how many files a connection takes (front 2, gateway and agent 3).

Ruled out: the front and the peer ports (one task accepts and registers). The slack of 16 is part of the 64 files that a process keeps for itself.

--- a/crates/foxwheel-agent/src/server.rs
+++ b/crates/foxwheel-agent/src/server.rs
@@ -119,7 +119,7 @@
     let control_cancel = CancellationToken::new();
     let handler_state = web::Data::from(state.clone());
     let host = settings.host_limits();
-    let callers = connections::new_connections(host.for_callers(), state.counters.clone());
+    let callers = connections::for_callers(host, state.counters.clone());
     actix_web::rt::spawn(connections::close_slow_callers(
         Arc::clone(&callers),
         control_cancel.clone(),
@@ -127,8 +127,7 @@
     let server_options = http::ServerOptions {
         // A gateway that leaves a request frees its slot, even if the backend is silent.
         allows_half_closed: false,
-        on_connect: Some(connections::registration(Arc::clone(&callers))),
-        ..http::ServerOptions::default()
+        ..connections::server_options(callers)
     };
     let (addr, server) = http::serve_on(
         connections::listen(&settings.listen_addr, host)?,
--- a/crates/foxwheel-caller-server/src/connections.rs
+++ b/crates/foxwheel-caller-server/src/connections.rs
@@ -25,6 +25,13 @@
 /// Connections that the kernel holds until they are accepted.
 const MAX_PENDING_CONNECTIONS: i32 = 512;
 
+/// Open files for each connection: its socket, the handle that closes it, and a connection to a backend
+/// server.
+pub const FILES_PER_CONNECTION: usize = 3;
+
+/// Connections that a server has accepted and not registered: its threads may be busy.
+const MAX_UNREGISTERED_CONNECTIONS: usize = 16;
+
 /// Limits of the wait for callers. The server itself limits the time for a head.
 const TIMEOUTS: CallerTimeouts = CallerTimeouts {
     head: Duration::MAX,
@@ -58,7 +65,12 @@
     Ok(socket.into())
 }
 
-/// Creates the connections of a server. Those that are closed are counted.
+/// Creates the connections of callers of a server on `host`. Those that are closed are counted.
+pub fn for_callers(host: HostLimits, counters: Counters) -> Arc<CallerConnections> {
+    new_connections(host.for_callers(FILES_PER_CONNECTION), counters)
+}
+
+/// Creates connections that take no more than `limits`. Those that are closed are counted.
 pub fn new_connections(limits: ConnectionLimits, counters: Counters) -> Arc<CallerConnections> {
     CallerConnections::new(limits, move |reason| {
         counters.incr(match reason {
@@ -69,9 +81,14 @@
     })
 }
 
-/// Returns a function that registers each connection of a server that accepts it.
-pub fn registration(connections: Arc<CallerConnections>) -> http::OnConnect {
-    Arc::new(move |io, data| register(&connections, io, data))
+/// Returns the options of a server that registers each connection that it accepts.
+pub fn server_options(connections: Arc<CallerConnections>) -> http::ServerOptions {
+    let max_connections = connections.limits().max_connections + MAX_UNREGISTERED_CONNECTIONS;
+    http::ServerOptions {
+        on_connect: Some(Arc::new(move |io, data| register(&connections, io, data))),
+        max_connections: Some(max_connections),
+        ..http::ServerOptions::default()
+    }
 }
 
 /// Registers a connection that the server has accepted, or closes it if there is no room.
--- a/crates/foxwheel-callers/src/connections.rs
+++ b/crates/foxwheel-callers/src/connections.rs
@@ -81,6 +81,11 @@
         })
     }
 
+    /// Returns what the connections may take together.
+    pub fn limits(&self) -> ConnectionLimits {
+        self.lock().table.limits()
+    }
+
     /// Adds a connection. Closes another one if there is no room, and waits until it is closed. Returns
     /// `None` if no other one may be closed.
     pub async fn admit(self: &Arc<Self>) -> Option<CallerConnection> {
--- a/crates/foxwheel-callers/src/host.rs
+++ b/crates/foxwheel-callers/src/host.rs
@@ -6,7 +6,8 @@
 /// Open files of a host that a platform keeps for other purposes than the sockets of the process.
 const RESERVED_FILES: usize = 200;
 
-/// Open files that a process needs for itself: its listeners, and connections to the store.
+/// Open files that a process needs for itself: its listeners, connections to the store, and connections of
+/// callers that were accepted and are not registered.
 const OWN_FILES: usize = 64;
 
 /// Part of the open files for connections from other processes of the system, and as many to them.
@@ -24,9 +25,6 @@
 /// Part of the memory that other processes of the system may take with incomplete calls.
 const PEERS_MEMORY_SHARE: f64 = 0.15;
 
-/// Open files for each connection of a caller: its socket, and one to a backend server.
-const FILES_PER_CONNECTION: usize = 2;
-
 /// Part of the memory that callers may take. The rest is for the process itself, for what its
 /// allocator cannot return, and for what arrives at sockets and is not read yet.
 const CALLERS_SHARE: f64 = 0.4;
@@ -60,11 +58,12 @@
 }
 
 impl HostLimits {
-    /// Returns what the connections of callers may take together.
-    pub fn for_callers(self) -> ConnectionLimits {
+    /// Returns what the connections of callers may take together, if the process opens
+    /// `files_per_connection` files for each.
+    pub fn for_callers(self, files_per_connection: usize) -> ConnectionLimits {
         let own_files = OWN_FILES + 2 * STATUS_CONNECTIONS + 2 * self.max_peer_connections();
         let callers_files = self.open_files().saturating_sub(RESERVED_FILES + own_files);
-        let connections = callers_files / FILES_PER_CONNECTION;
+        let connections = callers_files / files_per_connection;
         // What has arrived and is not read counts as memory. The kernel accepts half as much again as
         // the size of the buffer.
         let unread_bytes = self.receive_buffer_bytes() / 2 * 3;
--- a/crates/foxwheel-core/src/http.rs
+++ b/crates/foxwheel-core/src/http.rs
@@ -114,6 +114,9 @@
     pub allows_half_closed: bool,
     /// Called for each connection.
     pub on_connect: Option<OnConnect>,
+    /// Maximum number of connections, among them those that `on_connect` has not seen. Further ones are
+    /// accepted once others have ended. `None` for the default of actix-web.
+    pub max_connections: Option<usize>,
 }
 
 impl Default for ServerOptions {
@@ -123,6 +126,7 @@
             shutdown_timeout: Duration::from_secs(30),
             allows_half_closed: true,
             on_connect: None,
+            max_connections: None,
         }
     }
 }
@@ -175,7 +179,11 @@
 {
     let addr = listener.local_addr()?;
     let on_connect = options.on_connect;
-    let server = actix_web::HttpServer::new(factory)
+    let mut server = actix_web::HttpServer::new(factory);
+    if let Some(max_connections) = options.max_connections {
+        server = server.max_connections(max_connections.div_ceil(options.workers));
+    }
+    let server = server
         .workers(options.workers)
         .keep_alive(SERVER_KEEP_ALIVE)
         .h1_allow_half_closed(options.allows_half_closed)
--- a/crates/foxwheel-gateway/src/server.rs
+++ b/crates/foxwheel-gateway/src/server.rs
@@ -173,7 +173,7 @@
     let store_url = settings.store_url.clone();
     let host = settings.host_limits();
     let listener = connections::listen(&settings.listen_addr, host)?;
-    let callers = connections::new_connections(host.for_callers(), counters.clone());
+    let callers = connections::for_callers(host, counters.clone());
     let max_batch_bytes = settings.max_batch_bytes();
     let state = web::Data::from(Arc::new(GatewayState {
         settings,
@@ -188,10 +188,7 @@
         Arc::clone(&callers),
         controllers_cancel.clone(),
     ));
-    let server_options = http::ServerOptions {
-        on_connect: Some(connections::registration(callers)),
-        ..http::ServerOptions::default()
-    };
+    let server_options = connections::server_options(callers);
     let (addr, server) =
         http::serve_on(listener, server_options, server_cancel.clone(), move || {
             actix_web::App::new()
--- a/crates/foxwheel-node/src/caller_server.rs
+++ b/crates/foxwheel-node/src/caller_server.rs
@@ -52,6 +52,9 @@
 /// Time between two checks for callers that are too slow.
 const SLOW_CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Open files for each connection: its socket, and a connection to a backend server.
+pub const FILES_PER_CONNECTION: usize = 2;
+
 /// Connections that the kernel holds until they are accepted.
 const MAX_PENDING_CONNECTIONS: u32 = 512;
 
@@ -115,10 +118,13 @@
 pub fn serve(node: Arc<Node>, listener: TcpListener, stop: StopSignals) -> CallerServer {
     let connections = TaskTracker::new();
     let metrics = node.metrics.clone();
-    let callers =
-        CallerConnections::new(node.settings.host_limits().for_callers(), move |reason| {
-            metrics.incr(close_counter(reason));
-        });
+    let limits = node
+        .settings
+        .host_limits()
+        .for_callers(FILES_PER_CONNECTION);
+    let callers = CallerConnections::new(limits, move |reason| {
+        metrics.incr(close_counter(reason));
+    });
     tokio::spawn(close_slow_callers(
         Arc::clone(&callers),
         Arc::clone(&node),
--- a/crates/foxwheel-node/tests/common/mod.rs
+++ b/crates/foxwheel-node/tests/common/mod.rs
@@ -27,6 +27,7 @@
 
 use foxwheel_callers::connections::{CallerConnection, CallerConnections};
 use foxwheel_core::keys;
+use foxwheel_node::caller_server;
 use foxwheel_node::process;
 use foxwheel_node::settings::{NodeSettings, Role};
 use foxwheel_platform_emu::settings::PlatformSettings;
@@ -401,7 +402,9 @@
 
 /// Returns the connection of a caller to a process with these settings.
 pub async fn caller_connection(settings: &NodeSettings) -> CallerConnection {
-    let limits = settings.host_limits().for_callers();
+    let limits = settings
+        .host_limits()
+        .for_callers(caller_server::FILES_PER_CONNECTION);
     let connections = CallerConnections::new(limits, |_| {});
     connections.admit().await.expect("room for a connection")
 }
--- a/crates/foxwheel-policy/src/caller_connections.rs
+++ b/crates/foxwheel-policy/src/caller_connections.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Returns what the connections may take together.
+    pub fn limits(&self) -> ConnectionLimits {
+        self.limits
+    }
+
     /// Returns the number of connections, among them those that are being closed.
     pub fn len(&self) -> usize {
         self.connections.len()
