--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -4,8 +4,6 @@
 
 use crate::fleet::Setup;
 
-pub mod catch_all;
-pub mod encoded_id;
 pub mod expect_version;
 pub mod extra_after_failure;
 pub mod extra_after_refusal;
@@ -26,8 +24,6 @@
         "extra-after-failure" => extra_after_failure::run(setup),
         "expect-version" => expect_version::run(setup),
         "narrower-route" => narrower_route::run(setup),
-        "encoded-id" => encoded_id::run(setup),
-        "catch-all" => catch_all::run(setup),
         other => Err(Error::other(format!("no case '{other}'"))),
     }
 }
--- a/review/standins-2/cases/expect_version.rs
+++ b/review/standins-2/cases/expect_version.rs
@@ -22,7 +22,10 @@
     let fleet = Fleet::start(setup, 1, 1)?;
     let runs = Runs::default();
     let llm = Arc::new(|request: &crate::http::Message, _| {
-        if request.header("x-expect-version").is_some_and(|version| version != VERSION) {
+        if request
+            .header("x-expect-version")
+            .is_some_and(|version| version != VERSION)
+        {
             return Action::NotRun(421).into();
         }
         match request.target().starts_with("/letters/") {
@@ -46,7 +49,10 @@
         })
         .collect();
     let plain: Vec<Item> = (1..=10)
-        .map(|number| Item { id: format!("plain-{number}"), headers: "\"X-Model\":\"m\"".to_owned() })
+        .map(|number| Item {
+            id: format!("plain-{number}"),
+            headers: "\"X-Model\":\"m\"".to_owned(),
+        })
         .collect();
     let front = fleet.fronts[0];
     let pinned_status = clients::submit(setup, front, "/letters/", "job-pinned", &pinned);
@@ -60,7 +66,9 @@
     }
     let text = clients::read_until_listed(setup, front, "job-plain", plain.len(), FINISH_TIME);
     let listed = clients::listed(&text);
-    let had = (1..=10).filter(|number| !runs.of(&format!("plain-{number}")).is_empty()).count();
+    let had = (1..=10)
+        .filter(|number| !runs.of(&format!("plain-{number}")).is_empty())
+        .count();
     let broken = plain_status == 202 && listed < plain.len();
     let facts = vec![
         format!("job-pinned answered {pinned_status}, job-plain answered {plain_status}"),
--- a/review/standins-2/cases/extra_after_failure.rs
+++ b/review/standins-2/cases/extra_after_failure.rs
@@ -24,20 +24,36 @@
         let mut failures = counted.lock().unwrap();
         if id == FAILING && *failures == 0 {
             *failures += 1;
-            return Answer { action: Action::Fail, extra_later: trouble };
+            return Answer {
+                action: Action::Fail,
+                extra_later: trouble,
+            };
         }
         Action::Stream(Duration::from_millis(20), 5).into()
     });
-    let desk = Arc::new(|_: &crate::http::Message, _| Action::Run(Duration::from_millis(5), "ok".to_owned()).into());
+    let desk = Arc::new(|_: &crate::http::Message, _| {
+        Action::Run(Duration::from_millis(5), "ok".to_owned()).into()
+    });
     // One server of three spoils one of its 53 answers.
     replicas::start(&fleet, &setup.record, &runs, "i-llm-1", "llm", llm)?;
-    replicas::start(&fleet, &setup.record, &runs, "i-order-1", "orderdesk", desk.clone())?;
+    replicas::start(
+        &fleet,
+        &setup.record,
+        &runs,
+        "i-order-1",
+        "orderdesk",
+        desk.clone(),
+    )?;
     replicas::start(&fleet, &setup.record, &runs, "i-order-2", "orderdesk", desk)?;
     fleet.wait_until_served(clients::HOST, "/status/start")?;
     let front = fleet.fronts[0];
     let numbered = |numbers: std::ops::RangeInclusive<u32>| -> Vec<Item> {
         let ids = numbers.map(|number| format!("item-{number}"));
-        ids.map(|id| Item { id, headers: "\"X-Model\":\"m\"".to_owned() }).collect()
+        ids.map(|id| Item {
+            id,
+            headers: "\"X-Model\":\"m\"".to_owned(),
+        })
+        .collect()
     };
     // Fifty answers that are not spoiled.
     clients::submit(setup, front, "/letters/", "job-1", &numbered(1..=50));
@@ -51,7 +67,10 @@
     let broken = given_up && failed < 2;
     let facts = vec![
         format!("job-2 answered {status}, its read {text}"),
-        format!("{FAILING}: {failed} answers of 500 where max_attempts is 2; runs: {:?}", runs.of(FAILING)),
+        format!(
+            "{FAILING}: {failed} answers of 500 where max_attempts is 2; runs: {:?}",
+            runs.of(FAILING)
+        ),
         format!("{FAILING} listed as dead_letter: {given_up}"),
     ];
     Ok(Verdict { broken, facts })
--- a/review/standins-2/cases/extra_after_refusal.rs
+++ b/review/standins-2/cases/extra_after_refusal.rs
@@ -27,12 +27,24 @@
         // Full at the first try of these requests; it has room 1 ms later.
         if REFUSED.contains(&id.as_str()) && !refused.contains(&id) {
             refused.push(id);
-            return Answer { action: Action::NotRun(503), extra_later: trouble };
+            return Answer {
+                action: Action::NotRun(503),
+                extra_later: trouble,
+            };
         }
         Action::Run(Duration::from_millis(20), format!("order placed for {id}")).into()
     });
-    let llm = Arc::new(|_: &crate::http::Message, _| Action::Run(Duration::from_millis(5), "ok".to_owned()).into());
-    replicas::start(&fleet, &setup.record, &runs, "i-order-1", "orderdesk", orderdesk)?;
+    let llm = Arc::new(|_: &crate::http::Message, _| {
+        Action::Run(Duration::from_millis(5), "ok".to_owned()).into()
+    });
+    replicas::start(
+        &fleet,
+        &setup.record,
+        &runs,
+        "i-order-1",
+        "orderdesk",
+        orderdesk,
+    )?;
     replicas::start(&fleet, &setup.record, &runs, "i-llm-1", "llm", llm.clone())?;
     replicas::start(&fleet, &setup.record, &runs, "i-llm-2", "llm", llm)?;
     fleet.wait_until_served(clients::HOST, "/orders/start")?;
@@ -46,11 +58,15 @@
         let ran = runs.of(&id).len();
         if ran > 1 {
             broken = true;
-            facts.push(format!("TWICE: {id} was sent once by its client, answered {status}, and ran {ran} times"));
+            facts.push(format!(
+                "TWICE: {id} was sent once by its client, answered {status}, and ran {ran} times"
+            ));
         }
         if ran > 0 && matches!(status, 408 | 421 | 429 | 503) {
             broken = true;
-            facts.push(format!("REFUSED: {id} was answered {status} and ran {ran} times"));
+            facts.push(format!(
+                "REFUSED: {id} was answered {status} and ran {ran} times"
+            ));
         }
     }
     facts.push(format!("{REQUESTS} requests sent"));
--- a/review/standins-2/cases/narrower_route.rs
+++ b/review/standins-2/cases/narrower_route.rs
@@ -28,7 +28,10 @@
     fleet.wait_until_served(clients::HOST, "/status/start")?;
     let front = fleet.fronts[0];
     let items: Vec<Item> = (1..=ITEMS)
-        .map(|number| Item { id: format!("item-{number}"), headers: "\"X-Model\":\"m\"".to_owned() })
+        .map(|number| Item {
+            id: format!("item-{number}"),
+            headers: "\"X-Model\":\"m\"".to_owned(),
+        })
         .collect();
     let accepted = clients::submit(setup, front, "/letters/night/", "job-1", &items);
     std::thread::sleep(Duration::from_secs(1));
@@ -42,7 +45,9 @@
         clients::HOST
     );
     fleet.replace("config", "main", &cases::config(2, &added))?;
-    setup.record.line(&format!("operator: version 2 adds the online route r-desk for {prefix}; r-letters stays as it was"));
+    setup.record.line(&format!(
+        "operator: version 2 adds the online route r-desk for {prefix}; r-letters stays as it was"
+    ));
     let text = clients::read_until_listed(setup, front, "job-1", ITEMS, Duration::from_secs(40));
     let completed = text.matches("\"state\":\"completed\"").count();
     let given_up = text.matches("\"state\":\"dead_letter\"").count();
@@ -50,5 +55,8 @@
         format!("job-1 answered {accepted}; {completed} of {ITEMS} items completed, {given_up} listed as dead_letter"),
         "no server answered an item with 422 or 500, nobody ended the job, and retention_s is 60".to_owned(),
     ];
-    Ok(Verdict { broken: accepted == 202 && given_up > 0, facts })
+    Ok(Verdict {
+        broken: accepted == 202 && given_up > 0,
+        facts,
+    })
 }
--- a/review/standins-2/clients.rs
+++ b/review/standins-2/clients.rs
@@ -13,12 +13,25 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Sends an online request. Returns the status, 0 if there was no complete response, and the body.
-pub fn post(setup: &Setup, front: SocketAddr, target: &str, id: &str, more: &[(&str, &str)], body: &[u8]) -> (u16, String) {
-    let mut headers = vec![("Host", HOST), ("X-Request-Id", id), ("X-Deadline-Ms", "4000")];
+pub fn post(
+    setup: &Setup,
+    front: SocketAddr,
+    target: &str,
+    id: &str,
+    more: &[(&str, &str)],
+    body: &[u8],
+) -> (u16, String) {
+    let mut headers = vec![
+        ("Host", HOST),
+        ("X-Request-Id", id),
+        ("X-Deadline-Ms", "4000"),
+    ];
     headers.extend_from_slice(more);
     let answer = http::call(front, "POST", target, &headers, body, TIMEOUT);
     let (status, text) = answer.map_or((0, String::new()), |it| (it.status(), it.text()));
-    setup.record.line(&format!("client: POST {target} {id} answered {status}"));
+    setup
+        .record
+        .line(&format!("client: POST {target} {id} answered {status}"));
     (status, text)
 }
 
@@ -40,25 +53,55 @@
         })
         .collect();
     let body = format!("{{\"items\":[{}]}}", items.join(","));
-    let headers = [("Host", HOST), ("X-Request-Id", job), ("Content-Type", "application/json")];
-    let answer = http::call(front, "POST", &format!("{prefix}{job}"), &headers, body.as_bytes(), TIMEOUT);
+    let headers = [
+        ("Host", HOST),
+        ("X-Request-Id", job),
+        ("Content-Type", "application/json"),
+    ];
+    let answer = http::call(
+        front,
+        "POST",
+        &format!("{prefix}{job}"),
+        &headers,
+        body.as_bytes(),
+        TIMEOUT,
+    );
     let status = answer.map_or(0, |it| it.status());
-    setup.record.line(&format!("client: batch job {job} with {} items answered {status}", items.len()));
+    setup.record.line(&format!(
+        "client: batch job {job} with {} items answered {status}",
+        items.len()
+    ));
     status
 }
 
 /// Reads a batch job from the start. Returns the status, 0 if there was no complete response, and the body.
 pub fn read(setup: &Setup, front: SocketAddr, job: &str) -> (u16, String) {
     let headers = [("Host", HOST), ("X-Wait-Ms", "1000")];
-    let answer = http::call(front, "GET", &format!("/api/lots/{job}?after=0"), &headers, b"", TIMEOUT);
+    let answer = http::call(
+        front,
+        "GET",
+        &format!("/api/lots/{job}?after=0"),
+        &headers,
+        b"",
+        TIMEOUT,
+    );
     let (status, text) = answer.map_or((0, String::new()), |it| (it.status(), it.text()));
-    setup.record.line(&format!("client: read of batch job {job} answered {status}: {}", shorten(&text)));
+    setup.record.line(&format!(
+        "client: read of batch job {job} answered {status}: {}",
+        shorten(&text)
+    ));
     (status, text)
 }
 
 /// Reads a batch job about twice per second until it lists `count` results or `time` has passed. Returns the
 /// last body.
-pub fn read_until_listed(setup: &Setup, front: SocketAddr, job: &str, count: usize, time: Duration) -> String {
+pub fn read_until_listed(
+    setup: &Setup,
+    front: SocketAddr,
+    job: &str,
+    count: usize,
+    time: Duration,
+) -> String {
     let deadline = Instant::now() + time;
     loop {
         let (status, text) = read(setup, front, job);
@@ -77,12 +120,3 @@
 fn shorten(text: &str) -> String {
     text.chars().take(240).collect()
 }
-
-/// Reads the body of an item, whose id is given as it stands in the query. Returns the status.
-pub fn read_body(setup: &Setup, front: SocketAddr, job: &str, item: &str) -> u16 {
-    let target = format!("/api/items/{job}?id={item}");
-    let answer = http::call(front, "GET", &target, &[("Host", HOST)], b"", TIMEOUT);
-    let status = answer.map_or(0, |it| it.status());
-    setup.record.line(&format!("client: GET {target} answered {status}"));
-    status
-}
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -45,10 +45,16 @@
         let host = |number: u8| Ipv4Addr::new(127, 83, network, number);
         let peer_port = free_port(host(1))?;
         let store = SocketAddr::from((host(250), free_port(host(250))?));
-        let mut fleet = Self { store, fronts: Vec::new(), children: Vec::new() };
+        let mut fleet = Self {
+            store,
+            fronts: Vec::new(),
+            children: Vec::new(),
+        };
         let settings = format!("{{\"listen_addr\":\"{store}\"}}");
         fleet.spawn(setup, "foxwheel-platform-emu", "store", &settings)?;
-        wait_for("the store", || http::call(store, "GET", "/stats", &[], b"", STORE_TIMEOUT).is_ok())?;
+        wait_for("the store", || {
+            http::call(store, "GET", "/stats", &[], b"", STORE_TIMEOUT).is_ok()
+        })?;
         fleet.create("config", "main", &crate::cases::first_config())?;
         for number in 1..=fronts + workers {
             let ip = host(number);
@@ -62,7 +68,8 @@
             if is_front {
                 let caller = SocketAddr::from((ip, free_port(ip)?));
                 let ready = SocketAddr::from((ip, free_port(ip)?));
-                addresses = format!("\"caller_address\":\"{caller}\",\"readiness_address\":\"{ready}\",");
+                addresses =
+                    format!("\"caller_address\":\"{caller}\",\"readiness_address\":\"{ready}\",");
                 fleet.fronts.push(caller);
             }
             let seed = SocketAddr::from((host(1), peer_port));
@@ -84,7 +91,11 @@
             wait_for("the fronts", || {
                 number += 1;
                 let id = format!("start-{number}-{}", front.port());
-                let headers = [("Host", host), ("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "1000")];
+                let headers = [
+                    ("Host", host),
+                    ("X-Request-Id", id.as_str()),
+                    ("X-Deadline-Ms", "1000"),
+                ];
                 let called = http::call(*front, "POST", target, &headers, b"start", STORE_TIMEOUT);
                 called.is_ok_and(|response| response.status() == 200)
             })?;
@@ -106,10 +117,19 @@
 
     fn write(&self, method: &str, target: &str, body: &str) -> Result<()> {
         let headers = [("Content-Type", "application/json")];
-        let response = http::call(self.store, method, target, &headers, body.as_bytes(), STORE_TIMEOUT)?;
+        let response = http::call(
+            self.store,
+            method,
+            target,
+            &headers,
+            body.as_bytes(),
+            STORE_TIMEOUT,
+        )?;
         match response.status() {
             200 | 201 => Ok(()),
-            status => Err(Error::other(format!("the store answered {status} to {method} {target}"))),
+            status => Err(Error::other(format!(
+                "the store answered {status} to {method} {target}"
+            ))),
         }
     }
 
@@ -141,7 +161,10 @@
 
 /// Lists the processes that were started, for a script that has to end them.
 fn note_pid(folder: &Path, pid: u32) -> Result<()> {
-    let mut file = File::options().create(true).append(true).open(folder.join("pids"))?;
+    let mut file = File::options()
+        .create(true)
+        .append(true)
+        .open(folder.join("pids"))?;
     writeln!(file, "{pid}")
 }
 
@@ -154,7 +177,10 @@
         }
         std::thread::sleep(Duration::from_millis(100));
     }
-    Err(Error::new(ErrorKind::TimedOut, format!("{what} did not start")))
+    Err(Error::new(
+        ErrorKind::TimedOut,
+        format!("{what} did not start"),
+    ))
 }
 
 /// Returns the number of a loopback network whose addresses nobody uses.
--- a/review/standins-2/http.rs
+++ b/review/standins-2/http.rs
@@ -70,7 +70,9 @@
     if message.header("transfer-encoding").is_some() {
         return read_chunks(reader, &mut message.body);
     }
-    let length = message.header("content-length").and_then(|it| it.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|it| it.parse().ok());
     let is_response = message.start.starts_with("HTTP/");
     match length {
         Some(length) => {
@@ -119,7 +121,10 @@
     if !headers.iter().any(|(name, _)| *name == "Host") {
         text.push_str(&format!("Host: {addr}\r\n"));
     }
-    text.push_str(&format!("Connection: close\r\nContent-Length: {}\r\n\r\n", body.len()));
+    text.push_str(&format!(
+        "Connection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    ));
     let mut bytes = text.into_bytes();
     bytes.extend_from_slice(body);
     (&stream).write_all(&bytes)?;
--- a/review/standins-2/replicas.rs
+++ b/review/standins-2/replicas.rs
@@ -34,7 +34,10 @@
 
 impl From<Action> for Answer {
     fn from(action: Action) -> Self {
-        Self { action, extra_later: false }
+        Self {
+            action,
+            extra_later: false,
+        }
     }
 }
 
@@ -49,12 +52,22 @@
 
 impl Runs {
     fn add(&self, id: &str, run: String) {
-        self.counts.lock().unwrap().entry(id.to_owned()).or_default().push(run);
+        self.counts
+            .lock()
+            .unwrap()
+            .entry(id.to_owned())
+            .or_default()
+            .push(run);
     }
 
     /// Returns the runs of the request with this id.
     pub fn of(&self, id: &str) -> Vec<String> {
-        self.counts.lock().unwrap().get(id).cloned().unwrap_or_default()
+        self.counts
+            .lock()
+            .unwrap()
+            .get(id)
+            .cloned()
+            .unwrap_or_default()
     }
 }
 
@@ -111,7 +124,14 @@
             let body = format!("{{\"metadata\":{{\"name\":\"{id}\"}},\"spec\":{spec}}}");
             let target = format!("/api/objects/servers/{id}");
             let headers = [("Content-Type", "application/json")];
-            let _ = http::call(store, "PUT", &target, &headers, body.as_bytes(), HEARTBEAT_INTERVAL);
+            let _ = http::call(
+                store,
+                "PUT",
+                &target,
+                &headers,
+                body.as_bytes(),
+                HEARTBEAT_INTERVAL,
+            );
         }
     });
 }
@@ -119,12 +139,17 @@
 impl Replica {
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         let mut extra: Option<Vec<u8>> = None;
         while let Ok(Some(request)) = http::read_message(&mut reader) {
             if let Some(extra) = extra.take() {
-                self.record.line(&format!("server {}: the extra copy of its last answer on this channel goes out", self.id));
+                self.record.line(&format!(
+                    "server {}: the extra copy of its last answer on this channel goes out",
+                    self.id
+                ));
                 if writer.write_all(&extra).is_err() {
                     return;
                 }
@@ -150,25 +175,37 @@
         };
         let bytes = match answer.action {
             Action::NotRun(status) => {
-                self.record.line(&format!("server {}: {id} not run, answered {status}", self.id));
+                self.record.line(&format!(
+                    "server {}: {id} not run, answered {status}",
+                    self.id
+                ));
                 not_run(&id, &self.id, status)
             }
             Action::Fail => {
                 self.note_run(request, &id);
-                self.record.line(&format!("server {}: {id} answered 500", self.id));
+                self.record
+                    .line(&format!("server {}: {id} answered 500", self.id));
                 whole(&id, &self.id, "500 Internal Server Error", "failed")
             }
             Action::Run(time, body) => {
                 self.note_run(request, &id);
                 std::thread::sleep(time);
-                self.record.line(&format!("server {}: {id} answered 200", self.id));
+                self.record
+                    .line(&format!("server {}: {id} answered 200", self.id));
                 whole(&id, &self.id, "200 OK", &body)
             }
             Action::Stream(time, events) => {
                 self.note_run(request, &id);
-                let after = request.header("last-event-id").and_then(|it| it.parse().ok()).unwrap_or(0);
+                let after = request
+                    .header("last-event-id")
+                    .and_then(|it| it.parse().ok())
+                    .unwrap_or(0);
                 std::thread::sleep(time);
-                self.record.line(&format!("server {}: {id} answered with events {} to {events}", self.id, after + 1));
+                self.record.line(&format!(
+                    "server {}: {id} answered with events {} to {events}",
+                    self.id,
+                    after + 1
+                ));
                 stream(&id, &self.id, after, events)
             }
         };
@@ -178,7 +215,10 @@
 
     fn note_run(&self, request: &Message, id: &str) {
         let run = format!("{} at server {}", request.start, self.id);
-        self.record.line(&format!("server {}: {id} RUNS ({})", self.id, request.start));
+        self.record.line(&format!(
+            "server {}: {id} RUNS ({})",
+            self.id, request.start
+        ));
         self.runs.add(id, run);
     }
 }
