TWICE, MIXED: a connection to a server carries each request id once

Cause: a server may send a second copy of a response late, where the response to the next request on the connection is expected ("The ID identifies it"). The id names a request, and a request has several attempts. The pool gave the connection of the refused attempt, released last, to the next attempt of the same request, and the copy was read as the answer to that one.

Ruled out: a second refusal of the server (its record has one), and a repeat of a request that may have run (with another connection for the second attempt, and nothing else changed, it runs once).

Change: the pool passes over idle connections that have carried the id of an exchange (http1::exchange_ids). Those stay in use for other ids, so that refusals under overload cost no connection each. A response with the id of the present exchange can then only be to it. The ids are kept as hashes, at most 256 for a connection, which is then closed. A connection is not used again after a response without an id. New counter server.foreign_responses, and a line with the id that the response had.

The emulator sends such copies (Fault::Repeat), and the soak's Garbles uses them.

AttemptResult of the gateway holds its response in a box, as it grew by the ids.

--- a/crates/foxwheel-core/src/metric_names.rs
+++ b/crates/foxwheel-core/src/metric_names.rs
@@ -92,6 +92,8 @@
     StreamCutOff,
     /// Responses of backend servers whose end is marked only by the end of the connection.
     ResponseUntilClose,
+    /// Responses of backend servers that belong to another request than the one that was sent last.
+    ForeignResponse,
     /// Connections of callers that were closed because others needed their room.
     CallerClosedForRoom,
     /// Connections of callers that were closed because their callers sent or read nothing for too long.
@@ -239,6 +241,7 @@
             Self::StreamResumedByCaller => "stream.resumed_by_caller",
             Self::StreamCutOff => "stream.broken",
             Self::ResponseUntilClose => "server.responses_until_close",
+            Self::ForeignResponse => "server.foreign_responses",
             Self::CallerClosedForRoom => "callers.closed_for_room",
             Self::CallerTimedOut => "callers.timed_out",
             Self::CallerNotAccepted => "callers.not_accepted",
--- a/crates/foxwheel-gateway/src/forwarding.rs
+++ b/crates/foxwheel-gateway/src/forwarding.rs
@@ -55,7 +55,7 @@
 /// Result of one attempt at one host.
 enum AttemptResult {
     /// The host responded.
-    Responded(ClientResponse),
+    Responded(Box<ClientResponse>),
     /// The host did not respond within the request's timeout.
     TimedOut(SendFailure),
     /// The host gave no usable response. The failure, if any, is returned to the caller unless
@@ -235,7 +235,7 @@
             AttemptResult::Responded(response) => {
                 self.attempts.record(AttemptOutcome::Unknown);
                 return Ok(HostResponse {
-                    response,
+                    response: *response,
                     host,
                     in_flight,
                 });
@@ -360,7 +360,7 @@
                 let failure = forward_failure(agent_addr, &"its backend broke off");
                 AttemptResult::Failed(AttemptOutcome::Unknown, Some(failure))
             }
-            Some(RunState::Unknown) | None => AttemptResult::Responded(response),
+            Some(RunState::Unknown) | None => AttemptResult::Responded(Box::new(response)),
         },
         Err(e) if e.is_not_sent() => AttemptResult::Failed(AttemptOutcome::NotSent, None),
         Err(e) => {
--- a/crates/foxwheel-http-client/src/client.rs
+++ b/crates/foxwheel-http-client/src/client.rs
@@ -150,12 +150,12 @@
         self.pool.close_expired();
         let addr = resolve(authority).await?;
         let request = request.map(RequestBody::new);
-        let mut pooled = self.pool.acquire(authority, addr).await?;
+        let mut pooled = self.pool.acquire(authority, addr, None).await?;
         let mut sent = pooled.connection.send(request.clone()).await;
         let was_idle = !pooled.is_new;
         if was_idle && sent.as_ref().is_err_and(ExchangeError::is_not_sent) {
             // The server had closed the idle connection.
-            pooled.connection = Connection::open(addr, CONNECT_OPTIONS).await?;
+            pooled = self.pool.open(addr, None).await?;
             sent = pooled.connection.send(request).await;
         }
         Ok((pooled.connection, sent?))
--- a/crates/foxwheel-http1/src/connection.rs
+++ b/crates/foxwheel-http1/src/connection.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use crate::body::ResponseBody;
+use crate::exchange_ids::ExchangeIds;
 use crate::transport::{ReadAllowance, ResetOnDrop, Transport, WriteBlocked};
 
 /// Body of a request. Bodies are small enough to be kept in memory completely.
@@ -140,6 +141,8 @@
     read_allowance: ReadAllowance,
     /// Whether the peer takes no more of the request.
     write_blocked: WriteBlocked,
+    /// Ids of the exchanges so far, as far as they have ids; each was carried once.
+    pub(crate) exchange_ids: ExchangeIds,
     sender: http1::SendRequest<RequestBody>,
     io_task: JoinHandle<()>,
 }
@@ -208,6 +211,7 @@
             reset_on_drop,
             read_allowance,
             write_blocked,
+            exchange_ids: ExchangeIds::default(),
             sender,
             io_task,
         })
--- a/crates/foxwheel-http1/src/pool.rs
+++ b/crates/foxwheel-http1/src/pool.rs
@@ -2,6 +2,7 @@
 //!
 //! Connections are looked up by a key that identifies the peer, not by its address alone: a later
 //! peer can get the same address, and its requests must not be sent on the old peer's connections.
+//! A connection carries each id of an exchange only once, as [`crate::exchange_ids`] explains.
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
@@ -40,6 +41,15 @@
     pub is_new: bool,
 }
 
+impl PooledConnection {
+    fn begin(mut connection: Connection, is_new: bool, exchange_id: Option<&str>) -> Self {
+        if let Some(id) = exchange_id {
+            connection.exchange_ids.insert(id);
+        }
+        Self { connection, is_new }
+    }
+}
+
 impl<K: Ord + Clone> Pool<K> {
     /// Creates an empty pool that opens connections with `options`.
     pub fn new(options: ConnectOptions) -> Self {
@@ -49,29 +59,39 @@
         }
     }
 
-    /// Returns an idle connection to `peer` at `addr`, or opens a new one if there is none. Returns
-    /// [`ExchangeError::Connect`] if it cannot be opened.
+    /// Returns a connection to `peer` at `addr` for the exchange with this id, if it has one: an idle
+    /// connection that has not carried the id, or a new one. Returns [`ExchangeError::Connect`] if it
+    /// cannot be opened.
     pub async fn acquire(
         &self,
         peer: &K,
         addr: SocketAddr,
+        exchange_id: Option<&str>,
     ) -> Result<PooledConnection, ExchangeError> {
-        if let Some(connection) = self.take_idle(peer, addr) {
-            return Ok(PooledConnection {
-                connection,
-                is_new: false,
-            });
+        match self.take_idle(peer, addr, exchange_id) {
+            Some(connection) => Ok(PooledConnection::begin(connection, false, exchange_id)),
+            None => self.open(addr, exchange_id).await,
         }
+    }
+
+    /// Opens a new connection for the exchange with this id, if it has one. Returns
+    /// [`ExchangeError::Connect`] if that fails.
+    pub async fn open(
+        &self,
+        addr: SocketAddr,
+        exchange_id: Option<&str>,
+    ) -> Result<PooledConnection, ExchangeError> {
         let connection = Connection::open(addr, self.options).await?;
-        Ok(PooledConnection {
-            connection,
-            is_new: true,
-        })
+        Ok(PooledConnection::begin(connection, true, exchange_id))
     }
 
     /// Returns a connection to `peer` to the pool, after its exchange is complete. `idle_timeout` is
-    /// the timeout that the peer announced, if any.
+    /// the timeout that the peer announced, if any. Closes the connection if it may carry no further
+    /// exchange.
     pub fn release(&self, peer: &K, connection: Connection, idle_timeout: Option<Duration>) {
+        if connection.exchange_ids.is_full() {
+            return;
+        }
         let max_idle = idle_timeout.map_or(DEFAULT_IDLE_TIMEOUT, |timeout| {
             timeout.saturating_sub(IDLE_MARGIN)
         });
@@ -96,14 +116,29 @@
         peers.retain(|(_, idle_connections)| !idle_connections.is_empty());
     }
 
-    fn take_idle(&self, peer: &K, addr: SocketAddr) -> Option<Connection> {
+    /// Takes the connection that was released last of those that may carry the exchange. Closes those
+    /// on its way that may not be used any more.
+    fn take_idle(
+        &self,
+        peer: &K,
+        addr: SocketAddr,
+        exchange_id: Option<&str>,
+    ) -> Option<Connection> {
         let now = Instant::now();
         let mut peers = self.idle_by_peer.lock().expect("pool lock");
         let found = peers.binary_search_by(|(known, _)| known.cmp(peer));
-        let at = found.ok()?;
-        while let Some(idle) = peers[at].1.pop() {
-            let has_addr = idle.connection.peer() == addr;
-            if has_addr && idle.usable_until > now && idle.connection.is_ready() {
+        let idle_connections = &mut peers[found.ok()?].1;
+        for at in (0..idle_connections.len()).rev() {
+            let idle = &idle_connections[at];
+            let connection = &idle.connection;
+            let is_usable =
+                connection.peer() == addr && idle.usable_until > now && connection.is_ready();
+            let has_carried_id = exchange_id.is_some_and(|id| connection.exchange_ids.contains(id));
+            if is_usable && has_carried_id {
+                continue;
+            }
+            let idle = idle_connections.remove(at);
+            if is_usable {
                 return Some(idle.connection);
             }
         }
--- a/crates/foxwheel-http1/tests/pool.rs
+++ b/crates/foxwheel-http1/tests/pool.rs
@@ -1,10 +1,11 @@
-//! For how long the pool reuses idle connections.
+//! For how long the pool reuses idle connections, and for which exchanges.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
 use foxwheel_http1::connection::{AbandonAction, ConnectOptions};
-use foxwheel_http1::pool::Pool;
+use foxwheel_http1::exchange_ids::MAX_EXCHANGES;
+use foxwheel_http1::pool::{Pool, PooledConnection};
 use tokio::net::TcpListener;
 
 const OPTIONS: ConnectOptions = ConnectOptions {
@@ -17,18 +18,47 @@
 /// Idle timeout that the peer announces; far longer than any wait in these tests.
 const ANNOUNCED_IDLE_TIMEOUT: Option<Duration> = Some(Duration::from_secs(60));
 
+/// A peer that accepts connections and sends nothing.
+struct SilentPeer {
+    pool: Pool<&'static str>,
+    addr: SocketAddr,
+    _listener: TcpListener,
+}
+
+impl SilentPeer {
+    async fn start() -> Self {
+        let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        let listener = TcpListener::bind(any).await.expect("an address");
+        Self {
+            pool: Pool::new(OPTIONS),
+            addr: listener.local_addr().expect("an address"),
+            _listener: listener,
+        }
+    }
+
+    /// Begins an exchange on a connection of the pool.
+    async fn begin(&self, exchange_id: &str) -> PooledConnection {
+        let acquired = self.pool.acquire(&"peer", self.addr, Some(exchange_id));
+        acquired.await.expect("connected")
+    }
+
+    /// Ends an exchange, after which the connection is idle.
+    async fn end(&self, pooled: PooledConnection) {
+        let mut connection = pooled.connection;
+        assert!(connection.ready().await, "the connection is open");
+        self.pool
+            .release(&"peer", connection, ANNOUNCED_IDLE_TIMEOUT);
+    }
+}
+
 /// Returns whether the pool reuses a connection that was idle for at least `idle`, and for how long
 /// it was idle.
 async fn is_reused_after(idle: Duration) -> (bool, Duration) {
-    let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
-    let listener = TcpListener::bind(any).await.expect("an address");
-    let addr = listener.local_addr().expect("an address");
-    let pool = Pool::new(OPTIONS);
-    let first = pool.acquire(&"peer", addr).await.expect("connected");
-    pool.release(&"peer", first.connection, ANNOUNCED_IDLE_TIMEOUT);
+    let peer = SilentPeer::start().await;
+    peer.end(peer.begin("first").await).await;
     let released_at = Instant::now();
     tokio::time::sleep(idle).await;
-    let second = pool.acquire(&"peer", addr).await.expect("connected");
+    let second = peer.begin("second").await;
     (!second.is_new, released_at.elapsed())
 }
 
@@ -44,3 +74,39 @@
     let too_late = probe_failure_delay - OPTIONS.unacknowledged_timeout;
     assert!(!is_reused_after(too_late).await.0);
 }
+
+/// A late copy of the first response was taken for the second one.
+#[tokio::test]
+async fn connection_carries_an_id_twice() {
+    let peer = SilentPeer::start().await;
+    peer.end(peer.begin("request").await).await;
+    let second = peer.begin("request").await;
+    assert!(second.is_new);
+    peer.end(second).await;
+    assert!(peer.begin("request").await.is_new, "both have carried it");
+}
+
+/// Closing the connection instead would cost a new one for each refusal of a full server.
+#[tokio::test]
+async fn connection_that_has_carried_an_id_stays_in_use_for_others() {
+    let peer = SilentPeer::start().await;
+    peer.end(peer.begin("first").await).await;
+    let mut connections = Vec::new();
+    for (id, is_new) in [("first", true), ("second", false), ("third", true)] {
+        let pooled = peer.begin(id).await;
+        assert_eq!(pooled.is_new, is_new, "{id}");
+        connections.push(pooled);
+    }
+}
+
+/// The ids of all exchanges stay in memory as long as their connection.
+#[tokio::test]
+async fn connection_remembers_ids_without_end() {
+    let peer = SilentPeer::start().await;
+    for exchange in 0..=MAX_EXCHANGES {
+        let pooled = peer.begin(&exchange.to_string()).await;
+        let is_first = exchange == 0 || exchange == MAX_EXCHANGES;
+        assert_eq!(pooled.is_new, is_first, "exchange {exchange}");
+        peer.end(pooled).await;
+    }
+}
--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -145,7 +145,10 @@
     let sent_at = Instant::now();
     let mut is_new = true;
     let exchange = async {
-        let mut pooled = node.pool.acquire(server, addr).await?;
+        let mut pooled = node
+            .pool
+            .acquire(server, addr, Some(&params.request_id))
+            .await?;
         is_new = pooled.is_new;
         if is_new {
             node.metrics.incr(Counter::ServerConnection);
@@ -209,12 +212,15 @@
         node.metrics.incr(Counter::ResponseUntilClose);
     }
     let decoded_head = online::decode_response(&head, &params.request_id);
-    if decoded_head.for_another_request || decoded_head.is_encoded {
+    if let Some(reason) = unusable_reason(&decoded_head) {
+        if decoded_head.for_another_request {
+            let response_id = online::response_id(&head);
+            let status = head.status.as_u16();
+            log::warn!(request_id = params.request_id, server = server.id, response_id, status, is_new; "response of another request");
+            node.metrics.incr(Counter::ForeignResponse);
+        }
         node.loads.record_outcome(server, true, Instant::now());
-        return Err(Failure::new(
-            AttemptOutcome::Unknown,
-            "response belongs to another request or is encoded",
-        ));
+        return Err(Failure::new(AttemptOutcome::Unknown, reason));
     }
     let now = Instant::now();
     record_progress(node, server, now);
@@ -260,6 +266,17 @@
     }
 }
 
+/// Returns why a response may not be used; `None` if it may.
+fn unusable_reason(head: &ResponseHead) -> Option<&'static str> {
+    if head.for_another_request {
+        Some("response belongs to another request")
+    } else if head.is_encoded {
+        Some("response is encoded")
+    } else {
+        None
+    }
+}
+
 /// Runs `work` until `deadline`; returns `None` if it does not complete in time. If the server
 /// is silent for `suspect_timeout` meanwhile, it is marked as suspected and gets no new requests,
 /// but `work` goes on.
--- a/crates/foxwheel-node/src/attempt/response_body.rs
+++ b/crates/foxwheel-node/src/attempt/response_body.rs
@@ -113,6 +113,12 @@
         !ended_with_connection || self.liveness_at_end == Some(ServerLiveness::Lives)
     }
 
+    /// Returns whether the connection may carry another exchange. After a response without an id it may
+    /// not: a late copy of it could be taken for the response to the next request.
+    fn keeps_connection(&self) -> bool {
+        self.body.keeps_connection() && self.decoded_head.has_request_id
+    }
+
     /// Returns the response body, for what is known about its end.
     pub fn body(&self) -> &ResponseBody {
         &self.body
@@ -167,7 +173,7 @@
     /// the connection can be used again after it.
     pub async fn discard_body(mut self, deadline: Instant) {
         let mut discarded_bytes = 0;
-        while self.body.keeps_connection() && discarded_bytes <= MAX_DISCARDED_BYTES {
+        while self.keeps_connection() && discarded_bytes <= MAX_DISCARDED_BYTES {
             match self.next_frame(deadline).await {
                 BodyFrame::Data(data) => discarded_bytes += data.len(),
                 BodyFrame::End => return self.finish(),
@@ -181,7 +187,7 @@
     /// server closes it.
     pub fn finish(self) {
         let is_proven_complete = self.is_proven_complete();
-        let keeps_connection = self.body.keeps_connection();
+        let keeps_connection = self.keeps_connection();
         let Self {
             decoded_head,
             server,
--- a/crates/foxwheel-node/tests/soak.rs
+++ b/crates/foxwheel-node/tests/soak.rs
@@ -2,8 +2,8 @@
 //! guard against a stopping front that closes connections which callers have just opened, without a
 //! response. Seed 2 and the plan guard against the quarantine of a content that many callers send
 //! and that crashed no server. Another plan guards against responses that were cut off and reach
-//! their callers as complete, and one against responses that are given up while their servers are
-//! silent.
+//! their callers as complete, one against responses that are given up while their servers are
+//! silent, and one against late copies of responses that are taken for the next ones.
 
 use std::path::{Path, PathBuf};
 use std::time::Duration;
@@ -60,28 +60,42 @@
     }
 }
 
-/// The servers cut responses off, some within an event and without a length.
-fn cut_off_responses() -> Plan {
+/// The servers show a fault in turn.
+fn faults_of_servers(seed: u64, size: FleetSize, fault: ServerFault) -> Plan {
     const INTERVAL: Duration = Duration::from_millis(400);
-    let size = FleetSize {
-        callers: 12,
-        ..args::default_size()
-    };
     let steps = (0..20).map(|index| Step {
         start_after: INTERVAL * index as u32,
         duration: INTERVAL,
         fault: Fault::Server {
             at: index % size.servers,
-            fault: ServerFault::BreaksOff,
+            fault,
         },
     });
     Plan {
-        seed: 305,
+        seed,
         steps: steps.collect(),
         size,
     }
 }
 
+/// The servers cut responses off, some within an event and without a length.
+fn cut_off_responses() -> Plan {
+    let size = FleetSize {
+        callers: 12,
+        ..args::default_size()
+    };
+    faults_of_servers(305, size, ServerFault::BreaksOff)
+}
+
+/// The only server sends responses of other requests, and copies of responses late.
+fn late_copies() -> Plan {
+    let size = FleetSize {
+        servers: 1,
+        ..args::default_size()
+    };
+    faults_of_servers(306, size, ServerFault::Garbles)
+}
+
 /// Sound servers, one of each version, are silent beside configurations and reloads.
 fn silences_beside_planned_work() -> Plan {
     const SILENCE: Duration = Duration::from_millis(1_400);
@@ -135,6 +149,11 @@
     run_plan("soak-cut-off", &cut_off_responses()).await;
 }
 
+#[actix_web::test]
+async fn late_copies_are_never_taken_for_responses() {
+    run_plan("soak-late-copies", &late_copies()).await;
+}
+
 #[actix_web::test]
 async fn all_checks_pass_on_seed_2() {
     run_plan("soak-2", &Plan::draw(2, args::default_size())).await;
--- a/crates/foxwheel-server-emu/src/faults.rs
+++ b/crates/foxwheel-server-emu/src/faults.rs
@@ -4,6 +4,8 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use hyper::StatusCode;
+
 use crate::unframed::UnframedResponse;
 
 /// The fault of one request.
@@ -43,10 +45,28 @@
     Unsigned,
     /// The body of the response is shorter than its `content-length`.
     Truncate,
+    /// The response has this status, and a copy of it is sent on the same connection right before the
+    /// next response. With a status that rejects it, the request does not run.
+    Repeat(StatusCode),
     /// The request runs and the response has neither a length nor chunks.
     Unframed(UnframedResponse),
 }
 
+impl Fault {
+    /// Returns the status with which a request is rejected as not run; `None` if it runs.
+    pub(crate) fn rejection(self) -> Option<StatusCode> {
+        let rejections = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+        ];
+        match self {
+            Self::Reject => Some(StatusCode::SERVICE_UNAVAILABLE),
+            Self::Repeat(status) => rejections.contains(&status).then_some(status),
+            _ => None,
+        }
+    }
+}
+
 /// The faults of the next requests, one each in the order of arrival. Once the script is empty,
 /// requests have its fallback, and are served without fault if it has none.
 #[derive(Debug, Default)]
--- a/crates/foxwheel-server-emu/src/lib.rs
+++ b/crates/foxwheel-server-emu/src/lib.rs
@@ -5,11 +5,12 @@
 //! check what callers cannot see: which requests ran, how often, and with which content.
 
 pub mod faults;
+pub mod repeating_stream;
 pub mod runs;
 pub mod server;
 pub mod unframed;
 
 /// The crate's modules, for `use foxwheel_server_emu::prelude::*`.
 pub mod prelude {
-    pub use crate::{faults, runs, server, unframed};
+    pub use crate::{faults, repeating_stream, runs, server, unframed};
 }
--- a/crates/foxwheel-server-emu/src/server.rs
+++ b/crates/foxwheel-server-emu/src/server.rs
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::faults::{Fault, FaultScript};
+use crate::repeating_stream::{RepeatResponse, RepeatingStream};
 use crate::runs::{Run, RunLog};
 use crate::unframed::{self, BodyPart, ConnectionEnd, RawResponse, UnframedResponse};
 
@@ -44,6 +45,13 @@
 /// Sends responses that hyper cannot write to the task of their connection.
 type RawSender = mpsc::Sender<(RawResponse, RunResources)>;
 
+/// How requests have their responses written in ways that hyper does not know.
+#[derive(Clone)]
+struct ConnectionControl {
+    raw_sender: RawSender,
+    repeat_response: RepeatResponse,
+}
+
 /// Time for the listener of a server whose process ends to close before its connections.
 const LISTENER_CLOSE_DELAY: Duration = Duration::from_millis(20);
 
@@ -73,6 +81,8 @@
     /// Part of a prompt on which the server crashes one step after it began to respond, whatever else
     /// the request holds; `None` for no such part.
     pub crashing_part: Option<String>,
+    /// Whether responses carry the id of their request.
+    pub echoes_request_id: bool,
 }
 
 impl Default for ServerConfig {
@@ -89,6 +99,7 @@
             content_type: None,
             crashing_body: None,
             crashing_part: None,
+            echoes_request_id: true,
         }
     }
 }
@@ -207,14 +218,19 @@
             let terminated = terminated.clone();
             tokio::spawn(async move {
                 let (raw_sender, mut raw_responses) = mpsc::channel(1);
+                let control = ConnectionControl {
+                    raw_sender,
+                    repeat_response: RepeatResponse::default(),
+                };
+                let stream = RepeatingStream::new(stream, control.repeat_response.clone());
                 let connection_state = Arc::clone(&state);
                 let service = service_fn(move |request| {
                     let state = Arc::clone(&connection_state);
-                    let raw_sender = raw_sender.clone();
+                    let control = control.clone();
                     // Recorded outside the future, because the future of a request whose sender
                     // has disconnected already is never polled.
                     state.run_log.record_arrival(request_id_of(&request));
-                    async move { state.serve_request(request, raw_sender).await }
+                    async move { state.serve_request(request, control).await }
                 });
                 let mut connection =
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -225,7 +241,7 @@
                     raw_response = raw_responses.recv() => raw_response,
                 };
                 if let Some((raw_response, _resources)) = raw_response {
-                    let stream = connection.into_parts().io.into_inner();
+                    let stream = connection.into_parts().io.into_inner().into_inner();
                     state.send_raw_response(stream, raw_response).await;
                 }
             });
@@ -257,7 +273,7 @@
     async fn serve_request(
         self: Arc<Self>,
         request: Request<Incoming>,
-        raw_sender: RawSender,
+        control: ConnectionControl,
     ) -> Result<Response<Body>, std::io::Error> {
         let request_id = request_id_of(&request).to_owned();
         let (head, body) = request.into_parts();
@@ -278,8 +294,11 @@
         let Ok(admission_permit) = Arc::clone(&self.admission).try_acquire_owned() else {
             return Ok(self.not_run_response(StatusCode::SERVICE_UNAVAILABLE, &request_id));
         };
-        if fault == Fault::Reject {
-            return Ok(self.not_run_response(StatusCode::SERVICE_UNAVAILABLE, &request_id));
+        if matches!(fault, Fault::Repeat(_)) {
+            control.repeat_response.set();
+        }
+        if let Some(status) = fault.rejection() {
+            return Ok(self.not_run_response(status, &request_id));
         }
         let slots = Arc::clone(&self.slots);
         let slot = slots.acquire_owned().await.map_err(std::io::Error::other)?;
@@ -315,7 +334,7 @@
             }
             let raw_response = self.unframed_response(unframed, &request_id, resumed_after);
             // The connection's task writes the response and drops this future.
-            let _ = raw_sender.send((raw_response, resources)).await;
+            let _ = control.raw_sender.send((raw_response, resources)).await;
             return std::future::pending().await;
         }
         self.respond(fault, &request_id, resumed_after, resources)
@@ -391,6 +410,12 @@
             Fault::LoseResponse => Err(reset()),
             Fault::Stall => std::future::pending().await,
             Fault::Fail => Ok(self.full_response(StatusCode::INTERNAL_SERVER_ERROR, request_id)),
+            Fault::Repeat(status) if !status.is_success() => {
+                let mut response = self.full_response(status, request_id);
+                let plain_text = HeaderValue::from_static("text/plain");
+                response.headers_mut().insert(CONTENT_TYPE, plain_text);
+                Ok(response)
+            }
             Fault::Impossible => {
                 Ok(self.full_response(StatusCode::UNPROCESSABLE_ENTITY, request_id))
             }
@@ -437,9 +462,11 @@
         status: StatusCode,
         request_id: &str,
     ) -> hyper::http::response::Builder {
-        Response::builder()
-            .status(status)
-            .header(names::REQUEST_ID, request_id)
+        let head = Response::builder().status(status);
+        match self.config.echoes_request_id {
+            true => head.header(names::REQUEST_ID, request_id),
+            false => head,
+        }
     }
 
     fn signed_response(&self, status: StatusCode, request_id: &str, body: Body) -> Response<Body> {
--- a/crates/foxwheel-soak/src/faults.rs
+++ b/crates/foxwheel-soak/src/faults.rs
@@ -9,7 +9,7 @@
 use foxwheel_server_emu::server::Server;
 use foxwheel_server_emu::unframed::{BodyPart, ConnectionEnd, UnframedResponse};
 use foxwheel_store::api::{Faults, Refusal};
-use hyper::Method;
+use hyper::{Method, StatusCode};
 use nix::sys::signal::Signal;
 use serde_json::json;
 use tokio::sync::Mutex;
@@ -28,7 +28,7 @@
 use crate::process::ProcessExit;
 use crate::proxy::{FaultProxy, PathFault};
 
-/// Number of requests that a single fault of a server affects.
+/// Number of requests that a single fault of a server affects at least.
 const FAULTY_REQUESTS: usize = 3;
 
 /// Number of events that a run sends before it pauses.
@@ -244,7 +244,13 @@
                 RunFault::CutWithin(1),
                 UNFRAMED_CUT_WITHIN_EVENT,
             ],
-            ServerFault::Garbles => &[RunFault::ForeignId, RunFault::Unsigned],
+            ServerFault::Garbles => &[
+                RunFault::ForeignId,
+                RunFault::Unsigned,
+                RunFault::Repeat(StatusCode::SERVICE_UNAVAILABLE),
+                RunFault::Repeat(StatusCode::INTERNAL_SERVER_ERROR),
+                RunFault::Repeat(StatusCode::OK),
+            ],
             ServerFault::Fails => &[RunFault::Fail, RunFault::Fail],
             ServerFault::Rejects => &[RunFault::Reject, RunFault::Reject],
             ServerFault::Restarts | ServerFault::Drains | ServerFault::Leaves => {
@@ -260,7 +266,8 @@
                     .fault_script,
             )
         };
-        script.extend(run_faults.iter().copied().cycle().take(FAULTY_REQUESTS));
+        let count = run_faults.len().max(FAULTY_REQUESTS);
+        script.extend(run_faults.iter().copied().cycle().take(count));
         tokio::time::sleep(duration).await;
         script.clear();
         Ok(CutScope::Any)
