MIXED: an accepted job keeps the route that accepted it

Cause: the worker looked the route of a job up by host and path in the newest configuration, for each decision. The job's record has the name of the route that accepted it, which was not used.

Evidence: the worker's line "giving up the unfinished items" has routed=false while the route is in both versions. Ruled out: the retention (60 s), and a version without the route.

Change: policy::batch::job_route decides by name. While no batch route has the name, the job waits, and after 5 s goes on under the batch route that matches its path, or is given up. The 5 s count from when the worker saw the route missing; before, from the submission, so that a route that was replaced within a second lost all older jobs. A worker with an older configuration than the front waits for the route too; it ran the items on another one before.

--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -14,10 +14,9 @@
 
 use foxwheel_core::ids::JobId;
 use foxwheel_policy::batch::item::{ItemOutcome, ItemState, RunEnd};
-use foxwheel_policy::batch::job;
 use foxwheel_policy::batch::schedule::RunEstimate;
 use foxwheel_policy::membership::ServerInstance;
-use foxwheel_policy::routes::{Config, Route, RouteKind};
+use foxwheel_policy::routes::Config;
 use tokio_util::sync::CancellationToken;
 
 use crate::item_run::{self, ItemRun, SharedOutput};
@@ -160,9 +159,10 @@
 
     fn max_failures(&self, job: &JobId) -> u32 {
         let config = self.node.config();
+        let now = Instant::now();
         let route_limit = |entry: &mut JobEntry| {
             let spec = &entry.progress.spec;
-            let route = config.as_ref()?.match_route(&spec.host, &spec.path)?;
+            let route = entry.route.find(config.as_ref()?, spec, now)?;
             Some(route.max_attempts)
         };
         // Without a route no item is given up because of failures.
@@ -214,15 +214,14 @@
         self.jobs.for_each_owned(|entry| {
             let mut nearly_due = false;
             if let Some(config) = &config {
-                let uptime = now.duration_since(self.started_at);
-                give_up_expired_job(entry, config, uptime, now);
-                let due_in = due_unix(entry, config).saturating_sub(ledger_poll::unix_now());
+                give_up_expired_job(entry, config, now);
+                let due_in = due_unix(entry, config, now).saturating_sub(ledger_poll::unix_now());
                 nearly_due = entry.progress.should_store_before_due(due_in);
             }
             let should_store = nearly_due || entry.progress.should_store(now, leaving);
             if should_store && !entry.storing {
                 entry.storing = true;
-                let due_unix = config.as_ref().map(|config| due_unix(entry, config));
+                let due_unix = config.as_ref().map(|config| due_unix(entry, config, now));
                 // Without a configuration there is no due time, so nothing is late.
                 let due_unix = due_unix.unwrap_or(Duration::MAX);
                 due.push((entry.progress.spec.id.clone(), due_unix));
@@ -283,30 +282,32 @@
     }
 }
 
-fn batch_route<'a>(config: &'a Config, host: &str, path: &str) -> Option<&'a Route> {
-    config
-        .match_route(host, path)
-        .filter(|route| route.kind == RouteKind::Batch)
-}
-
 /// Returns when the results of a job are due, since the Unix epoch. Without a route they are
 /// due immediately.
-fn due_unix(entry: &JobEntry, config: &Config) -> Duration {
+fn due_unix(entry: &JobEntry, config: &Config, now: Instant) -> Duration {
     let spec = &entry.progress.spec;
-    let target = batch_route(config, &spec.host, &spec.path).map(|route| route.completion_target);
-    spec.submitted_unix + target.unwrap_or_default()
+    let route = entry.route.find(config, spec, now);
+    spec.submitted_unix
+        + route
+            .map(|route| route.completion_target)
+            .unwrap_or_default()
 }
 
 /// Gives up the unfinished items of a job if the retention time of its route has passed or its
-/// route no longer exists. `uptime` is how long this worker has been running.
-fn give_up_expired_job(entry: &mut JobEntry, config: &Config, uptime: Duration, now: Instant) {
+/// route no longer exists.
+fn give_up_expired_job(entry: &mut JobEntry, config: &Config, now: Instant) {
     let spec = &entry.progress.spec;
+    let config_version = config.version;
+    if entry.route.update(config, spec, now) {
+        log::warn!(job = spec.id, route = spec.route, config_version; "the route of the job is missing");
+    }
     let age = ledger_poll::unix_now().saturating_sub(spec.submitted_unix);
-    let route = batch_route(config, &spec.host, &spec.path);
-    if !job::should_give_up(route, age, uptime) || entry.progress.is_finished() {
+    let should_give_up = entry.route.should_give_up(config, spec, age, now);
+    if !should_give_up || entry.progress.is_finished() {
         return;
     }
-    log::warn!(job = spec.id, age_ms = age.as_millis() as u64, routed = route.is_some(); "giving up the unfinished items of the job");
+    let routed = entry.route.find(config, spec, now).is_some();
+    log::warn!(job = spec.id, route = spec.route, config_version, age_ms = age.as_millis() as u64, routed; "giving up the unfinished items of the job");
     entry.progress.give_up_unfinished(now);
     entry.cancel.cancel();
 }
--- a/crates/foxwheel-node/src/worker/scheduling.rs
+++ b/crates/foxwheel-node/src/worker/scheduling.rs
@@ -15,13 +15,13 @@
 use crate::item_run::ItemRun;
 use crate::ledger_poll;
 use crate::load_table::{InFlight, WorkClass};
-use crate::worker::{batch_route, Worker};
+use crate::worker::Worker;
 
 /// A job whose items may be waiting.
-struct WaitingJob {
+struct WaitingJob<'a> {
     job: JobId,
     host: String,
-    path: String,
+    route: &'a Route,
 }
 
 impl Worker {
@@ -40,11 +40,8 @@
         let mut without_slot = 0;
         for item in items {
             let job = &jobs[item.job];
-            let Some(route) = batch_route(&config, &job.host, &job.path) else {
-                continue;
-            };
-            let resumption = self.resumption(&job.job, item.item, route, now);
-            let service = route.pick_service(rand::random());
+            let resumption = self.resumption(&job.job, item.item, job.route, now);
+            let service = job.route.pick_service(rand::random());
             let Some((slot, start)) = slots.reserve_for_item(self, service, resumption, now) else {
                 without_slot += 1;
                 continue;
@@ -59,12 +56,16 @@
     }
 
     /// Returns the items that could run now, and the jobs to which their `job` indexes refer.
-    fn waiting_items(&self, config: &Config, now: Instant) -> (Vec<WaitingJob>, Vec<WaitingItem>) {
+    fn waiting_items<'a>(
+        &self,
+        config: &'a Config,
+        now: Instant,
+    ) -> (Vec<WaitingJob<'a>>, Vec<WaitingItem>) {
         let (mut jobs, mut items) = (Vec::new(), Vec::new());
         self.jobs.for_each_owned(|entry| {
             let progress = &entry.progress;
             let spec = &progress.spec;
-            let Some(route) = batch_route(config, &spec.host, &spec.path) else {
+            let Some(route) = entry.route.find(config, spec, now) else {
                 return;
             };
             let due_unix = spec.submitted_unix + route.completion_target;
@@ -81,7 +82,7 @@
             jobs.push(WaitingJob {
                 job: spec.id.clone(),
                 host: spec.host.clone(),
-                path: spec.path.clone(),
+                route,
             });
         });
         (jobs, items)
@@ -110,7 +111,7 @@
     /// memory.
     fn prepare_run(
         &self,
-        job: &WaitingJob,
+        job: &WaitingJob<'_>,
         item: usize,
         slot: InFlight,
         start: RunStart,
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -13,6 +13,7 @@
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::job_memory::{self, JobMemory};
+use foxwheel_policy::batch::job_route::JobRoute;
 use foxwheel_policy::batch::ledger::{JobStatus, Ledger, LedgerChange, LedgerResponse};
 use foxwheel_policy::batch::ownership::{self, ClaimStatus, JobClaim};
 use foxwheel_policy::batch::packing;
@@ -66,6 +67,8 @@
     pub progress: JobProgress,
     /// Whether this worker owns the job and runs its items.
     pub owned: bool,
+    /// The job's route in the configuration in force.
+    pub route: JobRoute,
     /// Whether results of the job are being stored.
     pub storing: bool,
     /// When the job was closed, if it was.
@@ -466,6 +469,7 @@
         Self {
             progress,
             owned,
+            route: JobRoute::default(),
             storing: false,
             closed_at: None,
             owned_since: now,
--- /dev/null
+++ b/crates/foxwheel-node/tests/job_routes.rs
@@ -0,0 +1,91 @@
+//! The operator adds a route with a longer prefix than that of a batch route, while a job that was
+//! accepted under that prefix is open. The job keeps its route.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{call, item_ids, result_ids, wait_for_results, Fleet, FleetPlan};
+use foxwheel_server_emu::faults::Fault;
+use foxwheel_server_emu::server::ServerConfig;
+use foxwheel_soak::front_client;
+use foxwheel_soak::store_entries;
+use hyper::{Method, StatusCode};
+use serde_json::{json, Value};
+
+/// Prefix of the added route. The job is submitted below it, to the route `batch`.
+const ADDED_PREFIX: &str = "/batch/night/";
+
+/// So many items that the job is open for longer than a missing route is waited for.
+const ITEMS: usize = 32;
+
+/// Starts a fleet whose servers take 1.8 s for an item. The last one is of the service `other`.
+async fn start_fleet() -> Fleet {
+    let slow = |id: &str| ServerConfig {
+        id: id.to_owned(),
+        step_time: Duration::from_millis(300),
+        ..ServerConfig::default()
+    };
+    let plan = FleetPlan {
+        servers: vec![slow("server-0")],
+        ..FleetPlan::default()
+    };
+    let mut fleet = Fleet::start(plan).await;
+    fleet.add_server_of_service("other", slow("other-0")).await;
+    fleet
+}
+
+async fn submit_job(fleet: &Fleet) {
+    let path = format!("{ADDED_PREFIX}job");
+    let body = front_client::job_body("job", ITEMS);
+    let accepted = call(fleet.fronts[0], Method::POST, &path, "job", &[], &body).await;
+    assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
+}
+
+/// Adds a route of this kind, for the service `other` and with one attempt.
+async fn add_route(fleet: &Fleet, kind: &str) {
+    let fields = json!({
+        "path_prefix": ADDED_PREFIX, "service": "other", "max_attempts": 1,
+        "completion_target_ms": 18_000, "retention_s": 60, "cap": 0,
+    });
+    let added = store_entries::route("added", kind, fields);
+    let add = |config: &mut Value| {
+        config["routes"].as_array_mut().expect("routes").push(added);
+        config["services"]
+            .as_array_mut()
+            .expect("services")
+            .push(json!(
+                {"name": "other", "health_path": "/healthz", "max_conns": 100}
+            ));
+    };
+    fleet.configure(2, add).await;
+}
+
+/// Checks that each item completed, and that none ran at the service of the added route.
+async fn check_all_completed(fleet: &Fleet) {
+    let results = wait_for_results(fleet.fronts[0], "job", ITEMS).await;
+    assert_eq!(result_ids(&results), item_ids("job", ITEMS));
+    let given_up = results.iter().filter(|it| it["state"] != "completed");
+    assert_eq!(given_up.count(), 0, "items were given up");
+    assert_eq!(fleet.servers[1].run_log.all_runs().len(), 0);
+}
+
+#[actix_web::test]
+async fn items_are_given_up_when_an_online_route_is_added_for_their_path() {
+    let fleet = start_fleet().await;
+    submit_job(&fleet).await;
+    add_route(&fleet, "idempotent").await;
+    check_all_completed(&fleet).await;
+}
+
+/// They ran at the service of the added route, and were given up after one failure, as it says.
+#[actix_web::test]
+async fn items_run_on_a_batch_route_that_is_added_for_their_path() {
+    let fleet = start_fleet().await;
+    for server in &fleet.servers {
+        server.fault_script.extend([Fault::Fail, Fault::Fail]);
+    }
+    submit_job(&fleet).await;
+    add_route(&fleet, "batch").await;
+    check_all_completed(&fleet).await;
+}
--- a/crates/foxwheel-policy/src/batch/job.rs
+++ b/crates/foxwheel-policy/src/batch/job.rs
@@ -14,7 +14,6 @@
 use crate::batch::item::{ItemOutcome, ItemResult, ItemSpec, ItemState, PartialOutput, RunEnd};
 use crate::batch::packing;
 use crate::placement;
-use crate::routes::Route;
 
 /// Delay before an item runs again after a run that does not count as a failure.
 const RERUN_DELAY: Duration = Duration::from_millis(150);
@@ -40,30 +39,16 @@
 /// takes over the job would run the item and let it fail as many times again.
 const STORE_GIVEN_UP_DELAY: Duration = Duration::from_millis(200);
 
-/// How old a job without a route must be, and how long a configuration must have been known,
-/// before the job is given up. Its route may not have arrived here yet.
-const MISSING_ROUTE_GRACE: Duration = Duration::from_secs(5);
-
-/// Returns whether the unfinished items of a job should be given up: the job is older than its
-/// route's retention time (zero means no limit), or no route matches it any more. `age` counts from
-/// the submission; `config_known_for` is how long this process has had a configuration.
-pub fn should_give_up(route: Option<&Route>, age: Duration, config_known_for: Duration) -> bool {
-    match route {
-        Some(route) => !route.retention.is_zero() && age > route.retention,
-        None => age > MISSING_ROUTE_GRACE && config_known_for > MISSING_ROUTE_GRACE,
-    }
-}
-
 /// A job as its client submitted it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct JobSpec {
     /// Id that the client chose.
     pub id: JobId,
-    /// Host header of the submission; selects the route of the items.
+    /// Host header of the submission, and of the items.
     pub host: String,
-    /// Path of the submission; selects the route of the items.
+    /// Path of the submission.
     pub path: String,
-    /// Name of the route that matched when the job was submitted.
+    /// Name of the route that accepted the job, which stays its route.
     pub route: String,
     /// Time of the submission, since the Unix epoch.
     #[serde(rename = "submitted_unix_ms")]
--- a/crates/foxwheel-policy/src/batch/mod.rs
+++ b/crates/foxwheel-policy/src/batch/mod.rs
@@ -6,6 +6,7 @@
 pub mod item;
 pub mod job;
 pub mod job_memory;
+pub mod job_route;
 pub mod ledger;
 pub mod ownership;
 pub mod packing;
