--- a/crates/foxwheel-node/src/front.rs
+++ b/crates/foxwheel-node/src/front.rs
@@ -154,16 +154,15 @@
     }
 }
 
-/// Decodes a call on a batch job. Returns `None` if the request is no such call, or if a route matches
-/// it. A job outlives the routes of its host, so that the host needs none.
+/// Decodes a call on a batch job. Returns `None` if the request is no such call, or goes to a route.
 fn decode_job_call(
     config: &Config,
     head: &request::Parts,
     caller: &wire::CallerRequest,
 ) -> Option<batch_api::JobCall> {
     let call = batch_api::decode_call(head)?;
-    let route = config.match_route(&caller.host, &caller.path);
-    route.is_none().then_some(call)
+    let is_job_call = config.is_job_call(&caller.host, &caller.path, call.path_prefix());
+    is_job_call.then_some(call)
 }
 
 fn head_size_bytes(head: &request::Parts) -> usize {
--- a/crates/foxwheel-node/tests/job_routes.rs
+++ b/crates/foxwheel-node/tests/job_routes.rs
@@ -1,5 +1,5 @@
-//! The operator adds a route with a longer prefix than that of a batch route, while a job that was
-//! accepted under that prefix is open. The job keeps its route.
+//! The operator adds routes that match the paths of a job: a longer prefix than that of its batch route
+//! while it is open, or all paths. The job keeps its route, and its callers reach it.
 
 mod common;
 
@@ -42,10 +42,10 @@
     assert_eq!(accepted.expect("a response").status, StatusCode::ACCEPTED);
 }
 
-/// Adds a route of this kind, for the service `other` and with one attempt.
-async fn add_route(fleet: &Fleet, kind: &str) {
+/// Adds a route of this kind for `path_prefix`, for the service `other` and with one attempt.
+async fn add_route(fleet: &Fleet, kind: &str, path_prefix: &str) {
     let fields = json!({
-        "path_prefix": ADDED_PREFIX, "service": "other", "max_attempts": 1,
+        "path_prefix": path_prefix, "service": "other", "max_attempts": 1,
         "completion_target_ms": 18_000, "retention_s": 60, "cap": 0,
     });
     let added = store_entries::route("added", kind, fields);
@@ -74,7 +74,7 @@
 async fn items_are_given_up_when_an_online_route_is_added_for_their_path() {
     let fleet = start_fleet().await;
     submit_job(&fleet).await;
-    add_route(&fleet, "idempotent").await;
+    add_route(&fleet, "idempotent", ADDED_PREFIX).await;
     check_all_completed(&fleet).await;
 }
 
@@ -86,6 +86,35 @@
         server.fault_script.extend([Fault::Fail, Fault::Fail]);
     }
     submit_job(&fleet).await;
-    add_route(&fleet, "batch").await;
+    add_route(&fleet, "batch", ADDED_PREFIX).await;
     check_all_completed(&fleet).await;
 }
+
+/// A server of the added route answered them with another page.
+#[actix_web::test]
+async fn calls_on_a_job_go_to_a_route_that_is_added_for_all_paths() {
+    let fleet = start_fleet().await;
+    let front = fleet.fronts[0];
+    submit_job(&fleet).await;
+    add_route(&fleet, "idempotent", "/").await;
+    common::wait_for_status(front, "/other-page", StatusCode::OK).await;
+    let pages = fleet.servers[1].run_log.all_runs().len();
+    let read = front_client::read_results(front, "job", 0).await;
+    assert_eq!(read.expect("a list")["total"], ITEMS);
+    let item = front_client::item_id("job", ITEMS - 1);
+    let path = format!("/api/items/job?id={item}");
+    let body = call(front, Method::GET, &path, "body", &[], "").await;
+    let body = body.expect("a response").body;
+    assert_eq!(
+        body.as_ref(),
+        [0xab, 0xcd, 0xef, 0x12, 0x34, 0x56, 0x78, 0x90]
+    );
+    let ended = call(front, Method::DELETE, "/api/lots/job", "end", &[], "").await;
+    let ended = ended.expect("a response");
+    assert_eq!(
+        (ended.status, ended.text()),
+        (StatusCode::OK, String::new())
+    );
+    let pages_after = fleet.servers[1].run_log.all_runs().len();
+    assert_eq!(pages_after, pages, "a call reached the added route");
+}
--- a/crates/foxwheel-policy/src/routes.rs
+++ b/crates/foxwheel-policy/src/routes.rs
@@ -108,6 +108,19 @@
             .max_by_key(|route| route.path_prefix.len())
     }
 
+    /// Returns whether a call on a batch job, whose path begins with `call_prefix`, goes to the job and not
+    /// to a route. On a host that accepts jobs the longer prefix decides, as between routes; elsewhere
+    /// a call goes to the job only if no route matches, because a job outlives the routes of its host.
+    pub fn is_job_call(&self, host: &str, path: &str, call_prefix: &str) -> bool {
+        let Some(matched) = self.match_route(host, path) else {
+            return true;
+        };
+        let accepts_jobs = self.routes.iter().any(|route| {
+            route.kind == RouteKind::Batch && route.host.eq_ignore_ascii_case(&matched.host)
+        });
+        accepts_jobs && matched.path_prefix.len() < call_prefix.len()
+    }
+
     /// Returns the settings of a service, or `None` if the configuration has none.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/foxwheel-policy/tests/routing.rs
+++ b/crates/foxwheel-policy/tests/routing.rs
@@ -64,6 +64,42 @@
     assert_eq!(matched("c.example", "/x/1"), None);
 }
 
+/// A call on an accepted job was answered by a server of a route for all paths.
+#[test]
+fn calls_on_jobs_go_to_a_route_with_a_shorter_prefix() {
+    const PREFIX: &str = "/api/lots/";
+    let batch = |host| Route {
+        kind: RouteKind::Batch,
+        ..route("letters", host, "/letters/")
+    };
+    let all_paths = route("page", "a.example", "/");
+    let same_prefix = route("lots", "a.example", PREFIX);
+    let cases = [
+        ("no route", vec![], true),
+        ("batch route", vec![batch("a.example")], true),
+        (
+            "all paths",
+            vec![batch("a.example"), all_paths.clone()],
+            true,
+        ),
+        (
+            "the same prefix",
+            vec![batch("a.example"), same_prefix],
+            false,
+        ),
+        (
+            "no jobs on the host",
+            vec![batch("b.example"), all_paths],
+            false,
+        ),
+    ];
+    for (name, routes, expected) in cases {
+        let config = config(1, routes);
+        let is_job_call = config.is_job_call("A.example:80", "/api/lots/job", PREFIX);
+        assert_eq!(is_job_call, expected, "{name}");
+    }
+}
+
 #[test]
 fn a_split_route_selects_services_by_weight_and_draw_only() {
     let mut split = route("split", "a.example", "/x/");
