Take no error response for a stream that was cut off

What callers saw: a server's own 500 for a stream that may run once, without a content type, reached its caller as 502. A refusal with a text counted as a failure of its server, was logged as a crash to be probed, and closed its connection.

A body without a content type is taken for an event stream where the request asks for one, whatever its status; the text of an error has no end of an event.

Change: events are expected of a success only.

Test: node::online_contract::error_response_without_a_content_type_is_taken_for_a_stream_that_was_cut_off failed before (502 instead of 500).

--- a/crates/foxwheel-node/src/attempt.rs
+++ b/crates/foxwheel-node/src/attempt.rs
@@ -205,7 +205,7 @@
         }
     };
     let (head, mut body) = response.into_parts();
-    if let Some(expected) = params.expected_events {
+    if let Some(expected) = params.expected_events.filter(|_| head.status.is_success()) {
         body.expect_events(expected);
     }
     if body.framing() == Framing::UntilClose {
--- a/crates/foxwheel-node/tests/online_contract.rs
+++ b/crates/foxwheel-node/tests/online_contract.rs
@@ -297,6 +297,25 @@
     fleet.cancel.cancel();
 }
 
+/// Its text was taken for an event without an end, and its caller got 502.
+#[actix_web::test]
+async fn error_response_without_a_content_type_is_taken_for_a_stream_that_was_cut_off() {
+    let fleet = Fleet::start(FleetPlan {
+        servers: common::server_shapes(1),
+        workers: 0,
+        ..FleetPlan::default()
+    })
+    .await;
+    fleet.servers[0].fault_script.extend([Fault::Fail]);
+    let front = fleet.fronts[0];
+    let response = call(front, Method::POST, "/stream-once/a", "stream", &[], "").await;
+    let response = response.expect("a response");
+    assert_eq!(response.status, StatusCode::INTERNAL_SERVER_ERROR);
+    assert!(response.headers.contains_key(&SIGNATURE));
+    assert_eq!(response.text(), plain_body("stream"));
+    fleet.cancel.cancel();
+}
+
 /// A stream that must not be resumed runs once. If it is cut off, its caller must be able to tell.
 #[actix_web::test]
 async fn cut_off_stream_that_runs_once_never_looks_complete() {
