--- a/crates/foxwheel-node/src/online_request.rs
+++ b/crates/foxwheel-node/src/online_request.rs
@@ -1,7 +1,9 @@
 //! An online request: sends attempts to backend servers until one of them responds with a
 //! success or no further attempt is allowed.
 
+mod placement;
 mod resumption;
+mod sending;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -11,31 +13,25 @@
 use foxwheel_core::ids::{ServerId, ServiceName};
 use foxwheel_core::metric_names::{Counter, RefusalReason, RequestKind, RequestOutcome};
 use foxwheel_http1::body::ExpectedEvents;
-use foxwheel_http1::connection::RequestBody;
 use foxwheel_platform::online::{self, Attempt, CallerRequest};
 use foxwheel_policy::hedging::AwaitedPart;
 use foxwheel_policy::membership::ServerInstance;
-use foxwheel_policy::placement::{self, Candidate};
 use foxwheel_policy::retry::{AttemptOutcome, Attempts, NextStep};
 use foxwheel_policy::routes::{Route, RouteKind};
 use foxwheel_policy::stream_origin::StreamOrigin;
 use futures::future::BoxFuture;
 use hyper::http::request;
-use hyper::Request;
 
-use crate::attempt::{self, AttemptParams, Failure, FullResponse, OpenResponse};
+use crate::attempt::{AttemptParams, Failure, OpenResponse};
 use crate::hedging::Hedged;
-use crate::load_table::{InFlight, WorkClass};
+use crate::load_table::InFlight;
 use crate::node::Node;
+use crate::online_request::placement::Placement;
 use crate::part_quarantine::RunRefusal;
 use crate::refusal::Refusal;
 use crate::request_content::RequestContent;
 use crate::request_quarantine::TrialRun;
 
-/// How long a request waits at the front for a slot when every server is full: a quarter of a
-/// usual target latency, so that a refused caller can still be served in time elsewhere.
-const SLOT_WAIT_TIMEOUT: Duration = Duration::from_millis(60);
-
 /// Delay after which a caller whose time limit has passed should retry, if it is still waiting.
 const DEADLINE_EXCEEDED_RETRY_AFTER: Duration = Duration::from_millis(150);
 
@@ -115,12 +111,6 @@
     pub response: BoxFuture<'static, Result<OpenResponse, Failure>>,
 }
 
-enum Placement {
-    Reserved(InFlight),
-    ServersFull,
-    NoServer,
-}
-
 impl OnlineRequest {
     /// Creates a request of `connection` from its head and complete body, and selects its service.
     pub fn new(
@@ -297,89 +287,6 @@
         }
     }
 
-    async fn reserve_slot(&mut self, node: &Node) -> Placement {
-        if let Some(is_shared) = self.trial.as_ref().map(|trial| trial.is_shared) {
-            return self.reserve_trial_slot(node, is_shared);
-        }
-        let wait_until = (Instant::now() + SLOT_WAIT_TIMEOUT).min(self.response_deadline);
-        loop {
-            let now = Instant::now();
-            let version = self.required_version();
-            let mut candidates =
-                node.online_candidates(&self.service, version, &self.tried_servers, now);
-            if candidates.is_empty() && self.attempts.count() > 0 {
-                // Every server was tried. The least loaded one may succeed now.
-                candidates = node.online_candidates(&self.service, version, &[], now);
-            }
-            let is_second = self.attempts.in_progress() > 0;
-            if is_second && !self.may_use_silent_servers {
-                candidates.retain(|candidate| !candidate.is_suspected);
-            }
-            if candidates.is_empty() {
-                return Placement::NoServer;
-            }
-            let zone = &node.settings.availability_zone;
-            let draw = rand::random::<u32>() as usize;
-            let pick = match (is_second, self.origin.is_some()) {
-                (true, _) => placement::pick_second(&candidates, zone, draw),
-                (false, true) => placement::pick_resumed(&candidates, zone, draw),
-                (false, false) => placement::pick_online(&candidates, zone, draw),
-            };
-            if let Some(pick) = pick {
-                return self.reserve(node, pick);
-            }
-            // It would take the slots that requests without a server wait for.
-            if is_second {
-                return Placement::ServersFull;
-            }
-            let capacity_changed = async {
-                tokio::select! {
-                    () = node.loads.slot_freed.notified() => {}
-                    () = node.peers_changed.notified() => {}
-                }
-            };
-            let deadline = tokio::time::Instant::from_std(wait_until);
-            if tokio::time::timeout_at(deadline, capacity_changed)
-                .await
-                .is_err()
-            {
-                return Placement::ServersFull;
-            }
-        }
-    }
-
-    /// Reserves a slot at the server of the trial. If that is full, only one request of this process
-    /// with the same content is queued there.
-    fn reserve_trial_slot(&mut self, node: &Node, is_shared: bool) -> Placement {
-        let version = self.required_version();
-        let now = Instant::now();
-        let Some(server) = node.trial_candidate(&self.service, version, &self.content, now) else {
-            return Placement::NoServer;
-        };
-        let candidates = [server];
-        let zone = &node.settings.availability_zone;
-        if is_shared && placement::pick_online(&candidates, zone, 0).is_none() {
-            return Placement::ServersFull;
-        }
-        let [server] = &candidates;
-        log::info!(request_id = self.caller.id, content = self.content.fingerprint(), server = server.id; "trial of a quarantined request");
-        node.metrics.incr(Counter::TrialStarted);
-        self.reserve(node, server)
-    }
-
-    fn reserve(&mut self, node: &Node, pick: &Candidate) -> Placement {
-        let hold_time = node.hold_times.hold_time(&self.service);
-        self.chosen_server = Some(ChosenServer {
-            id: pick.id.clone(),
-            in_flight: pick.in_flight,
-            slots: pick.slots,
-            expected_wait: placement::expected_wait(pick, hold_time),
-            list_age: node.server_list_age(Instant::now()),
-        });
-        let instance = pick.instance();
-        Placement::Reserved(node.loads.begin_request(&instance, WorkClass::Online))
-    }
-
     /// Returns what a stream must have to be complete; `None` if the route does not stream.
     fn expected_events(&self) -> Option<ExpectedEvents> {
         let streams = self.route.kind == RouteKind::Stream;
@@ -414,7 +321,7 @@
         };
         PendingAttempt {
             server: params.slot.server().clone(),
-            response: Box::pin(send_attempt(
+            response: Box::pin(sending::send_attempt(
                 Arc::clone(node),
                 params,
                 request,
@@ -490,58 +397,6 @@
     }
 }
 
-/// Sends one attempt. Returns the response if it is a success whose body may be forwarded.
-async fn send_attempt(
-    node: Arc<Node>,
-    params: AttemptParams,
-    request: Request<RequestBody>,
-    connection: CallerConnection,
-) -> Result<OpenResponse, Failure> {
-    let deadline = params.deadline;
-    let response = attempt::send(&node, params, request).await?;
-    if response.decoded_head.status.is_success() && !response.decoded_head.not_run {
-        if response.decoded_head.is_signed {
-            return Ok(response);
-        }
-        return Err(Failure::new(
-            AttemptOutcome::Unknown,
-            "success without a signature",
-        ));
-    }
-    if response.decoded_head.not_run {
-        let reason = format!("rejected with {}", response.decoded_head.status.as_u16());
-        let outcome = match response.decoded_head.from_another_instance {
-            true => AttemptOutcome::Gone,
-            false => AttemptOutcome::Rejected,
-        };
-        response.discard_body(deadline).await;
-        return Err(Failure::new(outcome, reason));
-    }
-    Err(read_server_error(response, &connection, deadline).await)
-}
-
-/// Reads an error response until `deadline`. A signed and complete one is the server's own and is kept
-/// for the caller; any other leaves the outcome unknown.
-async fn read_server_error(
-    mut response: OpenResponse,
-    connection: &CallerConnection,
-    deadline: Instant,
-) -> Failure {
-    let reason = format!("server answered {}", response.decoded_head.status.as_u16());
-    match response.read_full_body(connection, deadline).await {
-        Ok(body) if response.decoded_head.is_signed => {
-            let head = response.head.clone();
-            response.finish();
-            Failure {
-                outcome: AttemptOutcome::Failed,
-                reason,
-                response: Some(FullResponse { head, body }),
-            }
-        }
-        _ => Failure::new(AttemptOutcome::Unknown, reason),
-    }
-}
-
 impl Drop for OnlineRequest {
     fn drop(&mut self) {
         if self.has_ended {
--- a/crates/foxwheel-soak/src/plan.rs
+++ b/crates/foxwheel-soak/src/plan.rs
@@ -116,7 +116,8 @@
     LosesAnswers,
     /// Cuts off the next responses.
     BreaksOff,
-    /// Responds to the next requests with the id of another request, or without a signature.
+    /// Responds to the next requests with the id of another request, without a signature, or twice, the
+    /// second time late.
     Garbles,
     /// Fails the next requests.
     Fails,
