Split the job entry from a worker's jobs

A job in a worker's memory is worker_jobs::job_entry now.

Measured: clippy clean; node worker_jobs, batch_contract, checkpoints, job_routes and ended_jobs pass.

--- a/crates/foxwheel-node/src/worker/mod.rs
+++ b/crates/foxwheel-node/src/worker/mod.rs
@@ -22,7 +22,8 @@
 use crate::item_run::{self, ItemRun, SharedOutput};
 use crate::node::Node;
 use crate::worker::checkpointing::Checkpoints;
-use crate::worker_jobs::{JobEntry, WorkerJobs};
+use crate::worker_jobs::job_entry::JobEntry;
+use crate::worker_jobs::WorkerJobs;
 use crate::{ledger_poll, result_store, retirement_watch};
 
 /// Maximum time between two scheduling rounds.
--- a/crates/foxwheel-node/src/worker_jobs.rs
+++ b/crates/foxwheel-node/src/worker_jobs.rs
@@ -1,6 +1,8 @@
 //! Keeps jobs in a worker's memory: the jobs that it owns and runs, and the jobs that it only
-//! reads for callers. [`take_over`] makes it the owner of jobs whose owners are gone.
+//! reads for callers. [`job_entry`] is one of them; [`take_over`] makes the worker the owner of jobs whose
+//! owners are gone.
 
+pub mod job_entry;
 mod take_over;
 
 use std::collections::VecDeque;
@@ -13,10 +15,8 @@
 use foxwheel_policy::batch::item::ItemResult;
 use foxwheel_policy::batch::job::{JobProgress, JobSpec};
 use foxwheel_policy::batch::job_memory::{self, JobMemory};
-use foxwheel_policy::batch::job_route::JobRoute;
 use foxwheel_policy::batch::ledger::{JobStatus, Ledger, LedgerChange, LedgerResponse};
-use foxwheel_policy::batch::ownership::{self, ClaimStatus, JobClaim};
-use foxwheel_policy::batch::packing;
+use foxwheel_policy::batch::ownership;
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -24,20 +24,13 @@
 use crate::ledger_writer::{self, LedgerWriter};
 use crate::node::Node;
 use crate::peer_calls::{ItemBodyResponse, ResultsQuery, ResultsResponse};
+use crate::worker_jobs::job_entry::{JobEntry, REFRESH_INTERVAL};
 use crate::worker_jobs::take_over::CHECKPOINT_CACHE_TTL;
 
-/// Minimum time between two reads of the store for new results of a job that another worker
-/// owns.
-const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time limit for reading a job from the store for a caller. Taking over a job may take four
 /// times as long.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// How long a closed job is reported to other processes, so that they know how many parts its
-/// results have. This is several times the time after which a silent process counts as dead.
-const REPORT_CLOSED_DURATION: Duration = Duration::from_secs(10);
-
 /// How long an ended job stays in memory after it was last read or changed. Its results are
 /// readable for two minutes, and each read of a job that is not in memory costs three calls
 /// or more.
@@ -60,31 +53,6 @@
 /// Number of jobs that are taken over at the same time, for the same reason.
 const MAX_TAKE_OVERS: usize = 3;
 
-/// A job in memory.
-#[derive(Debug)]
-pub struct JobEntry {
-    /// Progress of the job's items.
-    pub progress: JobProgress,
-    /// Whether this worker owns the job and runs its items.
-    pub owned: bool,
-    /// The job's route in the configuration in force.
-    pub route: JobRoute,
-    /// Whether results of the job are being stored.
-    pub storing: bool,
-    /// When the job was closed, if it was.
-    closed_at: Option<Instant>,
-    /// When this worker last became the owner of the job.
-    owned_since: Instant,
-    /// Cancelled when the items of the job must stop running.
-    pub cancel: CancellationToken,
-    /// Notified when more results of the job have been stored and can be read.
-    new_results: Arc<Notify>,
-    /// When the store was last queried for more parts.
-    refreshed_at: Instant,
-    /// When the job was last read or changed.
-    used_at: Instant,
-}
-
 /// The jobs in a worker's memory.
 #[derive(Debug)]
 pub struct WorkerJobs {
@@ -463,86 +431,6 @@
     }
 }
 
-impl JobEntry {
-    fn new(progress: JobProgress, owned: bool) -> Self {
-        let now = Instant::now();
-        Self {
-            progress,
-            owned,
-            route: JobRoute::default(),
-            storing: false,
-            closed_at: None,
-            owned_since: now,
-            cancel: CancellationToken::new(),
-            new_results: Arc::new(Notify::new()),
-            refreshed_at: now,
-            used_at: now,
-        }
-    }
-
-    /// Applies progress that was loaded from the store, unless it is older than what is known,
-    /// and sets whether this worker owns the job. Owned and ended jobs stay as they are.
-    fn update(&mut self, loaded: JobProgress, owned: bool) {
-        if self.owned || self.progress.ended {
-            return;
-        }
-        if loaded.stored_parts >= self.progress.stored_parts {
-            self.progress = loaded;
-        }
-        self.owned = owned;
-        self.used_at = Instant::now();
-        self.owned_since = self.used_at;
-    }
-
-    /// Returns what this worker reports of the job to other processes, or `None` if it neither
-    /// owns the job nor closed it recently.
-    fn current_claim(&self, now: Instant) -> Option<JobClaim> {
-        let status = if self.owned {
-            ClaimStatus::Owned
-        } else {
-            let closed_at = self.closed_at?;
-            let is_recent = now.duration_since(closed_at) < REPORT_CLOSED_DURATION;
-            is_recent.then_some(ClaimStatus::Closed)?
-        };
-        Some(JobClaim {
-            job: self.progress.spec.id.clone(),
-            stored_parts: self.progress.stored_parts,
-            status,
-        })
-    }
-
-    /// Returns the results that `query` asks for as far as they are stored, at least one if there
-    /// is any, and the notification of new results.
-    fn read_results(&mut self, query: ResultsQuery) -> (ResultsResponse, Arc<Notify>) {
-        self.used_at = Instant::now();
-        let available = || self.progress.stored_results.iter().skip(query.from);
-        // The codec between processes leaves text as it is.
-        let sizes = available().map(|result| result.output.len());
-        let count = packing::leading_values_that_fit(sizes, query.max_bytes);
-        let response = ResultsResponse::Results {
-            item_count: self.progress.spec.items.len(),
-            results: available().take(count).cloned().collect(),
-        };
-        (response, Arc::clone(&self.new_results))
-    }
-
-    /// Returns whether the store may hold parts that are not in memory: other workers report
-    /// more parts, or another worker owns the job and the store was not read recently.
-    fn should_refresh(&mut self, known_parts: u32, now: Instant) -> bool {
-        let is_current = self.owned || self.storing || self.progress.is_fully_stored();
-        let is_stale = !is_current && now.duration_since(self.refreshed_at) >= REFRESH_INTERVAL;
-        if is_stale {
-            self.refreshed_at = now;
-        }
-        is_stale || self.progress.stored_parts < known_parts
-    }
-
-    /// Returns the number of the next part to load, or `None` if all results are stored.
-    fn next_part(&self) -> Option<u32> {
-        (!self.progress.is_fully_stored()).then_some(self.progress.stored_parts)
-    }
-}
-
 /// Returns the index of the job `id`, or the index at which to insert it.
 fn find_entry(entries: &[JobEntry], id: &str) -> Result<usize, usize> {
     entries.binary_search_by(|entry| entry.progress.spec.id.as_str().cmp(id))
